--- /dev/null
+++ b/packages/core/failure.ts
@@ -0,0 +1,101 @@
+/** The typed failure that every fallible operation returns. */
+import type { Ran, ResultCode } from "./codes.ts";
+
+/** Why an operation failed, and whether the request was run. */
+export interface Failure {
+  readonly result: ResultCode;
+  readonly detail: string;
+  readonly ran: Ran;
+  /** When coming back makes sense, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/** Body of an `application/problem+json` answer (RFC 9457). */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly code: number;
+  readonly ran: Ran;
+  readonly retryAfterMs?: number;
+  /** The same for clients that look for an `error` member. */
+  readonly error: {
+    readonly message: string;
+    readonly type: string;
+    readonly code: string;
+  };
+}
+
+/**
+ * Makes a failure of a request that was not run.
+ *
+ * @example
+ * ```ts
+ * return err(core.refuse(core.MODEL_UNKNOWN, `no row named ${name}`));
+ * ```
+ */
+export function refuse(
+  result: ResultCode,
+  detail: string,
+  retryAfterMs?: number,
+): Failure {
+  return retryAfterMs === undefined
+    ? { result, detail, ran: "no" }
+    : { result, detail, ran: "no", retryAfterMs };
+}
+
+/**
+ * Makes a failure of a request that was or may have been run.
+ *
+ * @example
+ * ```ts
+ * return err(core.fail(core.UPSTREAM_BROKE, "connection reset", "unknown"));
+ * ```
+ */
+export function fail(
+  result: ResultCode,
+  detail: string,
+  ran: Ran,
+): Failure {
+  return { result, detail, ran };
+}
+
+/**
+ * Renders a failure as a problem document.
+ *
+ * @example
+ * ```ts
+ * response.json(core.toProblem(failure), failure.result.httpStatus);
+ * ```
+ */
+export function toProblem(failure: Failure): Problem {
+  const problem = {
+    type: `urn:carawaywind:code:${failure.result.code}`,
+    title: failure.result.name,
+    status: failure.result.httpStatus,
+    detail: failure.detail,
+    code: failure.result.code,
+    ran: failure.ran,
+    error: {
+      message: failure.detail,
+      type: failure.result.name,
+      code: String(failure.result.code),
+    },
+  };
+  return failure.retryAfterMs === undefined
+    ? problem
+    : { ...problem, retryAfterMs: Math.ceil(failure.retryAfterMs) };
+}
+
+/**
+ * The message of anything thrown.
+ *
+ * @example
+ * ```ts
+ * core.messageOf(new Error("reset")); // "reset"
+ * ```
+ */
+export function messageOf(thrown: unknown): string {
+  return thrown instanceof Error ? thrown.message : String(thrown);
+}
--- /dev/null
+++ b/packages/core/ids.ts
@@ -0,0 +1,46 @@
+/** Branded identifiers, so that one kind is never passed for another. */
+import { randomBytes } from "node:crypto";
+
+declare const brand: unique symbol;
+type Branded<Name extends string> = string & { readonly [brand]: Name };
+
+export type InstanceId = Branded<"InstanceId">;
+export type Incarnation = Branded<"Incarnation">;
+export type CallerId = Branded<"CallerId">;
+export type OperatorId = Branded<"OperatorId">;
+export type UpstreamId = Branded<"UpstreamId">;
+export type RowName = Branded<"RowName">;
+export type ServiceName = Branded<"ServiceName">;
+export type ArtifactId = Branded<"ArtifactId">;
+export type AttemptId = Branded<"AttemptId">;
+export type TransmissionId = Branded<"TransmissionId">;
+export type EditId = Branded<"EditId">;
+export type Nonce = Branded<"Nonce">;
+export type IdempotencyKey = Branded<"IdempotencyKey">;
+
+const RANDOM_ID_BYTES = 12;
+
+/**
+ * Brands a checked string.
+ *
+ * @example
+ * ```ts
+ * const id = core.brandId<core.CallerId>("kiosk-router");
+ * ```
+ */
+export function brandId<Id extends string>(text: string): Id {
+  return text as Id;
+}
+
+/**
+ * Makes a random identifier with a prefix that tells its kind.
+ *
+ * @example
+ * ```ts
+ * const attemptId = core.randomId<core.AttemptId>("at");
+ * ```
+ */
+export function randomId<Id extends string>(prefix: string): Id {
+  const text = randomBytes(RANDOM_ID_BYTES).toString("base64url");
+  return `${prefix}-${text}` as unknown as Id;
+}
--- /dev/null
+++ b/packages/core/json.ts
@@ -0,0 +1,53 @@
+/** JSON values, and decoding them at the boundaries. */
+import { err, ok, type Result } from "neverthrow";
+import type { Codec } from "purify-ts";
+
+/** Any JSON value. */
+export type JsonValue =
+  | null
+  | boolean
+  | number
+  | string
+  | JsonValue[]
+  | { [key: string]: JsonValue };
+
+/**
+ * Parses JSON text and decodes it with a codec.
+ *
+ * @returns the value, or a message that names the fault.
+ * @example
+ * ```ts
+ * const body = core.decodeJson(text, CompletionRequestCodec);
+ * ```
+ */
+export function decodeJson<T>(
+  text: string,
+  codec: Codec<T>,
+): Result<T, string> {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(text);
+  } catch (thrown) {
+    return err(`not JSON: ${(thrown as Error).message}`);
+  }
+  return decodeValue(parsed, codec);
+}
+
+/**
+ * Decodes a value with a codec.
+ *
+ * @returns the value, or a message that names the fault.
+ * @example
+ * ```ts
+ * const row = core.decodeValue(stored.value, ClaimRowCodec);
+ * ```
+ */
+export function decodeValue<T>(
+  value: unknown,
+  codec: Codec<T>,
+): Result<T, string> {
+  return codec.decode(value).caseOf<Result<T, string>>({
+    Left: (message) => err(message),
+    Right: (decoded) => ok(decoded),
+  });
+}
--- /dev/null
+++ b/packages/core/mod.ts
@@ -0,0 +1,73 @@
+/** What every package shares: codes, failures, ids, time, logs, supervision. */
+export {
+  ANSWER_FOREIGN,
+  ANSWER_LATE,
+  BODY_INVALID,
+  BODY_TOO_LARGE,
+  CLAIM_FATE_UNKNOWN,
+  CLAIM_IN_FLIGHT,
+  CLAIM_STORE_DOWN,
+  DEADLINE_INVALID,
+  DEADLINE_PASSED,
+  DEADLINE_UNREACHABLE,
+  EDIT_CONFLICT,
+  EDIT_INVALID,
+  EDIT_OUTCOME_UNKNOWN,
+  INSTANCE_FULL,
+  INSTANCE_ISOLATED,
+  INSTANCE_LEAVING,
+  INTERNAL,
+  KEY_INVALID,
+  KEY_MISSING,
+  KEY_REUSED,
+  LIMIT_REACHED,
+  MODEL_LOADING,
+  MODEL_UNKNOWN,
+  NO_UPSTREAM,
+  PEER_UNREACHABLE,
+  PLATFORM_ANSWER_INVALID,
+  RESULT_CODES,
+  RETRY_BUDGET_SPENT,
+  REVISION_MISMATCH,
+  ROLE_FORBIDDEN,
+  ROUTE_UNKNOWN,
+  SERVICE_UNKNOWN,
+  SETTINGS_INVALID,
+  STORE_REPLY_LOST,
+  STORE_UNAVAILABLE,
+  STREAM_BROKEN,
+  TABLE_NOT_READY,
+  TOKEN_INVALID,
+  UPSTREAM_BROKE,
+  UPSTREAM_REFUSED,
+  UPSTREAM_UNREACHABLE,
+} from "./codes.ts";
+export type { Ran, ResultCode } from "./codes.ts";
+export { fail, messageOf, refuse, toProblem } from "./failure.ts";
+export type { Failure, Problem } from "./failure.ts";
+export { brandId, randomId } from "./ids.ts";
+export type {
+  ArtifactId,
+  AttemptId,
+  CallerId,
+  EditId,
+  IdempotencyKey,
+  Incarnation,
+  InstanceId,
+  Nonce,
+  OperatorId,
+  RowName,
+  ServiceName,
+  TransmissionId,
+  UpstreamId,
+} from "./ids.ts";
+export { Lifecycle, mergeCleanups } from "./lifecycle.ts";
+export type { Cleanup } from "./lifecycle.ts";
+export { Deadline, jitterMs, monotonicMs, sleep } from "./clock.ts";
+export { Logger, renderEvent } from "./log.ts";
+export type { LogFields, LogValue } from "./log.ts";
+export { Supervisor, Task } from "./supervisor.ts";
+export { hash32, rendezvous } from "./rendezvous.ts";
+export { invariant, INVARIANT_MESSAGES, InvariantError } from "./invariants.ts";
+export { decodeJson, decodeValue } from "./json.ts";
+export type { JsonValue } from "./json.ts";
--- /dev/null
+++ b/packages/fakes/fake_answers.ts
@@ -0,0 +1,47 @@
+/** The text that fakes answer with, so that callers can check their own. */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+function digest(text: string): string {
+  let hash = FNV_OFFSET;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
+  }
+  return (hash >>> 0).toString(36);
+}
+
+/**
+ * One token of the answer to a prompt.
+ *
+ * @example
+ * ```ts
+ * fakes.expectedToken("llama@1", "hello", 0);
+ * ```
+ */
+export function expectedToken(
+  artifactId: string,
+  promptText: string,
+  index: number,
+): string {
+  return `${digest(`${artifactId}|${promptText}|${index}`)} `;
+}
+
+/**
+ * The whole answer to a prompt.
+ *
+ * @example
+ * ```ts
+ * fakes.expectedAnswer("llama@1", "hello", 8);
+ * ```
+ */
+export function expectedAnswer(
+  artifactId: string,
+  promptText: string,
+  count: number,
+): string {
+  const indexes = Array.from({ length: count }, (_, index) => index);
+  return indexes
+    .map((index) => expectedToken(artifactId, promptText, index))
+    .join("");
+}
--- /dev/null
+++ b/packages/fakes/fake_server.ts
@@ -0,0 +1,86 @@
+/** Base of every fake: an HTTP server on loopback that takes faults. */
+import { serve, type ServerType } from "@hono/node-server";
+import { type Context, Hono } from "hono";
+import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { type Fault, Faults } from "./fake_faults.ts";
+
+/** The environment that the node server gives to handlers. */
+export interface FakeBindings {
+  Bindings: {
+    incoming: import("node:http").IncomingMessage;
+    outgoing: import("node:http").ServerResponse;
+  };
+}
+
+/** An HTTP fake with faults; starts on a free loopback port by default. */
+export abstract class FakeServer {
+  readonly faults = new Faults();
+  readonly app = new Hono<FakeBindings>();
+  readonly #sockets = new Set<Socket>();
+  #server: ServerType | undefined;
+  #port = 0;
+
+  constructor() {
+    this.app.post("/faults", async (c) => {
+      this.faults.set(await c.req.json<Fault>());
+      return c.json({});
+    });
+    this.app.delete("/faults", (c) => {
+      this.faults.clear(c.req.query("name"));
+      return c.json({});
+    });
+    this.app.use("*", (c, next) => this.#applyNetworkFaults(c, next));
+  }
+
+  /** Origin such as `http://127.0.0.1:9000`. */
+  get origin(): string {
+    return `http://127.0.0.1:${this.#port}`;
+  }
+
+  /** Starts listening. */
+  async start(port = 0): Promise<void> {
+    const server = await new Promise<ServerType>((resolve) => {
+      const listening: ServerType = serve(
+        { fetch: this.app.fetch, port, hostname: "127.0.0.1" },
+        () => resolve(listening),
+      );
+    });
+    server.on("connection", (socket: Socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+      socket.on("error", () => undefined);
+    });
+    this.#server = server;
+    this.#port = (server.address() as AddressInfo).port;
+  }
+
+  /** Stops at once, cutting every connection. */
+  async stop(): Promise<void> {
+    const server = this.#server;
+    if (server === undefined) return;
+    this.#server = undefined;
+    for (const socket of this.#sockets) socket.destroy();
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+  }
+
+  /** Cuts the connection of one request. */
+  protected cut(c: Context<FakeBindings>): Promise<Response> {
+    c.env.incoming.socket.destroy();
+    return new Promise(() => undefined);
+  }
+
+  async #applyNetworkFaults(
+    c: Context<FakeBindings>,
+    next: () => Promise<void>,
+  ): Promise<Response | void> {
+    const path = c.req.path;
+    if (this.faults.take("outage", path)) return c.text("outage", 503);
+    if (this.faults.take("reset", path)) return this.cut(c);
+    if (this.faults.take("blackhole", path)) return new Promise(() => {});
+    const slow = this.faults.take("slow", path);
+    if (slow) await delay(slow.delayMs ?? 1_000);
+    await next();
+    if (this.faults.take("loseReply", path)) return this.cut(c);
+  }
+}
--- /dev/null
+++ b/packages/fakes/mod.ts
@@ -0,0 +1,18 @@
+/** Small stand-ins for the platform and the upstreams, with faults. */
+export { expectedAnswer, expectedToken } from "./fake_answers.ts";
+export { FakeEngine } from "./fake_engine.ts";
+export type { FakeEngineOptions } from "./fake_engine.ts";
+export { FakeServer } from "./fake_server.ts";
+export {
+  FakeInstanceList,
+  FakeObjectStore,
+  FakeWeightStore,
+} from "./fake_platform.ts";
+export type {
+  FakeListedInstance,
+  FakeWeightStoreOptions,
+} from "./fake_platform.ts";
+export { FakeService } from "./fake_service.ts";
+export type { FakeServiceOptions } from "./fake_service.ts";
+export { FakeTableService } from "./fake_table_service.ts";
+export type { Fault } from "./fake_faults.ts";
--- /dev/null
+++ b/packages/gateway/mod.ts
@@ -0,0 +1,17 @@
+/** The gateway: everything that callers and operators speak to. */
+export { GatewayAdmission } from "./gateway_admission.ts";
+export type {
+  GatewayAdmissionOptions,
+  GatewayPhase,
+} from "./gateway_admission.ts";
+export { makeApp } from "./gateway_app.ts";
+export { listEntries } from "./gateway_entries.ts";
+export type { EntryAddress } from "./gateway_entries.ts";
+export { StreamRelay } from "./gateway_relay.ts";
+export { DEADLINE_HEADER, KEY_HEADER } from "./gateway_request.ts";
+export { UpstreamClients } from "./gateway_types.ts";
+export type {
+  GatewayContext,
+  GatewayEnv,
+  GatewayParts,
+} from "./gateway_types.ts";
--- /dev/null
+++ b/packages/instance/instance.ts
@@ -0,0 +1,362 @@
+/** One entry instance: its parts, its supervisor tree, its planned stop. */
+import { Agent } from "undici";
+import * as claims from "../claims/mod.ts";
+import * as core from "../core/mod.ts";
+import * as gateway from "../gateway/mod.ts";
+import * as ledger from "../ledger/mod.ts";
+import * as limits from "../limits/mod.ts";
+import * as metrics from "../metrics/mod.ts";
+import * as peers from "../peers/mod.ts";
+import * as placement from "../placement/mod.ts";
+import * as platform from "../platform/mod.ts";
+import * as routing from "../routing/mod.ts";
+import type * as settings from "../settings/mod.ts";
+import * as table from "../table/mod.ts";
+import { CallersListener } from "./callers/callers_listener.ts";
+import { LimitsGiveBackTask } from "./callers/callers_limits_task.ts";
+import { DigestBook } from "./peers/peers_digest.ts";
+import { PeersExchangeTask } from "./peers/peers_exchange_task.ts";
+import { InstancePeerHandlers } from "./peers/peers_handlers.ts";
+import { PeersListTask } from "./peers/peers_list_task.ts";
+import {
+  PlacementDemandTask,
+  plannerOf,
+} from "./placement/placement_demand_task.ts";
+import { PlacementTask } from "./placement/placement_task.ts";
+import { TablePollTask } from "./table/table_poll_task.ts";
+import { HttpUpstreamClients } from "./upstreams/upstreams_clients.ts";
+import { UpstreamsReconcileTask } from "./upstreams/upstreams_reconcile_task.ts";
+import { UpstreamsWatchTask } from "./upstreams/upstreams_watch_task.ts";
+
+const FORGET_AFTER_MS = 60_000;
+const CLAIM_BATCH_MAX = 64;
+const CLAIM_WRITES_AT_ONCE_MAX = 4;
+const RETRIES_PER_REQUEST = 0.1;
+const RETRIES_SAVED_MAX = 20;
+const AFFINITY_MAX_MS = 100;
+const PREFIXES_MAX = 10_000;
+/** How long idle connections may linger at a planned stop. */
+const LINGER_MS = 6_000;
+const SETTLE_MAX_MS = 5_000;
+
+/** Policies that may be swapped for others. */
+export interface InstancePolicies {
+  readonly routing?: routing.RoutingPolicy;
+  readonly placement?: placement.PlacementPolicy;
+}
+
+/** Where a started instance is reached. */
+export interface InstanceAddresses {
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+}
+
+/** A running entry instance. */
+export class Instance {
+  readonly logger: core.Logger;
+  readonly recorder = new metrics.MetricsRecorder();
+  readonly directory: peers.PeerDirectory;
+  readonly keeper = new table.TableKeeper();
+  readonly fleet = new routing.Fleet();
+  readonly admission: gateway.GatewayAdmission;
+  readonly claimRunner: claims.ClaimRunner;
+  readonly store: platform.HttpTableService;
+  readonly peerClients: peers.PeerClients;
+  readonly #settings: settings.Settings;
+  readonly #lifecycle = new core.Lifecycle();
+  readonly #supervisor: core.Supervisor;
+  readonly #listener: CallersListener;
+  readonly #exchange: PeersExchangeTask;
+  readonly #demandTask: PlacementDemandTask;
+  readonly #placementTask: PlacementTask;
+  readonly #limits: limits.LimitShares;
+  readonly #board = new placement.DemandBoard();
+  readonly #digests: DigestBook;
+  readonly #clients: HttpUpstreamClients;
+  readonly #list: platform.InstanceList;
+  readonly #tableStore: table.TableStore;
+  readonly #controller: ledger.LedgerController;
+
+  constructor(checked: settings.Settings, policies: InstancePolicies = {}) {
+    this.#settings = checked;
+    const instanceId = core.brandId<core.InstanceId>(checked.instanceId);
+    const incarnation = core.randomId<core.Incarnation>("in");
+    this.logger = new core.Logger({ instanceId });
+    this.#supervisor = new core.Supervisor("instance", this.logger);
+    this.directory = new peers.PeerDirectory({
+      instanceId,
+      incarnation,
+      callerAddress: "",
+      peerAddress: "",
+      failureDomain: checked.failureDomain,
+      heartbeat: 0,
+      leaving: false,
+      load: 0,
+    }, {
+      suspectAfterMs: checked.peers.suspectAfterMs,
+      forgetAfterMs: FORGET_AFTER_MS,
+    });
+    const dispatcher = new Agent({ connect: { timeout: 1_000 } });
+    this.#lifecycle.own(() => dispatcher.destroy());
+    const { timeoutMs } = checked.platform;
+    this.store = new platform.HttpTableService(
+      dispatcher,
+      checked.platform.tableServiceUrl,
+      timeoutMs,
+    );
+    this.#list = new platform.HttpInstanceList({
+      dispatcher,
+      origin: checked.platform.instanceListUrl,
+      timeoutMs,
+    });
+    this.#tableStore = new table.TableStore(this.store);
+    this.peerClients = new peers.PeerClients(checked.peers.timeoutMs);
+    this.#lifecycle.own(() => this.peerClients.close());
+    this.#clients = new HttpUpstreamClients(checked.engines.controlTimeoutMs);
+    this.#lifecycle.own(() => this.#clients.close());
+    const batcher = new platform.TransactBatcher(this.store, {
+      batchMax: CLAIM_BATCH_MAX,
+      writesAtOnceMax: CLAIM_WRITES_AT_ONCE_MAX,
+    });
+    this.claimRunner = new claims.ClaimRunner({
+      instanceId,
+      incarnation,
+      store: new claims.ClaimStore(batcher),
+      peers: new peers.RemoteClaimPeers(this.peerClients, this.directory),
+      unsettledMax: checked.limits.unsettledClaimsMax,
+    });
+    this.#limits = new limits.LimitShares({
+      instanceId,
+      incarnation,
+      service: this.store,
+      isGone: (id) => this.directory.isGone(id),
+    });
+    this.#controller = new ledger.LedgerController({
+      incarnation,
+      store: new ledger.LedgerStore(
+        this.store,
+        checked.placement.loadsAtOnceMax,
+      ),
+      honoursFencing: checked.engines.honourFencing,
+      orderDelayMaxMs: checked.engines.orderDelayMaxMs,
+      logger: this.logger,
+    });
+    this.#digests = new DigestBook({
+      directory: this.directory,
+      fleet: this.fleet,
+      keeper: this.keeper,
+    });
+    this.admission = new gateway.GatewayAdmission({
+      inProgressMax: checked.limits.inProgressMax,
+      isIsolated: () => this.#isIsolated(),
+      isTableKnown: () => this.keeper.isKnown,
+    });
+    this.#exchange = new PeersExchangeTask({
+      directory: this.directory,
+      clients: this.peerClients,
+      digests: this.#digests,
+      keeper: this.keeper,
+      intervalMs: checked.peers.exchangeIntervalMs,
+      fanout: checked.peers.fanout,
+      load: () => this.admission.inProgress,
+    });
+    this.#placementTask = this.#makePlacementTask(policies);
+    const demand = new placement.LocalDemand();
+    this.#demandTask = new PlacementDemandTask({
+      directory: this.directory,
+      clients: this.peerClients,
+      demand,
+      board: this.#board,
+      onDemand: () => this.#placementTask.planSoon(),
+    });
+    this.#listener = new CallersListener(gateway.makeApp({
+      settings: checked,
+      logger: this.logger,
+      keeper: this.keeper,
+      tableStore: this.#tableStore,
+      fleet: this.fleet,
+      policy: policies.routing ?? new routing.EstimatedRouting({
+        affinityMaxMs: AFFINITY_MAX_MS,
+        prefixesMax: PREFIXES_MAX,
+      }),
+      retryBudget: new routing.RetryBudget({
+        retriesPerRequest: RETRIES_PER_REQUEST,
+        savedMax: RETRIES_SAVED_MAX,
+      }),
+      clients: this.#clients,
+      claims: this.claimRunner,
+      demand,
+      limits: this.#limits,
+      directory: this.directory,
+      admission: this.admission,
+      metrics: this.recorder,
+      burn: new metrics.BurnTracker(),
+      onEdit: () => this.#exchange.pushSoon(),
+      onColdRequest: () => this.#demandTask.reportSoon(),
+      gauges: () => this.#gauges(),
+    }));
+  }
+
+  /**
+   * Starts every child, in the order in which they need each other.
+   *
+   * @example
+   * ```ts
+   * const running = new instance.Instance(checked);
+   * const { callerAddress } = await running.start();
+   * ```
+   */
+  async start(): Promise<InstanceAddresses> {
+    const { host, callerPort, peerPort, advertiseHost } = this.#settings.listen;
+    const peerListener = await peers.registerPeerListener(
+      new InstancePeerHandlers({
+        digests: this.#digests,
+        exchange: this.#exchange,
+        keeper: this.keeper,
+        claims: this.claimRunner,
+        board: this.#board,
+        isPlanner: () => this.#isPlanner(),
+        onDemand: () => this.#placementTask.planSoon(),
+      }),
+      { host, port: peerPort },
+    );
+    this.#lifecycle.own(peerListener.cleanup);
+    const boundCallerPort = await this.#listener.listen(host, callerPort);
+    const addresses = {
+      callerAddress: `http://${advertiseHost}:${boundCallerPort}`,
+      peerAddress: `http://${advertiseHost}:${peerListener.port}`,
+    };
+    this.directory.bind(addresses);
+    this.#lifecycle.own(
+      this.keeper.registerListener(({ revision }) => {
+        this.logger.info("table_in_force", { revision });
+        this.#exchange.pushSoon();
+      }),
+    );
+    this.#startTree();
+    this.logger.info("instance_started", addresses);
+    return addresses;
+  }
+
+  /** Stops without cutting off a request. */
+  async stop(): Promise<void> {
+    const { drain, peers: peerSettings } = this.#settings;
+    this.logger.info("instance_leaving", {
+      inProgress: this.admission.inProgress,
+    });
+    this.admission.leave();
+    this.directory.leave();
+    await this.#exchange.pushToAll();
+    // Answers of /v1/entries given out before may be used for so long.
+    const graceMs = drain.entriesMaxAgeMs + peerSettings.exchangeIntervalMs * 2;
+    await core.sleep(graceMs);
+    this.admission.refuse();
+    const idle = await this.admission.whenIdle(drain.finishMaxMs);
+    await this.claimRunner.settler.drain(SETTLE_MAX_MS);
+    await this.#listener.close(LINGER_MS);
+    await this.#supervisor.stop();
+    await this.#limits.giveBack();
+    await this.#limits.giveBack();
+    await this.#lifecycle.close();
+    this.logger.info("instance_stopped", { idle });
+  }
+
+  /** Stops at once, for tests. */
+  async abandon(): Promise<void> {
+    await this.claimRunner.settler.drain(0);
+    await this.#listener.close(0);
+    await this.#supervisor.stop();
+    await this.#lifecycle.close();
+  }
+
+  #startTree(): void {
+    const { table: tableSettings, engines } = this.#settings;
+    const root = this.#supervisor;
+    root.child("table").start(
+      new TablePollTask(
+        this.#tableStore,
+        this.keeper,
+        tableSettings.pollIntervalMs,
+      ),
+    );
+    const peersChild = root.child("peers");
+    peersChild.start(
+      new PeersListTask(this.#list, this.directory, this.fleet),
+    );
+    peersChild.start(this.#exchange);
+    const upstreamsChild = root.child("upstreams");
+    upstreamsChild.start(
+      new UpstreamsWatchTask({
+        fleet: this.fleet,
+        directory: this.directory,
+        clients: this.#clients,
+        reportIntervalMs: engines.reportIntervalMs,
+        watchersPerEngine: engines.watchersPerEngine,
+        supervisor: upstreamsChild.child("watches"),
+      }),
+    );
+    upstreamsChild.start(
+      new UpstreamsReconcileTask({
+        fleet: this.fleet,
+        directory: this.directory,
+        clients: this.#clients,
+        controller: this.#controller,
+      }),
+    );
+    const placementChild = root.child("placement");
+    placementChild.start(this.#demandTask);
+    placementChild.start(this.#placementTask);
+    root.child("callers").start(new LimitsGiveBackTask(this.#limits));
+  }
+
+  #makePlacementTask(policies: InstancePolicies): PlacementTask {
+    const { placement: placed } = this.#settings;
+    return new PlacementTask({
+      fleet: this.fleet,
+      keeper: this.keeper,
+      board: this.#board,
+      policy: policies.placement ?? new placement.DemandPlacement(placed),
+      controller: this.#controller,
+      clients: this.#clients,
+      metrics: this.recorder,
+      logger: this.logger,
+      isPlanner: () => this.#isPlanner(),
+      onChange: () => this.#exchange.pushSoon(),
+      intervalMs: placed.intervalMs,
+      loadsAtOnceMax: placed.loadsAtOnceMax,
+      adapterLoadsAtOnceMax: placed.adapterLoadsAtOnceMax,
+    });
+  }
+
+  #isPlanner(): boolean {
+    const own = this.directory.self.instanceId;
+    return plannerOf(this.directory)?.instanceId === own;
+  }
+
+  /** Whether neither the store nor a peer has been heard of lately. */
+  #isIsolated(): boolean {
+    if (!this.directory.hasOthers) return false;
+    const lastWordMs = Math.max(
+      this.directory.lastPeerContactMs,
+      this.store.use.lastReachedAtMs,
+    );
+    const silentMs = core.monotonicMs() - lastWordMs;
+    return silentMs > this.#settings.isolation.graceMs;
+  }
+
+  #gauges(): Readonly<Record<string, number>> {
+    const { use } = this.store;
+    return {
+      table_revision: this.keeper.snapshot.revision,
+      members: this.directory.live().length,
+      unsettled_claims: this.claimRunner.book.size,
+      store_reads_total: use.reads,
+      store_writes_total: use.writes,
+      store_failures_total: use.failures,
+      peer_calls_total: this.peerClients.use.calls,
+      peer_failures_total: this.peerClients.use.failures,
+      answers_foreign_total: this.#clients.dropped.foreign,
+      answers_duplicate_total: this.#clients.dropped.duplicate,
+    };
+  }
+}
--- /dev/null
+++ b/packages/instance/peers/peers_exchange_task.ts
@@ -0,0 +1,98 @@
+/** Heartbeats: digests swapped with a bounded number of peers. */
+import * as core from "../../core/mod.ts";
+import type * as peers from "../../peers/mod.ts";
+import * as table from "../../table/mod.ts";
+import type { DigestBook } from "./peers_digest.ts";
+
+/** What the exchange needs. */
+export interface ExchangeOptions {
+  readonly directory: peers.PeerDirectory;
+  readonly clients: peers.PeerClients;
+  readonly digests: DigestBook;
+  readonly keeper: table.TableKeeper;
+  readonly intervalMs: number;
+  readonly fanout: number;
+  /** Requests in progress, for other instances to weigh. */
+  readonly load: () => number;
+}
+
+/** Swaps digests at intervals, and at once when there is news. */
+export class PeersExchangeTask extends core.Task {
+  override readonly name = "exchange-digests";
+  readonly #options: ExchangeOptions;
+  #turn = 0;
+  #wake: (() => void) | undefined;
+  #woken = false;
+
+  constructor(options: ExchangeOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.#options.directory.beat(this.#options.load());
+      await this.exchangeWith(this.#nextPeers());
+      await this.#pause(signal);
+    }
+  }
+
+  /** Exchanges soon, without waiting for the interval to end. */
+  pushSoon(): void {
+    this.#woken = true;
+    this.#wake?.();
+  }
+
+  /** Exchanges with every known peer. */
+  async pushToAll(): Promise<void> {
+    await this.exchangeWith(this.#options.directory.peerAddresses());
+  }
+
+  /** Exchanges with some peers, side by side. */
+  async exchangeWith(addresses: readonly string[]): Promise<void> {
+    await Promise.all(addresses.map((address) => this.#exchange(address)));
+  }
+
+  /** Fetches a peer's table if it is newer than ours. */
+  async catchUp(peerAddress: string, revision: number): Promise<void> {
+    const { clients, keeper } = this.#options;
+    const own = keeper.snapshot.revision;
+    if (revision < own || (revision === own && keeper.isKnown)) return;
+    const text = await clients.fetchTable(peerAddress, own);
+    if (text === undefined) return;
+    const snapshot = table.decodeSnapshot(text);
+    if (snapshot.isOk()) keeper.offer(snapshot.value);
+  }
+
+  async #exchange(address: string): Promise<void> {
+    const { clients, digests } = this.#options;
+    const reply = await clients.exchange(address, digests.make(address));
+    if (reply) await this.catchUp(address, digests.take(reply));
+  }
+
+  /** The next peers in turn, so that each is met equally often. */
+  #nextPeers(): string[] {
+    const { directory, fanout } = this.#options;
+    const addresses = directory.peerAddresses();
+    if (addresses.length <= fanout) return addresses;
+    const start = this.#turn;
+    this.#turn = (this.#turn + fanout) % addresses.length;
+    return Array.from(
+      { length: fanout },
+      (_, index) => addresses[(start + index) % addresses.length] ?? "",
+    );
+  }
+
+  async #pause(signal: AbortSignal): Promise<void> {
+    if (this.#woken) {
+      this.#woken = false;
+      return;
+    }
+    const woken = new AbortController();
+    this.#wake = () => woken.abort();
+    const either = AbortSignal.any([signal, woken.signal]);
+    await core.sleep(core.jitterMs(this.#options.intervalMs), either);
+    this.#wake = undefined;
+    this.#woken = false;
+  }
+}
--- /dev/null
+++ b/packages/instance/peers/peers_list_task.ts
@@ -0,0 +1,35 @@
+/** Reads the platform's instance list. */
+import * as core from "../../core/mod.ts";
+import type * as peers from "../../peers/mod.ts";
+import type * as platform from "../../platform/mod.ts";
+import type * as routing from "../../routing/mod.ts";
+
+const INTERVAL_MS = 1_000;
+
+/** Polls the list and tells the directory and the fleet. */
+export class PeersListTask extends core.Task {
+  override readonly name = "poll-instance-list";
+  readonly #list: platform.InstanceList;
+  readonly #directory: peers.PeerDirectory;
+  readonly #fleet: routing.Fleet;
+
+  constructor(
+    list: platform.InstanceList,
+    directory: peers.PeerDirectory,
+    fleet: routing.Fleet,
+  ) {
+    super();
+    this.#list = list;
+    this.#directory = directory;
+    this.#fleet = fleet;
+  }
+
+  override async run(signal: AbortSignal): Promise<void> {
+    do {
+      const instances = await this.#list.list();
+      if (instances.isErr()) continue;
+      this.#directory.mergeList(instances.value);
+      this.#fleet.mergeList(instances.value);
+    } while (await core.sleep(core.jitterMs(INTERVAL_MS), signal));
+  }
+}
--- /dev/null
+++ b/packages/instance/placement/placement_demand_task.ts
@@ -0,0 +1,80 @@
+/** Tells the planner what callers ask for here. */
+import { create } from "@bufbuild/protobuf";
+import * as core from "../../core/mod.ts";
+import * as peers from "../../peers/mod.ts";
+import type * as placement from "../../placement/mod.ts";
+
+const INTERVAL_MS = 1_000;
+
+/**
+ * The instance that plans placement; every instance names the same one.
+ *
+ * @example
+ * ```ts
+ * const isPlanner = plannerOf(directory) === directory.self;
+ * ```
+ */
+export function plannerOf(
+  directory: peers.PeerDirectory,
+): peers.PeerMember | undefined {
+  const active = directory.active();
+  const ids = active.map(({ instanceId }) => instanceId);
+  const [plannerId] = core.rendezvous("placement", ids);
+  return active.find(({ instanceId }) => instanceId === plannerId);
+}
+
+/** What reporting demand needs. */
+export interface DemandTaskOptions {
+  readonly directory: peers.PeerDirectory;
+  readonly clients: peers.PeerClients;
+  readonly demand: placement.LocalDemand;
+  readonly board: placement.DemandBoard;
+  readonly onDemand: () => void;
+}
+
+/** Reports at intervals, and at once when a request waits for a load. */
+export class PlacementDemandTask extends core.Task {
+  override readonly name = "report-demand";
+  readonly #options: DemandTaskOptions;
+  #wake: (() => void) | undefined;
+  #hadRows = false;
+
+  constructor(options: DemandTaskOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const woken = new AbortController();
+      this.#wake = () => woken.abort();
+      const either = AbortSignal.any([signal, woken.signal]);
+      await core.sleep(core.jitterMs(INTERVAL_MS), either);
+      await this.#report();
+    }
+  }
+
+  /** Reports without waiting for the interval to end. */
+  reportSoon(): void {
+    this.#wake?.();
+  }
+
+  async #report(): Promise<void> {
+    const { directory, clients, demand, board, onDemand } = this.#options;
+    const planner = plannerOf(directory);
+    const rows = demand.roll();
+    if (rows.length === 0 && !this.#hadRows) return;
+    this.#hadRows = rows.length > 0;
+    const { instanceId } = directory.self;
+    if (planner === undefined || planner.instanceId === instanceId) {
+      board.report(instanceId, rows);
+      onDemand();
+      return;
+    }
+    const report = create(peers.DemandReportSchema, {
+      instanceId,
+      rows: rows.map((row) => ({ ...row })),
+    });
+    await clients.reportDemand(planner.peerAddress, report);
+  }
+}
--- /dev/null
+++ b/packages/instance/placement/placement_task.ts
@@ -0,0 +1,292 @@
+/** Plans and carries out moves while this instance is the planner. */
+import * as core from "../../core/mod.ts";
+import type * as gateway from "../../gateway/mod.ts";
+import * as ledger from "../../ledger/mod.ts";
+import type * as metrics from "../../metrics/mod.ts";
+import type * as placement from "../../placement/mod.ts";
+import * as routing from "../../routing/mod.ts";
+import * as table from "../../table/mod.ts";
+
+/** Pause between looks at an engine that carries out an order. */
+const PENDING_POLL_MS = 40;
+/** No orders to an engine for so long after one could not be sent. */
+const AVOID_MS = 500;
+/** A ledger row with changes on their way is read again after this. */
+const REFRESH_MS = 1_000;
+
+/** What placement needs. */
+export interface PlacementTaskOptions {
+  readonly fleet: routing.Fleet;
+  readonly keeper: table.TableKeeper;
+  readonly board: placement.DemandBoard;
+  readonly policy: placement.PlacementPolicy;
+  readonly controller: ledger.LedgerController;
+  readonly clients: gateway.UpstreamClients;
+  readonly metrics: metrics.MetricsRecorder;
+  readonly logger: core.Logger;
+  readonly isPlanner: () => boolean;
+  /** Called when an engine's artifacts have changed. */
+  readonly onChange: () => void;
+  readonly intervalMs: number;
+  readonly loadsAtOnceMax: number;
+  readonly adapterLoadsAtOnceMax: number;
+}
+
+interface PendingOrder {
+  readonly upstreamId: core.UpstreamId;
+  readonly kind: "model" | "adapter" | "unload";
+  readonly transmissionId: core.TransmissionId;
+}
+
+interface KnownRow {
+  row: ledger.LedgerRow;
+  readAtMs: number;
+}
+
+/** The planner's loop. */
+export class PlacementTask extends core.Task {
+  override readonly name = "plan-placement";
+  readonly #options: PlacementTaskOptions;
+  readonly #rows = new Map<core.UpstreamId, KnownRow>();
+  readonly #pending = new Map<core.TransmissionId, PendingOrder>();
+  readonly #ordering = new Set<core.UpstreamId>();
+  readonly #avoidUntilMs = new Map<core.UpstreamId, number>();
+  readonly #residentSinceMs = new Map<string, number>();
+  #wake: (() => void) | undefined;
+
+  constructor(options: PlacementTaskOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#options.isPlanner()) await this.#tick();
+      else this.#forget();
+      await this.#pause(signal);
+    }
+  }
+
+  /** Plans without waiting for the interval to end. */
+  planSoon(): void {
+    this.#wake?.();
+  }
+
+  async #pause(signal: AbortSignal): Promise<void> {
+    const woken = new AbortController();
+    this.#wake = () => woken.abort();
+    const either = AbortSignal.any([signal, woken.signal]);
+    const pauseMs = this.#pending.size > 0
+      ? PENDING_POLL_MS
+      : core.jitterMs(this.#options.intervalMs);
+    await core.sleep(pauseMs, either);
+    this.#wake = undefined;
+  }
+
+  #forget(): void {
+    this.#rows.clear();
+    this.#pending.clear();
+  }
+
+  async #tick(): Promise<void> {
+    await this.#lookAtPending();
+    const engines = this.#options.fleet.usable();
+    await Promise.all(engines.map((view) => this.#refresh(view)));
+    const actions = this.#options.policy.plan(this.#view(engines));
+    const byEngine = new Map<core.UpstreamId, placement.PlacementAction[]>();
+    for (const action of actions) {
+      const list = byEngine.get(action.upstreamId) ?? [];
+      byEngine.set(action.upstreamId, [...list, action]);
+    }
+    for (const [upstreamId, list] of byEngine) {
+      void this.#carryOut(upstreamId, list);
+    }
+  }
+
+  /** Reads the ledger row of an engine that is new or in change. */
+  async #refresh(view: routing.EngineView): Promise<void> {
+    const known = this.#rows.get(view.upstreamId);
+    const nowMs = core.monotonicMs();
+    const isStale = known === undefined ||
+      known.row.incarnation !== view.load?.incarnation ||
+      (isChanging(known.row) && nowMs - known.readAtMs > REFRESH_MS);
+    if (!isStale || this.#isAvoided(view)) return;
+    await this.#reconcile(view);
+  }
+
+  async #reconcile(view: routing.EngineView): Promise<void> {
+    const engine = this.#options.clients.engine(view);
+    const row = await this.#options.controller
+      .reconcile(view.upstreamId, engine);
+    if (row.isErr()) {
+      this.#avoid(view.upstreamId);
+      return;
+    }
+    const readAtMs = core.monotonicMs();
+    this.#rows.set(view.upstreamId, { row: row.value, readAtMs });
+  }
+
+  /** Looks whether engines have carried out their orders. */
+  async #lookAtPending(): Promise<void> {
+    const ids = new Set([...this.#pending.values()]
+      .map(({ upstreamId }) => upstreamId));
+    await Promise.all([...ids].map((id) => this.#lookAt(id)));
+  }
+
+  async #lookAt(upstreamId: core.UpstreamId): Promise<void> {
+    const { fleet, clients, onChange } = this.#options;
+    const view = fleet.engine(upstreamId);
+    if (view === undefined) {
+      this.#dropPending(upstreamId, () => true);
+      return;
+    }
+    const report = await clients.engine(view).report();
+    if (report.isErr()) return;
+    const resolved = new Set(
+      report.value.resolved.map(({ transmissionId }) => transmissionId),
+    );
+    const isNew = this.#rows.get(upstreamId)?.row.incarnation !==
+      report.value.incarnation;
+    const done = this.#dropPending(
+      upstreamId,
+      (order) => isNew || resolved.has(order.transmissionId),
+    );
+    if (!done) return;
+    fleet.mergeLoad(routing.toEngineLoad(report.value), 0);
+    onChange();
+    await this.#reconcile(view);
+  }
+
+  #dropPending(
+    upstreamId: core.UpstreamId,
+    isDone: (order: PendingOrder) => boolean,
+  ): boolean {
+    let dropped = false;
+    for (const [id, order] of this.#pending) {
+      if (order.upstreamId !== upstreamId || !isDone(order)) continue;
+      this.#pending.delete(id);
+      dropped = true;
+    }
+    return dropped;
+  }
+
+  async #carryOut(
+    upstreamId: core.UpstreamId,
+    actions: readonly placement.PlacementAction[],
+  ): Promise<void> {
+    if (this.#ordering.has(upstreamId)) return;
+    this.#ordering.add(upstreamId);
+    try {
+      for (const action of actions) {
+        if (!await this.#order(action)) break;
+      }
+    } finally {
+      this.#ordering.delete(upstreamId);
+    }
+  }
+
+  async #order(action: placement.PlacementAction): Promise<boolean> {
+    const { fleet, clients, controller, metrics, logger } = this.#options;
+    const { upstreamId } = action;
+    const view = fleet.engine(upstreamId);
+    if (view === undefined) return false;
+    const engine = clients.engine(view);
+    const sent = action.kind === "load"
+      ? await controller.load(
+        upstreamId,
+        engine,
+        {
+          artifactId: table.artifactOf(action.row),
+          weightBytes: action.row.weightBytes,
+        },
+        action.row.kind === "model",
+      )
+      : await controller.unload(upstreamId, engine, action.artifactId);
+    if (sent.isErr()) {
+      if (sent.error !== "slots-taken") this.#avoid(upstreamId);
+      logger.info("order_not_sent", { upstreamId, reason: sent.error });
+      await this.#reconcile(view);
+      return false;
+    }
+    const kind = action.kind === "load" ? action.row.kind : "unload";
+    const transmissionId = sent.value;
+    this.#pending.set(transmissionId, { upstreamId, kind, transmissionId });
+    metrics.count(action.kind === "load" ? "orders_load" : "orders_unload");
+    await this.#reconcile(view);
+    return true;
+  }
+
+  #avoid(upstreamId: core.UpstreamId): void {
+    const untilMs = core.monotonicMs() + core.jitterMs(AVOID_MS);
+    this.#avoidUntilMs.set(upstreamId, untilMs);
+  }
+
+  #isAvoided(view: routing.EngineView): boolean {
+    const untilMs = this.#avoidUntilMs.get(view.upstreamId) ?? -Infinity;
+    return untilMs > core.monotonicMs();
+  }
+
+  #view(
+    engines: readonly routing.EngineView[],
+  ): placement.PlacementView {
+    const { board, keeper, loadsAtOnceMax, adapterLoadsAtOnceMax } =
+      this.#options;
+    const counts = { model: 0, adapter: 0, unload: 0 };
+    for (const { kind } of this.#pending.values()) counts[kind]++;
+    const rows = keeper.snapshot.rows;
+    const names = new Map(
+      [...rows.values()].map(({ row }) => [table.artifactOf(row), row.name]),
+    );
+    return {
+      rows,
+      engines: engines.flatMap((view) => this.#placed(view, names)),
+      demand: board.totals(),
+      waitedMs: (rowName) => board.waitedMs(rowName),
+      lastUsedMs: (rowName) => board.lastUsedMs(rowName),
+      modelLoadsFree: loadsAtOnceMax - counts.model,
+      adapterLoadsFree: adapterLoadsAtOnceMax - counts.adapter,
+    };
+  }
+
+  #placed(
+    view: routing.EngineView,
+    names: ReadonlyMap<core.ArtifactId, core.RowName>,
+  ): placement.PlacedEngine[] {
+    const known = this.#rows.get(view.upstreamId);
+    if (known === undefined) return [];
+    const { row } = known;
+    const slots = view.load?.slots ?? 1;
+    return [{
+      upstreamId: view.upstreamId,
+      freeBytes: row.capacityBytes - ledger.heldBytes(row),
+      slots,
+      fill: view.inProgress / slots,
+      avoided: this.#isAvoided(view) || this.#ordering.has(view.upstreamId),
+      artifacts: row.entries.map((entry) => ({
+        artifactId: entry.artifactId,
+        rowName: names.get(entry.artifactId),
+        weightBytes: entry.weightBytes,
+        state: entry.state === "resident" ? "resident" : "changing",
+        residentMs: this.#residentMs(view, entry),
+      })),
+    }];
+  }
+
+  #residentMs(view: routing.EngineView, entry: ledger.LedgerEntry): number {
+    const key = `${view.upstreamId}|${entry.artifactId}`;
+    if (entry.state !== "resident") {
+      this.#residentSinceMs.delete(key);
+      return 0;
+    }
+    const nowMs = core.monotonicMs();
+    const sinceMs = this.#residentSinceMs.get(key);
+    if (sinceMs !== undefined) return nowMs - sinceMs;
+    this.#residentSinceMs.set(key, nowMs);
+    return 0;
+  }
+}
+
+function isChanging(row: ledger.LedgerRow): boolean {
+  return row.roleChange !== undefined ||
+    row.entries.some(({ state }) => state !== "resident");
+}
--- /dev/null
+++ b/packages/instance/upstreams/upstreams_clients.ts
@@ -0,0 +1,57 @@
+/** Clients of upstreams, kept by address. */
+import { Agent } from "undici";
+import * as gateway from "../../gateway/mod.ts";
+import type * as platform from "../../platform/mod.ts";
+import type * as routing from "../../routing/mod.ts";
+import * as upstream from "../../upstream/mod.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Shorter than what upstreams keep idle connections for. */
+const KEEP_ALIVE_MS = 3_000;
+/** Streams may pause for so long between bytes. */
+const BODY_TIMEOUT_MS = 300_000;
+
+/** Makes and keeps HTTP clients. */
+export class HttpUpstreamClients extends gateway.UpstreamClients {
+  readonly dropped: upstream.DroppedAnswers = { foreign: 0, duplicate: 0 };
+  readonly #agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    bodyTimeout: BODY_TIMEOUT_MS,
+    headersTimeout: BODY_TIMEOUT_MS,
+  });
+  readonly #serviceAgent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: BODY_TIMEOUT_MS,
+  });
+  readonly #engines = new Map<string, upstream.Engine>();
+  readonly #controlTimeoutMs: number;
+
+  constructor(controlTimeoutMs: number) {
+    super();
+    this.#controlTimeoutMs = controlTimeoutMs;
+  }
+
+  override engine(view: routing.EngineView): upstream.Engine {
+    const origin = view.listed.address;
+    const known = this.#engines.get(origin);
+    if (known) return known;
+    const engine = new upstream.HttpEngine({
+      dispatcher: this.#agent,
+      origin,
+      controlTimeoutMs: this.#controlTimeoutMs,
+      dropped: this.dropped,
+    });
+    this.#engines.set(origin, engine);
+    return engine;
+  }
+
+  override service(listed: platform.ListedInstance): upstream.PlainService {
+    return new upstream.HttpPlainService(this.#serviceAgent, listed.address);
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await Promise.all([this.#agent.destroy(), this.#serviceAgent.destroy()]);
+  }
+}
--- /dev/null
+++ b/packages/ledger/ledger_row.ts
@@ -0,0 +1,277 @@
+/** The arithmetic of one ledger row; nothing here does input or output. */
+import { err, ok, type Result } from "neverthrow";
+import * as core from "../core/mod.ts";
+import type * as upstream from "../upstream/mod.ts";
+import type {
+  LedgerArtifact,
+  LedgerEntry,
+  LedgerRoleChange,
+  LedgerRow,
+  LedgerTransmission,
+} from "./ledger_types.ts";
+
+/** Why a row cannot take a change. */
+export type LedgerFault = "no-room" | "busy" | "absent" | "present";
+
+/**
+ * The bytes that a row holds, with every change on its way counted.
+ *
+ * @example
+ * ```ts
+ * const freeBytes = row.capacityBytes - ledger.heldBytes(row);
+ * ```
+ */
+export function heldBytes(row: LedgerRow): number {
+  const roleBytes = Math.max(
+    row.roleOverheadBytes,
+    row.roleChange?.roleOverheadBytes ?? 0,
+  );
+  const weightBytes = row.entries
+    .reduce((sum, entry) => sum + entry.weightBytes, 0);
+  return row.kvReserveBytes + roleBytes + weightBytes;
+}
+
+/**
+ * The row of an engine whose report is all that is known.
+ *
+ * @example
+ * ```ts
+ * const row = ledger.rowFromReport(session.report);
+ * ```
+ */
+export function rowFromReport(report: upstream.EngineReport): LedgerRow {
+  return {
+    incarnation: report.incarnation,
+    capacityBytes: report.capacityBytes,
+    kvReserveBytes: report.kvReserveBytes,
+    roleOverheadBytes: report.roleOverheadBytes,
+    entries: report.residents.map((resident) => ({
+      artifactId: resident.artifactId,
+      weightBytes: resident.weightBytes,
+      state: "resident",
+      transmissions: [],
+    })),
+  };
+}
+
+/**
+ * Adds a load that is about to be sent.
+ *
+ * @example
+ * ```ts
+ * const next = ledger.addLoad(row, artifact, transmission);
+ * ```
+ */
+export function addLoad(
+  row: LedgerRow,
+  artifact: LedgerArtifact,
+  transmission: LedgerTransmission,
+): Result<LedgerRow, LedgerFault> {
+  const present = findEntry(row, artifact.artifactId);
+  if (present?.state === "resident") return err("present");
+  if (present && present.state !== "cooling") return err("busy");
+  const others = row.entries.filter((entry) => entry !== present);
+  const entry: LedgerEntry = {
+    ...artifact,
+    state: "loading",
+    transmissions: [...(present?.transmissions ?? []), transmission],
+  };
+  const next = { ...row, entries: [...others, entry] };
+  return heldBytes(next) > row.capacityBytes ? err("no-room") : ok(next);
+}
+
+/**
+ * Marks an artifact as being unloaded; its bytes stay held.
+ *
+ * @example
+ * ```ts
+ * const next = ledger.addUnload(row, artifactId, transmission);
+ * ```
+ */
+export function addUnload(
+  row: LedgerRow,
+  artifactId: core.ArtifactId,
+  transmission: LedgerTransmission,
+): Result<LedgerRow, LedgerFault> {
+  const entry = findEntry(row, artifactId);
+  if (!entry) return err("absent");
+  const resendable = entry.state === "unloading";
+  if (entry.state !== "resident" && !resendable) return err("busy");
+  return ok(replaceEntry(row, {
+    ...entry,
+    state: "unloading",
+    transmissions: [...entry.transmissions, transmission],
+  }));
+}
+
+/**
+ * Adds a role change; the larger of both overheads is held.
+ *
+ * @example
+ * ```ts
+ * const next = ledger.addRoleChange(row, change);
+ * ```
+ */
+export function addRoleChange(
+  row: LedgerRow,
+  roleChange: LedgerRoleChange,
+): Result<LedgerRow, LedgerFault> {
+  if (row.roleChange) return err("busy");
+  const next = { ...row, roleChange };
+  if (heldBytes(next) > row.capacityBytes) return err("no-room");
+  return ok(next);
+}
+
+/**
+ * Takes back a transmission that is known never to have been sent.
+ *
+ * @example
+ * ```ts
+ * const next = ledger.withdraw(row, transmissionId);
+ * ```
+ */
+export function withdraw(
+  row: LedgerRow,
+  transmissionId: core.TransmissionId,
+): LedgerRow {
+  const entries = row.entries.flatMap((entry) => {
+    const found = entry.transmissions
+      .find((sent) => sent.transmissionId === transmissionId);
+    if (!found) return [entry];
+    if (found.kind === "load") return [];
+    const transmissions = entry.transmissions.filter((sent) => sent !== found);
+    const state = transmissions.length > 0 ? entry.state : "resident";
+    return [{ ...entry, state, transmissions } as LedgerEntry];
+  });
+  const { roleChange, ...rest } = row;
+  const keepsRole = roleChange && roleChange.transmissionId !== transmissionId;
+  return keepsRole ? { ...rest, roleChange, entries } : { ...rest, entries };
+}
+
+/** How to judge what an engine reports. */
+export interface ReconcileOptions {
+  /** Whether the engine refuses orders with an old fencing number. */
+  readonly honoursFencing: boolean;
+  /** Whether a cooling artifact has cooled for long enough. */
+  readonly hasCooled: (entry: LedgerEntry) => boolean;
+}
+
+/**
+ * Brings a row up to a report that was read after the row was.
+ *
+ * @example
+ * ```ts
+ * const next = ledger.reconcile(stored.row, session.report, options);
+ * ```
+ */
+export function reconcile(
+  row: LedgerRow,
+  report: upstream.EngineReport,
+  options: ReconcileOptions,
+): LedgerRow {
+  if (row.incarnation !== report.incarnation) return rowFromReport(report);
+  const resolved = new Map(
+    report.resolved.map(({ transmissionId, state }) => [transmissionId, state]),
+  );
+  const residents = new Set(
+    report.residents.map(({ artifactId }) => artifactId),
+  );
+  const entries = row.entries.flatMap((entry) =>
+    reconcileEntry(entry, resolved, residents, options)
+  );
+  const known = new Set(entries.map(({ artifactId }) => artifactId));
+  const strays = rowFromReport(report).entries
+    .filter(({ artifactId }) => !known.has(artifactId));
+  return reconcileRole(
+    { ...row, entries: [...entries, ...strays] },
+    report,
+    resolved,
+  );
+}
+
+type Resolved = ReadonlyMap<
+  core.TransmissionId,
+  upstream.ResolvedTransmission["state"]
+>;
+
+function reconcileEntry(
+  entry: LedgerEntry,
+  resolved: Resolved,
+  residents: ReadonlySet<core.ArtifactId>,
+  options: ReconcileOptions,
+): LedgerEntry[] {
+  const open = entry.transmissions
+    .filter(({ transmissionId }) => !resolved.has(transmissionId));
+  const isResident = residents.has(entry.artifactId);
+  const left = { ...entry, transmissions: open };
+  switch (entry.state) {
+    case "loading":
+      if (open.length > 0) return [left];
+      if (isResident) return [{ ...left, state: "resident" }];
+      return release(left, options);
+    case "resident":
+      return isResident ? [left] : release(left, options);
+    case "unloading":
+      return reconcileUnload(entry, left, isResident, options);
+    case "cooling":
+      if (isResident) return [{ ...left, state: "resident" }];
+      return options.hasCooled(entry) ? [] : [left];
+  }
+}
+
+function reconcileUnload(
+  entry: LedgerEntry,
+  left: LedgerEntry,
+  isResident: boolean,
+  options: ReconcileOptions,
+): LedgerEntry[] {
+  const anyResolved = left.transmissions.length < entry.transmissions.length;
+  if (left.transmissions.length > 0 && !anyResolved) return [left];
+  if (isResident) {
+    return [
+      left.transmissions.length > 0 ? left : { ...left, state: "resident" },
+    ];
+  }
+  return release(left, options);
+}
+
+/** Gives bytes back, at once only where a late duplicate is refused. */
+function release(
+  entry: LedgerEntry,
+  options: ReconcileOptions,
+): LedgerEntry[] {
+  return options.honoursFencing ? [] : [{ ...entry, state: "cooling" }];
+}
+
+function reconcileRole(
+  row: LedgerRow,
+  report: upstream.EngineReport,
+  resolved: Resolved,
+): LedgerRow {
+  const { roleChange, ...rest } = row;
+  if (!roleChange) return row;
+  if (!resolved.has(roleChange.transmissionId)) return row;
+  return { ...rest, roleOverheadBytes: report.roleOverheadBytes };
+}
+
+/**
+ * The entry of an artifact, if the row has one.
+ *
+ * @example
+ * ```ts
+ * ledger.findEntry(row, artifactId)?.state; // "resident"
+ * ```
+ */
+export function findEntry(
+  row: LedgerRow,
+  artifactId: core.ArtifactId,
+): LedgerEntry | undefined {
+  return row.entries.find((entry) => entry.artifactId === artifactId);
+}
+
+function replaceEntry(row: LedgerRow, entry: LedgerEntry): LedgerRow {
+  const entries = row.entries.map((old) =>
+    old.artifactId === entry.artifactId ? entry : old
+  );
+  return { ...row, entries };
+}
--- /dev/null
+++ b/packages/ledger/ledger_store.ts
@@ -0,0 +1,207 @@
+/** Ledger rows and load slots in the table service. */
+import { err, ok, type Result } from "neverthrow";
+import { array, Codec, enumeration, number, optional, string } from "purify-ts";
+import * as core from "../core/mod.ts";
+import type * as platform from "../platform/mod.ts";
+import { heldBytes } from "./ledger_row.ts";
+import type { LedgerRow, VersionedLedgerRow } from "./ledger_types.ts";
+
+const LEDGER_PREFIX = "ledger/";
+const SLOTS_KEY = "slots/weights";
+/** A slot whose load was never resolved is given to others after this. */
+const SLOT_EXPIRY_MS = 60_000;
+const WRITE_ATTEMPTS_MAX = 4;
+const WRITE_PAUSE_MS = 30;
+
+enum EntryStateTag {
+  Loading = "loading",
+  Resident = "resident",
+  Unloading = "unloading",
+  Cooling = "cooling",
+}
+
+enum OrderKindTag {
+  Load = "load",
+  Unload = "unload",
+}
+
+const LedgerRowCodec = Codec.interface({
+  incarnation: string,
+  capacityBytes: number,
+  kvReserveBytes: number,
+  roleOverheadBytes: number,
+  roleChange: optional(
+    Codec.interface({
+      role: string,
+      roleOverheadBytes: number,
+      transmissionId: string,
+    }),
+  ),
+  entries: array(
+    Codec.interface({
+      artifactId: string,
+      weightBytes: number,
+      state: enumeration(EntryStateTag),
+      transmissions: array(
+        Codec.interface({
+          transmissionId: string,
+          kind: enumeration(OrderKindTag),
+          sender: string,
+        }),
+      ),
+    }),
+  ),
+});
+
+const SlotsCodec = Codec.interface({
+  holders: array(
+    Codec.interface({ transmissionId: string, takenAtMs: number }),
+  ),
+});
+
+/** How one compare-and-set of a ledger row ended. */
+export type LedgerWriteEnd =
+  | { readonly kind: "committed"; readonly version: number }
+  | { readonly kind: "conflict" }
+  | { readonly kind: "slotsTaken" }
+  | { readonly kind: "failed" }
+  /** The write may still take effect. */
+  | { readonly kind: "unknown" };
+
+/** A ledger write and the weight load slots that go with it. */
+export interface LedgerWrite {
+  readonly upstreamId: core.UpstreamId;
+  readonly version: number;
+  readonly row: LedgerRow;
+  /** Transmission that takes a slot of the weight store. */
+  readonly takeSlot?: core.TransmissionId;
+  /** Transmissions whose slots are given back. */
+  readonly giveSlots?: readonly core.TransmissionId[];
+}
+
+interface Slots {
+  readonly version: number;
+  readonly holders: { transmissionId: string; takenAtMs: number }[];
+}
+
+/** Reads and writes ledger rows. */
+export class LedgerStore {
+  readonly #service: platform.TableService;
+  readonly #slotsMax: number;
+
+  constructor(service: platform.TableService, slotsMax: number) {
+    this.#service = service;
+    this.#slotsMax = slotsMax;
+  }
+
+  /** Reads an engine's row; undefined when there is none. */
+  async read(
+    upstreamId: core.UpstreamId,
+  ): Promise<Result<VersionedLedgerRow | undefined, platform.StoreFailure>> {
+    const rows = await this.#service.read({
+      keys: [LEDGER_PREFIX + upstreamId],
+    });
+    return rows.andThen((found) => decodeRow(found[0]));
+  }
+
+  /** Writes a row whose sum fits, by compare-and-set. */
+  async write(write: LedgerWrite): Promise<LedgerWriteEnd> {
+    const { row } = write;
+    const sumBytes = heldBytes(row);
+    if (sumBytes > row.capacityBytes && write.takeSlot) {
+      throw new core.InvariantError(1, `${sumBytes} of ${row.capacityBytes}`);
+    }
+    const touchesSlots = write.takeSlot !== undefined ||
+      (write.giveSlots?.length ?? 0) > 0;
+    let slots: Slots | undefined;
+    if (touchesSlots) {
+      slots = await this.#readSlots();
+      if (slots === undefined) return { kind: "failed" };
+      slots = changeSlots(slots, write);
+      if (write.takeSlot && slots.holders.length > this.#slotsMax) {
+        return { kind: "slotsTaken" };
+      }
+    }
+    return this.#commit(write, slots);
+  }
+
+  async #commit(
+    write: LedgerWrite,
+    slots: Slots | undefined,
+  ): Promise<LedgerWriteEnd> {
+    const key = LEDGER_PREFIX + write.upstreamId;
+    const checks = [{ key, version: write.version }];
+    const writes: platform.RowWrite[] = [{ key, value: toJson(write.row) }];
+    if (slots) {
+      checks.push({ key: SLOTS_KEY, version: slots.version });
+      writes.push({ key: SLOTS_KEY, value: { holders: slots.holders } });
+    }
+    let lost = false;
+    for (let attempt = 0; attempt < WRITE_ATTEMPTS_MAX; attempt++) {
+      const outcome = await this.#service.transact({ checks, writes });
+      if (outcome.isOk()) {
+        const { value } = outcome;
+        return value.outcome === "committed"
+          ? { kind: "committed", version: value.version }
+          : ownOrConflict(value.rows, key, write);
+      }
+      lost ||= outcome.error.effect === "unknown";
+      if (!lost) return { kind: "failed" };
+      await core.sleep(core.jitterMs(WRITE_PAUSE_MS * (attempt + 1)));
+    }
+    return { kind: "unknown" };
+  }
+
+  async #readSlots(): Promise<Slots | undefined> {
+    const rows = await this.#service.read({ keys: [SLOTS_KEY] });
+    if (rows.isErr()) return undefined;
+    const row = rows.value[0];
+    if (row === undefined) return { version: 0, holders: [] };
+    const decoded = core.decodeValue(row.value, SlotsCodec);
+    const holders = decoded.match((slots) => slots.holders, () => []);
+    return { version: row.version, holders };
+  }
+}
+
+/** A conflict that shows our own row means that a lost write took effect. */
+function ownOrConflict(
+  rows: readonly platform.StoredRow[],
+  key: string,
+  write: LedgerWrite,
+): LedgerWriteEnd {
+  const found = rows.find((row) => row.key === key);
+  const isOwn = found !== undefined &&
+    JSON.stringify(found.value) === JSON.stringify(write.row);
+  if (isOwn) return { kind: "committed", version: found.version };
+  return { kind: "conflict" };
+}
+
+function changeSlots(slots: Slots, write: LedgerWrite): Slots {
+  const nowMs = Date.now();
+  const given = new Set<string>(write.giveSlots ?? []);
+  const holders = slots.holders.filter((holder) =>
+    !given.has(holder.transmissionId) &&
+    nowMs - holder.takenAtMs < SLOT_EXPIRY_MS
+  );
+  if (write.takeSlot) {
+    holders.push({ transmissionId: write.takeSlot, takenAtMs: nowMs });
+  }
+  return { version: slots.version, holders };
+}
+
+function decodeRow(
+  row: platform.StoredRow | undefined,
+): Result<VersionedLedgerRow | undefined, platform.StoreFailure> {
+  if (row === undefined) return ok(undefined);
+  return core.decodeValue(row.value, LedgerRowCodec).match<
+    Result<VersionedLedgerRow | undefined, platform.StoreFailure>
+  >(
+    (decoded) =>
+      ok({ version: row.version, row: decoded as unknown as LedgerRow }),
+    (detail) => err({ effect: "none", reached: true, detail }),
+  );
+}
+
+function toJson(row: LedgerRow): core.JsonValue {
+  return JSON.parse(JSON.stringify(row)) as core.JsonValue;
+}
--- /dev/null
+++ b/packages/metrics/mod.ts
@@ -0,0 +1,16 @@
+/** Metrics: histograms, counters and service-level burn. */
+export {
+  BURN_WINDOWS_MS,
+  burnRate,
+  BurnTracker,
+  mergeBurn,
+  OBJECTIVE,
+} from "./metrics_burn.ts";
+export type {
+  BurnCount,
+  BurnLine,
+  BurnSubject,
+  BurnWindow,
+} from "./metrics_burn.ts";
+export { MetricsRecorder } from "./metrics_recorder.ts";
+export type { CounterName, DurationName } from "./metrics_recorder.ts";
--- /dev/null
+++ b/packages/peers/mod.ts
@@ -0,0 +1,24 @@
+/** Entry instances among themselves: membership and the peer protocol. */
+export { PeerClients, RemoteClaimPeers } from "./peers_client.ts";
+export type { PeerUse } from "./peers_client.ts";
+export {
+  fromMemberMessage,
+  toFateMessage,
+  toMemberMessage,
+} from "./peers_convert.ts";
+export { PeerDirectory } from "./peers_directory.ts";
+export type { PeerDirectoryOptions, PeerMember } from "./peers_directory.ts";
+export { PeerHandlers, registerPeerListener } from "./peers_server.ts";
+export type { PeerListenOptions } from "./peers_server.ts";
+export {
+  DemandReportSchema,
+  DigestSchema,
+  EngineDigestSchema,
+} from "./gen/peers_pb.ts";
+export type {
+  DemandReport,
+  Digest,
+  EngineDigest,
+  ResolveClaimReply,
+  ResolveClaimRequest,
+} from "./gen/peers_pb.ts";
--- /dev/null
+++ b/packages/peers/peers_client.ts
@@ -0,0 +1,129 @@
+/** Calls to peer instances over Connect on HTTP/1.1 with keep-alive. */
+import { type Client, createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { Agent } from "node:http";
+import * as claims from "../claims/mod.ts";
+import { type DemandReport, type Digest, PeerService } from "./gen/peers_pb.ts";
+import { fromFateMessage } from "./peers_convert.ts";
+import type { PeerDirectory } from "./peers_directory.ts";
+
+const IDLE_SOCKETS_MAX = 2;
+
+/** Bytes and calls of the peer protocol, as this instance sent them. */
+export interface PeerUse {
+  calls: number;
+  failures: number;
+}
+
+/** Clients of peers, one for each address. */
+export class PeerClients {
+  readonly use: PeerUse = { calls: 0, failures: 0 };
+  readonly #agent = new Agent({
+    keepAlive: true,
+    maxFreeSockets: IDLE_SOCKETS_MAX,
+  });
+  readonly #clients = new Map<string, Client<typeof PeerService>>();
+  readonly #timeoutMs: number;
+
+  constructor(timeoutMs: number) {
+    this.#timeoutMs = timeoutMs;
+  }
+
+  /** Swaps digests; undefined when the peer did not answer. */
+  exchange(
+    peerAddress: string,
+    digest: Digest,
+  ): Promise<Digest | undefined> {
+    return this.#call(() => this.#client(peerAddress).exchange(digest));
+  }
+
+  /** Fetches a newer table; undefined when there is none to be had. */
+  async fetchTable(
+    peerAddress: string,
+    afterRevision: number,
+  ): Promise<string | undefined> {
+    const reply = await this.#call(() =>
+      this.#client(peerAddress).fetchTable({
+        afterRevision: BigInt(afterRevision),
+      })
+    );
+    return reply?.snapshotJson || undefined;
+  }
+
+  /** Asks a peer what became of a claim. */
+  async resolveClaim(
+    peerAddress: string,
+    question: claims.ClaimQuestion,
+  ): Promise<claims.ClaimFate> {
+    const { callerId, key, nonce, incarnation } = question;
+    const reply = await this.#call(() =>
+      this.#client(peerAddress).resolveClaim({
+        callerId,
+        key,
+        nonce,
+        incarnation,
+      })
+    );
+    return reply ? fromFateMessage(reply) : { kind: "unreachable" };
+  }
+
+  /** Tells the planner about demand. */
+  async reportDemand(
+    peerAddress: string,
+    report: DemandReport,
+  ): Promise<boolean> {
+    const reply = await this.#call(() =>
+      this.#client(peerAddress).reportDemand(report)
+    );
+    return reply?.accepted ?? false;
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #client(peerAddress: string): Client<typeof PeerService> {
+    const known = this.#clients.get(peerAddress);
+    if (known) return known;
+    const transport = createConnectTransport({
+      baseUrl: peerAddress,
+      httpVersion: "1.1",
+      nodeOptions: { agent: this.#agent },
+      defaultTimeoutMs: this.#timeoutMs,
+    });
+    const client = createClient(PeerService, transport);
+    this.#clients.set(peerAddress, client);
+    return client;
+  }
+
+  async #call<Reply>(send: () => Promise<Reply>): Promise<Reply | undefined> {
+    this.use.calls++;
+    try {
+      return await send();
+    } catch {
+      this.use.failures++;
+      return undefined;
+    }
+  }
+}
+
+/** Asks the owners of claims over the peer protocol. */
+export class RemoteClaimPeers extends claims.ClaimPeers {
+  readonly #clients: PeerClients;
+  readonly #directory: PeerDirectory;
+
+  constructor(clients: PeerClients, directory: PeerDirectory) {
+    super();
+    this.#clients = clients;
+    this.#directory = directory;
+  }
+
+  override async ask(
+    question: claims.ClaimQuestion,
+  ): Promise<claims.ClaimFate> {
+    const owner = this.#directory.find(question.owner);
+    if (!owner) return { kind: "unreachable" };
+    return await this.#clients.resolveClaim(owner.peerAddress, question);
+  }
+}
--- /dev/null
+++ b/packages/peers/peers_server.ts
@@ -0,0 +1,85 @@
+/** The peer protocol's listener. */
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type * as core from "../core/mod.ts";
+import {
+  type DemandReport,
+  type Digest,
+  PeerService,
+  type ResolveClaimReply,
+  type ResolveClaimRequest,
+} from "./gen/peers_pb.ts";
+
+/** What this instance answers to its peers. */
+export abstract class PeerHandlers {
+  abstract exchange(digest: Digest): Digest;
+  /** JSON text of a newer table, or undefined when there is none. */
+  abstract table(
+    afterRevision: number,
+  ): { revision: number; snapshotJson: string } | undefined;
+  abstract resolveClaim(request: ResolveClaimRequest): ResolveClaimReply;
+  abstract reportDemand(report: DemandReport): boolean;
+}
+
+/** Where to listen. */
+export interface PeerListenOptions {
+  readonly host: string;
+  readonly port: number;
+}
+
+function routes(handlers: PeerHandlers): (router: ConnectRouter) => void {
+  return (router) => {
+    router.service(PeerService, {
+      exchange: (digest) => handlers.exchange(digest),
+      fetchTable: ({ afterRevision }) => {
+        const newer = handlers.table(Number(afterRevision));
+        return newer
+          ? {
+            revision: BigInt(newer.revision),
+            snapshotJson: newer.snapshotJson,
+          }
+          : {};
+      },
+      resolveClaim: (request) => handlers.resolveClaim(request),
+      reportDemand: (report) => ({ accepted: handlers.reportDemand(report) }),
+    });
+  };
+}
+
+/**
+ * Listens for peers.
+ *
+ * @returns the port and the clean-up that stops listening.
+ * @example
+ * ```ts
+ * const { port, cleanup } = await registerPeerListener(handlers, options);
+ * ```
+ */
+export async function registerPeerListener(
+  handlers: PeerHandlers,
+  options: PeerListenOptions,
+): Promise<{ port: number; cleanup: core.Cleanup }> {
+  const server = createServer(connectNodeAdapter({ routes: routes(handlers) }));
+  const sockets = new Set<Socket>();
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.host, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return { port, cleanup: () => closeServer(server, sockets) };
+}
+
+async function closeServer(
+  server: Server,
+  sockets: ReadonlySet<Socket>,
+): Promise<void> {
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()));
+  for (const socket of sockets) socket.destroy();
+  await closed;
+}
--- /dev/null
+++ b/packages/platform/platform_codecs.ts
@@ -0,0 +1,69 @@
+/** Decoders of what the platform's services answer. */
+import {
+  array,
+  Codec,
+  enumeration,
+  type GetType,
+  number,
+  oneOf,
+  optional,
+  string,
+  unknown,
+} from "purify-ts";
+
+export const StoredRowCodec = Codec.interface({
+  key: string,
+  version: number,
+  value: unknown,
+});
+
+export const ReadAnswerCodec = Codec.interface({ rows: array(StoredRowCodec) });
+
+enum CommittedTag {
+  Committed = "committed",
+}
+
+enum ConflictTag {
+  Conflict = "conflict",
+}
+
+enum KindTag {
+  Entry = "entry",
+  Engine = "engine",
+  Service = "service",
+}
+
+enum StateTag {
+  Live = "live",
+  Leaving = "leaving",
+}
+
+export const TransactAnswerCodec = oneOf([
+  Codec.interface({ outcome: enumeration(CommittedTag), version: number }),
+  Codec.interface({
+    outcome: enumeration(ConflictTag),
+    rows: array(StoredRowCodec),
+  }),
+]);
+
+export const ListedInstanceCodec = Codec.interface({
+  id: string,
+  kind: enumeration(KindTag),
+  address: string,
+  failureDomain: string,
+  state: enumeration(StateTag),
+  service: optional(string),
+  peerAddress: optional(string),
+});
+
+export const InstanceListCodec = Codec.interface({
+  instances: array(ListedInstanceCodec),
+});
+
+export const ManifestCodec = Codec.interface({
+  artifactId: string,
+  weightBytes: number,
+});
+
+/** The instance list as decoded. */
+export type InstanceListAnswer = GetType<typeof InstanceListCodec>;
--- /dev/null
+++ b/packages/routing/mod.ts
@@ -0,0 +1,17 @@
+/** Routing: the fleet as known here, policies, and the retry budget. */
+export { RetryBudget } from "./routing_budget.ts";
+export type { RetryBudgetOptions } from "./routing_budget.ts";
+export { EngineView, Fleet, toEngineLoad } from "./routing_fleet.ts";
+export type { EngineLoad } from "./routing_fleet.ts";
+export {
+  estimate,
+  EstimatedRouting,
+  LeastReportedRouting,
+  RoundRobinRouting,
+  RoutingPolicy,
+} from "./routing_policy.ts";
+export type {
+  EstimatedRoutingOptions,
+  RoutedEngine,
+  RoutedRequest,
+} from "./routing_policy.ts";
--- /dev/null
+++ b/packages/testing/testing_process.ts
@@ -0,0 +1,79 @@
+/** Processes that a runner starts and ends itself. */
+import { type ChildProcess, spawn } from "node:child_process";
+import process from "node:process";
+import { createInterface } from "node:readline";
+
+/** A process with the JSON line that it printed when it was ready. */
+export class StartedProcess<Ready> {
+  readonly name: string;
+  readonly ready: Ready;
+  readonly #child: ChildProcess;
+  readonly #exited: Promise<number | null>;
+  readonly stderr: string[] = [];
+
+  constructor(name: string, ready: Ready, child: ChildProcess) {
+    this.name = name;
+    this.ready = ready;
+    this.#child = child;
+    this.#exited = new Promise((resolve) => {
+      if (child.exitCode !== null) resolve(child.exitCode);
+      child.once("exit", (code) => resolve(code));
+    });
+  }
+
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
+  get hasExited(): boolean {
+    return this.#child.exitCode !== null || this.#child.signalCode !== null;
+  }
+
+  /** Sends a signal to this process alone. */
+  signal(name: NodeJS.Signals): void {
+    this.#child.kill(name);
+  }
+
+  /** Waits for the exit code; null after a signal. */
+  exited(): Promise<number | null> {
+    return this.#exited;
+  }
+
+  /** Ends the process at once. */
+  async kill(): Promise<void> {
+    if (!this.hasExited) {
+      this.#child.kill("SIGCONT");
+      this.#child.kill("SIGKILL");
+    }
+    await this.#exited;
+  }
+}
+
+/** Starts a Node script and waits for its first line, which is JSON. */
+export async function startProcess<Ready>(
+  name: string,
+  args: readonly string[],
+): Promise<StartedProcess<Ready>> {
+  const child = spawn(process.execPath, [...args], {
+    stdio: ["ignore", "pipe", "pipe", "ipc"],
+  });
+  const stderr: string[] = [];
+  const { stdout, stderr: errors } = child;
+  if (stdout === null || errors === null) throw new Error("No pipes");
+  createInterface({ input: errors }).on("line", (line) => {
+    stderr.push(line);
+    if (process.env.CARAWAYWIND_LOGS) process.stderr.write(`${line}\n`);
+  });
+  const line = await new Promise<string>((resolve, reject) => {
+    const lines = createInterface({ input: stdout });
+    lines.once("line", resolve);
+    child.once(
+      "exit",
+      (code) =>
+        reject(new Error(`${name} exited with ${code}: ${stderr.join("\n")}`)),
+    );
+  });
+  const started = new StartedProcess<Ready>(name, JSON.parse(line), child);
+  started.stderr.push(...stderr);
+  return started;
+}
--- /dev/null
+++ b/packages/testing/testing_settings.ts
@@ -0,0 +1,103 @@
+/** Settings, rows and tokens for tests, the demo and benchmarks. */
+import type * as settings from "../settings/mod.ts";
+import type * as table from "../table/mod.ts";
+import * as core from "../core/mod.ts";
+
+export const CALLER_TOKENS = {
+  kiosk: "kiosk-token-0123456789",
+  dispatch: "dispatch-token-0123456789",
+} as const;
+
+export const OPERATOR_TOKENS = {
+  ana: "operator-token-ana-0123",
+  ben: "operator-token-ben-0123",
+} as const;
+
+/** Addresses of the platform's stand-ins. */
+export interface PlatformOrigins {
+  readonly tableServiceUrl: string;
+  readonly objectStoreUrl: string;
+  readonly instanceListUrl: string;
+  readonly weightStoreUrl: string;
+}
+
+/** Any part of the settings. */
+export type SettingsChange = {
+  readonly [Key in keyof settings.Settings]?: settings.Settings[Key] extends
+    string | readonly unknown[] ? settings.Settings[Key]
+    : Partial<settings.Settings[Key]>;
+};
+
+/** Settings with short intervals, ports of the system's choice. */
+export function makeSettings(
+  instanceId: string,
+  failureDomain: string,
+  origins: PlatformOrigins,
+  change: SettingsChange = {},
+): Record<string, unknown> {
+  const base: Record<string, unknown> = {
+    instanceId,
+    failureDomain,
+    listen: {
+      host: "127.0.0.1",
+      callerPort: 0,
+      peerPort: 0,
+      advertiseHost: "127.0.0.1",
+    },
+    platform: { ...origins, timeoutMs: 500 },
+    callers: Object.entries(CALLER_TOKENS)
+      .map(([callerId, token]) => ({ callerId, token })),
+    operators: Object.entries(OPERATOR_TOKENS)
+      .map(([operatorId, token]) => ({ operatorId, token })),
+    services: [
+      { name: "orders", repeatablePaths: ["stock"] },
+      { name: "stock", repeatablePaths: ["/"] },
+    ],
+    engines: {
+      orderDelayMaxMs: 1_000,
+      reportIntervalMs: 200,
+      controlTimeoutMs: 500,
+    },
+    placement: { residentMinMs: 1_000, intervalMs: 100 },
+    peers: { exchangeIntervalMs: 200, timeoutMs: 300, suspectAfterMs: 1_500 },
+    table: { pollIntervalMs: 500 },
+    drain: { entriesMaxAgeMs: 500 },
+  };
+  for (const [key, value] of Object.entries(change)) {
+    const isPlain = typeof value === "object" && !Array.isArray(value);
+    base[key] = isPlain ? { ...(base[key] as object), ...value } : value;
+  }
+  return base;
+}
+
+/** A row with ordinary fields. */
+export function makeRow(
+  name: string,
+  change: Partial<table.TableRow> = {},
+): table.TableRow {
+  return {
+    name: core.brandId<core.RowName>(name),
+    kind: "model",
+    version: "1",
+    weight: 1,
+    priority: 5,
+    limits: {},
+    weightBytes: 20,
+    deadlineMs: 20_000,
+    ...change,
+  };
+}
+
+/** An adapter's row. */
+export function makeAdapter(
+  name: string,
+  baseModel: string,
+  change: Partial<table.TableRow> = {},
+): table.TableRow {
+  return makeRow(name, {
+    kind: "adapter",
+    baseModel: core.brandId<core.RowName>(baseModel),
+    weightBytes: 2,
+    ...change,
+  });
+}
--- /dev/null
+++ b/packages/testing/testing_world.ts
@@ -0,0 +1,264 @@
+/** A whole system on loopback: stand-ins here or as processes, entries. */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import * as core from "../core/mod.ts";
+import * as fakes from "../fakes/mod.ts";
+import type * as instance from "../instance/mod.ts";
+import type * as table from "../table/mod.ts";
+import { type StartedProcess, startProcess } from "./testing_process.ts";
+import {
+  makeSettings,
+  OPERATOR_TOKENS,
+  type SettingsChange,
+} from "./testing_settings.ts";
+
+const CLI = fileURLToPath(new URL("../cli/main.js", import.meta.url));
+const FAILURE_DOMAINS = ["calama", "antofagasta", "copiapo"];
+const READY_WAIT_MS = 20_000;
+
+/** How a world is made. */
+export interface WorldOptions {
+  readonly entries?: number;
+  readonly engines?: number;
+  readonly engine?: Partial<fakes.FakeEngineOptions>;
+  readonly services?: Readonly<Record<string, number>>;
+  readonly weightStore?: Partial<fakes.FakeWeightStoreOptions>;
+  readonly listLagMs?: number;
+  readonly settings?: SettingsChange;
+  readonly rows?: readonly table.TableRow[];
+}
+
+/** One entry instance's process. */
+export type EntryProcess = StartedProcess<instance.InstanceAddresses>;
+
+/** Waits until a condition holds. */
+export async function until(
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+  waitMs = READY_WAIT_MS,
+): Promise<void> {
+  const deadline = new core.Deadline(waitMs);
+  while (!await condition()) {
+    if (deadline.isOver()) throw new Error(`Timed out waiting: ${what}`);
+    await core.sleep(10);
+  }
+}
+
+/** Stand-ins in this process and entries as processes of their own. */
+export class World {
+  readonly tableService = new fakes.FakeTableService();
+  readonly objectStore = new fakes.FakeObjectStore();
+  readonly instanceList: fakes.FakeInstanceList;
+  readonly weightStore: fakes.FakeWeightStore;
+  readonly engines: fakes.FakeEngine[] = [];
+  readonly services = new Map<string, fakes.FakeService[]>();
+  readonly entries: EntryProcess[] = [];
+  readonly #options: WorldOptions;
+  #folder = "";
+
+  constructor(options: WorldOptions = {}) {
+    this.#options = options;
+    this.instanceList = new fakes.FakeInstanceList(options.listLagMs ?? 0);
+    this.weightStore = new fakes.FakeWeightStore({
+      modelLoadMs: 100,
+      modelsAtOnceMax: 3,
+      adapterLoadMs: 10,
+      adaptersAtOnceMax: 24,
+      ...options.weightStore,
+    });
+  }
+
+  /** Starts everything and waits until every entry is ready. */
+  async start(): Promise<this> {
+    this.#folder = await mkdtemp(join(tmpdir(), "carawaywind-"));
+    const { tableService, objectStore, instanceList, weightStore } = this;
+    await Promise.all([
+      tableService.start(),
+      objectStore.start(),
+      instanceList.start(),
+      weightStore.start(),
+    ]);
+    await this.#startUpstreams();
+    const { entries = 2 } = this.#options;
+    const names = Array.from({ length: entries }, (_, n) => `entry-${n + 1}`);
+    await Promise.all(names.map((name) => this.startEntry(name)));
+    await this.whenReady();
+    const { rows = [] } = this.#options;
+    if (rows.length > 0) await this.edit(rows);
+    return this;
+  }
+
+  /** Starts one more entry instance. */
+  async startEntry(
+    name: string,
+    change: SettingsChange = {},
+  ): Promise<EntryProcess> {
+    const file = await this.writeSettings(name, change);
+    const entry = await startProcess<instance.InstanceAddresses>(name, [
+      CLI,
+      "serve",
+      "--settings",
+      file,
+    ]);
+    this.entries.push(entry);
+    const index = this.entries.length - 1;
+    this.instanceList.put({
+      id: name,
+      kind: "entry",
+      address: entry.ready.callerAddress,
+      peerAddress: entry.ready.peerAddress,
+      failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? "",
+      state: "live",
+    });
+    return entry;
+  }
+
+  /** Writes an instance's settings and returns the file's path. */
+  async writeSettings(
+    name: string,
+    change: SettingsChange = {},
+  ): Promise<string> {
+    const index = this.entries.length;
+    const domain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? "";
+    const merged = { ...this.#options.settings, ...change };
+    const text = JSON.stringify(
+      makeSettings(name, domain, {
+        tableServiceUrl: this.tableService.origin,
+        objectStoreUrl: this.objectStore.origin,
+        instanceListUrl: this.instanceList.origin,
+        weightStoreUrl: this.weightStore.origin,
+      }, merged),
+    );
+    const file = join(this.#folder, `${name}.jsonc`);
+    await writeFile(file, text);
+    return file;
+  }
+
+  /** Waits until every running entry is ready and lists all of them. */
+  async whenReady(): Promise<void> {
+    const running = this.entries.filter((entry) => !entry.hasExited);
+    await until("every entry is listed by every entry", async () => {
+      const lists = await Promise.all(
+        running.map((entry) => this.listEntries(entry)),
+      );
+      return lists.every((list) => list.length === running.length);
+    });
+  }
+
+  /** What an entry answers to `/v1/entries`. */
+  async listEntries(entry: EntryProcess): Promise<string[]> {
+    const answer = await fetch(`${entry.ready.callerAddress}/v1/entries`, {
+      headers: { authorization: `Bearer ${OPERATOR_TOKENS.ana}` },
+    });
+    if (!answer.ok) return [];
+    const body = await answer.json() as { entries: { address: string }[] };
+    return body.entries.map(({ address }) => address);
+  }
+
+  /** An entry's status as operators see it. */
+  async status(entry: EntryProcess): Promise<{ tableRevision: number }> {
+    const answer = await fetch(`${entry.ready.callerAddress}/v1/status`, {
+      headers: { authorization: `Bearer ${OPERATOR_TOKENS.ana}` },
+    });
+    return await answer.json() as { tableRevision: number };
+  }
+
+  /** Writes rows through one entry and waits until all have them. */
+  async edit(rows: readonly table.TableRow[], from = 0): Promise<number> {
+    const entry = this.entries[from];
+    const answer = await fetch(
+      `${entry?.ready.callerAddress}/v1/table/edits`,
+      {
+        method: "POST",
+        headers: { authorization: `Bearer ${OPERATOR_TOKENS.ana}` },
+        body: JSON.stringify({
+          editId: core.randomId<core.EditId>("ed"),
+          changes: rows.map((row) => ({ name: row.name, row })),
+        }),
+      },
+    );
+    const body = await answer.json() as { revision: number };
+    if (!answer.ok) throw new Error(JSON.stringify(body));
+    await until("the edit is in force", async () => {
+      const running = this.entries.filter((other) => !other.hasExited);
+      const statuses = await Promise.all(
+        running.map((other) => this.status(other)),
+      );
+      return statuses.every(({ tableRevision }) =>
+        tableRevision >= body.revision
+      );
+    });
+    return body.revision;
+  }
+
+  /** Ends everything at once. */
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.kill()));
+    const services = [...this.services.values()].flat();
+    const servers = [
+      ...this.engines,
+      ...services,
+      this.tableService,
+      this.objectStore,
+      this.instanceList,
+      this.weightStore,
+    ];
+    await Promise.all(servers.map((server) => server.stop()));
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+
+  async #startUpstreams(): Promise<void> {
+    const { engines = 2, services = {} } = this.#options;
+    for (let n = 1; n <= engines; n++) {
+      const engine = new fakes.FakeEngine({
+        upstreamId: `engine-${n}`,
+        slots: 8,
+        waitingMax: 64,
+        firstTokenMs: 5,
+        tokenMs: 1,
+        honoursFencing: false,
+        loadMs: 50,
+        reportLagMs: 100,
+        capacityBytes: 100,
+        kvReserveBytes: 10,
+        roleOverheadBytes: 5,
+        weightStoreOrigin: this.weightStore.origin,
+        ...this.#options.engine,
+      });
+      await engine.start();
+      this.engines.push(engine);
+      this.#list(`engine-${n}`, "engine", engine.origin, n);
+    }
+    for (const [service, count] of Object.entries(services)) {
+      const list: fakes.FakeService[] = [];
+      for (let n = 1; n <= count; n++) {
+        const upstreamId = `${service}-${n}`;
+        const fake = new fakes.FakeService({ service, upstreamId, callMs: 5 });
+        await fake.start();
+        list.push(fake);
+        this.#list(upstreamId, "service", fake.origin, n, service);
+      }
+      this.services.set(service, list);
+    }
+  }
+
+  #list(
+    id: string,
+    kind: string,
+    address: string,
+    n: number,
+    service?: string,
+  ): void {
+    const failureDomain = FAILURE_DOMAINS[n % FAILURE_DOMAINS.length] ?? "";
+    this.instanceList.put({
+      id,
+      kind,
+      address,
+      failureDomain,
+      state: "live",
+      ...(service === undefined ? {} : { service }),
+    });
+  }
+}
--- /dev/null
+++ b/packages/transport/mod.ts
@@ -0,0 +1,13 @@
+/** HTTP requests that are sent at most once, with typed failures. */
+export {
+  boundSignal,
+  flattenHeaders,
+  send,
+  toTransportFailure,
+  wasNotSent,
+} from "./transport_request.ts";
+export type {
+  TransportAnswer,
+  TransportFailure,
+  TransportRequest,
+} from "./transport_request.ts";
--- /dev/null
+++ b/packages/upstream/upstream_stream.ts
@@ -0,0 +1,134 @@
+/** Checks a server-sent event stream of one attempt, event by event. */
+import { createParser, type EventSourceMessage } from "eventsource-parser";
+import * as core from "../core/mod.ts";
+import type {
+  AttemptFailure,
+  DroppedAnswers,
+  StreamEvent,
+} from "./upstream_types.ts";
+
+/** Events held while an earlier one is awaited. */
+const REORDER_MAX_EVENTS = 64;
+const DONE_MARK = "[DONE]";
+
+interface Chunk {
+  readonly id?: unknown;
+  readonly choices?: readonly { readonly finish_reason?: unknown }[];
+}
+
+function parseChunk(dataText: string): Chunk | undefined {
+  try {
+    const parsed: unknown = JSON.parse(dataText);
+    return typeof parsed === "object" && parsed !== null ? parsed : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Accepts the events of one attempt in order, each once. */
+export class StreamChecker {
+  readonly #answerId: string;
+  readonly #dropped: DroppedAnswers;
+  readonly #held = new Map<number, StreamEvent>();
+  #nextSequence = 0;
+  #finished = false;
+  #done = false;
+
+  constructor(answerId: string, dropped: DroppedAnswers) {
+    this.#answerId = answerId;
+    this.#dropped = dropped;
+  }
+
+  /** Whether the finish reason and the end mark have both arrived. */
+  get isWhole(): boolean {
+    return this.#finished && this.#done && this.#held.size === 0;
+  }
+
+  /** Whether the end mark has arrived. */
+  get isDone(): boolean {
+    return this.#done;
+  }
+
+  /** Takes one raw event and returns those that may be passed on now. */
+  accept(message: EventSourceMessage): StreamEvent[] {
+    if (message.data === DONE_MARK) {
+      this.#done = true;
+      return [];
+    }
+    const chunk = parseChunk(message.data);
+    if (chunk?.id !== this.#answerId) {
+      this.#dropped.foreign++;
+      return [];
+    }
+    const ready = this.#order(message);
+    for (const event of ready) this.#noteFinish(event);
+    return ready;
+  }
+
+  #order(message: EventSourceMessage): StreamEvent[] {
+    const event = { dataText: message.data };
+    if (message.id === undefined) return [event];
+    const sequence = Number(message.id);
+    if (sequence < this.#nextSequence || this.#held.has(sequence)) {
+      this.#dropped.duplicate++;
+      return [];
+    }
+    if (this.#held.size < REORDER_MAX_EVENTS) this.#held.set(sequence, event);
+    return this.#release();
+  }
+
+  #release(): StreamEvent[] {
+    const ready: StreamEvent[] = [];
+    let next = this.#held.get(this.#nextSequence);
+    while (next !== undefined) {
+      ready.push(next);
+      this.#held.delete(this.#nextSequence);
+      this.#nextSequence++;
+      next = this.#held.get(this.#nextSequence);
+    }
+    return ready;
+  }
+
+  #noteFinish(event: StreamEvent): void {
+    const reason = parseChunk(event.dataText)?.choices?.[0]?.finish_reason;
+    if (reason !== undefined && reason !== null) this.#finished = true;
+  }
+}
+
+function broken(detail: string): AttemptFailure {
+  return { fault: "broke", ran: "yes", detail };
+}
+
+/**
+ * Reads a body as checked events.
+ *
+ * @returns as the generator's result, why the stream is not whole, if so.
+ * @example
+ * ```ts
+ * for await (const event of readEvents(body, "chatcmpl-at-1", dropped)) {
+ *   write(event.dataText);
+ * }
+ * ```
+ */
+export async function* readEvents(
+  body: AsyncIterable<Uint8Array>,
+  answerId: string,
+  dropped: DroppedAnswers,
+): AsyncGenerator<StreamEvent, AttemptFailure | undefined> {
+  const checker = new StreamChecker(answerId, dropped);
+  const decoder = new TextDecoder();
+  let arrived: EventSourceMessage[] = [];
+  const parser = createParser({ onEvent: (event) => arrived.push(event) });
+  try {
+    for await (const bytes of body) {
+      parser.feed(decoder.decode(bytes, { stream: true }));
+      const batch = arrived;
+      arrived = [];
+      for (const message of batch) yield* checker.accept(message);
+      if (checker.isDone) break;
+    }
+  } catch (thrown) {
+    return broken(core.messageOf(thrown));
+  }
+  return checker.isWhole ? undefined : broken("stream ended before its end");
+}
