--- a/packages/fakes/fake_service.ts
+++ b/packages/fakes/fake_service.ts
@@ -8,6 +8,8 @@
   readonly upstreamId: string;
   /** How long a call takes, in milliseconds. */
   readonly callMs: number;
+  /** Other instances of the service, whose runs `/runs` adds in. */
+  readonly siblingOrigins?: readonly string[];
 }
 
 /**
@@ -24,7 +26,17 @@
 
   constructor(options: FakeServiceOptions) {
     super();
-    this.app.get("/runs", (c) => c.json(Object.fromEntries(this.runs)));
+    this.app.get("/runs", async (c) => {
+      const runs = Object.fromEntries(this.runs);
+      for (const origin of options.siblingOrigins ?? []) {
+        const answer = await fetch(`${origin}/runs`);
+        const more = await answer.json() as Record<string, number>;
+        for (const [key, count] of Object.entries(more)) {
+          runs[key] = (runs[key] ?? 0) + count;
+        }
+      }
+      return c.json(runs);
+    });
     this.app.get("/attempts", (c) => c.json(Object.fromEntries(this.attempts)));
     this.app.post("/leave", (c) => {
       this.leavingSinceMs = Date.now();
