Prove at most once under kill, freeze, cuts and lost replies

Two mends came out of it: an owner whose port refuses connections is gone for good, so its claims are final at once (the caller had been sent back every second: six 4002 answers for one key, now one); the fake store now lets a received write take effect although its sender died.

Ruled out: reading the claim back after a lost reply (a lagging replica may show it absent); the same transaction is sent again, and its conflict shows the row as it is.

Conclusion: `ran` speaks of the request it answers. A request cut from the store says "no" for itself although a retry elsewhere may have run the key.

--- a/packages/claims/claims_runner.ts
+++ b/packages/claims/claims_runner.ts
@@ -30,6 +30,8 @@
   readonly peers: ClaimPeers;
   /** Unsettled claims at most; past it new ones are refused. */
   readonly unsettledMax: number;
+  /** How long a caller waits for the end of its claim to be stored. */
+  readonly settleWaitMs: number;
 }
 
 /** Sends the call; told only once, directly after the deadline check. */
@@ -56,7 +58,11 @@
 
   constructor(options: ClaimRunnerOptions) {
     this.#options = options;
-    this.settler = new ClaimSettler(options.store, this.book);
+    this.settler = new ClaimSettler(
+      options.store,
+      this.book,
+      options.settleWaitMs,
+    );
   }
 
   /** Answers a peer that asks about a claim. */
--- a/packages/claims/claims_settler.ts
+++ b/packages/claims/claims_settler.ts
@@ -4,8 +4,6 @@
 import type { ClaimStore } from "./claims_store.ts";
 import type { ClaimRow } from "./claims_types.ts";
 
-/** How long a caller waits for the end of its claim to be stored. */
-const SETTLE_WAIT_MS = 500;
 const RETRY_MIN_MS = 50;
 const RETRY_MAX_MS = 2_000;
 
@@ -24,9 +22,12 @@
   readonly #controller = new AbortController();
   readonly #running = new Set<Promise<void>>();
 
-  constructor(store: ClaimStore, book: ClaimBook) {
+  readonly #waitMs: number;
+
+  constructor(store: ClaimStore, book: ClaimBook, waitMs: number) {
     this.#store = store;
     this.#book = book;
+    this.#waitMs = waitMs;
   }
 
   /** Ends not stored yet. */
@@ -39,7 +40,7 @@
     const running = this.#keepWriting(end);
     this.#running.add(running);
     running.finally(() => this.#running.delete(running));
-    await Promise.race([running, core.sleep(SETTLE_WAIT_MS)]);
+    await Promise.race([running, core.sleep(this.#waitMs)]);
   }
 
   /** Waits for every end to be stored, for a bounded time, then gives up. */
--- a/packages/fakes/fake_server.ts
+++ b/packages/fakes/fake_server.ts
@@ -75,12 +75,16 @@
     next: () => Promise<void>,
   ): Promise<Response | void> {
     const path = c.req.path;
+    // Read now: what was received takes effect even if the sender dies.
+    await c.req.text();
     if (this.faults.take("outage", path)) return c.text("outage", 503);
     if (this.faults.take("reset", path)) return this.cut(c);
     if (this.faults.take("blackhole", path)) return new Promise(() => {});
     const slow = this.faults.take("slow", path);
     if (slow) await delay(slow.delayMs ?? 1_000);
     await next();
+    const late = this.faults.take("slowReply", path);
+    if (late) await delay(late.delayMs ?? 1_000);
     if (this.faults.take("loseReply", path)) return this.cut(c);
   }
 }
--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -2,6 +2,8 @@
 export { expectedAnswer, expectedToken } from "./fake_answers.ts";
 export { FakeEngine } from "./fake_engine.ts";
 export type { FakeEngineOptions } from "./fake_engine.ts";
+export { FakeLink } from "./fake_link.ts";
+export type { LinkMode } from "./fake_link.ts";
 export { FakeServer } from "./fake_server.ts";
 export {
   FakeInstanceList,
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -37,6 +37,7 @@
 const PREFIXES_MAX = 10_000;
 /** How long idle connections may linger at a planned stop. */
 const LINGER_MS = 6_000;
+const SETTLE_WAIT_MS = 500;
 const SETTLE_MAX_MS = 5_000;
 
 /** Policies that may be swapped for others. */
@@ -49,6 +50,9 @@
 export interface InstanceAddresses {
   readonly callerAddress: string;
   readonly peerAddress: string;
+  /** Ports listened on, where others are advertised. */
+  readonly callerPort: number;
+  readonly peerPort: number;
 }
 
 /** A running entry instance. */
@@ -124,6 +128,7 @@
       store: new claims.ClaimStore(batcher),
       peers: new peers.RemoteClaimPeers(this.peerClients, this.directory),
       unsettledMax: checked.limits.unsettledClaimsMax,
+      settleWaitMs: SETTLE_WAIT_MS,
     });
     this.#limits = new limits.LimitShares({
       instanceId,
@@ -207,7 +212,8 @@
    * ```
    */
   async start(): Promise<InstanceAddresses> {
-    const { host, callerPort, peerPort, advertiseHost } = this.#settings.listen;
+    const { listen } = this.#settings;
+    const { host, advertiseHost } = listen;
     const peerListener = await peers.registerPeerListener(
       new InstancePeerHandlers({
         digests: this.#digests,
@@ -218,13 +224,16 @@
         isPlanner: () => this.#isPlanner(),
         onDemand: () => this.#placementTask.planSoon(),
       }),
-      { host, port: peerPort },
+      { host, port: listen.peerPort },
     );
     this.#lifecycle.own(peerListener.cleanup);
-    const boundCallerPort = await this.#listener.listen(host, callerPort);
+    const callerPort = await this.#listener.listen(host, listen.callerPort);
+    const peerPort = peerListener.port;
+    const shownCallerPort = listen.advertiseCallerPort || callerPort;
+    const shownPeerPort = listen.advertisePeerPort || peerPort;
     const addresses = {
-      callerAddress: `http://${advertiseHost}:${boundCallerPort}`,
-      peerAddress: `http://${advertiseHost}:${peerListener.port}`,
+      callerAddress: `http://${advertiseHost}:${shownCallerPort}`,
+      peerAddress: `http://${advertiseHost}:${shownPeerPort}`,
     };
     this.directory.bind(addresses);
     this.#lifecycle.own(
@@ -235,7 +244,7 @@
     );
     this.#startTree();
     this.logger.info("instance_started", addresses);
-    return addresses;
+    return { ...addresses, callerPort, peerPort };
   }
 
   /** Stops without cutting off a request. */
--- a/packages/peers/peers_client.ts
+++ b/packages/peers/peers_client.ts
@@ -15,6 +15,14 @@
   failures: number;
 }
 
+/** Whether an error says that no process listens at the address. */
+function isConnectionRefused(thrown: unknown): boolean {
+  for (let error = thrown; error instanceof Error; error = error.cause) {
+    if ((error as { code?: unknown }).code === "ECONNREFUSED") return true;
+  }
+  return false;
+}
+
 /** Clients of peers, one for each address. */
 export class PeerClients {
   readonly use: PeerUse = { calls: 0, failures: 0 };
@@ -56,15 +64,22 @@
     question: claims.ClaimQuestion,
   ): Promise<claims.ClaimFate> {
     const { callerId, key, nonce, incarnation } = question;
-    const reply = await this.#call(() =>
-      this.#client(peerAddress).resolveClaim({
-        callerId,
-        key,
-        nonce,
-        incarnation,
-      })
-    );
-    return reply ? fromFateMessage(reply) : { kind: "unreachable" };
+    this.use.calls++;
+    try {
+      return fromFateMessage(
+        await this.#client(peerAddress).resolveClaim({
+          callerId,
+          key,
+          nonce,
+          incarnation,
+        }),
+      );
+    } catch (thrown) {
+      this.use.failures++;
+      // Nothing listens where the owner listened for as long as it lived.
+      const isGone = isConnectionRefused(thrown);
+      return { kind: isGone ? "notOwner" : "unreachable" };
+    }
   }
 
   /** Tells the planner about demand. */
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -55,6 +55,13 @@
   hint: "a path prefix",
 };
 const port: FieldRule = { kind: "number", min: 0, max: PORT_MAX, whole: true };
+const advertisedPort: FieldRule = {
+  kind: "number",
+  min: 0,
+  max: PORT_MAX,
+  whole: true,
+  byDefault: 0,
+};
 
 function ms(byDefault: number, min = 1): FieldRule {
   return { kind: "number", min, max: DAY_MS, whole: true, byDefault };
@@ -85,6 +92,8 @@
     callerPort: port,
     peerPort: port,
     advertiseHost: ipNumber,
+    advertiseCallerPort: advertisedPort,
+    advertisePeerPort: advertisedPort,
   }, false),
   platform: object({
     tableServiceUrl: origin,
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -30,6 +30,9 @@
     readonly peerPort: number;
     /** Host that callers and peers connect to. */
     readonly advertiseHost: string;
+    /** Ports that they connect to, where not those listened on; else 0. */
+    readonly advertiseCallerPort: number;
+    readonly advertisePeerPort: number;
   };
   readonly platform: {
     readonly tableServiceUrl: string;
--- a/packages/testing/testing_world.ts
+++ b/packages/testing/testing_world.ts
@@ -55,6 +55,11 @@
   readonly engines: fakes.FakeEngine[] = [];
   readonly services = new Map<string, fakes.FakeService[]>();
   readonly entries: EntryProcess[] = [];
+  /** Links by entry: from its peers to it, and from it to the store. */
+  readonly links = new Map<
+    string,
+    { toPeer: fakes.FakeLink; toStore: fakes.FakeLink }
+  >();
   readonly #options: WorldOptions;
   #folder = "";
 
@@ -90,18 +95,33 @@
     return this;
   }
 
-  /** Starts one more entry instance. */
+  /** Starts one more entry instance, behind links that can be cut. */
   async startEntry(
     name: string,
     change: SettingsChange = {},
   ): Promise<EntryProcess> {
-    const file = await this.writeSettings(name, change);
+    const links = {
+      toPeer: new fakes.FakeLink(),
+      toStore: new fakes.FakeLink(),
+    };
+    const advertisePeerPort = await links.toPeer.start();
+    await links.toStore.start(Number(new URL(this.tableService.origin).port));
+    this.links.set(name, links);
+    const file = await this.writeSettings(name, {
+      ...change,
+      listen: { ...change.listen, advertisePeerPort },
+      platform: {
+        ...change.platform,
+        tableServiceUrl: links.toStore.origin,
+      },
+    });
     const entry = await startProcess<instance.InstanceAddresses>(name, [
       CLI,
       "serve",
       "--settings",
       file,
     ]);
+    links.toPeer.targetPort = entry.ready.peerPort;
     this.entries.push(entry);
     const index = this.entries.length - 1;
     this.instanceList.put({
@@ -115,6 +135,20 @@
     return entry;
   }
 
+  /** Ends an entry at once; nothing listens in its place. */
+  async killEntry(entry: EntryProcess): Promise<void> {
+    await entry.kill();
+    await this.links.get(entry.name)?.toPeer.stop();
+  }
+
+  /** Cuts or heals an entry's links to the store and from its peers. */
+  cutEntry(entry: EntryProcess, mode: fakes.LinkMode): void {
+    const links = this.links.get(entry.name);
+    if (!links) throw new Error(`No links of ${entry.name}`);
+    links.toPeer.mode = mode;
+    links.toStore.mode = mode;
+  }
+
   /** Writes an instance's settings and returns the file's path. */
   async writeSettings(
     name: string,
@@ -122,7 +156,9 @@
   ): Promise<string> {
     const index = this.entries.length;
     const domain = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? "";
-    const merged = { ...this.#options.settings, ...change };
+    const { settings = {} } = this.#options;
+    const platform = { ...settings.platform, ...change.platform };
+    const merged = { ...settings, ...change, platform };
     const text = JSON.stringify(
       makeSettings(name, domain, {
         tableServiceUrl: this.tableService.origin,
@@ -165,6 +201,15 @@
     return await answer.json() as { tableRevision: number };
   }
 
+  /** How often a keyed call ran, over all instances of its service. */
+  runsOf(service: string, callerAndKey: string): number {
+    const instances = this.services.get(service) ?? [];
+    return instances.reduce(
+      (sum, { runs }) => sum + (runs.get(callerAndKey) ?? 0),
+      0,
+    );
+  }
+
   /** Writes rows through one entry and waits until all have them. */
   async edit(rows: readonly table.TableRow[], from = 0): Promise<number> {
     const entry = this.entries[from];
@@ -206,6 +251,10 @@
       this.weightStore,
     ];
     await Promise.all(servers.map((server) => server.stop()));
+    for (const { toPeer, toStore } of this.links.values()) {
+      await toPeer.stop();
+      await toStore.stop();
+    }
     await rm(this.#folder, { recursive: true, force: true });
   }
 
