Prove that a refusal that says "not run" was not run

Change: a table of refusals (bad input, unknown names, deadline, cold row, limit, full engine, full instance, refusing service, store outage, no table yet) with the upstreams' own counts before and after, and hostile bytes on the socket after which the process still serves.

Ruled out: nothing was found broken here; two model loads that can never fit keep answering MODEL_LOADING, which is true but not helpful (open).

--- /dev/null
+++ b/packages/proofs/tests/unit/refusals_test.ts
@@ -0,0 +1,307 @@
+import test from "ava";
+import { connect } from "node:net";
+import { request } from "undici";
+import * as core from "../../../core/mod.ts";
+import * as testing from "../../../testing/mod.ts";
+
+const KIOSK = `Bearer ${testing.CALLER_TOKENS.kiosk}`;
+const BODY_MAX_BYTES = 4_096;
+
+const world = new testing.World({
+  entries: 1,
+  engines: 1,
+  engine: { slots: 1, waitingMax: 2 },
+  services: { orders: 2 },
+  settings: { limits: { bodyMaxBytes: BODY_MAX_BYTES, inProgressMax: 12 } },
+  rows: [
+    testing.makeRow("llama"),
+    testing.makeRow("narrow", { limits: { inProgressMax: 1 } }),
+    testing.makeRow("cold"),
+    testing.makeRow("huge", { weightBytes: 1_000 }),
+  ],
+});
+let origin = "";
+
+test.before(async () => {
+  await world.start();
+  origin = world.entries[0]?.ready.callerAddress ?? "";
+  await testing.complete(origin, { model: "llama", prompt: "warm" });
+  await testing.complete(origin, { model: "narrow", prompt: "warm" });
+});
+
+test.after.always(() => world.stop());
+
+/** Everything that any upstream has run. */
+function ranCount(): number {
+  const engines = world.engines
+    .reduce((sum, { attempts }) => sum + attempts.size, 0);
+  const services = (world.services.get("orders") ?? [])
+    .reduce((sum, { attempts }) => sum + attempts.size, 0);
+  return engines + services;
+}
+
+interface Post {
+  readonly path?: string;
+  readonly headers?: Record<string, string>;
+  readonly body: string;
+}
+
+async function post(
+  { path = "/v1/chat/completions", headers, body }: Post,
+): Promise<testing.CallerAnswer> {
+  const answer = await request(`${origin}${path}`, {
+    method: "POST",
+    headers: { authorization: KIOSK, ...headers },
+    body,
+  });
+  const text = await answer.body.text();
+  const isProblem = answer.headers["content-type"] ===
+    "application/problem+json";
+  return {
+    status: answer.statusCode,
+    body: isProblem ? JSON.parse(text) : { text },
+  };
+}
+
+function completion(
+  model: string,
+  change: Record<string, unknown> = {},
+): string {
+  const messages = [{ role: "user", content: "x" }];
+  return JSON.stringify({ model, messages, ...change });
+}
+
+interface Refusal {
+  readonly code: core.ResultCode;
+  readonly name?: string;
+  readonly post: Post;
+}
+
+const DISPENSE = "/v1/services/orders/dispense";
+
+const refusals: Refusal[] = [
+  { code: core.BODY_INVALID, post: { body: '{"model": "lla' } },
+  { code: core.BODY_INVALID, name: "a list", post: { body: "[]" } },
+  {
+    code: core.BODY_INVALID,
+    name: "no messages",
+    post: { body: completion("llama", { messages: [] }) },
+  },
+  {
+    code: core.BODY_INVALID,
+    name: "negative tokens",
+    post: { body: completion("llama", { max_tokens: -1 }) },
+  },
+  {
+    code: core.BODY_TOO_LARGE,
+    post: { body: completion("llama", { x: "y".repeat(BODY_MAX_BYTES) }) },
+  },
+  {
+    code: core.TOKEN_INVALID,
+    post: {
+      headers: { authorization: "Bearer nobody" },
+      body: completion("llama"),
+    },
+  },
+  { code: core.MODEL_UNKNOWN, post: { body: completion("nobody") } },
+  {
+    code: core.MODEL_UNKNOWN,
+    name: "__proto__",
+    post: { body: completion("__proto__") },
+  },
+  {
+    code: core.SERVICE_UNKNOWN,
+    post: { path: "/v1/services/nobody/x", body: "{}" },
+  },
+  { code: core.KEY_MISSING, post: { path: DISPENSE, body: "{}" } },
+  {
+    code: core.KEY_INVALID,
+    post: {
+      path: DISPENSE,
+      headers: { "idempotency-key": "a b/../c" },
+      body: "{}",
+    },
+  },
+  {
+    code: core.DEADLINE_INVALID,
+    post: {
+      headers: { "carawaywind-deadline-ms": "-5" },
+      body: completion("llama"),
+    },
+  },
+  { code: core.ROUTE_UNKNOWN, post: { path: "/v2/x", body: "{}" } },
+  {
+    code: core.DEADLINE_UNREACHABLE,
+    post: {
+      headers: { "carawaywind-deadline-ms": "500" },
+      body: completion("llama", { max_tokens: 100_000 }),
+    },
+  },
+  {
+    code: core.MODEL_LOADING,
+    post: {
+      headers: { "carawaywind-deadline-ms": "20" },
+      body: completion("cold"),
+    },
+  },
+  {
+    code: core.MODEL_LOADING,
+    name: "fits on no engine",
+    post: {
+      headers: { "carawaywind-deadline-ms": "20" },
+      body: completion("huge"),
+    },
+  },
+  {
+    code: core.NO_UPSTREAM,
+    post: { path: "/v1/services/stock/lookup", body: "{}" },
+  },
+];
+
+for (const { code, name, post: sent } of refusals) {
+  test.serial(`${code.name} ${name ?? ""}: refused, not run`, async (t) => {
+    const before = ranCount();
+    const answer = await post(sent);
+    t.is(answer.body.code, code.code, JSON.stringify(answer.body));
+    t.is(answer.status, code.httpStatus);
+    t.is(answer.body.ran, "no");
+    t.is(ranCount(), before);
+  });
+}
+
+test.serial("LIMIT_REACHED and a full engine: refused, not run", async (t) => {
+  const long = { model: "narrow", prompt: "long", tokens: 1_500 };
+  let started = false;
+  const first = testing.stream(origin, long, () => started = true);
+  await testing.until("the stream has begun", () => started);
+  const before = ranCount();
+  const over = await post({ body: completion("narrow") });
+  t.is(over.body.code, core.LIMIT_REACHED.code);
+  t.is(over.body.ran, "no");
+  t.is(ranCount(), before);
+  const answers = await Promise.all(
+    Array.from({ length: 6 }, () => post({ body: completion("llama") })),
+  );
+  const refused = answers.filter(({ status }) => status !== 200);
+  t.true(refused.length > 0);
+  for (const { body } of refused) t.is(body.ran, "no", JSON.stringify(body));
+  t.is(ranCount(), before + answers.length - refused.length);
+  t.true((await first).whole);
+});
+
+test.serial("INSTANCE_FULL: refused, not run", async (t) => {
+  const before = ranCount();
+  const answers = await Promise.all(
+    Array.from({ length: 40 }, () => post({ body: completion("llama") })),
+  );
+  const refused = answers.filter(({ status }) => status !== 200);
+  const codes = new Set(refused.map(({ body }) => body.code));
+  t.true(codes.has(core.INSTANCE_FULL.code), [...codes].join(" "));
+  for (const { body } of refused) t.is(body.ran, "no", JSON.stringify(body));
+  t.is(ranCount(), before + answers.length - refused.length);
+});
+
+test.serial("UPSTREAM_REFUSED: released, then run by a retry", async (t) => {
+  const services = world.services.get("orders") ?? [];
+  for (const { faults } of services) faults.set({ name: "refuse" });
+  const call = { path: DISPENSE, headers: { "idempotency-key": "r1" } };
+  const before = ranCount();
+  const refused = await post({ ...call, body: "{}" });
+  t.is(refused.body.ran, "no", JSON.stringify(refused.body));
+  t.is(ranCount(), before);
+  for (const { faults } of services) faults.clear();
+  await testing.until("a retry runs", async () => {
+    const answer = await post({ ...call, body: "{}" });
+    return answer.status === 200;
+  });
+  t.is(world.runsOf("orders", "kiosk/r1"), 1);
+});
+
+test.serial("KEY_REUSED: refused, not run", async (t) => {
+  const call = { path: DISPENSE, headers: { "idempotency-key": "r2" } };
+  await post({ ...call, body: "{}" });
+  const before = ranCount();
+  const reused = await post({ ...call, body: '{"other": 1}' });
+  t.is(reused.body.code, core.KEY_REUSED.code);
+  t.is(reused.body.ran, "no");
+  t.is(ranCount(), before);
+});
+
+test.serial("CLAIM_STORE_DOWN: refused, not run; models serve", async (t) => {
+  world.tableService.faults.set({ name: "outage" });
+  const before = ranCount();
+  const answer = await post({
+    path: DISPENSE,
+    headers: { "idempotency-key": "r3" },
+    body: "{}",
+  });
+  t.is(answer.body.code, core.CLAIM_STORE_DOWN.code);
+  t.is(answer.body.ran, "no");
+  t.truthy(answer.body.retryAfterMs);
+  t.is(ranCount(), before);
+  const served = await post({ body: completion("llama") });
+  t.is(served.status, 200);
+  world.tableService.faults.clear();
+});
+
+test.serial("EDIT_INVALID: nothing changes", async (t) => {
+  const headers = { authorization: `Bearer ${testing.OPERATOR_TOKENS.ana}` };
+  const path = "/v1/table/edits";
+  const entry = world.entries[0];
+  if (!entry) throw new Error("No entry");
+  const before = await world.status(entry);
+  const orphan = testing.makeAdapter("orphan", "nobody");
+  const negative = testing.makeRow("negative", { weightBytes: -1 });
+  for (const row of [orphan, negative]) {
+    const changes = [{ name: row.name, row }];
+    const body = JSON.stringify({ editId: `bad-${row.name}`, changes });
+    const answer = await post({ path, headers, body });
+    t.is(answer.body.code, core.EDIT_INVALID.code);
+  }
+  t.is((await world.status(entry)).tableRevision, before.tableRevision);
+});
+
+test.serial("hostile bytes and headers leave the process alive", async (t) => {
+  const { port } = new URL(origin);
+  const attacks = [
+    "\x00\x01\x02 garbage\r\n\r\n",
+    `POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx: ${
+      "a".repeat(100_000)
+    }\r\n\r\n`,
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n" +
+    "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /v1/services/%00%ff/..%2f HTTP/1.1\r\nhost: x\r\n" +
+    "content-length: 0\r\n\r\n",
+    "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n" +
+    "content-length: 999\r\n\r\nshort",
+  ];
+  for (const bytes of attacks) {
+    await new Promise<void>((resolve) => {
+      const socket = connect(Number(port), "127.0.0.1", () => {
+        socket.end(bytes);
+      });
+      socket.on("error", () => resolve());
+      socket.on("close", () => resolve());
+      socket.resume();
+    });
+  }
+  const answer = await post({ body: completion("llama") });
+  t.is(answer.status, 200);
+});
+
+test.serial("TABLE_NOT_READY: refused, not run", async (t) => {
+  const fresh = new testing.World({ entries: 0, engines: 0 });
+  try {
+    await fresh.start();
+    fresh.tableService.faults.set({ name: "outage" });
+    const entry = await fresh.startEntry("entry-1");
+    const answer = await testing.complete(entry.ready.callerAddress, {
+      model: "llama",
+      prompt: "x",
+    });
+    t.is(answer.body.code, core.TABLE_NOT_READY.code);
+    t.is(answer.body.ran, "no");
+  } finally {
+    await fresh.stop();
+  }
+});
