Prove that each caller gets its own whole answer

First failed, mechanism off: event ids not compared: x hundreds of callers each get their own answer the end mark alone taken for a whole stream: x a stream with a false end mark is never taken for whole ids of plain answers not compared: x an answer for another attempt is dropped: got 200 The first of these passed at first, as the fake's foreign event carried the right text; the fake now sends other text.

Conclusion: a stream that breaks after its first token ends with an error event; it is not resumed elsewhere (open).

--- a/packages/fakes/fake_engine.ts
+++ b/packages/fakes/fake_engine.ts
@@ -365,6 +365,10 @@
 
   #chunk(run: Running, index: number, id: string): string {
     const last = index === run.count - 1;
+    const isOwn = id === `chatcmpl-${run.attemptId}`;
+    const content = isOwn
+      ? expectedToken(run.body.model, run.text, index)
+      : "someone-else ";
     return JSON.stringify({
       id,
       object: "chat.completion.chunk",
@@ -372,7 +376,7 @@
       model: run.body.model,
       choices: [{
         index: 0,
-        delta: { content: expectedToken(run.body.model, run.text, index) },
+        delta: { content },
         finish_reason: last ? "stop" : null,
       }],
     });
