--- a/packages/fakes/fake_platform.ts
+++ b/packages/fakes/fake_platform.ts
@@ -35,6 +35,7 @@
   readonly instances = new Map<string, FakeListedInstance>();
   readonly #lagMs: number;
   #published: FakeListedInstance[] = [];
+  #showsFirst = false;
 
   constructor(lagMs = 0) {
     super();
@@ -67,8 +68,18 @@
     this.#publishLater();
   }
 
+  /** Shows later listings at once, but never a change to a listed one. */
+  publishOnce(): void {
+    this.#showsFirst = true;
+  }
+
   #publishLater(): void {
     const state = [...this.instances.values()];
+    if (this.#showsFirst) {
+      const shown = new Map(this.#published.map((item) => [item.id, item]));
+      this.#published = state.map((item) => shown.get(item.id) ?? item);
+      return;
+    }
     setTimeout(() => this.#published = state, this.#lagMs).unref();
   }
 }
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -61,7 +61,7 @@
   readonly recorder = new metrics.MetricsRecorder();
   readonly directory: peers.PeerDirectory;
   readonly keeper = new table.TableKeeper();
-  readonly fleet = new routing.Fleet();
+  readonly fleet: routing.Fleet;
   readonly admission: gateway.GatewayAdmission;
   readonly claimRunner: claims.ClaimRunner;
   readonly store: platform.HttpTableService;
@@ -83,6 +83,7 @@
 
   constructor(checked: settings.Settings, policies: InstancePolicies = {}) {
     this.#settings = checked;
+    this.fleet = new routing.Fleet(checked.engines.silentAfterMs);
     const instanceId = core.brandId<core.InstanceId>(checked.instanceId);
     const incarnation = core.randomId<core.Incarnation>("in");
     this.logger = new core.Logger({ instanceId });
--- a/packages/routing/routing_fleet.ts
+++ b/packages/routing/routing_fleet.ts
@@ -80,11 +80,17 @@
 /** Every listed upstream. */
 export class Fleet {
   readonly #listeners = new Set<FleetListener>();
+  readonly #silentAfterMs: number;
   readonly #engines = new Map<core.UpstreamId, EngineView>();
   #services: platform.ListedInstance[] = [];
   readonly #leavingSince = new Map<string, number>();
   readonly #serviceAvoidUntilMs = new Map<string, number>();
 
+  /** @param silentAfterMs an engine without news for so long is not used. */
+  constructor(silentAfterMs: number) {
+    this.#silentAfterMs = silentAfterMs;
+  }
+
   /** Every listed engine. */
   get engines(): readonly EngineView[] {
     return [...this.#engines.values()];
@@ -98,8 +104,10 @@
   /** Engines that may be sent new work. */
   usable(): EngineView[] {
     const nowMs = core.monotonicMs();
+    const oldestMs = nowMs - this.#silentAfterMs;
     return this.engines.filter((view) =>
-      !view.isLeaving && view.load !== undefined && view.avoidUntilMs < nowMs
+      !view.isLeaving && view.observedAtMs >= oldestMs &&
+      view.avoidUntilMs < nowMs
     );
   }
 
--- a/packages/settings/settings_check.ts
+++ b/packages/settings/settings_check.ts
@@ -204,7 +204,14 @@
 /** Faults between fields that are each in order by themselves. */
 function sumFaults(value: Settings): { field: string; message: string }[] {
   const faults: { field: string; message: string }[] = [];
-  const { peers, listen, callers, operators } = value;
+  const { peers, engines, listen, callers, operators } = value;
+  if (engines.silentAfterMs < peers.suspectAfterMs + engines.reportIntervalMs) {
+    faults.push({
+      field: "engines.silentAfterMs",
+      message: "must be at least peers.suspectAfterMs and " +
+        "engines.reportIntervalMs together, so that a new watcher has time",
+    });
+  }
   if (peers.suspectAfterMs < peers.exchangeIntervalMs * 3) {
     faults.push({
       field: "peers.suspectAfterMs",
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -115,6 +115,7 @@
     controlTimeoutMs: ms(1_000),
     reportIntervalMs: ms(500),
     watchersPerEngine: count(2, 64),
+    silentAfterMs: ms(5_000),
   }),
   placement: object({
     loadsAtOnceMax: count(3),
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -50,6 +50,8 @@
     readonly controlTimeoutMs: number;
     readonly reportIntervalMs: number;
     readonly watchersPerEngine: number;
+    /** An engine without news for so long gets no work. */
+    readonly silentAfterMs: number;
   };
   readonly placement: {
     readonly loadsAtOnceMax: number;
--- a/packages/testing/testing_settings.ts
+++ b/packages/testing/testing_settings.ts
@@ -57,6 +57,7 @@
       orderDelayMaxMs: 1_000,
       reportIntervalMs: 200,
       controlTimeoutMs: 500,
+      silentAfterMs: 2_500,
     },
     placement: { residentMinMs: 1_000, intervalMs: 100 },
     peers: { exchangeIntervalMs: 200, timeoutMs: 300, suspectAfterMs: 1_500 },
