Meter control and measure its slopes

Change: gauges for CPU time, resident memory and bytes of control (peers, platform, engine reports, apart from callers' requests); a benchmark that grows instances, engines and rows one at a time, with shipped intervals.

--- /dev/null
+++ b/packages/bench/bench_gauges.ts
@@ -0,0 +1,68 @@
+/** Reads instances' gauges and turns them into rates. */
+import { request } from "undici";
+import * as core from "../core/mod.ts";
+import type * as testing from "../testing/mod.ts";
+
+/** Gauges of one instance at one moment. */
+export interface Reading {
+  readonly atMs: number;
+  readonly values: ReadonlyMap<string, number>;
+}
+
+/** What one instance spends. */
+export interface Spending {
+  /** Share of one core, in percent. */
+  readonly cpuPercent: number;
+  readonly residentMb: number;
+  readonly controlKbPerS: number;
+  readonly peerCallsPerS: number;
+  readonly storeReadsPerS: number;
+  readonly storeWritesPerS: number;
+}
+
+const BYTES_PER_KB = 1_000;
+const BYTES_PER_MB = 1_000_000;
+
+/** Reads `/metrics` of an instance. */
+export async function readGauges(
+  entry: testing.EntryProcess,
+): Promise<Reading> {
+  const answer = await request(`${entry.ready.callerAddress}/metrics`);
+  const text = await answer.body.text();
+  const values = new Map<string, number>();
+  for (const line of text.split("\n")) {
+    const [name = "", value] = line.split(" ");
+    values.set(name.replace("carawaywind_", ""), Number(value));
+  }
+  return { atMs: core.monotonicMs(), values };
+}
+
+/** What was spent between two readings. */
+export function spendingOf(before: Reading, after: Reading): Spending {
+  const elapsedS = (after.atMs - before.atMs) / 1_000;
+  const rate = (name: string): number =>
+    ((after.values.get(name) ?? 0) - (before.values.get(name) ?? 0)) /
+    elapsedS;
+  return {
+    cpuPercent: rate("cpu_s_total") * 100,
+    residentMb: (after.values.get("resident_bytes") ?? 0) / BYTES_PER_MB,
+    controlKbPerS: rate("control_bytes_total") / BYTES_PER_KB,
+    peerCallsPerS: rate("peer_calls_total"),
+    storeReadsPerS: rate("store_reads_total"),
+    storeWritesPerS: rate("store_writes_total"),
+  };
+}
+
+/** The mean of every field. */
+export function meanSpending(all: readonly Spending[]): Spending {
+  const mean = (field: keyof Spending): number =>
+    all.reduce((sum, one) => sum + one[field], 0) / Math.max(1, all.length);
+  return {
+    cpuPercent: mean("cpuPercent"),
+    residentMb: mean("residentMb"),
+    controlKbPerS: mean("controlKbPerS"),
+    peerCallsPerS: mean("peerCallsPerS"),
+    storeReadsPerS: mean("storeReadsPerS"),
+    storeWritesPerS: mean("storeWritesPerS"),
+  };
+}
--- /dev/null
+++ b/packages/bench/bench_slopes.ts
@@ -0,0 +1,108 @@
+/** What control costs an instance as the system grows. */
+import * as core from "../core/mod.ts";
+import * as testing from "../testing/mod.ts";
+import {
+  meanSpending,
+  readGauges,
+  type Spending,
+  spendingOf,
+} from "./bench_gauges.ts";
+import { SHIPPED } from "./bench_settings.ts";
+
+const SETTLE_MS = 4_000;
+const MEASURE_MS = 8_000;
+
+/** One size that is measured. */
+export interface SlopePoint {
+  readonly entries: number;
+  readonly engines: number;
+  readonly rows: number;
+}
+
+/** What a size costs an instance, on average and at the worst. */
+export interface SlopeResult extends SlopePoint {
+  readonly mean: Spending;
+  readonly worst: Spending;
+  /** How long an edit took to be in force everywhere, in milliseconds. */
+  readonly editMs: number;
+}
+
+const BASE: SlopePoint = { entries: 4, engines: 16, rows: 120 };
+
+/** Sizes along three axes, one varied at a time. */
+export const SLOPE_POINTS: readonly SlopePoint[] = [
+  ...[2, 4, 8, 16, 32].map((entries) => ({ ...BASE, entries })),
+  ...[10, 40, 80, 160].map((engines) => ({ ...BASE, engines })),
+  ...[50, 500, 2_000].map((rows) => ({ ...BASE, rows })),
+];
+
+/** Measures one size without callers: control alone. */
+export async function measureSlope(point: SlopePoint): Promise<SlopeResult> {
+  const rows = Array.from(
+    { length: point.rows },
+    (_, n) => testing.makeRow(`model-${n}`),
+  );
+  const world = new testing.World({
+    entries: point.entries,
+    engines: point.engines,
+    links: false,
+    settings: SHIPPED,
+    rows,
+  });
+  try {
+    await world.start();
+    await core.sleep(SETTLE_MS);
+    const before = await Promise.all(world.entries.map(readGauges));
+    await core.sleep(MEASURE_MS);
+    const after = await Promise.all(world.entries.map(readGauges));
+    const all = before.flatMap((reading, n) => {
+      const later = after[n];
+      return later ? [spendingOf(reading, later)] : [];
+    });
+    const startedAtMs = core.monotonicMs();
+    await world.edit([testing.makeRow("model-0", { priority: 7 })]);
+    const editMs = Math.round(core.monotonicMs() - startedAtMs);
+    return { ...point, mean: meanSpending(all), worst: worstOf(all), editMs };
+  } finally {
+    await world.stop();
+  }
+}
+
+function worstOf(all: readonly Spending[]): Spending {
+  const [first] = all;
+  if (first === undefined) throw new Error("No instance was measured");
+  return all.reduce((worst, one) => ({
+    cpuPercent: Math.max(worst.cpuPercent, one.cpuPercent),
+    residentMb: Math.max(worst.residentMb, one.residentMb),
+    controlKbPerS: Math.max(worst.controlKbPerS, one.controlKbPerS),
+    peerCallsPerS: Math.max(worst.peerCallsPerS, one.peerCallsPerS),
+    storeReadsPerS: Math.max(worst.storeReadsPerS, one.storeReadsPerS),
+    storeWritesPerS: Math.max(worst.storeWritesPerS, one.storeWritesPerS),
+  }), first);
+}
+
+/** Renders one result as a line of a table. */
+export function renderSlope(result: SlopeResult): string {
+  const { entries, engines, rows, mean, worst, editMs } = result;
+  const cells = [
+    entries,
+    engines,
+    rows,
+    `${mean.cpuPercent.toFixed(2)} (${worst.cpuPercent.toFixed(2)})`,
+    `${mean.residentMb.toFixed(0)} (${worst.residentMb.toFixed(0)})`,
+    `${mean.controlKbPerS.toFixed(1)} (${worst.controlKbPerS.toFixed(1)})`,
+    mean.peerCallsPerS.toFixed(1),
+    mean.storeReadsPerS.toFixed(2),
+    mean.storeWritesPerS.toFixed(2),
+    editMs,
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
+
+/** Head of the table that `renderSlope` fills. */
+export const SLOPE_HEAD = [
+  "| entries | engines | rows | CPU % mean (worst) | MB mean (worst) | " +
+  "KB/s mean (worst) | peer calls/s | store reads/s | store writes/s | " +
+  "edit ms |",
+  "|---|---|---|---|---|---|---|---|---|---|",
+].join("\n");
--- /dev/null
+++ b/packages/bench/main.ts
@@ -0,0 +1,45 @@
+/** Benchmarks: `npm run bench -- NAME`; without a name, all of them. */
+import { mkdir, writeFile } from "node:fs/promises";
+import process from "node:process";
+import {
+  measureSlope,
+  renderSlope,
+  SLOPE_HEAD,
+  SLOPE_POINTS,
+} from "./bench_slopes.ts";
+
+const RESULTS = "bench-results";
+
+async function save(name: string, result: unknown): Promise<void> {
+  await mkdir(RESULTS, { recursive: true });
+  const text = JSON.stringify(result, null, 2);
+  await writeFile(`${RESULTS}/${name}.json`, `${text}\n`);
+}
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+async function slopes(): Promise<void> {
+  say(SLOPE_HEAD);
+  const results = [];
+  for (const point of SLOPE_POINTS) {
+    const result = await measureSlope(point);
+    say(renderSlope(result));
+    results.push(result);
+  }
+  await save("slopes", results);
+}
+
+const BENCHES: Readonly<Record<string, () => Promise<void>>> = { slopes };
+
+const asked = process.argv.slice(2);
+for (const name of asked.length > 0 ? asked : Object.keys(BENCHES)) {
+  const bench = BENCHES[name];
+  if (!bench) {
+    say(`no benchmark ${name}; there are: ${Object.keys(BENCHES).join(" ")}`);
+    process.exit(2);
+  }
+  say(`== ${name}`);
+  await bench();
+}
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -1,4 +1,5 @@
 /** One entry instance: its parts, its supervisor tree, its planned stop. */
+import process from "node:process";
 import { Agent } from "undici";
 import * as claims from "../claims/mod.ts";
 import * as core from "../core/mod.ts";
@@ -12,6 +13,7 @@
 import * as routing from "../routing/mod.ts";
 import type * as settings from "../settings/mod.ts";
 import * as table from "../table/mod.ts";
+import * as transport from "../transport/mod.ts";
 import { CallersListener } from "./callers/callers_listener.ts";
 import { LimitsGiveBackTask } from "./callers/callers_limits_task.ts";
 import { DigestBook } from "./peers/peers_digest.ts";
@@ -37,6 +39,8 @@
 const PREFIXES_MAX = 10_000;
 /** How long idle connections may linger at a planned stop. */
 const LINGER_MS = 6_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+const MICROS_PER_S = 1_000_000;
 const SETTLE_WAIT_MS = 500;
 const SETTLE_MAX_MS = 5_000;
 
@@ -68,6 +72,8 @@
   readonly peerClients: peers.PeerClients;
   readonly #settings: settings.Settings;
   readonly #lifecycle = new core.Lifecycle();
+  /** Bytes of control: peers, platform, engines' reports. */
+  readonly #meter = new transport.SocketMeter();
   readonly #supervisor: core.Supervisor;
   readonly #listener: CallersListener;
   readonly #exchange: PeersExchangeTask;
@@ -101,7 +107,9 @@
       suspectAfterMs: checked.peers.suspectAfterMs,
       forgetAfterMs: FORGET_AFTER_MS,
     });
-    const dispatcher = new Agent({ connect: { timeout: 1_000 } });
+    const dispatcher = new Agent({
+      connect: this.#meter.connector(CONNECT_TIMEOUT_MS),
+    });
     this.#lifecycle.own(() => dispatcher.destroy());
     const { timeoutMs } = checked.platform;
     this.store = new platform.HttpTableService(
@@ -115,9 +123,15 @@
       timeoutMs,
     });
     this.#tableStore = new table.TableStore(this.store);
-    this.peerClients = new peers.PeerClients(checked.peers.timeoutMs);
+    this.peerClients = new peers.PeerClients(
+      checked.peers.timeoutMs,
+      this.#meter,
+    );
     this.#lifecycle.own(() => this.peerClients.close());
-    this.#clients = new HttpUpstreamClients(checked.engines.controlTimeoutMs);
+    this.#clients = new HttpUpstreamClients(
+      checked.engines.controlTimeoutMs,
+      this.#meter,
+    );
     this.#lifecycle.own(() => this.#clients.close());
     const batcher = new platform.TransactBatcher(this.store, {
       batchMax: CLAIM_BATCH_MAX,
@@ -225,7 +239,7 @@
         isPlanner: () => this.#isPlanner(),
         onDemand: () => this.#placementTask.planSoon(),
       }),
-      { host, port: listen.peerPort },
+      { host, port: listen.peerPort, meter: this.#meter },
     );
     this.#lifecycle.own(peerListener.cleanup);
     const callerPort = await this.#listener.listen(host, listen.callerPort);
@@ -356,7 +370,11 @@
 
   #gauges(): Readonly<Record<string, number>> {
     const { use } = this.store;
+    const cpu = process.cpuUsage();
     return {
+      cpu_s_total: (cpu.user + cpu.system) / MICROS_PER_S,
+      resident_bytes: process.memoryUsage.rss(),
+      control_bytes_total: this.#meter.totalBytes,
       table_revision: this.keeper.snapshot.revision,
       members: this.directory.live().length,
       unsettled_claims: this.claimRunner.book.size,
--- a/packages/instance/upstreams/upstreams_clients.ts
+++ b/packages/instance/upstreams/upstreams_clients.ts
@@ -3,6 +3,7 @@
 import * as gateway from "../../gateway/mod.ts";
 import type * as platform from "../../platform/mod.ts";
 import type * as routing from "../../routing/mod.ts";
+import type * as transport from "../../transport/mod.ts";
 import * as upstream from "../../upstream/mod.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -24,12 +25,18 @@
     connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: BODY_TIMEOUT_MS,
   });
+  /** Reports travel apart from callers' requests. */
+  readonly #controlAgent: Agent;
   readonly #engines = new Map<string, upstream.Engine>();
   readonly #controlTimeoutMs: number;
 
-  constructor(controlTimeoutMs: number) {
+  constructor(controlTimeoutMs: number, meter: transport.SocketMeter) {
     super();
     this.#controlTimeoutMs = controlTimeoutMs;
+    this.#controlAgent = new Agent({
+      connect: meter.connector(CONNECT_TIMEOUT_MS),
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    });
   }
 
   override engine(view: routing.EngineView): upstream.Engine {
@@ -38,6 +45,7 @@
     if (known) return known;
     const engine = new upstream.HttpEngine({
       dispatcher: this.#agent,
+      controlDispatcher: this.#controlAgent,
       origin,
       controlTimeoutMs: this.#controlTimeoutMs,
       dropped: this.dropped,
@@ -52,6 +60,10 @@
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await Promise.all([this.#agent.destroy(), this.#serviceAgent.destroy()]);
+    await Promise.all([
+      this.#agent.destroy(),
+      this.#controlAgent.destroy(),
+      this.#serviceAgent.destroy(),
+    ]);
   }
 }
--- a/packages/ledger/tests/unit/ledger_test.ts
+++ b/packages/ledger/tests/unit/ledger_test.ts
@@ -76,6 +76,7 @@
   get engine(): upstream.Engine {
     return new upstream.HttpEngine({
       dispatcher: this.#agent,
+      controlDispatcher: this.#agent,
       origin: this.fake.origin,
       controlTimeoutMs: 300,
       dropped: { foreign: 0, duplicate: 0 },
--- a/packages/peers/peers_client.ts
+++ b/packages/peers/peers_client.ts
@@ -1,8 +1,11 @@
 /** Calls to peer instances over Connect on HTTP/1.1 with keep-alive. */
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { Agent } from "node:http";
+import { Agent, type ClientRequestArgs } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import * as claims from "../claims/mod.ts";
+import type * as transport from "../transport/mod.ts";
 import { type DemandReport, type Digest, PeerService } from "./gen/peers_pb.ts";
 import { fromFateMessage } from "./peers_convert.ts";
 import type { PeerDirectory } from "./peers_directory.ts";
@@ -15,6 +18,25 @@
   failures: number;
 }
 
+/** Keeps connections alive and shows each new one to a meter. */
+class MeteredAgent extends Agent {
+  readonly #meter: transport.SocketMeter;
+
+  constructor(meter: transport.SocketMeter) {
+    super({ keepAlive: true, maxFreeSockets: IDLE_SOCKETS_MAX });
+    this.#meter = meter;
+  }
+
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    const socket = super.createConnection(options, callback);
+    if (socket) this.#meter.track(socket as Socket);
+    return socket;
+  }
+}
+
 /** Whether an error says that no process listens at the address. */
 function isConnectionRefused(thrown: unknown): boolean {
   for (let error = thrown; error instanceof Error; error = error.cause) {
@@ -26,15 +48,13 @@
 /** Clients of peers, one for each address. */
 export class PeerClients {
   readonly use: PeerUse = { calls: 0, failures: 0 };
-  readonly #agent = new Agent({
-    keepAlive: true,
-    maxFreeSockets: IDLE_SOCKETS_MAX,
-  });
+  readonly #agent: Agent;
   readonly #clients = new Map<string, Client<typeof PeerService>>();
   readonly #timeoutMs: number;
 
-  constructor(timeoutMs: number) {
+  constructor(timeoutMs: number, meter: transport.SocketMeter) {
     this.#timeoutMs = timeoutMs;
+    this.#agent = new MeteredAgent(meter);
   }
 
   /** Swaps digests; undefined when the peer did not answer. */
--- a/packages/peers/peers_server.ts
+++ b/packages/peers/peers_server.ts
@@ -4,6 +4,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type * as core from "../core/mod.ts";
+import type * as transport from "../transport/mod.ts";
 import {
   type DemandReport,
   type Digest,
@@ -27,6 +28,8 @@
 export interface PeerListenOptions {
   readonly host: string;
   readonly port: number;
+  /** Counts the bytes of peers' connections. */
+  readonly meter: transport.SocketMeter;
 }
 
 function routes(handlers: PeerHandlers): (router: ConnectRouter) => void {
@@ -65,6 +68,7 @@
   const sockets = new Set<Socket>();
   server.on("connection", (socket) => {
     sockets.add(socket);
+    options.meter.track(socket);
     socket.on("close", () => sockets.delete(socket));
   });
   await new Promise<void>((resolve, reject) => {
--- a/packages/testing/testing_world.ts
+++ b/packages/testing/testing_world.ts
@@ -28,6 +28,8 @@
   readonly listLagMs?: number;
   readonly settings?: SettingsChange;
   readonly rows?: readonly table.TableRow[];
+  /** Whether entries sit behind links that can be cut; they do by default. */
+  readonly links?: boolean;
 }
 
 /** One entry instance's process. */
@@ -100,28 +102,18 @@
     name: string,
     change: SettingsChange = {},
   ): Promise<EntryProcess> {
-    const links = {
-      toPeer: new fakes.FakeLink(),
-      toStore: new fakes.FakeLink(),
-    };
-    const advertisePeerPort = await links.toPeer.start();
-    await links.toStore.start(Number(new URL(this.tableService.origin).port));
-    this.links.set(name, links);
-    const file = await this.writeSettings(name, {
-      ...change,
-      listen: { ...change.listen, advertisePeerPort },
-      platform: {
-        ...change.platform,
-        tableServiceUrl: links.toStore.origin,
-      },
-    });
+    const linked = this.#options.links === false
+      ? change
+      : await this.#link(name, change);
+    const file = await this.writeSettings(name, linked);
     const entry = await startProcess<instance.InstanceAddresses>(name, [
       CLI,
       "serve",
       "--settings",
       file,
     ]);
-    links.toPeer.targetPort = entry.ready.peerPort;
+    const links = this.links.get(name);
+    if (links) links.toPeer.targetPort = entry.ready.peerPort;
     this.entries.push(entry);
     const index = this.entries.length - 1;
     this.instanceList.put({
@@ -258,6 +250,22 @@
     await rm(this.#folder, { recursive: true, force: true });
   }
 
+  async #link(name: string, change: SettingsChange): Promise<SettingsChange> {
+    const links = {
+      toPeer: new fakes.FakeLink(),
+      toStore: new fakes.FakeLink(),
+    };
+    this.links.set(name, links);
+    const advertisePeerPort = await links.toPeer.start();
+    await links.toStore.start(Number(new URL(this.tableService.origin).port));
+    const tableServiceUrl = links.toStore.origin;
+    return {
+      ...change,
+      listen: { ...change.listen, advertisePeerPort },
+      platform: { ...change.platform, tableServiceUrl },
+    };
+  }
+
   async #startUpstreams(): Promise<void> {
     const { engines = 2, services = {} } = this.#options;
     for (let n = 1; n <= engines; n++) {
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -11,3 +11,4 @@
   TransportFailure,
   TransportRequest,
 } from "./transport_request.ts";
+export { SocketMeter } from "./transport_meter.ts";
--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -93,6 +93,8 @@
 /** How to reach an engine. */
 export interface HttpEngineOptions {
   readonly dispatcher: Dispatcher;
+  /** Carries reports, apart from callers' requests. */
+  readonly controlDispatcher: Dispatcher;
   readonly origin: string;
   readonly controlTimeoutMs: number;
   readonly dropped: DroppedAnswers;
@@ -133,8 +135,8 @@
   override async report(): Promise<
     Result<EngineReport, transport.TransportFailure>
   > {
-    const { dispatcher, origin, controlTimeoutMs } = this.#options;
-    const answer = await transport.send(dispatcher, {
+    const { controlDispatcher, origin, controlTimeoutMs } = this.#options;
+    const answer = await transport.send(controlDispatcher, {
       origin,
       path: "/status",
       method: "GET",
