--- /dev/null
+++ b/packages/bench/bench_claims.ts
@@ -0,0 +1,98 @@
+/** What calls that may not be repeated cost the table service. */
+import * as core from "../core/mod.ts";
+import * as testing from "../testing/mod.ts";
+import { percentile } from "./bench_policies.ts";
+import { SHIPPED } from "./bench_settings.ts";
+
+const MEASURE_MS = 4_000;
+const CALLERS = [1, 8, 32, 128];
+/** How long the table service takes, in milliseconds. */
+const STORE_MS = 5;
+
+/** One concurrency's cost. */
+export interface ClaimsResult {
+  readonly callers: number;
+  readonly callsPerS: number;
+  readonly storeWritesPerS: number;
+  readonly storeWritesPerCall: number;
+  readonly p50Ms: number;
+  readonly p95Ms: number;
+}
+
+/** Measures one entry with more and more callers. */
+export async function measureClaims(): Promise<ClaimsResult[]> {
+  const world = new testing.World({
+    entries: 1,
+    engines: 0,
+    links: false,
+    services: { orders: 2 },
+    settings: SHIPPED,
+  });
+  try {
+    await world.start();
+    const delayMs = STORE_MS;
+    world.tableService.faults.set({ name: "slow", match: "transact", delayMs });
+    const results: ClaimsResult[] = [];
+    for (const callers of CALLERS) {
+      results.push(await measureCallers(world, callers));
+    }
+    return results;
+  } finally {
+    await world.stop();
+  }
+}
+
+async function measureCallers(
+  world: testing.World,
+  callers: number,
+): Promise<ClaimsResult> {
+  const origin = world.entries[0]?.ready.callerAddress ?? "";
+  const deadline = new core.Deadline(MEASURE_MS);
+  const durationsMs: number[] = [];
+  const writesBefore = world.tableService.writes;
+  await Promise.all(
+    Array.from({ length: callers }, async (_, caller) => {
+      for (let n = 0; !deadline.isOver(); n++) {
+        const startedAtMs = core.monotonicMs();
+        const answer = await testing.callService(origin, {
+          service: "orders",
+          path: "dispense",
+          body: {},
+          key: `bench-${callers}-${caller}-${n}`,
+        });
+        if (answer.status !== 200) throw new Error(JSON.stringify(answer.body));
+        durationsMs.push(core.monotonicMs() - startedAtMs);
+      }
+    }),
+  );
+  const writes = world.tableService.writes - writesBefore;
+  const elapsedS = MEASURE_MS / 1_000;
+  return {
+    callers,
+    callsPerS: durationsMs.length / elapsedS,
+    storeWritesPerS: writes / elapsedS,
+    storeWritesPerCall: writes / durationsMs.length,
+    p50Ms: percentile(durationsMs, 0.5),
+    p95Ms: percentile(durationsMs, 0.95),
+  };
+}
+
+/** Renders the results as a table. */
+export function renderClaims(results: readonly ClaimsResult[]): string {
+  const lines = results.map((result) => {
+    const cells = [
+      result.callers,
+      result.callsPerS.toFixed(0),
+      result.storeWritesPerS.toFixed(0),
+      result.storeWritesPerCall.toFixed(2),
+      result.p50Ms.toFixed(1),
+      result.p95Ms.toFixed(1),
+    ];
+    return `| ${cells.join(" | ")} |`;
+  });
+  return [
+    "| callers | calls/s | store writes/s | writes/call | p50 ms | p95 ms |",
+    "|---|---|---|---|---|---|",
+    ...lines,
+  ].join("\n");
+}
--- /dev/null
+++ b/packages/bench/bench_engine.ts
@@ -0,0 +1,55 @@
+/** A fake engine as a process of its own, so that it has a core to itself. */
+import { fileURLToPath } from "node:url";
+import type * as fakes from "../fakes/mod.ts";
+import * as testing from "../testing/mod.ts";
+
+const FAKES = fileURLToPath(new URL("../fakes/main.js", import.meta.url));
+
+/** The engine's process. */
+export class EngineProcess {
+  readonly origin: string;
+  readonly #process: testing.StartedProcess<{ origin: string }>;
+
+  private constructor(started: testing.StartedProcess<{ origin: string }>) {
+    this.#process = started;
+    this.origin = started.ready.origin;
+  }
+
+  /** Starts an engine with room for one model. */
+  static async start(
+    options: Partial<fakes.FakeEngineOptions>,
+  ): Promise<EngineProcess> {
+    const started = await testing.startProcess<{ origin: string }>("engine", [
+      FAKES,
+      "engine",
+      "0",
+      JSON.stringify({
+        upstreamId: "engine-1",
+        honoursFencing: false,
+        loadMs: 10,
+        reportLagMs: 100,
+        capacityBytes: 100,
+        kvReserveBytes: 10,
+        roleOverheadBytes: 5,
+        ...options,
+      }),
+    ]);
+    return new EngineProcess(started);
+  }
+
+  /** Puts the engine on an instance list. */
+  list(instanceList: fakes.FakeInstanceList): void {
+    instanceList.put({
+      id: "engine-1",
+      kind: "engine",
+      address: this.origin,
+      failureDomain: "calama",
+      state: "live",
+    });
+  }
+
+  /** Ends the process. */
+  async stop(): Promise<void> {
+    await this.#process.kill();
+  }
+}
--- /dev/null
+++ b/packages/bench/bench_policies.ts
@@ -0,0 +1,364 @@
+/** Policies against their baselines, under load and faults. */
+import * as core from "../core/mod.ts";
+import type * as settings from "../settings/mod.ts";
+import * as testing from "../testing/mod.ts";
+import {
+  meanSpending,
+  readGauges,
+  type Reading,
+  type Spending,
+  spendingOf,
+} from "./bench_gauges.ts";
+import {
+  type Deployment,
+  makeRandom,
+  makeRows,
+  Popularity,
+  type Random,
+  TIMELINE_S,
+} from "./bench_scenario.ts";
+import { SHIPPED } from "./bench_settings.ts";
+
+const DEADLINE_MS = 2_000;
+const RETRY_PAUSE_MIN_MS = 20;
+const ENTRIES = 4;
+const TOKENS_MIN = 10;
+const TOKENS_SPREAD = 30;
+
+/** The policies of one run. */
+export interface PolicyPair {
+  readonly routing: settings.RoutingPolicyName;
+  readonly placement: settings.PlacementPolicyName;
+}
+
+/** The shipped pair first, then each baseline beside it. */
+export const PAIRS: readonly PolicyPair[] = [
+  { routing: "estimated", placement: "demand" },
+  { routing: "least-reported", placement: "demand" },
+  { routing: "round-robin", placement: "demand" },
+  { routing: "estimated", placement: "lru" },
+];
+
+/** What one run came to. */
+export interface PolicyResult extends PolicyPair {
+  readonly deployment: string;
+  readonly seed: number;
+  readonly requests: number;
+  readonly met: number;
+  /** Share of requests answered in time, in percent. */
+  readonly attainmentPercent: number;
+  readonly attainmentPerAccelerator: number;
+  readonly moves: number;
+  readonly loads: number;
+  /** Answered, but too late. */
+  readonly late: number;
+  /** Requests that an engine ran more than once. */
+  readonly doubled: number;
+  readonly refusals: number;
+  readonly refusedAfterP95Ms: number;
+  /** The row with the smallest share of requests met, in percent. */
+  readonly worstRowPercent: number;
+  /** Rows asked for that never answered. */
+  readonly deadRows: number;
+  readonly overcommits: number;
+  readonly peakLoads: number;
+  readonly spending: Spending;
+}
+
+interface RowCount {
+  asked: number;
+  met: number;
+}
+
+/** Counts what callers see. */
+class Tally {
+  requests = 0;
+  met = 0;
+  late = 0;
+  readonly refusedAfterMs: number[] = [];
+  readonly rows = new Map<string, RowCount>();
+
+  ask(name: string): RowCount {
+    this.requests++;
+    let row = this.rows.get(name);
+    if (!row) {
+      row = { asked: 0, met: 0 };
+      this.rows.set(name, row);
+    }
+    row.asked++;
+    return row;
+  }
+}
+
+/** Runs one pair of policies once. */
+export async function measurePolicies(
+  deployment: Deployment,
+  pair: PolicyPair,
+  seed: number,
+): Promise<PolicyResult> {
+  const world = makeWorld(deployment, pair);
+  try {
+    await world.start();
+    return await new PolicyRun(world, deployment, pair, seed).run();
+  } finally {
+    await world.stop();
+  }
+}
+
+function makeWorld(deployment: Deployment, pair: PolicyPair): testing.World {
+  const { loadsAtOnceMax, adapterLoadsAtOnceMax, attainmentWeight } =
+    deployment;
+  return new testing.World({
+    entries: ENTRIES,
+    engines: deployment.engines,
+    links: false,
+    engine: {
+      slots: 8,
+      waitingMax: 64,
+      firstTokenMs: 60,
+      tokenMs: 8,
+      reportLagMs: 300,
+      capacityBytes: 28 + deployment.modelsPerEngine * 18,
+      kvReserveBytes: 10,
+      roleOverheadBytes: 5,
+      honoursFencing: true,
+    },
+    weightStore: {
+      modelLoadMs: deployment.modelLoadMs,
+      modelsAtOnceMax: loadsAtOnceMax,
+      adapterLoadMs: 15,
+      adaptersAtOnceMax: adapterLoadsAtOnceMax,
+    },
+    settings: {
+      ...SHIPPED,
+      engines: { ...SHIPPED.engines, honourFencing: true },
+      placement: {
+        ...SHIPPED.placement,
+        residentMinMs: 3_000,
+        loadsAtOnceMax,
+        adapterLoadsAtOnceMax,
+        attainmentWeight,
+      },
+      policies: pair,
+    },
+    rows: makeRows(deployment),
+  });
+}
+
+class PolicyRun {
+  readonly #world: testing.World;
+  readonly #deployment: Deployment;
+  readonly #pair: PolicyPair;
+  readonly #seed: number;
+  readonly #random: Random;
+  readonly #popularity: Popularity;
+  readonly #tally = new Tally();
+  readonly #running = new Set<Promise<void>>();
+  #counting = false;
+  #number = 0;
+  #firstCounted = 0;
+
+  constructor(
+    world: testing.World,
+    deployment: Deployment,
+    pair: PolicyPair,
+    seed: number,
+  ) {
+    this.#world = world;
+    this.#deployment = deployment;
+    this.#pair = pair;
+    this.#seed = seed;
+    this.#random = makeRandom(seed);
+    const names = makeRows(deployment).map(({ name }) => String(name));
+    this.#popularity = new Popularity(names, this.#random);
+  }
+
+  async run(): Promise<PolicyResult> {
+    const startedAtMs = core.monotonicMs();
+    const events = this.#events();
+    let readings: Reading[] = [];
+    for (;;) {
+      const elapsedS = (core.monotonicMs() - startedAtMs) / 1_000;
+      if (elapsedS >= TIMELINE_S.end) break;
+      while (events[0] && elapsedS >= events[0].atS) {
+        await events.shift()?.happen();
+      }
+      if (!this.#counting && elapsedS >= TIMELINE_S.counted) {
+        this.#counting = true;
+        this.#firstCounted = this.#number;
+        readings = await this.#readAll();
+      }
+      this.#launch();
+      const gapMs = -Math.log(1 - this.#random()) * 1_000 /
+        this.#deployment.requestsPerS;
+      await core.sleep(gapMs);
+    }
+    await Promise.all(this.#running);
+    return this.#result(readings);
+  }
+
+  #events(): { atS: number; happen: () => Promise<void> | void }[] {
+    const { tableService, engines, entries } = this.#world;
+    return [
+      { atS: TIMELINE_S.demandShifts, happen: () => this.#popularity.shift() },
+      { atS: TIMELINE_S.engineDies, happen: () => engines[0]?.stop() },
+      { atS: TIMELINE_S.entryDies, happen: () => entries.at(-1)?.kill() },
+      {
+        atS: TIMELINE_S.storeGoes,
+        happen: () => tableService.faults.set({ name: "outage" }),
+      },
+      {
+        atS: TIMELINE_S.storeReturns,
+        happen: () => tableService.faults.clear(),
+      },
+    ];
+  }
+
+  #launch(): void {
+    const name = this.#popularity.next();
+    const tokens = TOKENS_MIN + Math.floor(this.#random() * TOKENS_SPREAD);
+    const n = this.#number++;
+    const row = this.#counting ? this.#tally.ask(name) : undefined;
+    const running = this.#call(name, tokens, n, row);
+    this.#running.add(running);
+    running.finally(() => this.#running.delete(running));
+  }
+
+  /** One caller's request, sent again when told that it was not run. */
+  async #call(
+    name: string,
+    tokens: number,
+    n: number,
+    row: RowCount | undefined,
+  ): Promise<void> {
+    const startedAtMs = core.monotonicMs();
+    const leftMs = () => DEADLINE_MS - (core.monotonicMs() - startedAtMs);
+    for (let attempt = 0; leftMs() > 0; attempt++) {
+      const sentAtMs = core.monotonicMs();
+      const answer = await testing.complete(this.#origin(n + attempt), {
+        model: name,
+        prompt: `request ${n}`,
+        tokens,
+        deadlineMs: Math.max(1, Math.floor(leftMs())),
+      }).catch(() => undefined);
+      if (answer?.status === 200) {
+        if (row === undefined) return;
+        if (leftMs() >= 0) {
+          this.#tally.met++;
+          row.met++;
+        } else {
+          this.#tally.late++;
+        }
+        return;
+      }
+      if (answer?.body.ran === "no" && row) {
+        this.#tally.refusedAfterMs.push(core.monotonicMs() - sentAtMs);
+      }
+      if (answer && answer.body.ran !== "no") return;
+      const asked = Number(answer?.body.retryAfterMs ?? 0);
+      await core.sleep(Math.max(RETRY_PAUSE_MIN_MS, asked));
+    }
+  }
+
+  #origin(n: number): string {
+    const live = this.#world.entries.filter((entry) => !entry.hasExited);
+    return live[n % live.length]?.ready.callerAddress ?? "";
+  }
+
+  #readAll(): Promise<Reading[]> {
+    const live = this.#world.entries.filter((entry) => !entry.hasExited);
+    return Promise.all(live.map(readGauges));
+  }
+
+  async #result(before: readonly Reading[]): Promise<PolicyResult> {
+    const after = await this.#readAll();
+    const spending = after.flatMap((reading, n) => {
+      const earlier = before[n];
+      return earlier ? [spendingOf(earlier, reading)] : [];
+    });
+    const tally = this.#tally;
+    const { engines, weightStore } = this.#world;
+    const sum = (field: "loads" | "unloads") =>
+      engines.reduce((total, engine) => total + engine[field], 0);
+    const shares = [...tally.rows.values()].map(({ asked, met }) =>
+      met / asked
+    );
+    const attainment = tally.met / Math.max(1, tally.requests);
+    return {
+      ...this.#pair,
+      deployment: this.#deployment.name,
+      seed: this.#seed,
+      requests: tally.requests,
+      met: tally.met,
+      attainmentPercent: attainment * 100,
+      attainmentPerAccelerator: attainment / this.#deployment.engines,
+      moves: sum("loads") + sum("unloads"),
+      loads: sum("loads"),
+      late: tally.late,
+      doubled: this.#doubled(),
+      refusals: tally.refusedAfterMs.length,
+      refusedAfterP95Ms: percentile(tally.refusedAfterMs, 0.95),
+      worstRowPercent: Math.min(...shares) * 100,
+      deadRows: shares.filter((share) => share === 0).length,
+      overcommits: engines
+        .reduce((total, { memory }) => total + memory.overcommits, 0),
+      peakLoads: weightStore.peakModels,
+      spending: meanSpending(spending),
+    };
+  }
+
+  /** Requests that engines answered more than once. */
+  #doubled(): number {
+    const runs = new Map<string, number>();
+    for (const engine of this.#world.engines) {
+      for (const prompt of engine.answeredPrompts) {
+        runs.set(prompt, (runs.get(prompt) ?? 0) + 1);
+      }
+    }
+    let doubled = 0;
+    for (const [prompt, count] of runs) {
+      const n = Number(prompt.split(" ")[1]);
+      if (n >= this.#firstCounted && count > 1) doubled++;
+    }
+    return doubled;
+  }
+}
+
+/** The value below which a share of the values lies. */
+export function percentile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(share * (sorted.length - 1))] ?? 0;
+}
+
+/** Head of the table that `renderPolicy` fills. */
+export const POLICY_HEAD = [
+  "| deployment | routing | placement | seed | requests | attainment % | " +
+  "moves | late | doubled | refusals | refused p95 ms | worst row % | " +
+  "dead rows | CPU % | KB/s | reads/s | writes/s |",
+  "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+].join("\n");
+
+/** Renders one result as a line of a table. */
+export function renderPolicy(result: PolicyResult): string {
+  const { spending } = result;
+  const cells = [
+    result.deployment,
+    result.routing,
+    result.placement,
+    result.seed,
+    result.requests,
+    result.attainmentPercent.toFixed(1),
+    result.moves,
+    result.late,
+    result.doubled,
+    result.refusals,
+    result.refusedAfterP95Ms.toFixed(0),
+    result.worstRowPercent.toFixed(0),
+    result.deadRows,
+    spending.cpuPercent.toFixed(1),
+    spending.controlKbPerS.toFixed(1),
+    spending.storeReadsPerS.toFixed(1),
+    spending.storeWritesPerS.toFixed(1),
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -7,6 +7,16 @@
   SLOPE_HEAD,
   SLOPE_POINTS,
 } from "./bench_slopes.ts";
+import {
+  measurePolicies,
+  PAIRS,
+  POLICY_HEAD,
+  type PolicyResult,
+  renderPolicy,
+} from "./bench_policies.ts";
+import { measureClaims, renderClaims } from "./bench_claims.ts";
+import { measurePath, renderPath } from "./bench_path.ts";
+import { DEPLOYMENTS } from "./bench_scenario.ts";
 
 const RESULTS = "bench-results";
 
@@ -34,7 +44,42 @@
   await save("slopes", results);
 }
 
-const BENCHES: Readonly<Record<string, () => Promise<void>>> = { slopes };
+async function policies(): Promise<void> {
+  say(POLICY_HEAD);
+  const results: PolicyResult[] = [];
+  const seeds = (process.env.SEEDS ?? "1,2,3").split(",").map(Number);
+  const wanted = process.env.BENCH_DEPLOYMENT;
+  for (const deployment of DEPLOYMENTS) {
+    if (wanted !== undefined && deployment.name !== wanted) continue;
+    for (const pair of PAIRS) {
+      for (const seed of seeds) {
+        const result = await measurePolicies(deployment, pair, seed);
+        say(renderPolicy(result));
+        results.push(result);
+      }
+    }
+  }
+  await save("policies", results);
+}
+
+async function path(): Promise<void> {
+  const result = await measurePath();
+  say(renderPath(result));
+  await save("path", result);
+}
+
+async function claims(): Promise<void> {
+  const results = await measureClaims();
+  say(renderClaims(results));
+  await save("claims", results);
+}
+
+const BENCHES: Readonly<Record<string, () => Promise<void>>> = {
+  path,
+  claims,
+  slopes,
+  policies,
+};
 
 const asked = process.argv.slice(2);
 for (const name of asked.length > 0 ? asked : Object.keys(BENCHES)) {
--- a/packages/fakes/fake_engine.ts
+++ b/packages/fakes/fake_engine.ts
@@ -69,6 +69,8 @@
   completed = 0;
   /** Runs by attempt id. */
   readonly attempts = new Map<string, number>();
+  /** Prompts that were answered whole without a stream. */
+  readonly answeredPrompts: string[] = [];
   orders: Order[] = [];
   loads = 0;
   unloads = 0;
@@ -281,6 +283,7 @@
       await delay(this.options.tokenMs * run.count);
       if (gone) this.cancelled++;
       else this.completed++;
+      this.answeredPrompts.push(run.text);
       return c.json(this.#wholeAnswer(run));
     } finally {
       release();
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -198,10 +198,7 @@
       keeper: this.keeper,
       tableStore: this.#tableStore,
       fleet: this.fleet,
-      policy: policies.routing ?? new routing.EstimatedRouting({
-        affinityMaxMs: AFFINITY_MAX_MS,
-        prefixesMax: PREFIXES_MAX,
-      }),
+      policy: policies.routing ?? makeRouting(checked.policies.routing),
       retryBudget: new routing.RetryBudget({
         retriesPerRequest: RETRIES_PER_REQUEST,
         savedMax: RETRIES_SAVED_MAX,
@@ -342,7 +339,7 @@
       fleet: this.fleet,
       keeper: this.keeper,
       board: this.#board,
-      policy: policies.placement ?? new placement.DemandPlacement(placed),
+      policy: policies.placement ?? makePlacement(this.#settings),
       controller: this.#controller,
       clients: this.#clients,
       metrics: this.recorder,
@@ -391,3 +388,28 @@
     };
   }
 }
+
+function makeRouting(name: settings.RoutingPolicyName): routing.RoutingPolicy {
+  switch (name) {
+    case "estimated":
+      return new routing.EstimatedRouting({
+        affinityMaxMs: AFFINITY_MAX_MS,
+        prefixesMax: PREFIXES_MAX,
+      });
+    case "least-reported":
+      return new routing.LeastReportedRouting();
+    case "round-robin":
+      return new routing.RoundRobinRouting();
+  }
+}
+
+function makePlacement(
+  checked: settings.Settings,
+): placement.PlacementPolicy {
+  switch (checked.policies.placement) {
+    case "demand":
+      return new placement.DemandPlacement(checked.placement);
+    case "lru":
+      return new placement.LruPlacement();
+  }
+}
--- /dev/null
+++ b/packages/limits/tests/unit/limits_test.ts
@@ -0,0 +1,149 @@
+import test from "ava";
+import fc from "fast-check";
+import { err, ok, type Result } from "neverthrow";
+import process from "node:process";
+import * as core from "../../../core/mod.ts";
+import * as fakes from "../../../fakes/mod.ts";
+import * as platform from "../../../platform/mod.ts";
+import * as limits from "../../mod.ts";
+
+const ROW = core.brandId<core.RowName>("llama");
+const LIMIT = 5;
+
+/** A table service in memory that loses replies as a schedule says. */
+class LossyTableService extends platform.TableService {
+  readonly fake = new fakes.FakeTableService();
+  readonly #lost: boolean[];
+
+  constructor(lost: readonly boolean[]) {
+    super();
+    this.#lost = [...lost];
+  }
+
+  override async read(
+    { keys = [] }: platform.ReadRequest,
+  ): Promise<Result<readonly platform.StoredRow[], platform.StoreFailure>> {
+    await core.sleep(0);
+    const rows = this.fake.read({ keys: [...keys] });
+    return ok(structuredClone(rows) as platform.StoredRow[]);
+  }
+
+  override async transact(
+    transaction: platform.Transaction,
+  ): Promise<Result<platform.TransactOutcome, platform.StoreFailure>> {
+    await core.sleep(0);
+    const outcome = this.fake.transact(
+      structuredClone(transaction) as Parameters<
+        fakes.FakeTableService["transact"]
+      >[0],
+    );
+    if (this.#lost.shift()) {
+      return err({ effect: "unknown", reached: false, detail: "lost" });
+    }
+    return ok(outcome as platform.TransactOutcome);
+  }
+}
+
+function shares(
+  service: platform.TableService,
+  n: number,
+  gone: ReadonlySet<string> = new Set(),
+): limits.LimitShares {
+  return new limits.LimitShares({
+    instanceId: core.brandId(`entry-${n}`),
+    incarnation: core.brandId(`in-${n}`),
+    service,
+    isGone: (id) => gone.has(id),
+  });
+}
+
+const steps = fc.array(
+  fc.record({
+    instance: fc.nat({ max: 2 }),
+    kind: fc.constantFrom("enter", "enter", "enter", "leave", "giveBack"),
+    waits: fc.boolean(),
+  }),
+  { maxLength: 40 },
+);
+
+test("the sum over instances never exceeds the limit", async (t) => {
+  const property = fc.asyncProperty(
+    steps,
+    fc.array(fc.boolean(), { maxLength: 20 }),
+    async (plan, lost) => {
+      const service = new LossyTableService(lost);
+      const instances = [0, 1, 2].map((n) => shares(service, n));
+      const inside: core.Cleanup[][] = [[], [], []];
+      let running: Promise<void>[] = [];
+      const check = () => {
+        const sum = inside.reduce((total, list) => total + list.length, 0);
+        if (sum > LIMIT) throw new Error(`${sum} in progress`);
+      };
+      for (const { instance, kind, waits } of plan) {
+        const own = instances[instance];
+        const list = inside[instance];
+        if (!own || !list) continue;
+        if (kind === "leave") await list.pop()?.();
+        if (kind === "giveBack") running.push(own.giveBack());
+        if (kind === "enter") {
+          running.push(
+            own.enter(ROW, LIMIT).then((leave) => {
+              if (leave) list.push(leave);
+              check();
+            }),
+          );
+        }
+        if (!waits) continue;
+        await Promise.all(running);
+        running = [];
+      }
+      await Promise.all(running);
+      check();
+    },
+  );
+  const seed = Number(process.env.SEED ?? 20261204);
+  t.log(`seed ${seed}`);
+  await fc.assert(property, { seed, numRuns: 200 });
+  t.pass();
+});
+
+test("one instance may use the whole limit, and gives it back", async (t) => {
+  const service = new LossyTableService([]);
+  const first = shares(service, 1);
+  const second = shares(service, 2);
+  const leaves: core.Cleanup[] = [];
+  for (let n = 0; n < LIMIT; n++) {
+    const leave = await first.enter(ROW, LIMIT);
+    t.truthy(leave);
+    if (leave) leaves.push(leave);
+  }
+  t.is(await second.enter(ROW, LIMIT), undefined);
+  for (const leave of leaves) await leave();
+  await first.giveBack();
+  await first.giveBack();
+  t.truthy(await second.enter(ROW, LIMIT));
+});
+
+test("a share is taken back only from an instance that is gone", async (t) => {
+  const service = new LossyTableService([]);
+  const gone = new Set<string>();
+  const first = shares(service, 1);
+  const second = shares(service, 2, gone);
+  for (let n = 0; n < LIMIT; n++) await first.enter(ROW, LIMIT);
+  t.is(await second.enter(ROW, LIMIT), undefined);
+  gone.add("entry-1");
+  t.truthy(await second.enter(ROW, LIMIT));
+});
+
+test("a store outage leaves the shares held, and gives no new ones", async (t) => {
+  const service = new LossyTableService([]);
+  const own = shares(service, 1);
+  const leave = await own.enter(ROW, LIMIT);
+  t.truthy(leave);
+  service.read = () =>
+    Promise.resolve(err({ effect: "none", reached: false, detail: "down" }));
+  const held: unknown[] = [];
+  for (let n = 0; n < LIMIT; n++) held.push(await own.enter(ROW, LIMIT));
+  const entered = held.filter((leave) => leave !== undefined).length;
+  t.true(entered >= 1 && entered < LIMIT);
+});
--- a/packages/settings/mod.ts
+++ b/packages/settings/mod.ts
@@ -4,6 +4,8 @@
 export type {
   CallerSettings,
   OperatorSettings,
+  PlacementPolicyName,
+  RoutingPolicyName,
   ServiceSettings,
   Settings,
 } from "./settings_types.ts";
--- a/packages/settings/settings_check.ts
+++ b/packages/settings/settings_check.ts
@@ -95,6 +95,11 @@
         report(node, field, "must be true or false");
       }
       return node.value;
+    case "choice":
+      if (!rule.names.includes(node.value)) {
+        report(node, field, `must be one of ${rule.names.join(", ")}`);
+      }
+      return node.value;
     case "text":
       if (typeof node.value !== "string" || !rule.pattern?.test(node.value)) {
         report(node, field, `must be ${rule.hint}`);
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -11,6 +11,11 @@
     readonly byDefault?: number;
   }
   | { readonly kind: "flag"; readonly byDefault?: boolean }
+  | {
+    readonly kind: "choice";
+    readonly names: readonly string[];
+    readonly byDefault: string;
+  }
   | {
     readonly kind: "object";
     readonly fields: Readonly<Record<string, FieldRule>>;
@@ -137,5 +142,17 @@
     inProgressMax: count(4_000),
     unsettledClaimsMax: count(10_000),
   }),
+  policies: object({
+    routing: {
+      kind: "choice",
+      names: ["estimated", "least-reported", "round-robin"],
+      byDefault: "estimated",
+    },
+    placement: {
+      kind: "choice",
+      names: ["demand", "lru"],
+      byDefault: "demand",
+    },
+  }),
   isolation: object({ graceMs: ms(2_000) }),
 }, false);
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -20,6 +20,12 @@
   readonly callMaxMs: number;
 }
 
+/** Routing policies that can be set. */
+export type RoutingPolicyName = "estimated" | "least-reported" | "round-robin";
+
+/** Placement policies that can be set. */
+export type PlacementPolicyName = "demand" | "lru";
+
 /** Everything an entry instance is told at start. */
 export interface Settings {
   readonly instanceId: string;
@@ -77,5 +83,10 @@
     readonly inProgressMax: number;
     readonly unsettledClaimsMax: number;
   };
+  /** Policies by name; the baselines are kept to measure against. */
+  readonly policies: {
+    readonly routing: RoutingPolicyName;
+    readonly placement: PlacementPolicyName;
+  };
   readonly isolation: { readonly graceMs: number };
 }
