--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -44,10 +44,12 @@
     this.#ring?.();
   }
 
-  /** Pauses until rung, aborted, or the time is over. */
-  async pause(durationMs: number, signal: AbortSignal): Promise<void> {
+  /** Pauses until rung, aborted, or the time is over; says whether rung. */
+  async pause(durationMs: number, signal: AbortSignal): Promise<boolean> {
     if (!this.#rung && !signal.aborted) await this.#wait(durationMs, signal);
+    const rung = this.#rung;
     this.#rung = false;
+    return rung;
   }
 
   #wait(durationMs: number, signal: AbortSignal): Promise<void> {
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -39,6 +39,8 @@
 const PREFIXES_MAX = 10_000;
 /** How long idle connections may linger at a planned stop. */
 const LINGER_MS = 6_000;
+/** All members together read the table's revision some 80 times a second. */
+const TABLE_POLL_PER_MEMBER_MS = 12;
 const CONNECT_TIMEOUT_MS = 1_000;
 const MICROS_PER_S = 1_000_000;
 /** Peers hear of an engine so often before it would count as silent. */
@@ -300,7 +302,11 @@
       new TablePollTask(
         this.#tableStore,
         this.keeper,
-        tableSettings.pollIntervalMs,
+        () =>
+          Math.max(
+            tableSettings.pollIntervalMs,
+            this.directory.live().length * TABLE_POLL_PER_MEMBER_MS,
+          ),
       ),
     );
     const peersChild = root.child("peers");
--- a/packages/instance/peers/peers_digest.ts
+++ b/packages/instance/peers/peers_digest.ts
@@ -6,7 +6,7 @@
 import type * as table from "../../table/mod.ts";
 
 /** Members in one digest at most. */
-const MEMBERS_MAX = 16;
+const MEMBERS_MAX = 8;
 /** Engines in one digest at most; what is left goes into the next one. */
 const ENGINES_MAX = 32;
 
@@ -42,7 +42,8 @@
     const { directory, fleet, keeper } = this.#parts;
     return create(peers.DigestSchema, {
       self: peers.toMemberMessage(directory.self),
-      members: directory.newest(MEMBERS_MAX).map(peers.toMemberMessage),
+      members: directory.newest(MEMBERS_MAX, peerAddress)
+        .map(peers.toMemberMessage),
       tableRevision: BigInt(keeper.snapshot.revision),
       engines: this.#news(peerAddress),
       leavingUpstreams: fleet.leavingIds(),
--- a/packages/instance/peers/peers_exchange_task.ts
+++ b/packages/instance/peers/peers_exchange_task.ts
@@ -4,6 +4,9 @@
 import * as table from "../../table/mod.ts";
 import type { DigestBook } from "./peers_digest.ts";
 
+/** Peers told at once when there is news, so that it spreads in few steps. */
+const NEWS_FANOUT = 3;
+
 /** What the exchange needs. */
 export interface ExchangeOptions {
   readonly directory: peers.PeerDirectory;
@@ -29,11 +32,13 @@
   }
 
   override async run(signal: AbortSignal): Promise<void> {
+    const { directory, load, fanout, intervalMs } = this.#options;
+    let isNews = false;
     while (!signal.aborted) {
-      this.#options.directory.beat(this.#options.load());
-      await this.exchangeWith(this.#nextPeers());
-      const pauseMs = core.jitterMs(this.#options.intervalMs);
-      await this.#alarm.pause(pauseMs, signal);
+      directory.beat(load());
+      const count = isNews ? Math.max(fanout, NEWS_FANOUT) : fanout;
+      await this.exchangeWith(this.#nextPeers(count));
+      isNews = await this.#alarm.pause(core.jitterMs(intervalMs), signal);
     }
   }
 
@@ -57,10 +62,17 @@
     const { clients, keeper } = this.#options;
     const own = keeper.snapshot.revision;
     if (revision < own || (revision === own && keeper.isKnown)) return;
-    const text = await clients.fetchTable(peerAddress, own);
-    if (text === undefined) return;
-    const snapshot = table.decodeSnapshot(text);
-    if (snapshot.isOk()) keeper.offer(snapshot.value);
+    const reply = await clients.fetchTable(peerAddress, own, keeper.isKnown);
+    if (reply?.deltaJson) {
+      table.decodeDelta(reply.deltaJson).map((delta) =>
+        keeper.offerDelta(delta)
+      );
+    }
+    if (reply?.snapshotJson) {
+      table.decodeSnapshot(reply.snapshotJson).map((snapshot) =>
+        keeper.offer(snapshot)
+      );
+    }
   }
 
   async #exchange(address: string): Promise<void> {
@@ -70,14 +82,13 @@
   }
 
   /** The next peers in turn, so that each is met equally often. */
-  #nextPeers(): string[] {
-    const { directory, fanout } = this.#options;
-    const addresses = directory.peerAddresses();
-    if (addresses.length <= fanout) return addresses;
+  #nextPeers(count: number): string[] {
+    const addresses = this.#options.directory.peerAddresses();
+    if (addresses.length <= count) return addresses;
     const start = this.#turn;
-    this.#turn = (this.#turn + fanout) % addresses.length;
+    this.#turn = (this.#turn + count) % addresses.length;
     return Array.from(
-      { length: fanout },
+      { length: count },
       (_, index) => addresses[(start + index) % addresses.length] ?? "",
     );
   }
--- a/packages/instance/peers/peers_handlers.ts
+++ b/packages/instance/peers/peers_handlers.ts
@@ -1,5 +1,6 @@
 /** What this instance answers to its peers. */
-import * as claims from "../../claims/mod.ts";
+import { create } from "@bufbuild/protobuf";
+import type * as claims from "../../claims/mod.ts";
 import * as core from "../../core/mod.ts";
 import * as peers from "../../peers/mod.ts";
 import type * as placement from "../../placement/mod.ts";
@@ -35,16 +36,20 @@
     return digests.make(address);
   }
 
-  override table(
-    afterRevision: number,
-  ): { revision: number; snapshotJson: string } | undefined {
+  override table(request: peers.FetchTableRequest): peers.FetchTableReply {
     const { keeper } = this.#parts;
     const { snapshot } = keeper;
-    if (!keeper.isKnown || snapshot.revision < afterRevision) return undefined;
-    return {
-      revision: snapshot.revision,
-      snapshotJson: table.encodeSnapshot(snapshot),
-    };
+    const afterRevision = Number(request.afterRevision);
+    const reply = create(peers.FetchTableReplySchema, {
+      revision: BigInt(snapshot.revision),
+    });
+    if (!keeper.isKnown || snapshot.revision < afterRevision) return reply;
+    const delta = request.takesDelta
+      ? keeper.deltaSince(afterRevision)
+      : undefined;
+    if (delta) reply.deltaJson = JSON.stringify(delta);
+    else reply.snapshotJson = table.encodeSnapshot(snapshot);
+    return reply;
   }
 
   override resolveClaim(
--- a/packages/instance/placement/placement_demand_task.ts
+++ b/packages/instance/placement/placement_demand_task.ts
@@ -4,7 +4,9 @@
 import * as peers from "../../peers/mod.ts";
 import type * as placement from "../../placement/mod.ts";
 
-const INTERVAL_MS = 1_000;
+const INTERVAL_MIN_MS = 1_000;
+/** The planner is told so seldom that it takes some twenty reports a second. */
+const INTERVAL_PER_MEMBER_MS = 50;
 
 /**
  * The instance that plans placement; every instance names the same one.
@@ -46,7 +48,7 @@
 
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.#alarm.pause(core.jitterMs(INTERVAL_MS), signal);
+      await this.#alarm.pause(core.jitterMs(this.#intervalMs()), signal);
       await this.#report();
     }
   }
@@ -56,6 +58,11 @@
     this.#alarm.ring();
   }
 
+  #intervalMs(): number {
+    const members = this.#options.directory.live().length;
+    return Math.max(INTERVAL_MIN_MS, members * INTERVAL_PER_MEMBER_MS);
+  }
+
   async #report(): Promise<void> {
     const { directory, clients, demand, board, onDemand } = this.#options;
     const planner = plannerOf(directory);
--- a/packages/instance/table/table_poll_task.ts
+++ b/packages/instance/table/table_poll_task.ts
@@ -7,12 +7,12 @@
   override readonly name = "poll-table";
   readonly #store: table.TableStore;
   readonly #keeper: table.TableKeeper;
-  readonly #intervalMs: number;
+  readonly #intervalMs: () => number;
 
   constructor(
     store: table.TableStore,
     keeper: table.TableKeeper,
-    intervalMs: number,
+    intervalMs: () => number,
   ) {
     super();
     this.#store = store;
@@ -23,7 +23,7 @@
   override async run(signal: AbortSignal): Promise<void> {
     do {
       await this.#poll();
-    } while (await core.sleep(core.jitterMs(this.#intervalMs), signal));
+    } while (await core.sleep(core.jitterMs(this.#intervalMs()), signal));
   }
 
   async #poll(): Promise<void> {
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -14,11 +14,14 @@
   DemandReportSchema,
   DigestSchema,
   EngineDigestSchema,
+  FetchTableReplySchema,
 } from "./gen/peers_pb.ts";
 export type {
   DemandReport,
   Digest,
   EngineDigest,
+  FetchTableReply,
+  FetchTableRequest,
   ResolveClaimReply,
   ResolveClaimRequest,
 } from "./gen/peers_pb.ts";
--- a/packages/peers/peers_client.ts
+++ b/packages/peers/peers_client.ts
@@ -6,7 +6,12 @@
 import type { Duplex } from "node:stream";
 import * as claims from "../claims/mod.ts";
 import type * as transport from "../transport/mod.ts";
-import { type DemandReport, type Digest, PeerService } from "./gen/peers_pb.ts";
+import {
+  type DemandReport,
+  type Digest,
+  type FetchTableReply,
+  PeerService,
+} from "./gen/peers_pb.ts";
 import { fromFateMessage } from "./peers_convert.ts";
 import type { PeerDirectory } from "./peers_directory.ts";
 
@@ -65,17 +70,18 @@
     return this.#call(() => this.#client(peerAddress).exchange(digest));
   }
 
-  /** Fetches a newer table; undefined when there is none to be had. */
-  async fetchTable(
+  /** Fetches a newer table; undefined when the peer did not answer. */
+  fetchTable(
     peerAddress: string,
     afterRevision: number,
-  ): Promise<string | undefined> {
-    const reply = await this.#call(() =>
+    takesDelta: boolean,
+  ): Promise<FetchTableReply | undefined> {
+    return this.#call(() =>
       this.#client(peerAddress).fetchTable({
         afterRevision: BigInt(afterRevision),
+        takesDelta,
       })
     );
-    return reply?.snapshotJson || undefined;
   }
 
   /** Asks a peer what became of a claim. */
--- a/packages/peers/peers_directory.ts
+++ b/packages/peers/peers_directory.ts
@@ -149,8 +149,9 @@
   }
 
   /** The members whose heartbeats advanced last, newest first. */
-  newest(countMax: number): PeerMember[] {
+  newest(countMax: number, exceptPeerAddress: string): PeerMember[] {
     return [...this.#known.values()]
+      .filter(({ member }) => member.peerAddress !== exceptPeerAddress)
       .sort((a, b) => b.advancedAtMs - a.advancedAtMs)
       .slice(0, countMax)
       .map(({ member }) => member);
--- a/packages/peers/peers_server.ts
+++ b/packages/peers/peers_server.ts
@@ -8,6 +8,8 @@
 import {
   type DemandReport,
   type Digest,
+  type FetchTableReply,
+  type FetchTableRequest,
   PeerService,
   type ResolveClaimReply,
   type ResolveClaimRequest,
@@ -16,10 +18,7 @@
 /** What this instance answers to its peers. */
 export abstract class PeerHandlers {
   abstract exchange(digest: Digest): Digest;
-  /** JSON text of a newer table, or undefined when there is none. */
-  abstract table(
-    afterRevision: number,
-  ): { revision: number; snapshotJson: string } | undefined;
+  abstract table(request: FetchTableRequest): FetchTableReply;
   abstract resolveClaim(request: ResolveClaimRequest): ResolveClaimReply;
   abstract reportDemand(report: DemandReport): boolean;
 }
@@ -36,15 +35,7 @@
   return (router) => {
     router.service(PeerService, {
       exchange: (digest) => handlers.exchange(digest),
-      fetchTable: ({ afterRevision }) => {
-        const newer = handlers.table(Number(afterRevision));
-        return newer
-          ? {
-            revision: BigInt(newer.revision),
-            snapshotJson: newer.snapshotJson,
-          }
-          : {};
-      },
+      fetchTable: (request) => handlers.table(request),
       resolveClaim: (request) => handlers.resolveClaim(request),
       reportDemand: (report) => ({ accepted: handlers.reportDemand(report) }),
     });
--- a/packages/placement/placement_demand.ts
+++ b/packages/placement/placement_demand.ts
@@ -101,7 +101,7 @@
 }
 
 /** Reports older than this no longer count, in milliseconds. */
-const REPORT_EXPIRY_MS = 10_000;
+const REPORT_EXPIRY_MS = 60_000;
 
 interface HeldReport {
   readonly receivedAtMs: number;
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -131,7 +131,7 @@
   }),
   peers: object({
     exchangeIntervalMs: ms(1_000),
-    fanout: count(3, 64),
+    fanout: count(2, 64),
     timeoutMs: ms(500),
     suspectAfterMs: ms(3_000),
   }),
--- a/packages/table/mod.ts
+++ b/packages/table/mod.ts
@@ -2,6 +2,7 @@
 export {
   applyEdit,
   artifactOf,
+  decodeDelta,
   decodeEdit,
   decodeRevisedRow,
   decodeSnapshot,
@@ -19,6 +20,7 @@
   RevisedRow,
   RowChange,
   RowLimits,
+  TableDelta,
   TableEdit,
   TableRow,
   TableSnapshot,
--- a/packages/table/table_codecs.ts
+++ b/packages/table/table_codecs.ts
@@ -13,6 +13,7 @@
 import * as core from "../core/mod.ts";
 import type {
   RevisedRow,
+  TableDelta,
   TableEdit,
   TableRow,
   TableSnapshot,
@@ -116,6 +117,26 @@
   );
 }
 
+const DeltaCodec = Codec.interface({
+  baseRevision: number,
+  revision: number,
+  changed: array(RevisedRowCodec),
+  deleted: array(string),
+});
+
+/**
+ * Reads a delta from JSON text.
+ *
+ * @example
+ * ```ts
+ * const delta = table.decodeDelta(reply.deltaJson);
+ * ```
+ */
+export function decodeDelta(text: string): Result<TableDelta, string> {
+  return core.decodeJson(text, DeltaCodec)
+    .map((delta) => delta as unknown as TableDelta);
+}
+
 /**
  * Makes a snapshot of rows.
  *
--- a/packages/table/table_types.ts
+++ b/packages/table/table_types.ts
@@ -39,6 +39,14 @@
   readonly rows: ReadonlyMap<core.RowName, RevisedRow>;
 }
 
+/** What changed from one revision to another. */
+export interface TableDelta {
+  readonly baseRevision: number;
+  readonly revision: number;
+  readonly changed: readonly RevisedRow[];
+  readonly deleted: readonly core.RowName[];
+}
+
 /** One row's change; null deletes the row. */
 export interface RowChange {
   readonly name: core.RowName;
--- a/packages/table/tests/unit/table_test.ts
+++ b/packages/table/tests/unit/table_test.ts
@@ -6,6 +6,9 @@
 const editId = core.brandId<core.EditId>("ed-1");
 const operatorId = core.brandId<core.OperatorId>("ana");
 
+const llama = testing.makeRow("llama");
+const fit = testing.makeAdapter("llama-fit", "llama");
+
 function snapshot(
   revision: number,
   ...rows: readonly table.TableRow[]
@@ -35,15 +38,38 @@
   t.true(keeper.isKnown);
 });
 
+test("deltas bring another keeper to the same table", (t) => {
+  const source = new table.TableKeeper();
+  const target = new table.TableKeeper();
+  const first = snapshot(1, llama, fit);
+  source.offer(first);
+  target.offer(first);
+  const edits: table.RowChange[][] = [
+    [{ name: fit.name, row: null }],
+    [{ name: llama.name, row: { ...llama, priority: 1 } }],
+    [{ name: fit.name, row: fit }],
+    [{ name: fit.name, row: null }],
+  ];
+  for (const changes of edits) {
+    const edit = { editId, operatorId, changes };
+    source.offer(table.applyEdit(source.snapshot, edit)._unsafeUnwrap());
+  }
+  const delta = source.deltaSince(1);
+  t.truthy(delta);
+  if (!delta) return;
+  const decoded = table.decodeDelta(JSON.stringify(delta))._unsafeUnwrap();
+  t.true(target.offerDelta(decoded));
+  t.deepEqual(target.snapshot, source.snapshot);
+  t.false(target.offerDelta({ ...delta, baseRevision: 9, revision: 10 }));
+  t.is(source.deltaSince(0), undefined);
+});
+
 test("snapshots survive the way over JSON", (t) => {
   const before = snapshot(7, testing.makeRow("llama"));
   const after = table.decodeSnapshot(table.encodeSnapshot(before));
   t.deepEqual(after._unsafeUnwrap(), before);
 });
 
-const llama = testing.makeRow("llama");
-const fit = testing.makeAdapter("llama-fit", "llama");
-
 interface EditCase {
   readonly name: string;
   readonly changes: readonly table.RowChange[];
