--- a/packages/claims/claims_store.ts
+++ b/packages/claims/claims_store.ts
@@ -70,7 +70,7 @@
   ): Promise<ClaimWriteEnd> {
     const outcome = await this.#transactor.transact({
       checks: [{ key, version }],
-      writes: [{ key, value: toJson(claim) }],
+      writes: [{ key, value: core.toJsonValue(claim) }],
     });
     if (outcome.isErr()) {
       return { kind: "failed", effect: outcome.error.effect };
@@ -92,7 +92,3 @@
     () => undefined,
   );
 }
-
-function toJson(claim: ClaimRow): core.JsonValue {
-  return JSON.parse(JSON.stringify(claim)) as core.JsonValue;
-}
--- a/packages/core/json.ts
+++ b/packages/core/json.ts
@@ -51,3 +51,15 @@
     Right: (decoded) => ok(decoded),
   });
 }
+
+/**
+ * Turns a plain value into a JSON value, dropping undefined members.
+ *
+ * @example
+ * ```ts
+ * const write = { key, value: core.toJsonValue(claim) };
+ * ```
+ */
+export function toJsonValue(value: unknown): JsonValue {
+  return JSON.parse(JSON.stringify(value)) as JsonValue;
+}
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -2,28 +2,16 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import type { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
-import {
-  array,
-  boolean,
-  Codec,
-  type GetType,
-  nullable,
-  number,
-  optional,
-  string,
-  unknown,
-} from "purify-ts";
 import * as core from "../core/mod.ts";
 import * as routing from "../routing/mod.ts";
-import * as table from "../table/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
+import { problem } from "./gateway_request.ts";
 import {
-  callerGone,
-  callerTokens,
-  problem,
-  readDeadline,
-} from "./gateway_request.ts";
+  type Completion,
+  CompletionReader,
+} from "./gateway_completion_request.ts";
 import { ColdRows } from "./gateway_cold.ts";
+import { toFailure } from "./gateway_failure.ts";
 import { StreamRelay } from "./gateway_relay.ts";
 import type {
   GatewayContext,
@@ -31,39 +19,12 @@
   GatewayParts,
 } from "./gateway_types.ts";
 
-const TOKENS_ASSUMED = 16;
-const PREFIX_CHARACTERS = 256;
 const ATTEMPTS_MAX = 4;
 /** An engine that could not be reached is left alone for so long. */
 const AVOID_UNREACHABLE_MS = 1_000;
 const AVOID_FULL_MS = 100;
 const LIMIT_RETRY_MS = 500;
 
-const CompletionCodec = Codec.interface({
-  model: string,
-  messages: array(Codec.interface({ role: string, content: unknown })),
-  stream: optional(nullable(boolean)),
-  max_tokens: optional(nullable(number)),
-  max_completion_tokens: optional(nullable(number)),
-});
-
-type CompletionBody = GetType<typeof CompletionCodec>;
-
-/** One caller's completion on its way through. */
-interface Completion {
-  readonly context: GatewayContext;
-  readonly callerId: core.CallerId;
-  readonly row: table.TableRow;
-  readonly artifactId: core.ArtifactId;
-  readonly bodyText: string;
-  readonly streams: boolean;
-  readonly tokensMax: number;
-  readonly prefixHash: number;
-  readonly deadline: core.Deadline;
-  /** Aborted when the caller is gone. */
-  readonly gone: AbortSignal;
-}
-
 /** What attempts at one completion have come to so far. */
 interface Progress {
   attempts: number;
@@ -75,12 +36,12 @@
 /** Serves `POST /v1/chat/completions`. */
 export class CompletionHandler {
   readonly #parts: GatewayParts;
-  readonly #tokens;
+  readonly #reader: CompletionReader;
   readonly #cold: ColdRows;
 
   constructor(parts: GatewayParts) {
     this.#parts = parts;
-    this.#tokens = callerTokens(parts.settings);
+    this.#reader = new CompletionReader(parts);
     this.#cold = new ColdRows(parts);
   }
 
@@ -88,7 +49,7 @@
   async handle(context: GatewayContext): Promise<Response> {
     const startedAtMs = core.monotonicMs();
     this.#parts.metrics.count("requests");
-    const completion = await this.#read(context);
+    const completion = await this.#reader.read(context);
     if (completion.isErr()) return this.#refused(context, completion.error);
     const admitted = await this.#admit(completion.value);
     if (admitted.isErr()) {
@@ -107,38 +68,6 @@
     }
   }
 
-  async #read(
-    context: GatewayContext,
-  ): Promise<Result<Completion, core.Failure>> {
-    const callerId = this.#tokens.find(context.req.header("authorization"));
-    if (!callerId) return err(core.refuse(core.TOKEN_INVALID, "who is this?"));
-    const text = await context.req.text();
-    const decoded = core.decodeJson(text, CompletionCodec);
-    if (decoded.isErr()) {
-      return err(core.refuse(core.BODY_INVALID, decoded.error));
-    }
-    const body = decoded.value;
-    const row = this.#parts.keeper.row(core.brandId(body.model))?.row;
-    if (!row && this.#parts.keeper.isKnown) {
-      return err(core.refuse(core.MODEL_UNKNOWN, `no row named ${body.model}`));
-    }
-    if (!row) return err(core.refuse(core.TABLE_NOT_READY, "no table yet"));
-    const fault = tokensFault(body);
-    if (fault) return err(core.refuse(core.BODY_INVALID, fault));
-    return readDeadline(context, row.deadlineMs).map((deadline) => ({
-      context,
-      callerId,
-      row,
-      artifactId: table.artifactOf(row),
-      bodyText: rewriteModel(text, table.artifactOf(row)),
-      streams: body.stream ?? false,
-      tokensMax: tokensOf(body) ?? TOKENS_ASSUMED,
-      prefixHash: core.hash32(text.slice(0, PREFIX_CHARACTERS)),
-      deadline,
-      gone: callerGone(context),
-    }));
-  }
-
   async #admit(
     completion: Completion,
   ): Promise<Result<core.Cleanup, core.Failure>> {
@@ -418,43 +347,6 @@
   app.post("/v1/chat/completions", (context) => handler.handle(context));
 }
 
-function rewriteModel(text: string, artifactId: core.ArtifactId): string {
-  const body = JSON.parse(text) as Record<string, unknown>;
-  return JSON.stringify({ ...body, model: artifactId });
-}
-
-function tokensOf(body: CompletionBody): number | undefined {
-  return body.max_completion_tokens ?? body.max_tokens ?? undefined;
-}
-
-function tokensFault(body: CompletionBody): string | undefined {
-  if (body.messages.length === 0) return "messages is empty";
-  const tokens = tokensOf(body);
-  if (tokens === undefined) return undefined;
-  if (Number.isInteger(tokens) && tokens > 0) return undefined;
-  return "max_tokens must be a positive whole number";
-}
-
 function withRan(failure: core.Failure, ran: core.Ran): core.Failure {
   return failure.ran === "no" && ran !== "no" ? { ...failure, ran } : failure;
 }
-
-const RETRY_UPSTREAM_MS = 200;
-
-function toFailure(failure: upstream.AttemptFailure): core.Failure {
-  const { fault, ran, detail } = failure;
-  switch (fault) {
-    case "unreachable":
-      return core.refuse(core.UPSTREAM_UNREACHABLE, detail, RETRY_UPSTREAM_MS);
-    case "refused":
-      return core.refuse(core.UPSTREAM_REFUSED, detail, RETRY_UPSTREAM_MS);
-    case "rejected":
-      return core.refuse(core.BODY_INVALID, detail);
-    case "foreign":
-      return core.fail(core.ANSWER_FOREIGN, detail, ran);
-    case "late":
-      return core.fail(core.ANSWER_LATE, detail, ran);
-    case "broke":
-      return core.fail(core.UPSTREAM_BROKE, detail, ran);
-  }
-}
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -6,6 +6,7 @@
 import * as core from "../core/mod.ts";
 import type * as settings from "../settings/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
+import { toFailure } from "./gateway_failure.ts";
 import {
   callerTokens,
   problem,
@@ -235,22 +236,6 @@
   );
 }
 
-function toFailure(failure: upstream.AttemptFailure): core.Failure {
-  const { fault, ran, detail } = failure;
-  switch (fault) {
-    case "unreachable":
-      return core.refuse(core.UPSTREAM_UNREACHABLE, detail, RETRY_AFTER_MS);
-    case "refused":
-      return core.refuse(core.UPSTREAM_REFUSED, detail, RETRY_AFTER_MS);
-    case "foreign":
-      return core.fail(core.ANSWER_FOREIGN, detail, ran);
-    case "late":
-      return core.fail(core.ANSWER_LATE, detail, ran);
-    default:
-      return core.fail(core.UPSTREAM_BROKE, detail, ran);
-  }
-}
-
 /** The later failure, but never with a better `ran` than the earlier one. */
 function worse(earlier: core.Failure, later: core.Failure): core.Failure {
   if (earlier.ran === "no" || later.ran !== "no") return later;
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -14,6 +14,7 @@
 import type * as settings from "../settings/mod.ts";
 import * as table from "../table/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { makePlacement, makeRouting } from "./instance_policies.ts";
 import { CallersListener } from "./callers/callers_listener.ts";
 import { LimitsGiveBackTask } from "./callers/callers_limits_task.ts";
 import { DigestBook } from "./peers/peers_digest.ts";
@@ -35,8 +36,6 @@
 const CLAIM_WRITES_AT_ONCE_MAX = 4;
 const RETRIES_PER_REQUEST = 0.1;
 const RETRIES_SAVED_MAX = 20;
-const AFFINITY_MAX_MS = 100;
-const PREFIXES_MAX = 10_000;
 /** How long idle connections may linger at a planned stop. */
 const LINGER_MS = 6_000;
 /** All members together read the table's revision some 80 times a second. */
@@ -394,28 +393,3 @@
     };
   }
 }
-
-function makeRouting(name: settings.RoutingPolicyName): routing.RoutingPolicy {
-  switch (name) {
-    case "estimated":
-      return new routing.EstimatedRouting({
-        affinityMaxMs: AFFINITY_MAX_MS,
-        prefixesMax: PREFIXES_MAX,
-      });
-    case "least-reported":
-      return new routing.LeastReportedRouting();
-    case "round-robin":
-      return new routing.RoundRobinRouting();
-  }
-}
-
-function makePlacement(
-  checked: settings.Settings,
-): placement.PlacementPolicy {
-  switch (checked.policies.placement) {
-    case "demand":
-      return new placement.DemandPlacement(checked.placement);
-    case "lru":
-      return new placement.LruPlacement();
-  }
-}
--- /dev/null
+++ b/packages/instance/instance_policies.ts
@@ -0,0 +1,36 @@
+/** Policies by the names that settings give them. */
+import * as placement from "../placement/mod.ts";
+import * as routing from "../routing/mod.ts";
+import type * as settings from "../settings/mod.ts";
+
+const AFFINITY_MAX_MS = 100;
+const PREFIXES_MAX = 10_000;
+
+/** Makes the routing policy of a name. */
+export function makeRouting(
+  name: settings.RoutingPolicyName,
+): routing.RoutingPolicy {
+  switch (name) {
+    case "estimated":
+      return new routing.EstimatedRouting({
+        affinityMaxMs: AFFINITY_MAX_MS,
+        prefixesMax: PREFIXES_MAX,
+      });
+    case "least-reported":
+      return new routing.LeastReportedRouting();
+    case "round-robin":
+      return new routing.RoundRobinRouting();
+  }
+}
+
+/** Makes the placement policy that the settings name. */
+export function makePlacement(
+  checked: settings.Settings,
+): placement.PlacementPolicy {
+  switch (checked.policies.placement) {
+    case "demand":
+      return new placement.DemandPlacement(checked.placement);
+    case "lru":
+      return new placement.LruPlacement();
+  }
+}
--- a/packages/ledger/ledger_store.ts
+++ b/packages/ledger/ledger_store.ts
@@ -131,7 +131,10 @@
   ): Promise<LedgerWriteEnd> {
     const key = LEDGER_PREFIX + write.upstreamId;
     const checks = [{ key, version: write.version }];
-    const writes: platform.RowWrite[] = [{ key, value: toJson(write.row) }];
+    const writes: platform.RowWrite[] = [{
+      key,
+      value: core.toJsonValue(write.row),
+    }];
     if (slots) {
       checks.push({ key: SLOTS_KEY, version: slots.version });
       writes.push({ key: SLOTS_KEY, value: { holders: slots.holders } });
@@ -201,7 +204,3 @@
     (detail) => err({ effect: "none", reached: true, detail }),
   );
 }
-
-function toJson(row: LedgerRow): core.JsonValue {
-  return JSON.parse(JSON.stringify(row)) as core.JsonValue;
-}
--- a/packages/limits/limits_shares.ts
+++ b/packages/limits/limits_shares.ts
@@ -176,7 +176,7 @@
     const key = LIMIT_PREFIX + rowName;
     const outcome = await service.transact({
       checks: [{ key, version: stored?.version ?? 0 }],
-      writes: [{ key, value: { shares: toJson(next) } }],
+      writes: [{ key, value: { shares: core.toJsonValue(next) } }],
     });
     if (outcome.isErr()) return "failed";
     return outcome.value.outcome;
@@ -200,7 +200,3 @@
 function sumOf(shares: Shares): number {
   return Object.values(shares).reduce((sum, { count }) => sum + count, 0);
 }
-
-function toJson(shares: Shares): core.JsonValue {
-  return JSON.parse(JSON.stringify(shares)) as core.JsonValue;
-}
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -1,13 +1,11 @@
 /** Placement: demand, and which artifacts are loaded where. */
 export { DemandBoard, LocalDemand } from "./placement_demand.ts";
 export type { RowDemand } from "./placement_demand.ts";
-export {
-  DemandPlacement,
-  LruPlacement,
-  PlacementPolicy,
-} from "./placement_policy.ts";
+export { DemandPlacement } from "./placement_demand_policy.ts";
+export type { DemandPlacementOptions } from "./placement_demand_policy.ts";
+export { LruPlacement } from "./placement_lru.ts";
+export { PlacementPolicy } from "./placement_policy.ts";
 export type {
-  DemandPlacementOptions,
   PlacedArtifact,
   PlacedEngine,
   PlacementAction,
--- /dev/null
+++ b/packages/placement/tests/unit/placement_test.ts
@@ -0,0 +1,258 @@
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import * as table from "../../../table/mod.ts";
+import * as testing from "../../../testing/mod.ts";
+import * as placement from "../../mod.ts";
+
+const editId = core.brandId<core.EditId>("ed-1");
+const operatorId = core.brandId<core.OperatorId>("ana");
+
+const rows = ["a", "b", "c", "d"].map((name) => testing.makeRow(name));
+const fit = testing.makeAdapter("a-fit", "a");
+const tableRows = table.makeSnapshot(
+  1,
+  [...rows, fit].map((row) => ({ revision: 1, row, editId, operatorId })),
+).rows;
+
+interface Held {
+  readonly name: string;
+  readonly residentMs?: number;
+  readonly state?: "resident" | "changing";
+}
+
+function engine(
+  id: string,
+  held: readonly Held[],
+  change: Partial<placement.PlacedEngine> = {},
+): placement.PlacedEngine {
+  const artifacts = held.map((
+    { name, residentMs = 60_000, state = "resident" },
+  ): placement.PlacedArtifact => {
+    const row = tableRows.get(core.brandId(name))?.row;
+    if (!row) throw new Error(`No row ${name}`);
+    return {
+      artifactId: table.artifactOf(row),
+      rowName: row.name,
+      weightBytes: row.weightBytes,
+      state,
+      residentMs,
+    };
+  });
+  const usedBytes = artifacts.reduce((sum, one) => sum + one.weightBytes, 0);
+  return {
+    upstreamId: core.brandId(id),
+    freeBytes: 45 - usedBytes,
+    slots: 4,
+    fill: 0,
+    artifacts,
+    avoided: false,
+    ...change,
+  };
+}
+
+interface Asked {
+  readonly ratePerS?: number;
+  readonly waiting?: number;
+  readonly waitedMs?: number;
+}
+
+function view(
+  engines: readonly placement.PlacedEngine[],
+  asked: Readonly<Record<string, Asked>>,
+  change: Partial<placement.PlacementView> = {},
+): placement.PlacementView {
+  const demand = new Map(
+    Object.entries(asked).map(([name, { ratePerS = 0, waiting = 0 }]) => {
+      const rowName = core.brandId<core.RowName>(name);
+      const serviceMs = 500;
+      return [rowName, { rowName, ratePerS, waiting, serviceMs }] as const;
+    }),
+  );
+  return {
+    rows: tableRows,
+    engines,
+    demand,
+    waitedMs: (name) => asked[name]?.waitedMs ?? 0,
+    lastUsedMs: (name) => asked[name] ? core.monotonicMs() : -Infinity,
+    modelLoadsFree: 3,
+    adapterLoadsFree: 24,
+    ...change,
+  };
+}
+
+function render(actions: readonly placement.PlacementAction[]): string[] {
+  return actions.map((action) =>
+    action.kind === "load"
+      ? `load ${action.row.name} on ${action.upstreamId}`
+      : `unload ${action.artifactId} on ${action.upstreamId}`
+  );
+}
+
+const demandPolicy = new placement.DemandPlacement({
+  attainmentWeight: 0.5,
+  residentMinMs: 10_000,
+});
+
+interface PlanCase {
+  readonly name: string;
+  readonly view: placement.PlacementView;
+  readonly plan: readonly string[];
+}
+
+const cases: PlanCase[] = [
+  {
+    name: "nothing waits: nothing moves",
+    view: view([engine("e1", [{ name: "a" }])], { a: { ratePerS: 1 } }),
+    plan: [],
+  },
+  {
+    name: "a cold row is loaded where there is room",
+    view: view(
+      [engine("e1", [{ name: "a" }, { name: "b" }]), engine("e2", [])],
+      { c: { waiting: 1 } },
+    ),
+    plan: ["load c on e2"],
+  },
+  {
+    name: "an idle artifact makes room",
+    view: view([engine("e1", [{ name: "a" }, { name: "b" }])], {
+      a: { ratePerS: 2 },
+      c: { waiting: 1 },
+    }),
+    plan: ["unload b@1 on e1"],
+  },
+  {
+    name: "what was loaded just now and is in use stays",
+    view: view(
+      [engine("e1", [
+        { name: "a", residentMs: 100 },
+        { name: "b", residentMs: 100 },
+      ])],
+      { a: { ratePerS: 2 }, b: { ratePerS: 2 }, c: { waiting: 1 } },
+    ),
+    plan: [],
+  },
+  {
+    name: "a starved row evicts it all the same",
+    view: view(
+      [engine("e1", [
+        { name: "a", residentMs: 100 },
+        { name: "b", residentMs: 100 },
+      ])],
+      {
+        a: { ratePerS: 9 },
+        b: { ratePerS: 2 },
+        c: { waiting: 1, waitedMs: 5_000 },
+      },
+    ),
+    plan: ["unload b@1 on e1"],
+  },
+  {
+    name: "an adapter's model comes first",
+    view: view([engine("e1", [])], { "a-fit": { waiting: 1 } }),
+    plan: ["load a on e1"],
+  },
+  {
+    name: "an adapter goes where its model is",
+    view: view([engine("e1", []), engine("e2", [{ name: "a" }])], {
+      "a-fit": { waiting: 1 },
+    }),
+    plan: ["load a-fit on e2"],
+  },
+  {
+    name: "an adapter is never evicted from under, nor its model for it",
+    view: view([engine("e1", [{ name: "a" }, { name: "b" }], {
+      freeBytes: 0,
+    })], { "a-fit": { waiting: 1 } }),
+    plan: ["unload b@1 on e1"],
+  },
+  {
+    name: "no load slot, no eviction",
+    view: view(
+      [engine("e1", [{ name: "a" }, { name: "b" }])],
+      { c: { waiting: 1 } },
+      { modelLoadsFree: 0 },
+    ),
+    plan: [],
+  },
+  {
+    name: "a row on its way is not loaded twice",
+    view: view(
+      [engine("e1", [{ name: "c", state: "changing" }]), engine("e2", [])],
+      { c: { waiting: 1 } },
+    ),
+    plan: [],
+  },
+  {
+    name: "an engine that is avoided gets no orders",
+    view: view([engine("e1", [], { avoided: true })], { c: { waiting: 1 } }),
+    plan: [],
+  },
+  {
+    name: "a busy row gets a copy where nobody is put out",
+    view: view(
+      [engine("e1", [{ name: "a" }], { fill: 1 }), engine("e2", [])],
+      { a: { ratePerS: 10 } },
+    ),
+    plan: ["load a on e2"],
+  },
+  {
+    name: "a busy row gets no copy in place of a row in use",
+    view: view(
+      [
+        engine("e1", [{ name: "a" }], { fill: 1 }),
+        engine("e2", [{ name: "b" }, { name: "c" }]),
+      ],
+      { a: { ratePerS: 10 }, b: { ratePerS: 1 }, c: { ratePerS: 1 } },
+    ),
+    plan: [],
+  },
+  {
+    name: "rows of higher priority and longer waits come first",
+    view: view([engine("e1", []), engine("e2", [])], {
+      b: { waiting: 1, waitedMs: 10 },
+      c: { waiting: 1, waitedMs: 900 },
+    }, { modelLoadsFree: 1 }),
+    plan: ["load c on e1"],
+  },
+];
+
+for (const { name, view: given, plan } of cases) {
+  test(name, (t) => t.deepEqual(render(demandPolicy.plan(given)), [...plan]));
+}
+
+test("lru evicts what was used longest ago", (t) => {
+  const given = view([engine("e1", [{ name: "a" }, { name: "b" }])], {
+    c: { waiting: 1 },
+  }, { lastUsedMs: (name) => name === "a" ? 100 : 50 });
+  const plan = render(new placement.LruPlacement().plan(given));
+  t.deepEqual(plan, ["unload b@1 on e1"]);
+});
+
+test("demand is summed over instances and forgotten with them", (t) => {
+  const board = new placement.DemandBoard();
+  const rowName = core.brandId<core.RowName>("a");
+  const demand = { rowName, ratePerS: 2, waiting: 1, serviceMs: 100 };
+  board.report(core.brandId("entry-1"), [demand]);
+  board.report(core.brandId("entry-2"), [{ ...demand, serviceMs: 300 }]);
+  t.deepEqual(board.totals().get(rowName), {
+    rowName,
+    ratePerS: 4,
+    waiting: 2,
+    serviceMs: 300,
+  });
+  t.true(board.waitedMs(rowName) >= 0);
+  board.report(core.brandId("entry-1"), []);
+  board.report(core.brandId("entry-2"), []);
+  t.is(board.totals().size, 0);
+  t.is(board.waitedMs(rowName), 0);
+});
+
+test("a refused request keeps its row wanted until it is served", (t) => {
+  const demand = new placement.LocalDemand();
+  const rowName = core.brandId<core.RowName>("a");
+  demand.want(rowName);
+  t.is(demand.roll()[0]?.waiting, 1);
+  demand.satisfy(rowName);
+  t.is(demand.roll()[0]?.waiting ?? 0, 0);
+});
--- /dev/null
+++ b/packages/routing/tests/unit/routing_test.ts
@@ -0,0 +1,196 @@
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import type * as platform from "../../../platform/mod.ts";
+import * as routing from "../../mod.ts";
+
+const SILENT_AFTER_MS = 5_000;
+const ARTIFACT = core.brandId<core.ArtifactId>("llama@1");
+
+function listed(
+  id: string,
+  change: Partial<platform.ListedInstance> = {},
+): platform.ListedInstance {
+  return {
+    id,
+    kind: "engine",
+    address: `http://127.0.0.1/${id}`,
+    failureDomain: "calama",
+    state: "live",
+    ...change,
+  };
+}
+
+function load(
+  id: string,
+  change: Partial<routing.EngineLoad> = {},
+): routing.EngineLoad {
+  return {
+    upstreamId: core.brandId<core.UpstreamId>(id),
+    incarnation: core.brandId<core.Incarnation>("in-1"),
+    sequence: 1,
+    artifacts: [ARTIFACT],
+    running: 0,
+    waiting: 0,
+    slots: 4,
+    firstTokenMs: 100,
+    tokenMs: 10,
+    capacityBytes: 100,
+    usedBytes: 50,
+    leaving: false,
+    ...change,
+  };
+}
+
+function makeFleet(...ids: string[]): routing.Fleet {
+  const fleet = new routing.Fleet(SILENT_AFTER_MS);
+  fleet.mergeList(ids.map((id) => listed(id)));
+  for (const id of ids) fleet.mergeLoad(load(id), 0);
+  return fleet;
+}
+
+function usableIds(fleet: routing.Fleet): string[] {
+  return fleet.usable().map(({ upstreamId }) => String(upstreamId));
+}
+
+interface LeavingCase {
+  readonly source: string;
+  readonly tell: (fleet: routing.Fleet) => void;
+}
+
+const leavingCases: LeavingCase[] = [
+  {
+    source: "the list",
+    tell: (fleet) =>
+      fleet.mergeList([listed("a", { state: "leaving" }), listed("b")]),
+  },
+  {
+    source: "its own report",
+    tell: (fleet) =>
+      fleet.mergeLoad(load("a", { sequence: 2, leaving: true }), 0),
+  },
+  { source: "a peer's word", tell: (fleet) => fleet.noteLeaving("a") },
+];
+
+for (const { source, tell } of leavingCases) {
+  test(`an engine leaves when ${source} says so, and stays left`, (t) => {
+    const fleet = makeFleet("a", "b");
+    tell(fleet);
+    t.deepEqual(usableIds(fleet), ["b"]);
+    fleet.mergeLoad(load("a", { sequence: 3 }), 0);
+    t.deepEqual(usableIds(fleet), ["b"]);
+    t.true(fleet.leavingIds().includes("a") || source === "its own report");
+  });
+}
+
+test("a restarted engine is used again", (t) => {
+  const fleet = makeFleet("a");
+  fleet.mergeLoad(load("a", { sequence: 2, leaving: true }), 0);
+  t.deepEqual(usableIds(fleet), []);
+  fleet.mergeLoad(
+    load("a", { incarnation: core.brandId<core.Incarnation>("in-2") }),
+    0,
+  );
+  t.deepEqual(usableIds(fleet), ["a"]);
+});
+
+test("a service leaves when a peer says so", (t) => {
+  const fleet = new routing.Fleet(SILENT_AFTER_MS);
+  const change = { kind: "service", service: "orders" } as const;
+  fleet.mergeList([listed("s1", change), listed("s2", change)]);
+  fleet.noteLeaving("s1");
+  t.deepEqual(fleet.servicesNamed("orders").map(({ id }) => id), ["s2"]);
+  fleet.avoidService("s2", 10_000);
+  t.deepEqual(fleet.servicesNamed("orders"), []);
+});
+
+test("older, repeated and late reports are not news", (t) => {
+  const fleet = makeFleet("a");
+  t.false(fleet.mergeLoad(load("a"), 0));
+  t.true(fleet.mergeLoad(load("a", { sequence: 5 }), 0));
+  t.false(fleet.mergeLoad(load("a", { sequence: 4 }), 0));
+  const old = load("a", {
+    incarnation: core.brandId<core.Incarnation>("in-0"),
+    sequence: 9,
+  });
+  t.false(fleet.mergeLoad(old, 60_000));
+  t.is(fleet.engine(core.brandId("a"))?.load?.sequence, 5);
+});
+
+test("an engine without news is not used", (t) => {
+  const fleet = new routing.Fleet(SILENT_AFTER_MS);
+  fleet.mergeList([listed("a")]);
+  fleet.mergeLoad(load("a"), SILENT_AFTER_MS + 1);
+  t.deepEqual(usableIds(fleet), []);
+});
+
+test("own sends since a report correct it", (t) => {
+  const fleet = makeFleet("a");
+  const view = fleet.engine(core.brandId("a"));
+  if (!view) throw new Error("No view");
+  fleet.mergeLoad(load("a", { sequence: 2, running: 3 }), 0);
+  view.ownInProgress += 2;
+  t.is(view.inProgress, 5);
+  fleet.mergeLoad(load("a", { sequence: 3, running: 5 }), 0);
+  t.is(view.inProgress, 5);
+  view.ownInProgress -= 2;
+  t.is(view.inProgress, 3);
+});
+
+function request(prefixHash = 1): routing.RoutedRequest {
+  return {
+    artifactId: ARTIFACT,
+    tokensMax: 10,
+    prefixHash,
+    priority: 5,
+    remainingMs: 1_000,
+  };
+}
+
+test("the estimate counts the wait for a slot", (t) => {
+  const fleet = makeFleet("a");
+  fleet.mergeLoad(load("a", { sequence: 2, running: 4, waiting: 3 }), 0);
+  const view = fleet.engine(core.brandId("a"));
+  if (!view) throw new Error("No view");
+  view.serviceMs = 400;
+  const { firstTokenInMs, wholeInMs } = routing.estimate(view, request());
+  t.is(firstTokenInMs, 100 + 4 / 4 * 400);
+  t.is(wholeInMs, firstTokenInMs + 100);
+});
+
+test("estimated routing: warm prefixes pull, within a bound", (t) => {
+  const policy = new routing.EstimatedRouting({
+    affinityMaxMs: 50,
+    prefixesMax: 2,
+  });
+  const fleet = makeFleet("a", "b");
+  const views = fleet.usable();
+  const warm = policy.choose(views, request());
+  for (let n = 0; n < 20; n++) t.is(policy.choose(views, request()), warm);
+  if (!warm) throw new Error("Nothing chosen");
+  warm.ownInProgress = 40;
+  const other = policy.choose(views, request());
+  t.truthy(other);
+  t.not(other, warm);
+});
+
+test("nothing to choose from", (t) => {
+  const policies = [
+    new routing.RoundRobinRouting(),
+    new routing.LeastReportedRouting(),
+    new routing.EstimatedRouting({ affinityMaxMs: 1, prefixesMax: 1 }),
+  ];
+  for (const policy of policies) t.is(policy.choose([], request()), undefined);
+});
+
+test("retries are a share of requests", (t) => {
+  const budget = new routing.RetryBudget({
+    retriesPerRequest: 0.1,
+    savedMax: 2,
+  });
+  t.true(budget.trySpend());
+  t.true(budget.trySpend());
+  t.false(budget.trySpend());
+  for (let n = 0; n < 11; n++) budget.earn();
+  t.true(budget.trySpend());
+  t.false(budget.trySpend());
+});
--- a/packages/table/table_store.ts
+++ b/packages/table/table_store.ts
@@ -330,15 +330,11 @@
     writes: [
       { key: HEAD_KEY, value: { revision } },
       { key: editKey, value: record },
-      { key: historyKey(revision), value: toJson(accepted) },
+      { key: historyKey(revision), value: core.toJsonValue(accepted) },
       ...edit.changes.map(({ name }) => ({
         key: ROW_PREFIX + name,
-        value: toJson(next.rows.get(name) ?? null),
+        value: core.toJsonValue(next.rows.get(name) ?? null),
       })),
     ],
   };
 }
-
-function toJson(value: unknown): core.JsonValue {
-  return JSON.parse(JSON.stringify(value)) as core.JsonValue;
-}
