Suspect on failed exchanges, resume streams, count requests in progress

Causes, each found by measuring or testing: 1. At 32 entries with fan-out 2 the entries never all listed each other: "Timed out waiting: every entry is listed by every entry". Digests named the 8 newest heartbeats, so the oldest never spread; a calculation gave a worst age of 9 s with 8 random members, 20 s with the newest ones, and no digest within 7 KB/s that would do at 390 nodes. 2. A burst of first requests never got its model a second copy: demand was rate times service time, and no request had been served yet ("Timed out waiting: both engines hold the model"). 3. A stream that broke after its first token counted as answered in time. 4. Outcomes of any size went into the claim's row. 5. The CLI tests took whichever entry started first ("- entry-2 + entry-1").

Change: members are live until an exchange fails twice in a row or is refused; suspicions and changes alone are spread. Requests in progress are part of demand. A broken stream goes on at another engine from what the caller has, under one id; if it cannot, it counts as failed. Outcomes above 16 Ki characters go to the object store. Worlds list entries by name.

Ruled out: larger digests (7 KB/s at 390 nodes), longer suspicion (an entry that died would be handed out for 20 s).

First failed: the messages above; the new streams test timed out before (2).

--- a/packages/claims/claims_runner.ts
+++ b/packages/claims/claims_runner.ts
@@ -339,10 +339,12 @@
 }
 
 function replay(outcome: ClaimOutcome | undefined): HeldStep {
-  const end: ClaimEnd = outcome === undefined
-    ? err(fateUnknown("its outcome is not readable"))
-    : ok(outcome);
-  return { kind: "end", end };
+  if (outcome !== undefined) return { kind: "end", end: ok(outcome) };
+  const failure: core.Failure = {
+    ...core.fail(core.OUTCOME_UNREADABLE, "the object store", "yes"),
+    retryAfterMs: STORE_RETRY_AFTER_MS,
+  };
+  return { kind: "end", end: err(failure) };
 }
 
 function keyReused(): core.Failure {
--- a/packages/claims/claims_store.ts
+++ b/packages/claims/claims_store.ts
@@ -6,6 +6,8 @@
 import type { ClaimRequest, ClaimRow, VersionedClaim } from "./claims_types.ts";
 
 const CLAIM_PREFIX = "claims/";
+/** Longer bodies go to the object store, in characters. */
+const INLINE_BODY_MAX = 16_384;
 
 enum StateTag {
   Claimed = "claimed",
@@ -21,6 +23,7 @@
   nonce: string,
   state: enumeration(StateTag),
   claimedAt: string,
+  bodyObject: optional(string),
   outcome: optional(
     Codec.interface({ status: number, contentType: string, bodyText: string }),
   ),
@@ -54,12 +57,17 @@
   return `${CLAIM_PREFIX}${encodeURIComponent(callerId)}/${key}`;
 }
 
+/** The part of an object store that claims need. */
+export type ClaimObjects = Pick<platform.ObjectStore, "put" | "get">;
+
 /** Writes claims by compare-and-set. */
 export class ClaimStore {
   readonly #transactor: ClaimTransactor;
+  readonly #objects: ClaimObjects;
 
-  constructor(transactor: ClaimTransactor) {
+  constructor(transactor: ClaimTransactor, objects: ClaimObjects) {
     this.#transactor = transactor;
+    this.#objects = objects;
   }
 
   /** Writes a claim over the version seen; 0 when none was. */
@@ -68,9 +76,11 @@
     version: number,
     claim: ClaimRow,
   ): Promise<ClaimWriteEnd> {
+    const row = await this.#withoutLargeBody(claim);
+    if (row === undefined) return { kind: "failed", effect: "none" };
     const outcome = await this.#transactor.transact({
       checks: [{ key, version }],
-      writes: [{ key, value: core.toJsonValue(claim) }],
+      writes: [{ key, value: core.toJsonValue(row) }],
     });
     if (outcome.isErr()) {
       return { kind: "failed", effect: outcome.error.effect };
@@ -78,8 +88,31 @@
     if (outcome.value.outcome === "committed") {
       return { kind: "committed", version: outcome.value.version };
     }
-    const row = outcome.value.rows.find((found) => found.key === key);
-    return { kind: "held", held: row && decodeClaim(row) };
+    const found = outcome.value.rows.find((held) => held.key === key);
+    const held = found && decodeClaim(found);
+    return { kind: "held", held: held && await this.#withBody(held) };
+  }
+
+  /** Moves a large body to the object store; undefined when that failed. */
+  async #withoutLargeBody(claim: ClaimRow): Promise<ClaimRow | undefined> {
+    const { outcome } = claim;
+    if (!outcome || outcome.bodyText.length <= INLINE_BODY_MAX) return claim;
+    const bodyObject = `${CLAIM_PREFIX}${claim.nonce}`;
+    const put = await this.#objects.put(bodyObject, outcome.bodyText);
+    if (put.isErr()) return undefined;
+    return { ...claim, bodyObject, outcome: { ...outcome, bodyText: "" } };
+  }
+
+  /** Brings a large body back; without it the outcome is not readable. */
+  async #withBody(held: VersionedClaim): Promise<VersionedClaim> {
+    const { bodyObject, outcome, ...rest } = held.claim;
+    if (bodyObject === undefined || outcome === undefined) return held;
+    const body = await this.#objects.get(bodyObject);
+    const claim = body.match<ClaimRow>(
+      (bodyText) => ({ ...rest, outcome: { ...outcome, bodyText } }),
+      () => rest,
+    );
+    return { ...held, claim };
   }
 }
 
--- a/packages/claims/claims_types.ts
+++ b/packages/claims/claims_types.ts
@@ -17,6 +17,8 @@
   readonly state: "claimed" | "released" | "done" | "unknown";
   readonly claimedAt: string;
   readonly outcome?: ClaimOutcome;
+  /** Object that holds the outcome's body, where that is too large a row. */
+  readonly bodyObject?: string;
 }
 
 /** A stored claim with the version to compare and set by. */
--- a/packages/core/codes.ts
+++ b/packages/core/codes.ts
@@ -208,6 +208,13 @@
   "The table service cannot record the claim, so the call is not run.",
 );
 
+export const OUTCOME_UNREADABLE = define(
+  4004,
+  "OUTCOME_UNREADABLE",
+  503,
+  "The call ran; its recorded outcome cannot be read now.",
+);
+
 /** 5xxx: the platform's services. */
 export const STORE_UNAVAILABLE = define(
   5001,
@@ -306,6 +313,7 @@
   CLAIM_IN_FLIGHT,
   CLAIM_FATE_UNKNOWN,
   CLAIM_STORE_DOWN,
+  OUTCOME_UNREADABLE,
   STORE_UNAVAILABLE,
   STORE_REPLY_LOST,
   PLATFORM_ANSWER_INVALID,
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -30,6 +30,8 @@
   attempts: number;
   ran: core.Ran;
   lastFailure: core.Failure;
+  /** The caller's stream, over all attempts. */
+  readonly relay: StreamRelay;
   readonly tried: Set<core.UpstreamId>;
 }
 
@@ -58,11 +60,14 @@
     }
     try {
       this.#parts.retryBudget.earn();
-      const answer = await this.#serve(completion.value);
+      const relay = new StreamRelay(context.env.outgoing);
+      const answer = await this.#serve(completion.value, relay);
       const failure = answer.isErr() ? answer.error : undefined;
       this.#noteEnd(completion.value, startedAtMs, failure);
       if (answer.isOk()) return answer.value;
-      return this.#refused(context, answer.error);
+      if (!relay.hasStarted) return this.#refused(context, answer.error);
+      this.#breakStream(completion.value, relay, answer.error);
+      return RESPONSE_ALREADY_SENT;
     } finally {
       await admitted.value();
     }
@@ -75,12 +80,13 @@
     const entered = admission.enter();
     if (entered.isErr()) return entered;
     const { row } = completion;
-    demand.arrive(row.name);
+    const ended = demand.begin(row.name);
+    const leave = core.mergeCleanups(entered.value, ended);
     const { inProgressMax } = row.limits;
-    if (inProgressMax === undefined) return entered;
+    if (inProgressMax === undefined) return ok(leave);
     const left = await limits.enter(row.name, inProgressMax);
-    if (left) return ok(core.mergeCleanups(entered.value, left));
-    await entered.value();
+    if (left) return ok(core.mergeCleanups(leave, left));
+    await leave();
     return err(
       core.refuse(
         core.LIMIT_REACHED,
@@ -92,17 +98,19 @@
 
   async #serve(
     completion: Completion,
+    relay: StreamRelay,
   ): Promise<Result<Response, core.Failure>> {
     const progress: Progress = {
       attempts: 0,
       ran: "no",
       lastFailure: core.refuse(core.NO_UPSTREAM, "no engine is live"),
+      relay,
       tried: new Set(),
     };
     while (!completion.deadline.isOver() && !completion.gone.aborted) {
       const view = await this.#choose(completion, progress);
       if (view.isErr()) return err(withRan(view.error, progress.ran));
-      const answer = await this.#attempt(completion, view.value);
+      const answer = await this.#attempt(completion, view.value, relay);
       if (answer.isOk()) return ok(answer.value);
       const final = this.#judge(completion, view.value, answer.error, progress);
       if (final) return err(withRan(final, progress.ran));
@@ -188,6 +196,7 @@
   async #attempt(
     completion: Completion,
     view: routing.EngineView,
+    relay: StreamRelay,
   ): Promise<Result<Response, upstream.AttemptFailure>> {
     const { clients, demand } = this.#parts;
     const remainingMs = completion.deadline.remainingMs();
@@ -201,13 +210,14 @@
         completion.gone,
         AbortSignal.timeout(Math.max(1, Math.ceil(remainingMs))),
       ]),
+      ...(relay.hasStarted ? { resume: relay.position } : {}),
     };
     const engine = clients.engine(view);
     const startedAtMs = core.monotonicMs();
     view.ownInProgress++;
     try {
       const answer = completion.streams
-        ? await this.#stream(completion, engine, attempt)
+        ? await this.#stream(engine, attempt, relay)
         : await this.#complete(completion, engine, attempt);
       if (answer.isOk()) {
         const durationMs = core.monotonicMs() - startedAtMs;
@@ -234,30 +244,28 @@
   }
 
   async #stream(
-    completion: Completion,
     engine: upstream.Engine,
     attempt: upstream.CompletionAttempt,
+    relay: StreamRelay,
   ): Promise<Result<Response, upstream.AttemptFailure>> {
     const startedAtMs = core.monotonicMs();
     const opened = await engine.stream(attempt);
     if (opened.isErr()) return err(opened.error);
-    const relay = new StreamRelay(completion.context.env.outgoing);
     const failure = await relay.run(opened.value, () => {
       const firstTokenMs = core.monotonicMs() - startedAtMs;
       this.#parts.metrics.time("first_token", firstTokenMs);
     });
     if (failure === undefined) return ok(RESPONSE_ALREADY_SENT);
-    if (!relay.hasStarted) return err(failure);
-    this.#breakStream(completion, relay, failure, attempt.signal.aborted);
-    return ok(RESPONSE_ALREADY_SENT);
+    const fault = attempt.signal.aborted ? "late" : failure.fault;
+    return err({ ...failure, fault });
   }
 
   #breakStream(
     completion: Completion,
     relay: StreamRelay,
-    failure: upstream.AttemptFailure,
-    isLate: boolean,
+    failure: core.Failure,
   ): void {
+    const isLate = completion.deadline.isOver();
     const code = isLate ? core.ANSWER_LATE : core.STREAM_BROKEN;
     relay.break(core.fail(code, failure.detail, "yes"));
     if (completion.gone.aborted) return;
--- a/packages/gateway/gateway_relay.ts
+++ b/packages/gateway/gateway_relay.ts
@@ -17,6 +17,9 @@
 export class StreamRelay {
   readonly #outgoing: Outgoing;
   #started = false;
+  #firstAnswerId = "";
+  #events = 0;
+  #text = "";
 
   constructor(outgoing: Outgoing) {
     this.#outgoing = outgoing;
@@ -27,16 +30,23 @@
     return this.#started;
   }
 
+  /** What the caller has, for another engine to go on from. */
+  get position(): upstream.StreamPosition {
+    return { events: this.#events, text: this.#text };
+  }
+
   /**
-   * Passes a whole stream on, with its end mark.
+   * Passes a stream on, with its end mark if it is whole. A stream that goes
+   * on for another one keeps the first one's id.
    *
    * @returns why the stream is not whole, if it is not; then nothing but
-   * events was written, and `break` must end the answer.
+   * events was written, and another `run` or `break` must end the answer.
    */
   async run(
     stream: upstream.CompletionStream,
     onFirst: () => void,
   ): Promise<upstream.AttemptFailure | undefined> {
+    this.#firstAnswerId ||= stream.answerId;
     for (;;) {
       const next = await stream.events.next();
       if (next.done) {
@@ -44,7 +54,13 @@
         return next.value;
       }
       if (!this.#started) onFirst();
-      await this.#write(`data: ${next.value.dataText}\n\n`);
+      const { dataText, contentText } = next.value;
+      const ownText = stream.answerId === this.#firstAnswerId
+        ? dataText
+        : dataText.replace(stream.answerId, this.#firstAnswerId);
+      this.#events++;
+      this.#text += contentText;
+      await this.#write(`data: ${ownText}\n\n`);
     }
   }
 
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -107,7 +107,6 @@
       leaving: false,
       load: 0,
     }, {
-      suspectAfterMs: checked.peers.suspectAfterMs,
       forgetAfterMs: FORGET_AFTER_MS,
     });
     const dispatcher = new Agent({
@@ -140,10 +139,15 @@
       batchMax: CLAIM_BATCH_MAX,
       writesAtOnceMax: CLAIM_WRITES_AT_ONCE_MAX,
     });
+    const objects = new platform.HttpObjectStore({
+      dispatcher,
+      origin: checked.platform.objectStoreUrl,
+      timeoutMs,
+    });
     this.claimRunner = new claims.ClaimRunner({
       instanceId,
       incarnation,
-      store: new claims.ClaimStore(batcher),
+      store: new claims.ClaimStore(batcher, objects),
       peers: new peers.RemoteClaimPeers(this.peerClients, this.directory),
       unsettledMax: checked.limits.unsettledClaimsMax,
       settleWaitMs: SETTLE_WAIT_MS,
--- a/packages/instance/peers/peers_digest.ts
+++ b/packages/instance/peers/peers_digest.ts
@@ -6,7 +6,7 @@
 import type * as table from "../../table/mod.ts";
 
 /** Members in one digest at most. */
-const MEMBERS_MAX = 8;
+const MEMBERS_MAX = 16;
 /** Engines in one digest at most; what is left goes into the next one. */
 const ENGINES_MAX = 32;
 
@@ -40,10 +40,14 @@
   /** Makes the digest for one peer. */
   make(peerAddress: string): peers.Digest {
     const { directory, fleet, keeper } = this.#parts;
+    const news = directory.takeNews(MEMBERS_MAX);
     return create(peers.DigestSchema, {
       self: peers.toMemberMessage(directory.self),
-      members: directory.newest(MEMBERS_MAX, peerAddress)
-        .map(peers.toMemberMessage),
+      members: news.members.map(peers.toMemberMessage),
+      suspicions: news.suspicions.map((suspicion) => ({
+        ...suspicion,
+        heartbeat: BigInt(suspicion.heartbeat),
+      })),
       tableRevision: BigInt(keeper.snapshot.revision),
       engines: this.#news(peerAddress),
       leavingUpstreams: fleet.leavingIds(),
@@ -53,11 +57,21 @@
   /** Takes a peer's digest; returns the revision of its table. */
   take(digest: peers.Digest): number {
     const { directory, fleet } = this.#parts;
-    directory.noteContact();
-    if (digest.self) directory.merge(peers.fromMemberMessage(digest.self));
+    if (digest.self) {
+      const member = peers.fromMemberMessage(digest.self);
+      directory.merge(member);
+      directory.noteContact(member.instanceId);
+    }
     for (const member of digest.members) {
       directory.merge(peers.fromMemberMessage(member));
     }
+    for (const { instanceId, incarnation, heartbeat } of digest.suspicions) {
+      directory.mergeSuspicion({
+        instanceId: core.brandId(instanceId),
+        incarnation: core.brandId(incarnation),
+        heartbeat: Number(heartbeat),
+      });
+    }
     for (const engine of digest.engines) {
       fleet.mergeLoad(toLoad(engine), Number(engine.ageMs));
     }
--- a/packages/instance/peers/peers_exchange_task.ts
+++ b/packages/instance/peers/peers_exchange_task.ts
@@ -6,6 +6,8 @@
 
 /** Peers told at once when there is news, so that it spreads in few steps. */
 const NEWS_FANOUT = 3;
+/** Peers tried again at once after a failed exchange, at most. */
+const DOUBTFUL_MAX = 4;
 
 /** What the exchange needs. */
 export interface ExchangeOptions {
@@ -78,18 +80,25 @@
   async #exchange(address: string): Promise<void> {
     const { clients, digests } = this.#options;
     const reply = await clients.exchange(address, digests.make(address));
-    if (reply) await this.catchUp(address, digests.take(reply));
+    if (typeof reply === "string") {
+      this.#options.directory.noteUnreached(address, reply === "refused");
+      return;
+    }
+    await this.catchUp(address, digests.take(reply));
   }
 
-  /** The next peers in turn, so that each is met equally often. */
+  /** Doubtful peers, and the next ones in turn, each met equally often. */
   #nextPeers(count: number): string[] {
-    const addresses = this.#options.directory.peerAddresses();
+    const { directory } = this.#options;
+    const addresses = directory.peerAddresses();
     if (addresses.length <= count) return addresses;
     const start = this.#turn;
     this.#turn = (this.#turn + count) % addresses.length;
-    return Array.from(
+    const next = Array.from(
       { length: count },
       (_, index) => addresses[(start + index) % addresses.length] ?? "",
     );
+    const doubtful = directory.doubtfulAddresses().slice(0, DOUBTFUL_MAX);
+    return [...new Set([...doubtful, ...next])];
   }
 }
--- a/packages/instance/peers/peers_handlers.ts
+++ b/packages/instance/peers/peers_handlers.ts
@@ -68,6 +68,7 @@
       ratePerS: row.ratePerS,
       waiting: row.waiting,
       serviceMs: row.serviceMs,
+      inProgress: row.inProgress,
     }));
     this.#parts.board.report(core.brandId(report.instanceId), rows);
     this.#parts.onDemand();
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -7,7 +7,11 @@
   toMemberMessage,
 } from "./peers_convert.ts";
 export { PeerDirectory } from "./peers_directory.ts";
-export type { PeerDirectoryOptions, PeerMember } from "./peers_directory.ts";
+export type {
+  PeerDirectoryOptions,
+  PeerMember,
+  PeerSuspicion,
+} from "./peers_directory.ts";
 export { PeerHandlers, registerPeerListener } from "./peers_server.ts";
 export type { PeerListenOptions } from "./peers_server.ts";
 export {
--- a/packages/peers/peers_client.ts
+++ b/packages/peers/peers_client.ts
@@ -62,12 +62,18 @@
     this.#agent = new MeteredAgent(meter);
   }
 
-  /** Swaps digests; undefined when the peer did not answer. */
-  exchange(
+  /** Swaps digests, or tells why the peer did not answer. */
+  async exchange(
     peerAddress: string,
     digest: Digest,
-  ): Promise<Digest | undefined> {
-    return this.#call(() => this.#client(peerAddress).exchange(digest));
+  ): Promise<Digest | "refused" | "silent"> {
+    this.use.calls++;
+    try {
+      return await this.#client(peerAddress).exchange(digest);
+    } catch (thrown) {
+      this.use.failures++;
+      return isConnectionRefused(thrown) ? "refused" : "silent";
+    }
   }
 
   /** Fetches a newer table; undefined when the peer did not answer. */
--- a/packages/peers/peers_directory.ts
+++ b/packages/peers/peers_directory.ts
@@ -18,20 +18,39 @@
   readonly load: number;
 }
 
+/** A word that a member did not answer after its heartbeat had this value. */
+export interface PeerSuspicion {
+  readonly instanceId: core.InstanceId;
+  readonly incarnation: core.Incarnation;
+  readonly heartbeat: number;
+}
+
 interface KnownMember {
   member: PeerMember;
-  /** When the heartbeat last grew, on our own monotonic clock. */
-  advancedAtMs: number;
+  /** Exchanges with it that failed in a row. */
+  failures: number;
+  /** When it came to be suspected, on our monotonic clock. */
+  suspectedAtMs: number | undefined;
+  /** Digests that are still to carry its news. */
+  sendsLeft: number;
 }
 
-/** How long without a heartbeat until a member counts as gone. */
+/** Exchanges in a row that must fail before a silent member is suspected. */
+const FAILURES_UNTIL_SUSPECTED = 2;
+/** News is sent so often, times the digits of the member count in base 2. */
+const SENDS_PER_DOUBLING = 3;
+
+/** How long members are remembered. */
 export interface PeerDirectoryOptions {
-  readonly suspectAfterMs: number;
-  /** A silent member is forgotten after this, unless it is listed. */
+  /** A suspected member is forgotten after this, unless it is listed. */
   readonly forgetAfterMs: number;
 }
 
-/** Known members; the newest heartbeat of each wins. */
+/**
+ * Known members. A member counts as live until an exchange with it fails, so
+ * digests need not carry every heartbeat: they carry what changed. A suspected
+ * member counts as live again as soon as a newer heartbeat of it arrives.
+ */
 export class PeerDirectory {
   readonly #options: PeerDirectoryOptions;
   readonly #known = new Map<core.InstanceId, KnownMember>();
@@ -79,21 +98,55 @@
   }
 
   /** Notes a direct word from a peer. */
-  noteContact(): void {
+  noteContact(instanceId: core.InstanceId): void {
     this.#lastPeerContactMs = core.monotonicMs();
+    const known = this.#known.get(instanceId);
+    if (known) known.failures = 0;
   }
 
-  /** Takes a member's heartbeat if it is news. */
+  /** Notes an exchange that failed; refused means that nothing listens. */
+  noteUnreached(peerAddress: string, refused: boolean): void {
+    for (const known of this.#known.values()) {
+      if (known.member.peerAddress !== peerAddress) continue;
+      known.failures++;
+      if (refused || known.failures >= FAILURES_UNTIL_SUSPECTED) {
+        this.#suspect(known);
+      }
+    }
+  }
+
+  /** Takes a member's description if it is news. */
   merge(member: PeerMember): void {
     if (member.instanceId === this.#self.instanceId) return;
     if (this.#gone.has(member.incarnation)) return;
     const known = this.#known.get(member.instanceId);
-    if (known && !isNewer(member, known.member)) return;
-    if (known && known.member.incarnation !== member.incarnation) {
+    if (known === undefined) {
+      this.#known.set(member.instanceId, {
+        member,
+        failures: 0,
+        suspectedAtMs: undefined,
+        sendsLeft: this.#spread(),
+      });
+      return;
+    }
+    if (!isNewer(member, known.member)) return;
+    if (known.member.incarnation !== member.incarnation) {
       this.#gone.set(known.member.incarnation, core.monotonicMs());
     }
-    const advancedAtMs = core.monotonicMs();
-    this.#known.set(member.instanceId, { member, advancedAtMs });
+    const isNews = known.suspectedAtMs !== undefined ||
+      known.member.incarnation !== member.incarnation ||
+      known.member.leaving !== member.leaving;
+    if (isNews) known.sendsLeft = this.#spread();
+    known.suspectedAtMs = undefined;
+    known.member = member;
+  }
+
+  /** Takes another member's suspicion, unless a newer heartbeat is known. */
+  mergeSuspicion(suspicion: PeerSuspicion): void {
+    const { instanceId, incarnation, heartbeat } = suspicion;
+    const known = this.#known.get(instanceId);
+    if (known?.member.incarnation !== incarnation) return;
+    if (known.member.heartbeat <= heartbeat) this.#suspect(known);
   }
 
   /** Takes the platform's list of entry instances. */
@@ -108,11 +161,10 @@
     this.#forgetSilent();
   }
 
-  /** Members whose heartbeats arrive, this instance among them. */
+  /** Members that are not suspected, this instance among them. */
   live(): PeerMember[] {
-    const limitMs = core.monotonicMs() - this.#options.suspectAfterMs;
     const others = [...this.#known.values()]
-      .filter(({ advancedAtMs }) => advancedAtMs >= limitMs)
+      .filter(({ suspectedAtMs }) => suspectedAtMs === undefined)
       .map(({ member }) => member);
     return [this.#self, ...others];
   }
@@ -148,13 +200,41 @@
     return [...addresses];
   }
 
-  /** The members whose heartbeats advanced last, newest first. */
-  newest(countMax: number, exceptPeerAddress: string): PeerMember[] {
+  /** Peers whose last exchange failed, to be tried again first. */
+  doubtfulAddresses(): string[] {
     return [...this.#known.values()]
-      .filter(({ member }) => member.peerAddress !== exceptPeerAddress)
-      .sort((a, b) => b.advancedAtMs - a.advancedAtMs)
-      .slice(0, countMax)
-      .map(({ member }) => member);
+      .filter(({ failures, suspectedAtMs }) =>
+        failures > 0 && suspectedAtMs === undefined
+      )
+      .map(({ member }) => member.peerAddress);
+  }
+
+  /** What a digest should carry of other members, newest news first. */
+  takeNews(
+    countMax: number,
+  ): { members: PeerMember[]; suspicions: PeerSuspicion[] } {
+    const news = [...this.#known.values()]
+      .filter(({ sendsLeft }) => sendsLeft > 0)
+      .sort((a, b) => b.sendsLeft - a.sendsLeft)
+      .slice(0, countMax);
+    const members: PeerMember[] = [];
+    const suspicions: PeerSuspicion[] = [];
+    for (const known of news) {
+      known.sendsLeft--;
+      if (known.suspectedAtMs === undefined) members.push(known.member);
+      else suspicions.push(toSuspicion(known.member));
+    }
+    return { members, suspicions };
+  }
+
+  #suspect(known: KnownMember): void {
+    if (known.suspectedAtMs !== undefined) return;
+    known.suspectedAtMs = core.monotonicMs();
+    known.sendsLeft = this.#spread();
+  }
+
+  #spread(): number {
+    return SENDS_PER_DOUBLING * Math.ceil(Math.log2(this.#known.size + 2));
   }
 
   #isListedLeaving(instanceId: core.InstanceId): boolean {
@@ -163,10 +243,9 @@
 
   #forgetSilent(): void {
     const limitMs = core.monotonicMs() - this.#options.forgetAfterMs;
-    for (const [id, { advancedAtMs }] of this.#known) {
-      if (advancedAtMs < limitMs && !this.#listed.has(id)) {
-        this.#known.delete(id);
-      }
+    for (const [id, { suspectedAtMs }] of this.#known) {
+      if (suspectedAtMs === undefined || this.#listed.has(id)) continue;
+      if (suspectedAtMs < limitMs) this.#known.delete(id);
     }
     for (const [incarnation, goneAtMs] of this.#gone) {
       if (goneAtMs < limitMs) this.#gone.delete(incarnation);
@@ -174,6 +253,11 @@
   }
 }
 
+function toSuspicion(member: PeerMember): PeerSuspicion {
+  const { instanceId, incarnation, heartbeat } = member;
+  return { instanceId, incarnation, heartbeat };
+}
+
 function isNewer(member: PeerMember, known: PeerMember): boolean {
   if (member.incarnation !== known.incarnation) return true;
   return member.heartbeat > known.heartbeat;
--- /dev/null
+++ b/packages/peers/tests/unit/peers_test.ts
@@ -0,0 +1,139 @@
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import type * as platform from "../../../platform/mod.ts";
+import * as peers from "../../mod.ts";
+
+function member(
+  id: string,
+  change: Partial<peers.PeerMember> = {},
+): peers.PeerMember {
+  return {
+    instanceId: core.brandId<core.InstanceId>(id),
+    incarnation: core.brandId<core.Incarnation>(`in-${id}`),
+    callerAddress: `http://127.0.0.1/${id}`,
+    peerAddress: `http://127.0.0.1/peer-${id}`,
+    failureDomain: "calama",
+    heartbeat: 5,
+    leaving: false,
+    load: 0,
+    ...change,
+  };
+}
+
+function makeDirectory(...ids: string[]): peers.PeerDirectory {
+  const directory = new peers.PeerDirectory(member("self"), {
+    forgetAfterMs: 0,
+  });
+  for (const id of ids) directory.merge(member(id));
+  return directory;
+}
+
+function liveIds(directory: peers.PeerDirectory): string[] {
+  return directory.live().map(({ instanceId }) => String(instanceId));
+}
+
+function addressOf(id: string): string {
+  return member(id).peerAddress;
+}
+
+test("a member is suspected after two silent exchanges in a row", (t) => {
+  const directory = makeDirectory("a", "b");
+  directory.noteUnreached(addressOf("a"), false);
+  t.deepEqual(liveIds(directory), ["self", "a", "b"]);
+  t.deepEqual(directory.doubtfulAddresses(), [addressOf("a")]);
+  directory.noteContact(member("a").instanceId);
+  directory.noteUnreached(addressOf("a"), false);
+  t.deepEqual(liveIds(directory), ["self", "a", "b"]);
+  directory.noteUnreached(addressOf("a"), false);
+  t.deepEqual(liveIds(directory), ["self", "b"]);
+});
+
+test("a refused connection is enough", (t) => {
+  const directory = makeDirectory("a");
+  directory.noteUnreached(addressOf("a"), true);
+  t.deepEqual(liveIds(directory), ["self"]);
+});
+
+test("a newer heartbeat clears a suspicion, an equal one does not", (t) => {
+  const directory = makeDirectory("a");
+  directory.noteUnreached(addressOf("a"), true);
+  directory.merge(member("a"));
+  t.deepEqual(liveIds(directory), ["self"]);
+  directory.merge(member("a", { heartbeat: 6 }));
+  t.deepEqual(liveIds(directory), ["self", "a"]);
+});
+
+interface SuspicionCase {
+  readonly name: string;
+  readonly change: Partial<peers.PeerSuspicion>;
+  readonly isLive: boolean;
+}
+
+const suspicions: SuspicionCase[] = [
+  { name: "at the heartbeat known", change: {}, isLive: false },
+  { name: "at a newer heartbeat", change: { heartbeat: 9 }, isLive: false },
+  { name: "at an older heartbeat", change: { heartbeat: 4 }, isLive: true },
+  {
+    name: "of another incarnation",
+    change: { incarnation: core.brandId<core.Incarnation>("in-old") },
+    isLive: true,
+  },
+];
+
+for (const { name, change, isLive } of suspicions) {
+  test(`a suspicion ${name}`, (t) => {
+    const directory = makeDirectory("a");
+    const { instanceId, incarnation, heartbeat } = member("a");
+    directory.mergeSuspicion({ instanceId, incarnation, heartbeat, ...change });
+    t.is(liveIds(directory).includes("a"), isLive);
+  });
+}
+
+test("an old incarnation never comes back", (t) => {
+  const directory = makeDirectory("a");
+  const incarnation = core.brandId<core.Incarnation>("in-a2");
+  directory.merge(member("a", { incarnation, heartbeat: 1 }));
+  directory.merge(member("a", { heartbeat: 99 }));
+  t.is(directory.find(member("a").instanceId)?.incarnation, incarnation);
+});
+
+test("news is sent a bounded number of times", (t) => {
+  const directory = makeDirectory("a", "b", "c");
+  let sends = 0;
+  while (directory.takeNews(16).members.length > 0) sends++;
+  t.true(sends > 2 && sends < 20, `${sends}`);
+  directory.merge(member("a", { heartbeat: 6 }));
+  t.is(directory.takeNews(16).members.length, 0);
+  directory.merge(member("a", { heartbeat: 7, leaving: true }));
+  t.is(directory.takeNews(16).members.length, 1);
+  directory.noteUnreached(addressOf("b"), true);
+  const { suspicions } = directory.takeNews(16);
+  t.is(suspicions.length, 1);
+  t.is(suspicions[0]?.instanceId, member("b").instanceId);
+});
+
+test("leaving members are live, but not active", (t) => {
+  const directory = makeDirectory("a", "b");
+  directory.merge(member("a", { heartbeat: 6, leaving: true }));
+  const listed: platform.ListedInstance = {
+    id: "b",
+    kind: "entry",
+    address: "http://127.0.0.1/b",
+    failureDomain: "calama",
+    state: "leaving",
+  };
+  directory.mergeList([listed]);
+  t.is(directory.live().length, 3);
+  t.is(directory.active().length, 1);
+});
+
+test("gone is who is neither listed nor known, after a list was read", (t) => {
+  const directory = makeDirectory("a");
+  const [a, b] = [member("a").instanceId, member("b").instanceId];
+  t.false(directory.isGone(b));
+  directory.mergeList([]);
+  t.true(directory.isGone(b));
+  t.false(directory.isGone(a));
+  directory.noteUnreached(addressOf("a"), true);
+  t.false(directory.isGone(a));
+});
--- a/packages/placement/placement_demand.ts
+++ b/packages/placement/placement_demand.ts
@@ -9,12 +9,15 @@
   readonly waiting: number;
   /** Average time that a request occupies an engine, in milliseconds. */
   readonly serviceMs: number;
+  /** Requests that have not ended, the waiting ones among them. */
+  readonly inProgress: number;
 }
 
 interface LocalRow {
   arrivals: number;
   ratePerS: number;
   waiting: number;
+  inProgress: number;
   serviceMs: number;
   /** Refused requests still count as waiting until then. */
   wantedUntilMs: number;
@@ -30,9 +33,14 @@
   readonly #rows = new Map<core.RowName, LocalRow>();
   #lastRollMs = core.monotonicMs();
 
-  /** Notes a request. */
-  arrive(rowName: core.RowName): void {
-    this.#row(rowName).arrivals++;
+  /** Notes a request; call the result when it ends. */
+  begin(rowName: core.RowName): core.Cleanup {
+    const row = this.#row(rowName);
+    row.arrivals++;
+    row.inProgress++;
+    return () => {
+      row.inProgress--;
+    };
   }
 
   /** Notes how long a request occupied an engine. */
@@ -76,11 +84,10 @@
       row.arrivals = 0;
       const wanted = row.wantedUntilMs > nowMs ? 1 : 0;
       const waiting = Math.max(row.waiting, wanted);
-      if (row.ratePerS < RATE_FLOOR_PER_S && waiting === 0) {
-        this.#rows.delete(rowName);
-      }
-      const { ratePerS, serviceMs } = row;
-      demands.push({ rowName, ratePerS, waiting, serviceMs });
+      const { ratePerS, serviceMs, inProgress } = row;
+      const isIdle = waiting === 0 && inProgress === 0;
+      if (ratePerS < RATE_FLOOR_PER_S && isIdle) this.#rows.delete(rowName);
+      demands.push({ rowName, ratePerS, waiting, serviceMs, inProgress });
     }
     return demands;
   }
@@ -92,6 +99,7 @@
       arrivals: 0,
       ratePerS: 0,
       waiting: 0,
+      inProgress: 0,
       serviceMs: 0,
       wantedUntilMs: 0,
     };
@@ -176,5 +184,6 @@
     ratePerS: sum.ratePerS + row.ratePerS,
     waiting: sum.waiting + row.waiting,
     serviceMs: Math.max(sum.serviceMs, row.serviceMs),
+    inProgress: sum.inProgress + row.inProgress,
   });
 }
--- a/packages/placement/placement_demand_policy.ts
+++ b/packages/placement/placement_demand_policy.ts
@@ -119,7 +119,8 @@
 
 /** Slots that a row's demand keeps busy. */
 function neededSlots(demand: RowDemand): number {
-  return demand.ratePerS * demand.serviceMs / 1_000 + demand.waiting;
+  const { ratePerS, serviceMs, waiting, inProgress } = demand;
+  return Math.max(ratePerS * serviceMs / 1_000, waiting, inProgress);
 }
 
 /** Busy slots of an artifact's row and, on this engine, its adapters. */
--- a/packages/proofs/tests/unit/answers_test.ts
+++ b/packages/proofs/tests/unit/answers_test.ts
@@ -87,6 +87,36 @@
   });
 }
 
+test.serial("a stream whose engine breaks off goes on elsewhere", async (t) => {
+  const busy = { model: "llama", prompt: "busy", tokens: 2_000 };
+  const crowd = Array.from(
+    { length: 220 },
+    () => testing.complete(origins[0] ?? "", busy),
+  );
+  await testing.until(
+    "both engines hold the model",
+    () => world.engines.every(({ memory }) => memory.isReady("llama@1")),
+  );
+  await Promise.all(crowd);
+  await core.sleep(600);
+  for (const stopped of [1, 2, 3]) {
+    for (const { faults } of world.engines) faults.clear();
+    world.engines[stopped % 2]?.faults.set({ name: "cutStream", match: "go" });
+    const ids = new Set<unknown>();
+    const call = { model: "llama", prompt: `go on ${stopped}`, tokens: 60 };
+    const end = await testing.stream(
+      origins[stopped % 2] ?? "",
+      call,
+      () => undefined,
+      (event) => ids.add(event.id),
+    );
+    t.true(end.whole, JSON.stringify(end.error));
+    t.is(end.text, testing.expectedText(call));
+    t.is(ids.size, 1);
+  }
+  clearFaults();
+});
+
 test.serial("a stream cut before its first token is a problem", async (t) => {
   setFault("cutStream", "early");
   const call = { model: "llama", prompt: "early", tokens: 1 };
--- a/packages/settings/settings_check.ts
+++ b/packages/settings/settings_check.ts
@@ -210,19 +210,14 @@
 function sumFaults(value: Settings): { field: string; message: string }[] {
   const faults: { field: string; message: string }[] = [];
   const { peers, engines, listen, callers, operators } = value;
-  if (engines.silentAfterMs < peers.suspectAfterMs + engines.reportIntervalMs) {
+  const takeOverMs = peers.exchangeIntervalMs * 2 + engines.reportIntervalMs;
+  if (engines.silentAfterMs < takeOverMs) {
     faults.push({
       field: "engines.silentAfterMs",
-      message: "must be at least peers.suspectAfterMs and " +
+      message: "must be at least twice peers.exchangeIntervalMs and " +
         "engines.reportIntervalMs together, so that a new watcher has time",
     });
   }
-  if (peers.suspectAfterMs < peers.exchangeIntervalMs * 3) {
-    faults.push({
-      field: "peers.suspectAfterMs",
-      message: "must be at least three times peers.exchangeIntervalMs",
-    });
-  }
   if (listen.callerPort !== 0 && listen.callerPort === listen.peerPort) {
     faults.push({
       field: "listen.peerPort",
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -133,7 +133,6 @@
     exchangeIntervalMs: ms(1_000),
     fanout: count(2, 64),
     timeoutMs: ms(500),
-    suspectAfterMs: ms(3_000),
   }),
   table: object({ pollIntervalMs: ms(1_200) }),
   drain: object({ entriesMaxAgeMs: ms(3_000, 0), finishMaxMs: ms(120_000) }),
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -71,7 +71,6 @@
     readonly exchangeIntervalMs: number;
     readonly fanout: number;
     readonly timeoutMs: number;
-    readonly suspectAfterMs: number;
   };
   readonly table: { readonly pollIntervalMs: number };
   readonly drain: {
--- a/packages/testing/testing_caller.ts
+++ b/packages/testing/testing_caller.ts
@@ -93,6 +93,7 @@
   origin: string,
   call: CompletionCall,
   onText: (text: string) => void = () => undefined,
+  onEvent: (event: Record<string, unknown>) => void = () => undefined,
 ): Promise<StreamEnd> {
   const answer = await request(`${origin}/v1/chat/completions`, {
     method: "POST",
@@ -104,12 +105,13 @@
     const error = parseBody(await answer.body.text());
     return { status, text: "", whole: false, error };
   }
-  return { status, ...await readStream(answer.body, onText) };
+  return { status, ...await readStream(answer.body, onText, onEvent) };
 }
 
 async function readStream(
   body: AsyncIterable<Uint8Array>,
   onText: (text: string) => void,
+  onEvent: (event: Record<string, unknown>) => void,
 ): Promise<Omit<StreamEnd, "status">> {
   let text = "";
   let whole = false;
@@ -122,6 +124,7 @@
       return;
     }
     const event = parseBody(data);
+    if (event.id !== undefined) onEvent(event);
     if (event.error) error = event.error as Record<string, unknown>;
     const choices = event.choices as
       | { delta: { content?: string } }[]
--- a/packages/testing/testing_settings.ts
+++ b/packages/testing/testing_settings.ts
@@ -60,7 +60,7 @@
       silentAfterMs: 2_500,
     },
     placement: { residentMinMs: 1_000, intervalMs: 100 },
-    peers: { exchangeIntervalMs: 200, timeoutMs: 300, suspectAfterMs: 1_500 },
+    peers: { exchangeIntervalMs: 200, timeoutMs: 300 },
     table: { pollIntervalMs: 500 },
     drain: { entriesMaxAgeMs: 500 },
   };
--- a/packages/testing/testing_world.ts
+++ b/packages/testing/testing_world.ts
@@ -91,6 +91,7 @@
     const { entries = 2 } = this.#options;
     const names = Array.from({ length: entries }, (_, n) => `entry-${n + 1}`);
     await Promise.all(names.map((name) => this.startEntry(name)));
+    this.entries.sort((a, b) => a.name < b.name ? -1 : 1);
     await this.whenReady();
     const { rows = [] } = this.#options;
     if (rows.length > 0) await this.edit(rows);
--- a/packages/upstream/mod.ts
+++ b/packages/upstream/mod.ts
@@ -6,6 +6,7 @@
   HttpEngine,
   OrderSession,
   PRIORITY_HEADER,
+  RESUMED_HEADER,
   TIME_LEFT_HEADER,
 } from "./upstream_engine.ts";
 export type { HttpEngineOptions } from "./upstream_engine.ts";
@@ -30,4 +31,5 @@
   ServiceAnswer,
   ServiceAttempt,
   StreamEvent,
+  StreamPosition,
 } from "./upstream_types.ts";
--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -20,6 +20,8 @@
 export const PRIORITY_HEADER = "x-priority";
 /** Header with the time left, in milliseconds. */
 export const TIME_LEFT_HEADER = "x-deadline-ms";
+/** Header with which an engine says after how many events it goes on. */
+export const RESUMED_HEADER = "x-resumed-after";
 
 /** Statuses with which an engine says that it ran nothing. */
 const ENGINE_REFUSED_STATUSES = new Set([404, 429, 503]);
@@ -162,13 +164,17 @@
     attempt: CompletionAttempt,
   ): Promise<Result<CompletionStream, AttemptFailure>> {
     const response = await this.#dispatch(attempt);
-    return response.map(({ body }) => ({
-      events: readEvents(
-        body,
-        answerIdOf(attempt.attemptId),
-        this.#options.dropped,
-      ),
-    }));
+    if (response.isErr()) return err(response.error);
+    const { body, headers } = response.value;
+    const from = attempt.resume?.events ?? 0;
+    if (from > 0 && headers[RESUMED_HEADER] !== String(from)) {
+      await body.dump().catch(() => undefined);
+      const detail = "the engine does not resume streams";
+      return err({ fault: "broke", ran: "unknown", detail });
+    }
+    const answerId = answerIdOf(attempt.attemptId);
+    const { dropped } = this.#options;
+    return ok({ answerId, events: readEvents(body, answerId, dropped, from) });
   }
 
   override async openOrderSession(): Promise<
@@ -210,7 +216,7 @@
           [PRIORITY_HEADER]: String(attempt.priority),
           [TIME_LEFT_HEADER]: String(Math.floor(attempt.deadlineMs)),
         },
-        body: attempt.bodyText,
+        body: bodyOf(attempt),
         signal: attempt.signal,
       });
       return await this.#checkHead(attempt, response);
@@ -254,6 +260,12 @@
   }
 }
 
+/** A resumed attempt brings along what the caller already has. */
+function bodyOf({ bodyText, resume }: CompletionAttempt): string {
+  if (resume === undefined) return bodyText;
+  return JSON.stringify({ ...JSON.parse(bodyText), resume });
+}
+
 function afterSending(
   attempt: CompletionAttempt,
   detail: string,
--- a/packages/upstream/upstream_stream.ts
+++ b/packages/upstream/upstream_stream.ts
@@ -13,7 +13,15 @@
 
 interface Chunk {
   readonly id?: unknown;
-  readonly choices?: readonly { readonly finish_reason?: unknown }[];
+  readonly choices?: readonly {
+    readonly finish_reason?: unknown;
+    readonly delta?: { readonly content?: unknown };
+  }[];
+}
+
+/** An event with what its text says, so that it is parsed once. */
+interface ParsedEvent extends StreamEvent {
+  readonly isFinish: boolean;
 }
 
 function parseChunk(dataText: string): Chunk | undefined {
@@ -29,13 +37,15 @@
 export class StreamChecker {
   readonly #answerId: string;
   readonly #dropped: DroppedAnswers;
-  readonly #held = new Map<number, StreamEvent>();
-  #nextSequence = 0;
+  readonly #held = new Map<number, ParsedEvent>();
+  #nextSequence: number;
   #finished = false;
   #done = false;
 
-  constructor(answerId: string, dropped: DroppedAnswers) {
+  /** @param firstSequence where a resumed stream goes on. */
+  constructor(answerId: string, dropped: DroppedAnswers, firstSequence = 0) {
     this.#answerId = answerId;
+    this.#nextSequence = firstSequence;
     this.#dropped = dropped;
   }
 
@@ -60,13 +70,12 @@
       this.#dropped.foreign++;
       return [];
     }
-    const ready = this.#order(message);
-    for (const event of ready) this.#noteFinish(event);
+    const ready = this.#order(message, toEvent(message.data, chunk));
+    if (ready.some(({ isFinish }) => isFinish)) this.#finished = true;
     return ready;
   }
 
-  #order(message: EventSourceMessage): StreamEvent[] {
-    const event = { dataText: message.data };
+  #order(message: EventSourceMessage, event: ParsedEvent): ParsedEvent[] {
     if (message.id === undefined) return [event];
     const sequence = Number(message.id);
     if (sequence < this.#nextSequence || this.#held.has(sequence)) {
@@ -77,8 +86,8 @@
     return this.#release();
   }
 
-  #release(): StreamEvent[] {
-    const ready: StreamEvent[] = [];
+  #release(): ParsedEvent[] {
+    const ready: ParsedEvent[] = [];
     let next = this.#held.get(this.#nextSequence);
     while (next !== undefined) {
       ready.push(next);
@@ -88,11 +97,17 @@
     }
     return ready;
   }
+}
 
-  #noteFinish(event: StreamEvent): void {
-    const reason = parseChunk(event.dataText)?.choices?.[0]?.finish_reason;
-    if (reason !== undefined && reason !== null) this.#finished = true;
-  }
+function toEvent(dataText: string, chunk: Chunk): ParsedEvent {
+  const choice = chunk.choices?.[0];
+  const content = choice?.delta?.content;
+  const reason = choice?.finish_reason;
+  return {
+    dataText,
+    contentText: typeof content === "string" ? content : "",
+    isFinish: reason !== undefined && reason !== null,
+  };
 }
 
 function broken(detail: string): AttemptFailure {
@@ -114,8 +129,9 @@
   body: AsyncIterable<Uint8Array>,
   answerId: string,
   dropped: DroppedAnswers,
+  firstSequence = 0,
 ): AsyncGenerator<StreamEvent, AttemptFailure | undefined> {
-  const checker = new StreamChecker(answerId, dropped);
+  const checker = new StreamChecker(answerId, dropped, firstSequence);
   const decoder = new TextDecoder();
   let arrived: EventSourceMessage[] = [];
   const parser = createParser({ onEvent: (event) => arrived.push(event) });
--- a/packages/upstream/upstream_types.ts
+++ b/packages/upstream/upstream_types.ts
@@ -56,6 +56,14 @@
   readonly priority: number;
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /** What the caller has of the answer, where another engine broke off. */
+  readonly resume?: StreamPosition;
+}
+
+/** How far a stream has come. */
+export interface StreamPosition {
+  readonly events: number;
+  readonly text: string;
 }
 
 /** One attempt at a service call. */
@@ -97,10 +105,14 @@
 export interface StreamEvent {
   /** The event's JSON text, to be passed on as it is. */
   readonly dataText: string;
+  /** The text that it adds to the answer. */
+  readonly contentText: string;
 }
 
 /** A stream whose events all belong to one attempt. */
 export interface CompletionStream {
+  /** Id that every event carries. */
+  readonly answerId: string;
   /** Yields events; the final result tells whether the stream was whole. */
   readonly events: AsyncGenerator<StreamEvent, AttemptFailure | undefined>;
 }
