Keep rows reachable when orders are lost, and when all rows starve

Causes, by reading and then by test: 1. A lost load stayed "on its way" for ever: the planner counted it against the loads at once (three lost orders and no model was loaded again) and took its row for held, so the row was never loaded elsewhere. A lost unload was never sent again. 2. A raised version was loaded only when a request already waited for it.

Change: `placement.orderMaxMs` (30 s) after which an order counts as lost: its bytes stay held, its row is loaded elsewhere, an unload is sent again, its load slot is given on. What was loaded less than a second ago stays even for a starved row; of rows asked for alike the one held longest makes room. New versions are loaded as soon as the table names them.

Ruled out: freeing a lost load's bytes after that time (the order may still arrive on an engine that ignores fencing).

--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -160,10 +160,10 @@
     });
     this.#controller = new ledger.LedgerController({
       incarnation,
-      store: new ledger.LedgerStore(
-        this.store,
-        checked.placement.loadsAtOnceMax,
-      ),
+      store: new ledger.LedgerStore(this.store, {
+        slotsMax: checked.placement.loadsAtOnceMax,
+        slotExpiryMs: checked.placement.orderMaxMs,
+      }),
       honoursFencing: checked.engines.honourFencing,
       orderDelayMaxMs: checked.engines.orderDelayMaxMs,
       logger: this.logger,
@@ -358,6 +358,7 @@
       intervalMs: placed.intervalMs,
       loadsAtOnceMax: placed.loadsAtOnceMax,
       adapterLoadsAtOnceMax: placed.adapterLoadsAtOnceMax,
+      orderMaxMs: placed.orderMaxMs,
     });
   }
 
--- a/packages/instance/placement/placement_task.ts
+++ b/packages/instance/placement/placement_task.ts
@@ -30,12 +30,15 @@
   readonly intervalMs: number;
   readonly loadsAtOnceMax: number;
   readonly adapterLoadsAtOnceMax: number;
+  /** An order not carried out for so long counts as lost. */
+  readonly orderMaxMs: number;
 }
 
 interface PendingOrder {
   readonly upstreamId: core.UpstreamId;
   readonly kind: "model" | "adapter" | "unload";
   readonly transmissionId: core.TransmissionId;
+  readonly sentAtMs: number;
 }
 
 interface KnownRow {
@@ -51,7 +54,8 @@
   readonly #pending = new Map<core.TransmissionId, PendingOrder>();
   readonly #ordering = new Set<core.UpstreamId>();
   readonly #avoidUntilMs = new Map<core.UpstreamId, number>();
-  readonly #residentSinceMs = new Map<string, number>();
+  /** Since when an artifact on an engine is in its state. */
+  readonly #states = new Map<string, { state: string; sinceMs: number }>();
   readonly #alarm = new core.Alarm();
 
   constructor(options: PlacementTaskOptions) {
@@ -85,10 +89,15 @@
   }
 
   async #tick(): Promise<void> {
+    this.#dropLost();
     await this.#lookAtPending();
     const engines = this.#options.fleet.usable();
     await Promise.all(engines.map((view) => this.#refresh(view)));
-    const actions = this.#options.policy.plan(this.#view(engines));
+    const view = this.#view(engines);
+    const actions = [
+      ...this.#lostUnloads(engines),
+      ...this.#options.policy.plan(view),
+    ];
     const byEngine = new Map<core.UpstreamId, placement.PlacementAction[]>();
     for (const action of actions) {
       const list = byEngine.get(action.upstreamId) ?? [];
@@ -99,6 +108,30 @@
     }
   }
 
+  /** Lost orders no longer count against the loads at once. */
+  #dropLost(): void {
+    const limitMs = core.monotonicMs() - this.#options.orderMaxMs;
+    for (const [id, { sentAtMs }] of this.#pending) {
+      if (sentAtMs < limitMs) this.#pending.delete(id);
+    }
+  }
+
+  /** Unloads that were not carried out, to be ordered again. */
+  #lostUnloads(
+    engines: readonly routing.EngineView[],
+  ): placement.PlacementAction[] {
+    return engines.flatMap(({ upstreamId }) => {
+      const entries = this.#rows.get(upstreamId)?.row.entries ?? [];
+      return entries
+        .filter((entry) => entry.state === "unloading")
+        .filter((entry) => this.#isLost(upstreamId, entry))
+        .map(({ artifactId }): placement.PlacementAction => {
+          this.#states.delete(keyOf(upstreamId, artifactId));
+          return { kind: "unload", upstreamId, artifactId };
+        });
+    });
+  }
+
   /** Reads the ledger row of an engine that is new or in change. */
   async #refresh(view: routing.EngineView): Promise<void> {
     const known = this.#rows.get(view.upstreamId);
@@ -206,7 +239,12 @@
     }
     const kind = action.kind === "load" ? action.row.kind : "unload";
     const transmissionId = sent.value;
-    this.#pending.set(transmissionId, { upstreamId, kind, transmissionId });
+    this.#pending.set(transmissionId, {
+      upstreamId,
+      kind,
+      transmissionId,
+      sentAtMs: core.monotonicMs(),
+    });
     metrics.count(action.kind === "load" ? "orders_load" : "orders_unload");
     await this.#reconcile(view);
     return true;
@@ -258,30 +296,50 @@
       slots,
       fill: view.inProgress / slots,
       avoided: this.#isAvoided(view) || this.#ordering.has(view.upstreamId),
-      artifacts: row.entries.map((entry) => ({
-        artifactId: entry.artifactId,
-        rowName: names.get(entry.artifactId),
-        weightBytes: entry.weightBytes,
-        state: entry.state === "resident" ? "resident" : "changing",
-        residentMs: this.#residentMs(view, entry),
-      })),
+      artifacts: row.entries
+        .filter((entry) => !this.#isLostLoad(view.upstreamId, entry))
+        .map((entry) => ({
+          artifactId: entry.artifactId,
+          rowName: names.get(entry.artifactId),
+          weightBytes: entry.weightBytes,
+          state: entry.state === "resident" ? "resident" : "changing",
+          residentMs: entry.state === "resident"
+            ? this.#stateMs(view.upstreamId, entry)
+            : 0,
+        })),
     }];
   }
 
-  #residentMs(view: routing.EngineView, entry: ledger.LedgerEntry): number {
-    const key = `${view.upstreamId}|${entry.artifactId}`;
-    if (entry.state !== "resident") {
-      this.#residentSinceMs.delete(key);
-      return 0;
-    }
+  /** A lost load holds its bytes, but nobody waits for it any more. */
+  #isLostLoad(
+    upstreamId: core.UpstreamId,
+    entry: ledger.LedgerEntry,
+  ): boolean {
+    return entry.state === "loading" && this.#isLost(upstreamId, entry);
+  }
+
+  #isLost(upstreamId: core.UpstreamId, entry: ledger.LedgerEntry): boolean {
+    return this.#stateMs(upstreamId, entry) > this.#options.orderMaxMs;
+  }
+
+  /** For how long an artifact has been seen in its state. */
+  #stateMs(upstreamId: core.UpstreamId, entry: ledger.LedgerEntry): number {
+    const key = keyOf(upstreamId, entry.artifactId);
     const nowMs = core.monotonicMs();
-    const sinceMs = this.#residentSinceMs.get(key);
-    if (sinceMs !== undefined) return nowMs - sinceMs;
-    this.#residentSinceMs.set(key, nowMs);
+    const known = this.#states.get(key);
+    if (known?.state === entry.state) return nowMs - known.sinceMs;
+    this.#states.set(key, { state: entry.state, sinceMs: nowMs });
     return 0;
   }
 }
 
+function keyOf(
+  upstreamId: core.UpstreamId,
+  artifactId: core.ArtifactId,
+): string {
+  return `${upstreamId}|${artifactId}`;
+}
+
 function isChanging(row: ledger.LedgerRow): boolean {
   return row.roleChange !== undefined ||
     row.entries.some(({ state }) => state !== "resident");
--- a/packages/ledger/ledger_store.ts
+++ b/packages/ledger/ledger_store.ts
@@ -8,8 +8,6 @@
 
 const LEDGER_PREFIX = "ledger/";
 const SLOTS_KEY = "slots/weights";
-/** A slot whose load was never resolved is given to others after this. */
-const SLOT_EXPIRY_MS = 60_000;
 const WRITE_ATTEMPTS_MAX = 4;
 const WRITE_PAUSE_MS = 30;
 
@@ -84,14 +82,21 @@
   readonly holders: { transmissionId: string; takenAtMs: number }[];
 }
 
+/** Slots of the weight store, shared by all instances. */
+export interface LoadSlotOptions {
+  readonly slotsMax: number;
+  /** A slot whose load was never resolved is given to others after this. */
+  readonly slotExpiryMs: number;
+}
+
 /** Reads and writes ledger rows. */
 export class LedgerStore {
   readonly #service: platform.TableService;
-  readonly #slotsMax: number;
+  readonly #slots: LoadSlotOptions;
 
-  constructor(service: platform.TableService, slotsMax: number) {
+  constructor(service: platform.TableService, slots: LoadSlotOptions) {
     this.#service = service;
-    this.#slotsMax = slotsMax;
+    this.#slots = slots;
   }
 
   /** Reads an engine's row; undefined when there is none. */
@@ -117,8 +122,8 @@
     if (touchesSlots) {
       slots = await this.#readSlots();
       if (slots === undefined) return { kind: "failed" };
-      slots = changeSlots(slots, write);
-      if (write.takeSlot && slots.holders.length > this.#slotsMax) {
+      slots = changeSlots(slots, write, this.#slots.slotExpiryMs);
+      if (write.takeSlot && slots.holders.length > this.#slots.slotsMax) {
         return { kind: "slotsTaken" };
       }
     }
@@ -179,12 +184,16 @@
   return { kind: "conflict" };
 }
 
-function changeSlots(slots: Slots, write: LedgerWrite): Slots {
+function changeSlots(
+  slots: Slots,
+  write: LedgerWrite,
+  slotExpiryMs: number,
+): Slots {
   const nowMs = Date.now();
   const given = new Set<string>(write.giveSlots ?? []);
   const holders = slots.holders.filter((holder) =>
     !given.has(holder.transmissionId) &&
-    nowMs - holder.takenAtMs < SLOT_EXPIRY_MS
+    nowMs - holder.takenAtMs < slotExpiryMs
   );
   if (write.takeSlot) {
     holders.push({ transmissionId: write.takeSlot, takenAtMs: nowMs });
--- a/packages/ledger/mod.ts
+++ b/packages/ledger/mod.ts
@@ -16,7 +16,11 @@
 } from "./ledger_row.ts";
 export type { LedgerFault, ReconcileOptions } from "./ledger_row.ts";
 export { LedgerStore } from "./ledger_store.ts";
-export type { LedgerWrite, LedgerWriteEnd } from "./ledger_store.ts";
+export type {
+  LedgerWrite,
+  LedgerWriteEnd,
+  LoadSlotOptions,
+} from "./ledger_store.ts";
 export type {
   LedgerArtifact,
   LedgerEntry,
--- a/packages/placement/placement_demand_policy.ts
+++ b/packages/placement/placement_demand_policy.ts
@@ -6,6 +6,7 @@
   Draft,
   type EvictionCost,
   makeReachable,
+  outdated,
   place,
   unreachable,
 } from "./placement_draft.ts";
@@ -34,6 +35,10 @@
 const GROW_FILL_AT_0 = 0.95;
 const GROW_FILL_AT_1 = 0.6;
 const IDLE_COST = 0.001;
+/** What was loaded for a waiting row stays so long even for a starved one. */
+const STARVED_YOUTH_MS = 1_000;
+/** Of rows asked for alike, the one that was held longest makes room. */
+const YOUTH_COST = 0.5;
 
 /** Follows demand, with hysteresis against needless moves. */
 export class DemandPlacement extends PlacementPolicy {
@@ -49,7 +54,7 @@
     const draft = new Draft(view);
     const costOf: EvictionCost = (artifact, engine, _view, wanted) =>
       this.#cost(artifact, engine, view, wanted);
-    for (const row of unreachable(view)) {
+    for (const row of [...unreachable(view), ...outdated(view)]) {
       makeReachable(row, view, draft, costOf);
     }
     this.#grow(view, draft);
@@ -89,9 +94,12 @@
     const row = rowName === undefined ? undefined : view.rows.get(rowName)?.row;
     if (row === undefined || rowName === undefined) return 0;
     const starved = view.waitedMs(wanted.name) > STARVED_AFTER_MS;
-    const isYoung = artifact.residentMs < this.#options.residentMinMs;
+    const { residentMinMs } = this.#options;
+    const youthMs = starved
+      ? Math.min(residentMinMs, STARVED_YOUTH_MS)
+      : residentMinMs;
     const demand = neededSlotsOf(artifact, engine, view);
-    if (isYoung && demand > 0 && !starved) return Infinity;
+    if (artifact.residentMs < youthMs && demand > 0) return Infinity;
     const copies =
       view.engines.filter((other) =>
         other.artifacts.some((held) => held.artifactId === artifact.artifactId)
@@ -101,7 +109,8 @@
       return Infinity;
     }
     const base = demand * row.weight * (isLast ? LAST_COPY_FACTOR : 1);
-    return base + recency(rowName, view) * IDLE_COST * row.weight + IDLE_COST;
+    const youth = YOUTH_COST * 1_000 / (1_000 + artifact.residentMs);
+    return base + youth + recency(rowName, view) * IDLE_COST * row.weight;
   }
 
   /** As `#cost`, but only what nobody asks for may go. */
--- a/packages/placement/placement_draft.ts
+++ b/packages/placement/placement_draft.ts
@@ -198,6 +198,21 @@
   place(row, view, draft, costOf);
 }
 
+/** Rows of which only an older version is held; their callers would wait. */
+export function outdated(view: PlacementView): table.TableRow[] {
+  const held = new Set(
+    view.engines.flatMap(({ artifacts }) =>
+      artifacts.map(({ artifactId }) => artifactId)
+    ),
+  );
+  const names = new Set(
+    [...held].map((artifactId) => table.nameOf(artifactId)),
+  );
+  return [...view.rows.values()]
+    .map(({ row }) => row)
+    .filter((row) => names.has(row.name) && !held.has(table.artifactOf(row)));
+}
+
 /** Rows that callers wait for and nobody holds, most urgent first. */
 export function unreachable(view: PlacementView): table.TableRow[] {
   const rows: table.TableRow[] = [];
--- a/packages/proofs/tests/unit/reachability_test.ts
+++ b/packages/proofs/tests/unit/reachability_test.ts
@@ -100,6 +100,7 @@
       },
       placement: {
         residentMinMs: 500,
+        orderMaxMs: 2_000,
         intervalMs: 100,
         loadsAtOnceMax: 3,
         adapterLoadsAtOnceMax: 24,
@@ -142,6 +143,23 @@
   });
 });
 
+test("every row answers although orders are lost", async (t) => {
+  const world = makeWorld(100);
+  await withWorld(world, async () => {
+    for (const { faults } of world.engines) {
+      faults.set({ name: "dropOrder", count: 2, match: "load" });
+      faults.set({ name: "dropOrder", count: 2, match: "unload" });
+    }
+    await reachAll(t, world, "orders lost");
+    const lost = world.engines
+      .reduce(
+        (sum, { faults }) => sum + (faults.taken.get("dropOrder") ?? 0),
+        0,
+      );
+    t.true(lost >= 4, `${lost} orders lost`);
+  });
+});
+
 test("every row answers while an engine and an entry die", async (t) => {
   const world = makeWorld(100, 3);
   await withWorld(world, async () => {
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -128,6 +128,7 @@
     intervalMs: ms(500),
     attainmentWeight: share(0.7),
     residentMinMs: ms(10_000, 0),
+    orderMaxMs: ms(30_000),
   }),
   peers: object({
     exchangeIntervalMs: ms(1_000),
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -66,6 +66,8 @@
     /** 0 spares moves, 1 spares waiting. */
     readonly attainmentWeight: number;
     readonly residentMinMs: number;
+    /** An order not carried out for so long counts as lost. */
+    readonly orderMaxMs: number;
   };
   readonly peers: {
     readonly exchangeIntervalMs: number;
--- a/packages/table/mod.ts
+++ b/packages/table/mod.ts
@@ -8,6 +8,7 @@
   decodeSnapshot,
   encodeSnapshot,
   makeSnapshot,
+  nameOf,
   rowFaults,
   TableRowCodec,
 } from "./table_codecs.ts";
--- a/packages/table/table_codecs.ts
+++ b/packages/table/table_codecs.ts
@@ -250,6 +250,18 @@
   return faults;
 }
 
+/**
+ * The row that an artifact is a version of.
+ *
+ * @example
+ * ```ts
+ * table.nameOf(artifactId); // "llama" for "llama@1"
+ * ```
+ */
+export function nameOf(artifactId: core.ArtifactId): core.RowName {
+  return core.brandId(artifactId.slice(0, artifactId.lastIndexOf("@")));
+}
+
 /**
  * The artifact that a row's current version is loaded as.
  *
--- a/packages/testing/testing_settings.ts
+++ b/packages/testing/testing_settings.ts
@@ -59,7 +59,7 @@
       controlTimeoutMs: 500,
       silentAfterMs: 2_500,
     },
-    placement: { residentMinMs: 1_000, intervalMs: 100 },
+    placement: { orderMaxMs: 2_000, residentMinMs: 1_000, intervalMs: 100 },
     peers: { exchangeIntervalMs: 200, timeoutMs: 300 },
     table: { pollIntervalMs: 500 },
     drain: { entriesMaxAgeMs: 500 },
