--- a/packages/bench/bench_policies.ts
+++ b/packages/bench/bench_policies.ts
@@ -1,4 +1,5 @@
 /** Policies against their baselines, under load and faults. */
+import process from "node:process";
 import * as core from "../core/mod.ts";
 import type * as settings from "../settings/mod.ts";
 import * as testing from "../testing/mod.ts";
@@ -122,6 +123,7 @@
       kvReserveBytes: 10,
       roleOverheadBytes: 5,
       honoursFencing: true,
+      tellsLoad: process.env.BENCH_TELLS_LOAD === "1",
     },
     weightStore: {
       modelLoadMs: deployment.modelLoadMs,
--- a/packages/fakes/fake_engine.ts
+++ b/packages/fakes/fake_engine.ts
@@ -27,6 +27,8 @@
   readonly loadMs: number;
   /** How late load reports are, in milliseconds. */
   readonly reportLagMs: number;
+  /** Whether answers carry the load of that moment. */
+  readonly tellsLoad?: boolean;
 }
 
 interface Order {
@@ -285,6 +287,9 @@
       if (gone) this.cancelled++;
       else this.completed++;
       this.answeredPrompts.push(run.text);
+      for (const [name, value] of Object.entries(this.#loadHeaders())) {
+        c.header(name, value);
+      }
       return c.json(this.#wholeAnswer(run));
     } finally {
       release();
@@ -292,6 +297,14 @@
     }
   }
 
+  #loadHeaders(): Record<string, string> {
+    if (!this.options.tellsLoad) return {};
+    return {
+      "x-engine-running": String(this.#queue.running),
+      "x-engine-waiting": String(this.#queue.waiting),
+    };
+  }
+
   #addInProgress(artifactId: string, change: number): void {
     const count = this.#inProgress.get(artifactId) ?? 0;
     this.#inProgress.set(artifactId, count + change);
@@ -332,6 +345,7 @@
       "content-type": "text/event-stream",
       "x-request-id": run.attemptId,
       ...(from > 0 ? { "x-resumed-after": String(from) } : {}),
+      ...this.#loadHeaders(),
     });
     const slow = this.faults.take("slowTokens", run.text);
     const tokenMs = slow?.delayMs ?? this.options.tokenMs;
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -210,6 +210,7 @@
         completion.gone,
         AbortSignal.timeout(Math.max(1, Math.ceil(remainingMs))),
       ]),
+      onLoad: (load) => view.noteAnswered(load),
       ...(relay.hasStarted ? { resume: relay.position } : {}),
     };
     const engine = clients.engine(view);
--- a/packages/instance/peers/peers_list_task.ts
+++ b/packages/instance/peers/peers_list_task.ts
@@ -6,7 +6,7 @@
 
 const INTERVAL_MIN_MS = 1_000;
 /** A long list is read less often, so that its bytes stay bounded. */
-const INTERVAL_PER_INSTANCE_MS = 30;
+const INTERVAL_PER_INSTANCE_MS = 100;
 
 /** Polls the list and tells the directory and the fleet. */
 export class PeersListTask extends core.Task {
--- a/packages/routing/routing_fleet.ts
+++ b/packages/routing/routing_fleet.ts
@@ -63,6 +63,13 @@
     return Math.max(reported + since, this.ownInProgress);
   }
 
+  /** Takes the load that the engine told with an answer. */
+  noteAnswered(answered: upstream.AnsweredLoad): void {
+    if (this.load === undefined) return;
+    this.load = { ...this.load, ...answered };
+    this.ownAtReport = this.ownInProgress;
+  }
+
   /** Notes the end of one of our requests. */
   noteServed(durationMs: number): void {
     this.serviceMs = this.serviceMs === 0
--- a/packages/upstream/mod.ts
+++ b/packages/upstream/mod.ts
@@ -18,6 +18,7 @@
 } from "./upstream_service.ts";
 export { readEvents, StreamChecker } from "./upstream_stream.ts";
 export type {
+  AnsweredLoad,
   AttemptFailure,
   AttemptFault,
   CompletionAttempt,
--- a/packages/upstream/tests/unit/upstream_test.ts
+++ b/packages/upstream/tests/unit/upstream_test.ts
@@ -52,6 +52,7 @@
     capacityBytes: 100,
     kvReserveBytes: 10,
     roleOverheadBytes: 5,
+    tellsLoad: true,
   });
   await fake.start();
   fake.memory.take(ARTIFACT, 20);
@@ -116,6 +117,14 @@
     t.true((await engine.report()).isErr());
   }));
 
+test("engine: the load told with an answer is passed on", (t) =>
+  withEngine(async (engine) => {
+    const loads: upstream.AnsweredLoad[] = [];
+    const onLoad = (load: upstream.AnsweredLoad) => void loads.push(load);
+    await engine.complete(makeAttempt({ onLoad }));
+    t.deepEqual(loads, [{ running: 1, waiting: 0 }]);
+  }));
+
 test("engine: a stream yields each event once, and its end", (t) =>
   withEngine(async (engine, fake) => {
     for (const name of ["doubleChunk", "foreignChunk", "swapChunks"]) {
--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -20,6 +20,10 @@
 export const PRIORITY_HEADER = "x-priority";
 /** Header with the time left, in milliseconds. */
 export const TIME_LEFT_HEADER = "x-deadline-ms";
+/** Headers with which an engine tells its load on every answer. */
+export const RUNNING_HEADER = "x-engine-running";
+export const WAITING_HEADER = "x-engine-waiting";
+
 /** Header with which an engine says after how many events it goes on. */
 export const RESUMED_HEADER = "x-resumed-after";
 
@@ -234,6 +238,7 @@
     response: Dispatcher.ResponseData,
   ): Promise<Result<Dispatcher.ResponseData, AttemptFailure>> {
     const echoed = response.headers[ATTEMPT_HEADER];
+    if (echoed === attempt.attemptId) this.#tellLoad(attempt, response);
     if (echoed !== attempt.attemptId) {
       this.#options.dropped.foreign++;
       await response.body.dump().catch(() => undefined);
@@ -245,6 +250,18 @@
     return err(statusFailure(response.statusCode, bodyText));
   }
 
+  /** Engines that tell their load with answers spare reports of it. */
+  #tellLoad(
+    attempt: CompletionAttempt,
+    { headers }: Dispatcher.ResponseData,
+  ): void {
+    const running = Number(headers[RUNNING_HEADER]);
+    const waiting = Number(headers[WAITING_HEADER]);
+    if (Number.isInteger(running) && Number.isInteger(waiting)) {
+      attempt.onLoad?.({ running, waiting });
+    }
+  }
+
   #checkWhole(
     attempt: CompletionAttempt,
     bodyText: string,
--- a/packages/upstream/upstream_types.ts
+++ b/packages/upstream/upstream_types.ts
@@ -58,6 +58,14 @@
   readonly signal: AbortSignal;
   /** What the caller has of the answer, where another engine broke off. */
   readonly resume?: StreamPosition;
+  /** Called when the engine tells its load with the answer. */
+  readonly onLoad?: (load: AnsweredLoad) => void;
+}
+
+/** An engine's load at the moment of an answer. */
+export interface AnsweredLoad {
+  readonly running: number;
+  readonly waiting: number;
 }
 
 /** How far a stream has come. */
