--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -16,9 +16,11 @@
 } from "./bench_policies.ts";
 import { measureClaims, renderClaims } from "./bench_claims.ts";
 import { measurePath, renderPath } from "./bench_path.ts";
+import { plotPolicies } from "./bench_plot.ts";
 import { DEPLOYMENTS } from "./bench_scenario.ts";
 
-const RESULTS = "bench-results";
+/** Results lie beside the page that explains them. */
+const RESULTS = "docs/bench";
 
 async function save(name: string, result: unknown): Promise<void> {
   await mkdir(RESULTS, { recursive: true });
@@ -60,6 +62,7 @@
     }
   }
   await save("policies", results);
+  await writeFile(`${RESULTS}/policies.svg`, plotPolicies(results));
 }
 
 async function path(): Promise<void> {
--- a/packages/gateway/gateway_relay.ts
+++ b/packages/gateway/gateway_relay.ts
@@ -54,13 +54,7 @@
         return next.value;
       }
       if (!this.#started) onFirst();
-      const { dataText, contentText } = next.value;
-      const ownText = stream.answerId === this.#firstAnswerId
-        ? dataText
-        : dataText.replace(stream.answerId, this.#firstAnswerId);
-      this.#events++;
-      this.#text += contentText;
-      await this.#write(`data: ${ownText}\n\n`);
+      await this.#write(this.#render(next.value, stream.answerId));
     }
   }
 
@@ -71,6 +65,20 @@
     this.#outgoing.end(`event: error\ndata: ${text}\n\n`);
   }
 
+  /** What arrived together is written together. */
+  #render(events: readonly upstream.StreamEvent[], answerId: string): string {
+    let rendered = "";
+    for (const { dataText, contentText } of events) {
+      const ownText = answerId === this.#firstAnswerId
+        ? dataText
+        : dataText.replace(answerId, this.#firstAnswerId);
+      rendered += `data: ${ownText}\n\n`;
+      this.#events++;
+      this.#text += contentText;
+    }
+    return rendered;
+  }
+
   async #write(text: string): Promise<void> {
     if (!this.#started) {
       this.#started = true;
--- a/packages/upstream/tests/unit/upstream_test.ts
+++ b/packages/upstream/tests/unit/upstream_test.ts
@@ -144,7 +144,7 @@
         t.is(next.value, undefined);
         break;
       }
-      text += JSON.parse(next.value.dataText).choices[0].delta.content;
+      for (const { contentText } of next.value) text += contentText;
     }
     t.is(text, fakes.expectedAnswer(ARTIFACT, "x", 4));
   }));
--- a/packages/upstream/upstream_stream.ts
+++ b/packages/upstream/upstream_stream.ts
@@ -120,8 +120,8 @@
  * @returns as the generator's result, why the stream is not whole, if so.
  * @example
  * ```ts
- * for await (const event of readEvents(body, "chatcmpl-at-1", dropped)) {
- *   write(event.dataText);
+ * for await (const events of readEvents(body, "chatcmpl-at-1", dropped)) {
+ *   for (const { dataText } of events) write(dataText);
  * }
  * ```
  */
@@ -130,7 +130,7 @@
   answerId: string,
   dropped: DroppedAnswers,
   firstSequence = 0,
-): AsyncGenerator<StreamEvent, AttemptFailure | undefined> {
+): AsyncGenerator<readonly StreamEvent[], AttemptFailure | undefined> {
   const checker = new StreamChecker(answerId, dropped, firstSequence);
   const decoder = new TextDecoder();
   let arrived: EventSourceMessage[] = [];
@@ -140,7 +140,8 @@
       parser.feed(decoder.decode(bytes, { stream: true }));
       const batch = arrived;
       arrived = [];
-      for (const message of batch) yield* checker.accept(message);
+      const ready = batch.flatMap((message) => checker.accept(message));
+      if (ready.length > 0) yield ready;
       if (checker.isDone) break;
     }
   } catch (thrown) {
--- a/packages/upstream/upstream_types.ts
+++ b/packages/upstream/upstream_types.ts
@@ -121,8 +121,14 @@
 export interface CompletionStream {
   /** Id that every event carries. */
   readonly answerId: string;
-  /** Yields events; the final result tells whether the stream was whole. */
-  readonly events: AsyncGenerator<StreamEvent, AttemptFailure | undefined>;
+  /**
+   * Yields events as they arrive together; the final result tells why the
+   * stream was not whole, if so.
+   */
+  readonly events: AsyncGenerator<
+    readonly StreamEvent[],
+    AttemptFailure | undefined
+  >;
 }
 
 /** Counters of answers that were dropped. */
