Tell of engines' changes alone; begin the policies' runs warm

Change: digests carry what an engine holds, leaves or falls silent as news spread a bounded number of times, its load from its watchers alone, and two engines in turn; a watcher's word "silent" takes the place of each node's own freshness check; `peers.digestEnginesMax`. The runs begin with every model held once.

Bytes and CPU of the new digests are not measured yet.

--- a/packages/bench/bench_policies.ts
+++ b/packages/bench/bench_policies.ts
@@ -2,6 +2,7 @@
 import process from "node:process";
 import * as core from "../core/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import * as table from "../table/mod.ts";
 import * as testing from "../testing/mod.ts";
 import {
   meanSpending,
@@ -100,6 +101,7 @@
   const world = makeWorld(deployment, pair);
   try {
     await world.start();
+    preload(world, deployment);
     return await new PolicyRun(world, deployment, pair, seed).run();
   } finally {
     await world.stop();
@@ -147,6 +149,17 @@
   });
 }
 
+/** The run begins with every model held once, as after a quiet night. */
+function preload(world: testing.World, deployment: Deployment): void {
+  const models = makeRows(deployment).filter(({ kind }) => kind === "model");
+  for (const [n, row] of models.entries()) {
+    const engine = world.engines[n % world.engines.length];
+    const artifactId = String(table.artifactOf(row));
+    engine?.memory.take(artifactId, row.weightBytes);
+    engine?.memory.finish(artifactId);
+  }
+}
+
 class PolicyRun {
   readonly #world: testing.World;
   readonly #deployment: Deployment;
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -42,8 +42,8 @@
 const TABLE_POLL_PER_MEMBER_MS = 12;
 const CONNECT_TIMEOUT_MS = 1_000;
 const MICROS_PER_S = 1_000_000;
-/** Peers hear of an engine so often before it would count as silent. */
-const REFRESHES_UNTIL_SILENT = 4;
+/** Engines are not used after this many times `silentAfterMs` without news. */
+const STALE_FACTOR = 12;
 const SETTLE_WAIT_MS = 500;
 const SETTLE_MAX_MS = 5_000;
 
@@ -92,7 +92,9 @@
 
   constructor(checked: settings.Settings, policies: InstancePolicies = {}) {
     this.#settings = checked;
-    this.fleet = new routing.Fleet(checked.engines.silentAfterMs);
+    this.fleet = new routing.Fleet(
+      checked.engines.silentAfterMs * STALE_FACTOR,
+    );
     const instanceId = core.brandId<core.InstanceId>(checked.instanceId);
     const incarnation = core.randomId<core.Incarnation>("in");
     this.logger = new core.Logger({ instanceId });
@@ -172,7 +174,7 @@
       directory: this.directory,
       fleet: this.fleet,
       keeper: this.keeper,
-      refreshMs: checked.engines.silentAfterMs / REFRESHES_UNTIL_SILENT,
+      enginesMax: checked.peers.digestEnginesMax,
     });
     this.admission = new gateway.GatewayAdmission({
       inProgressMax: checked.limits.inProgressMax,
@@ -325,6 +327,11 @@
         clients: this.#clients,
         reportIntervalMs: engines.reportIntervalMs,
         watchersPerEngine: engines.watchersPerEngine,
+        silentAfterMs: engines.silentAfterMs,
+        onSilent: ({ upstreamId }) => {
+          this.logger.warn("engine_silent", { upstreamId });
+          this.#exchange.pushSoon();
+        },
         supervisor: upstreamsChild.child("watches"),
       }),
     );
--- a/packages/instance/peers/peers_digest.ts
+++ b/packages/instance/peers/peers_digest.ts
@@ -2,44 +2,37 @@
 import { create } from "@bufbuild/protobuf";
 import * as core from "../../core/mod.ts";
 import * as peers from "../../peers/mod.ts";
+import { EngineNewsBook } from "./peers_engine_news.ts";
 import type * as routing from "../../routing/mod.ts";
 import type * as table from "../../table/mod.ts";
 
 /** Members in one digest at most. */
 const MEMBERS_MAX = 16;
-/** Engines in one digest at most; what is left goes into the next one. */
-const ENGINES_MAX = 32;
-
-/** Steps of load, as parts of an engine's slots, that count as news. */
-const LOAD_STEPS = 8;
-
-/** What a peer was last sent about an engine. */
-interface SentEngine {
-  readonly stamp: string;
-  readonly sentAtMs: number;
-}
-
 /** What digests are made of. */
 export interface DigestParts {
   readonly directory: peers.PeerDirectory;
   readonly fleet: routing.Fleet;
   readonly keeper: table.TableKeeper;
-  /** An engine is told of again after this, also when nothing changed. */
-  readonly refreshMs: number;
+  /** Engines in one digest at most. */
+  readonly enginesMax: number;
 }
 
-/** Makes digests with what a peer has not been sent yet. */
+/** Makes digests of what changed, and takes those of others. */
 export class DigestBook {
   readonly #parts: DigestParts;
-  readonly #sentByPeer = new Map<string, Map<core.UpstreamId, SentEngine>>();
+  readonly #engineNews: EngineNewsBook;
 
   constructor(parts: DigestParts) {
     this.#parts = parts;
+    this.#engineNews = new EngineNewsBook(
+      parts.fleet,
+      () => parts.directory.live().length,
+    );
   }
 
-  /** Makes the digest for one peer. */
-  make(peerAddress: string): peers.Digest {
-    const { directory, fleet, keeper } = this.#parts;
+  /** Makes the next digest. */
+  make(): peers.Digest {
+    const { directory, fleet, keeper, enginesMax } = this.#parts;
     const news = directory.takeNews(MEMBERS_MAX);
     return create(peers.DigestSchema, {
       self: peers.toMemberMessage(directory.self),
@@ -49,7 +42,7 @@
         heartbeat: BigInt(suspicion.heartbeat),
       })),
       tableRevision: BigInt(keeper.snapshot.revision),
-      engines: this.#news(peerAddress),
+      engines: this.#engineNews.take(enginesMax).flatMap(toEngineDigest),
       leavingUpstreams: fleet.leavingIds(),
     });
   }
@@ -78,60 +71,21 @@
     for (const id of digest.leavingUpstreams) fleet.noteLeaving(id);
     return Number(digest.tableRevision);
   }
-
-  #news(peerAddress: string): peers.EngineDigest[] {
-    let sent = this.#sentByPeer.get(peerAddress);
-    if (!sent) {
-      sent = new Map();
-      this.#sentByPeer.set(peerAddress, sent);
-    }
-    const nowMs = core.monotonicMs();
-    const dueMs = nowMs - this.#parts.refreshMs;
-    const news = this.#parts.fleet.engines
-      .filter((view) => isNews(view, sent.get(view.upstreamId), dueMs))
-      .sort((a, b) => b.observedAtMs - a.observedAtMs)
-      .slice(0, ENGINES_MAX);
-    for (const view of news) {
-      const stamp = stampOf(view);
-      sent.set(view.upstreamId, { stamp, sentAtMs: nowMs });
-    }
-    return news.flatMap(({ load, observedAtMs }) =>
-      load ? [toEngineDigest(load, observedAtMs)] : []
-    );
-  }
-}
-
-function isNews(
-  view: routing.EngineView,
-  sent: SentEngine | undefined,
-  dueMs: number,
-): boolean {
-  if (view.load === undefined) return false;
-  if (sent === undefined || sent.stamp !== stampOf(view)) return true;
-  return sent.sentAtMs < dueMs && view.observedAtMs > sent.sentAtMs;
-}
-
-/** Changes when peers should hear of an engine at once. */
-function stampOf({ load }: routing.EngineView): string {
-  if (load === undefined) return "";
-  const { incarnation, artifacts, leaving, running, waiting, slots } = load;
-  const step = Math.ceil((running + waiting) * LOAD_STEPS / slots);
-  return `${incarnation}|${leaving}|${step}|${artifacts.join()}`;
 }
 
 function toEngineDigest(
-  load: routing.EngineLoad,
-  observedAtMs: number,
-): peers.EngineDigest {
+  { load, observedAtMs }: routing.EngineView,
+): peers.EngineDigest[] {
+  if (load === undefined) return [];
   const ageMs = Math.max(0, core.monotonicMs() - observedAtMs);
-  return create(peers.EngineDigestSchema, {
+  return [create(peers.EngineDigestSchema, {
     ...load,
     artifacts: [...load.artifacts],
     sequence: BigInt(load.sequence),
     ageMs: BigInt(Math.round(ageMs)),
     capacityBytes: BigInt(load.capacityBytes),
     usedBytes: BigInt(load.usedBytes),
-  });
+  })];
 }
 
 function toLoad(digest: peers.EngineDigest): routing.EngineLoad {
@@ -148,5 +102,6 @@
     capacityBytes: Number(digest.capacityBytes),
     usedBytes: Number(digest.usedBytes),
     leaving: digest.leaving,
+    silent: digest.silent,
   };
 }
--- a/packages/instance/peers/peers_exchange_task.ts
+++ b/packages/instance/peers/peers_exchange_task.ts
@@ -79,7 +79,7 @@
 
   async #exchange(address: string): Promise<void> {
     const { clients, digests } = this.#options;
-    const reply = await clients.exchange(address, digests.make(address));
+    const reply = await clients.exchange(address, digests.make());
     if (typeof reply === "string") {
       this.#options.directory.noteUnreached(address, reply === "refused");
       return;
--- a/packages/instance/peers/peers_handlers.ts
+++ b/packages/instance/peers/peers_handlers.ts
@@ -33,7 +33,7 @@
     const revision = digests.take(digest);
     const address = digest.self?.peerAddress ?? "";
     if (address !== "") void exchange.catchUp(address, revision);
-    return digests.make(address);
+    return digests.make();
   }
 
   override table(request: peers.FetchTableRequest): peers.FetchTableReply {
--- a/packages/instance/upstreams/upstreams_watch_task.ts
+++ b/packages/instance/upstreams/upstreams_watch_task.ts
@@ -3,8 +3,11 @@
 import type * as gateway from "../../gateway/mod.ts";
 import type * as peers from "../../peers/mod.ts";
 import * as routing from "../../routing/mod.ts";
+import type * as upstream from "../../upstream/mod.ts";
 
 const ASSIGN_INTERVAL_MS = 500;
+/** Reports in a row that must fail before an engine counts as silent. */
+const FAILURES_UNTIL_SILENT = 2;
 
 /** What watching needs. */
 export interface WatchOptions {
@@ -13,6 +16,8 @@
   readonly clients: gateway.UpstreamClients;
   readonly reportIntervalMs: number;
   readonly watchersPerEngine: number;
+  readonly silentAfterMs: number;
+  readonly onSilent: (view: routing.EngineView) => void;
   readonly supervisor: core.Supervisor;
 }
 
@@ -30,11 +35,32 @@
   }
 
   override async run(signal: AbortSignal): Promise<void> {
-    const { fleet, clients, reportIntervalMs } = this.#options;
+    const { clients, reportIntervalMs } = this.#options;
+    let failures = 0;
+    this.#view.isWatched = true;
     do {
       const report = await clients.engine(this.#view).report();
-      if (report.isOk()) fleet.mergeLoad(routing.toEngineLoad(report.value), 0);
+      failures = report.isOk() ? 0 : failures + 1;
+      report.match(
+        (read) => this.#take(read),
+        () => this.#noteFailure(failures),
+      );
     } while (await core.sleep(core.jitterMs(reportIntervalMs), signal));
+    this.#view.isWatched = false;
+  }
+
+  #take(report: upstream.EngineReport): void {
+    this.#options.fleet.mergeLoad(routing.toEngineLoad(report), 0);
+  }
+
+  /** Nobody else has heard of the engine lately either. */
+  #noteFailure(failures: number): void {
+    const { fleet, silentAfterMs, onSilent } = this.#options;
+    const silentMs = core.monotonicMs() - this.#view.observedAtMs;
+    if (failures < FAILURES_UNTIL_SILENT || silentMs < silentAfterMs) return;
+    if (this.#view.load === undefined || this.#view.load.silent) return;
+    fleet.noteSilent(this.#view);
+    onSilent(this.#view);
   }
 }
 
--- a/packages/routing/routing_fleet.ts
+++ b/packages/routing/routing_fleet.ts
@@ -17,6 +17,8 @@
   readonly capacityBytes: number;
   readonly usedBytes: number;
   readonly leaving: boolean;
+  /** Whether its watchers get no reports from it any more. */
+  readonly silent: boolean;
 }
 
 /** One engine: its listing, its last report, and our own sends to it. */
@@ -34,6 +36,8 @@
   /** Average duration of our recent requests, in milliseconds. */
   serviceMs = 0;
   leavingIncarnation: core.Incarnation | undefined;
+  /** Whether this instance reads the engine's reports itself. */
+  isWatched = false;
 
   constructor(listed: platform.ListedInstance) {
     this.listed = listed;
@@ -87,15 +91,15 @@
 /** Every listed upstream. */
 export class Fleet {
   readonly #listeners = new Set<FleetListener>();
-  readonly #silentAfterMs: number;
+  readonly #staleAfterMs: number;
   readonly #engines = new Map<core.UpstreamId, EngineView>();
   #services: platform.ListedInstance[] = [];
   readonly #leavingSince = new Map<string, number>();
   readonly #serviceAvoidUntilMs = new Map<string, number>();
 
-  /** @param silentAfterMs an engine without news for so long is not used. */
-  constructor(silentAfterMs: number) {
-    this.#silentAfterMs = silentAfterMs;
+  /** @param staleAfterMs an engine without any news for so long is not used. */
+  constructor(staleAfterMs: number) {
+    this.#staleAfterMs = staleAfterMs;
   }
 
   /** Every listed engine. */
@@ -111,10 +115,10 @@
   /** Engines that may be sent new work. */
   usable(): EngineView[] {
     const nowMs = core.monotonicMs();
-    const oldestMs = nowMs - this.#silentAfterMs;
+    const oldestMs = nowMs - this.#staleAfterMs;
     return this.engines.filter((view) =>
-      !view.isLeaving && view.observedAtMs >= oldestMs &&
-      view.avoidUntilMs < nowMs
+      !view.isLeaving && view.load?.silent === false &&
+      view.observedAtMs >= oldestMs && view.avoidUntilMs < nowMs
     );
   }
 
@@ -170,6 +174,11 @@
     if (view) view.leavingIncarnation = view.load?.incarnation;
   }
 
+  /** Notes that a watched engine gives no reports any more. */
+  noteSilent(view: EngineView): void {
+    if (view.load) view.load = { ...view.load, silent: true };
+  }
+
   /** Takes a report or a digest of one, if it is news. */
   mergeLoad(load: EngineLoad, ageMs: number): boolean {
     const view = this.#engines.get(load.upstreamId);
@@ -218,7 +227,9 @@
 ): boolean {
   if (view.load === undefined) return true;
   if (view.load.incarnation === load.incarnation) {
-    return load.sequence > view.load.sequence;
+    const isSilenced = load.silent && !view.load.silent;
+    return load.sequence > view.load.sequence ||
+      (isSilenced && load.sequence === view.load.sequence);
   }
   return observedAtMs > view.observedAtMs;
 }
@@ -247,5 +258,6 @@
     capacityBytes: report.capacityBytes,
     usedBytes: report.kvReserveBytes + report.roleOverheadBytes + weightBytes,
     leaving: report.leaving,
+    silent: false,
   };
 }
--- a/packages/routing/tests/unit/routing_test.ts
+++ b/packages/routing/tests/unit/routing_test.ts
@@ -37,6 +37,7 @@
     capacityBytes: 100,
     usedBytes: 50,
     leaving: false,
+    silent: false,
     ...change,
   };
 }
@@ -116,6 +117,18 @@
   t.is(fleet.engine(core.brandId("a"))?.load?.sequence, 5);
 });
 
+test("a silent engine is not used until a newer report", (t) => {
+  const fleet = makeFleet("a", "b");
+  fleet.mergeLoad(load("a", { sequence: 5 }), 0);
+  fleet.mergeLoad(load("a", { sequence: 4, silent: true }), 0);
+  t.deepEqual(usableIds(fleet), ["a", "b"]);
+  t.true(fleet.mergeLoad(load("a", { sequence: 5, silent: true }), 0));
+  t.deepEqual(usableIds(fleet), ["b"]);
+  t.false(fleet.mergeLoad(load("a", { sequence: 5 }), 0));
+  fleet.mergeLoad(load("a", { sequence: 6 }), 0);
+  t.deepEqual(usableIds(fleet), ["a", "b"]);
+});
+
 test("an engine without news is not used", (t) => {
   const fleet = new routing.Fleet(SILENT_AFTER_MS);
   fleet.mergeList([listed("a")]);
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -133,6 +133,7 @@
   peers: object({
     exchangeIntervalMs: ms(1_000),
     fanout: count(2, 64),
+    digestEnginesMax: count(32, 10_000),
     timeoutMs: ms(500),
   }),
   table: object({ pollIntervalMs: ms(1_200) }),
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -72,6 +72,8 @@
   readonly peers: {
     readonly exchangeIntervalMs: number;
     readonly fanout: number;
+    /** Engines in one digest at most. */
+    readonly digestEnginesMax: number;
     readonly timeoutMs: number;
   };
   readonly table: { readonly pollIntervalMs: number };
