--- a/packages/gateway/gateway_cold.ts
+++ b/packages/gateway/gateway_cold.ts
@@ -22,15 +22,21 @@
     this.#parts = parts;
   }
 
-  /** Waits until an engine holds the row, refusing at once what is too late. */
+  /**
+   * Waits until an engine holds the row, refusing at once what is too late.
+   *
+   * @param answerMs how long the answer itself takes; the wait ends before.
+   */
   async wait(
     row: table.TableRow,
     deadline: core.Deadline,
+    answerMs: number,
     gone: AbortSignal,
   ): Promise<Result<void, core.Failure>> {
     const { demand, onColdRequest, metrics } = this.#parts;
     const expectedMs = this.#expectMs(row);
-    if (deadline.remainingMs() < expectedMs) {
+    const waitMaxMs = deadline.remainingMs() - answerMs;
+    if (waitMaxMs < expectedMs) {
       demand.want(row.name);
       onColdRequest();
       return err(loading(row, expectedMs));
@@ -38,7 +44,7 @@
     const startedAtMs = core.monotonicMs();
     const endWait = demand.wait(row.name);
     onColdRequest();
-    const ready = await this.#untilHeld(row, deadline, gone);
+    const ready = await this.#untilHeld(row, waitMaxMs, gone);
     endWait();
     if (!ready) {
       demand.want(row.name);
@@ -69,7 +75,7 @@
 
   #untilHeld(
     row: table.TableRow,
-    deadline: core.Deadline,
+    waitMaxMs: number,
     gone: AbortSignal,
   ): Promise<boolean> {
     if (this.#isHeld(row)) return Promise.resolve(true);
@@ -81,7 +87,7 @@
         resolve(held);
       };
       const giveUp = () => end(false);
-      const timer = setTimeout(giveUp, deadline.remainingMs());
+      const timer = setTimeout(giveUp, waitMaxMs);
       const unregister = this.#parts.fleet.registerListener(() => {
         if (this.#isHeld(row)) end(true);
       });
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -145,6 +145,7 @@
     const waited = await this.#cold.wait(
       completion.row,
       completion.deadline,
+      this.#answerMs(completion),
       completion.gone,
     );
     if (waited.isErr()) return err(waited.error);
@@ -156,6 +157,17 @@
     return err(core.refuse(core.NO_UPSTREAM, "no engine is live"));
   }
 
+  /** How long an idle engine would take to answer. */
+  #answerMs({ tokensMax }: Completion): number {
+    const loads = this.#parts.fleet.usable().flatMap(({ load }) => load ?? []);
+    if (loads.length === 0) return 0;
+    return Math.min(
+      ...loads.map(({ firstTokenMs, tokenMs }) =>
+        firstTokenMs + tokenMs * tokensMax
+      ),
+    );
+  }
+
   /** Refuses at once what cannot be answered before its deadline. */
   #inTime(
     completion: Completion,
--- a/packages/instance/placement/placement_task.ts
+++ b/packages/instance/placement/placement_task.ts
@@ -11,6 +11,8 @@
 const PENDING_POLL_MS = 40;
 /** No orders to an engine for so long after one could not be sent. */
 const AVOID_MS = 500;
+/** Copies follow an engine's fill averaged over some such time. */
+const FILL_HALF_LIFE_MS = 2_000;
 /** A ledger row with changes on their way is read again after this. */
 const REFRESH_MS = 1_000;
 
@@ -56,6 +58,7 @@
   readonly #avoidUntilMs = new Map<core.UpstreamId, number>();
   /** Since when an artifact on an engine is in its state. */
   readonly #states = new Map<string, { state: string; sinceMs: number }>();
+  readonly #fills = new Map<core.UpstreamId, { fill: number; atMs: number }>();
   readonly #alarm = new core.Alarm();
 
   constructor(options: PlacementTaskOptions) {
@@ -89,6 +92,7 @@
     this.#pending.clear();
     this.#states.clear();
     this.#avoidUntilMs.clear();
+    this.#fills.clear();
   }
 
   async #tick(): Promise<void> {
@@ -297,7 +301,7 @@
       upstreamId: view.upstreamId,
       freeBytes: row.capacityBytes - ledger.heldBytes(row),
       slots,
-      fill: view.inProgress / slots,
+      fill: this.#averageFill(view.upstreamId, view.inProgress / slots),
       avoided: this.#isAvoided(view) || this.#ordering.has(view.upstreamId),
       artifacts: row.entries
         .filter((entry) => !this.#isLostLoad(view.upstreamId, entry))
@@ -313,6 +317,18 @@
     }];
   }
 
+  /** An engine's fill without its momentary peaks. */
+  #averageFill(upstreamId: core.UpstreamId, fill: number): number {
+    const atMs = core.monotonicMs();
+    const known = this.#fills.get(upstreamId);
+    const keep = known === undefined
+      ? 0
+      : 0.5 ** ((atMs - known.atMs) / FILL_HALF_LIFE_MS);
+    const average = (known?.fill ?? 0) * keep + fill * (1 - keep);
+    this.#fills.set(upstreamId, { fill: average, atMs });
+    return average;
+  }
+
   /** A lost load holds its bytes, but nobody waits for it any more. */
   #isLostLoad(
     upstreamId: core.UpstreamId,
