Revert spare copies; keep averaged fill

Conclusion: copies in free room cost moves now and evictions later, and the rows that an engine's loss makes cold come back within the load cap anyway.

--- a/packages/placement/placement_demand_policy.ts
+++ b/packages/placement/placement_demand_policy.ts
@@ -5,7 +5,6 @@
   adaptersOn,
   Draft,
   type EvictionCost,
-  isReadyOn,
   makeReachable,
   outdated,
   place,
@@ -36,14 +35,6 @@
 const GROW_FILL_AT_0 = 0.95;
 const GROW_FILL_AT_1 = 0.6;
 const IDLE_COST = 0.001;
-/** Spare copies are made from this weight of attainment on. */
-const SPARE_FROM_WEIGHT = 0.5;
-/** Load slots that must be free for a spare copy. */
-const SPARE_SLOTS_FREE_MIN = 2;
-/** Busy slots of a model from which on a spare copy is worth a load. */
-const SPARE_FROM_SLOTS = 0.2;
-/** A copy that the others can do without makes room before idle rows do. */
-const SPARE_COST = 0.0005;
 /** What was loaded for a waiting row stays so long even for a starved one. */
 const STARVED_YOUTH_MS = 1_000;
 /** Of rows asked for alike, the one that was held longest makes room. */
@@ -67,34 +58,14 @@
       makeReachable(row, view, draft, costOf);
     }
     this.#grow(view, draft);
-    if (draft.actions.length === 0) this.#spare(view, draft);
     return draft.actions;
   }
 
-  /**
-   * Uses free room for a second copy of the busiest model that has one, so
-   * that an engine's loss leaves it reachable. One copy a plan, only while
-   * load slots are free, and never in place of anything.
-   */
-  #spare(view: PlacementView, draft: Draft): void {
-    if (this.#options.attainmentWeight < SPARE_FROM_WEIGHT) return;
-    if (view.modelLoadsFree < SPARE_SLOTS_FREE_MIN) return;
-    const [busiest] = [...view.rows.values()]
-      .map(({ row }) => row)
-      .filter((row) => row.kind === "model")
-      .filter((row) => {
-        const [holder, ...others] = draft.holders(row);
-        return holder && others.length === 0 && isReadyOn(holder, row);
-      })
-      .map((row) => ({ row, slots: modelSlots(row, view) }))
-      .filter(({ slots }) => slots > SPARE_FROM_SLOTS)
-      .sort((a, b) => b.slots - a.slots);
-    if (busiest) place(busiest.row, view, draft, () => Infinity);
-  }
-
   /** Adds copies of rows whose engines are too full. */
   #grow(view: PlacementView, draft: Draft): void {
-    const limit = growLimit(this.#options.attainmentWeight);
+    const { attainmentWeight } = this.#options;
+    const limit = GROW_FILL_AT_0 +
+      (GROW_FILL_AT_1 - GROW_FILL_AT_0) * attainmentWeight;
     const busy = [...view.demand.values()]
       .map((demand) => ({ demand, row: view.rows.get(demand.rowName)?.row }))
       .sort((a, b) => neededSlots(b.demand) - neededSlots(a.demand));
@@ -134,9 +105,6 @@
         other.artifacts.some((held) => held.artifactId === artifact.artifactId)
       ).length;
     const isLast = copies <= 1;
-    const { attainmentWeight } = this.#options;
-    const leftSlots = (copies - 1) * engine.slots * growLimit(attainmentWeight);
-    if (!isLast && demand < leftSlots) return SPARE_COST;
     if (isLast && demand > 0 && !starved && row.priority > wanted.priority) {
       return Infinity;
     }
@@ -158,22 +126,6 @@
   }
 }
 
-/** Fill of a row's engines above which a copy is added. */
-function growLimit(attainmentWeight: number): number {
-  return GROW_FILL_AT_0 + (GROW_FILL_AT_1 - GROW_FILL_AT_0) * attainmentWeight;
-}
-
-/** Slots that a model and all its adapters keep busy. */
-function modelSlots(model: table.TableRow, view: PlacementView): number {
-  let slots = 0;
-  for (const demand of view.demand.values()) {
-    const row = view.rows.get(demand.rowName)?.row;
-    const isOwn = row?.name === model.name || row?.baseModel === model.name;
-    if (isOwn) slots += neededSlots(demand);
-  }
-  return slots;
-}
-
 /** Slots that a row's demand keeps busy. */
 function neededSlots(demand: RowDemand): number {
   const { ratePerS, serviceMs, waiting, inProgress } = demand;
--- a/packages/placement/placement_draft.ts
+++ b/packages/placement/placement_draft.ts
@@ -92,7 +92,7 @@
 }
 
 /** Whether an engine holds a row's current version, ready to serve. */
-export function isReadyOn(engine: PlacedEngine, row: table.TableRow): boolean {
+function isReadyOn(engine: PlacedEngine, row: table.TableRow): boolean {
   const artifactId = table.artifactOf(row);
   return engine.artifacts.some((held) =>
     held.artifactId === artifactId && held.state === "resident"
