Ask before refusing as isolated, as after a pause

Ruled out: a longer grace (an entry that is cut off would serve old rows past the 3 s); skipping the check under load (it is what a paused process needs).

Change: an entry that counts as isolated first asks the store and all peers, for at most 500 ms and once a second, and takes what newer table they bring; then it serves, or refuses as before.

--- a/packages/gateway/gateway_admission.ts
+++ b/packages/gateway/gateway_admission.ts
@@ -7,12 +7,16 @@
 
 const RETRY_ELSEWHERE_MS = 50;
 const RETRY_FULL_MS = 500;
+/** An isolated instance asks again after this, and refuses at once between. */
+const PROBE_PAUSE_MS = 1_000;
 
 /** What admission asks of the rest of the instance. */
 export interface GatewayAdmissionOptions {
   readonly inProgressMax: number;
   /** Whether neither store nor peer has been heard of for too long. */
   readonly isIsolated: () => boolean;
+  /** Asks store and peers for a word; ends when one came or none will. */
+  readonly probe: () => Promise<void>;
   readonly isTableKnown: () => boolean;
 }
 
@@ -22,6 +26,8 @@
   #phase: GatewayPhase = "serving";
   #inProgress = 0;
   #idle: (() => void) | undefined;
+  #probing: Promise<void> | undefined;
+  #probedAtMs = -Infinity;
 
   constructor(options: GatewayAdmissionOptions) {
     this.#options = options;
@@ -59,11 +65,13 @@
    * @returns the way to leave, or why it is refused.
    * @example
    * ```ts
-   * const leave = admission.enter();
+   * const leave = await admission.enter();
    * if (leave.isErr()) return problem(leave.error);
    * ```
    */
-  enter(): Result<core.Cleanup, core.Failure> {
+  async enter(): Promise<Result<core.Cleanup, core.Failure>> {
+    // A process that was paused has heard nothing lately, but need only ask.
+    if (this.#options.isIsolated()) await this.#probe();
     const refusal = this.#refusal();
     if (refusal) return err(refusal);
     this.#inProgress++;
@@ -79,6 +87,17 @@
     return await Promise.race([idle, core.sleep(waitMs).then(() => false)]);
   }
 
+  /** One probe serves all who wait, and none follows within a pause. */
+  async #probe(): Promise<void> {
+    const isDue = core.monotonicMs() - this.#probedAtMs > PROBE_PAUSE_MS;
+    if (this.#probing === undefined && !isDue) return;
+    this.#probing ??= this.#options.probe().finally(() => {
+      this.#probing = undefined;
+      this.#probedAtMs = core.monotonicMs();
+    });
+    await this.#probing;
+  }
+
   #leave(): void {
     this.#inProgress--;
     if (this.#inProgress === 0) this.#idle?.();
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -75,7 +75,7 @@
     completion: Completion,
   ): Promise<Result<core.Cleanup, core.Failure>> {
     const { admission, limits, demand } = this.#parts;
-    const entered = admission.enter();
+    const entered = await admission.enter();
     if (entered.isErr()) return entered;
     const { row } = completion;
     const ended = demand.begin(row.name);
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -55,7 +55,7 @@
     this.#parts.metrics.count("requests");
     const call = await this.#read(context);
     if (call.isErr()) return this.#failed(context, call.error);
-    const admitted = this.#parts.admission.enter();
+    const admitted = await this.#parts.admission.enter();
     if (admitted.isErr()) return this.#failed(context, admitted.error);
     try {
       const end = call.value.mayRepeat
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -40,6 +40,9 @@
 const LINGER_MS = 6_000;
 /** All members together read the table's revision some 80 times a second. */
 const TABLE_POLL_PER_MEMBER_MS = 12;
+/** How long an instance that has heard of nobody asks before it refuses. */
+const PROBE_MAX_MS = 500;
+const PROBE_POLL_MS = 5;
 const CONNECT_TIMEOUT_MS = 1_000;
 const MICROS_PER_S = 1_000_000;
 /** Engines are not used after this many times `silentAfterMs` without news. */
@@ -88,6 +91,7 @@
   readonly #clients: HttpUpstreamClients;
   readonly #list: platform.InstanceList;
   readonly #tableStore: table.TableStore;
+  readonly #tablePoll: TablePollTask;
   readonly #controller: ledger.LedgerController;
 
   constructor(checked: settings.Settings, policies: InstancePolicies = {}) {
@@ -127,6 +131,15 @@
       timeoutMs,
     });
     this.#tableStore = new table.TableStore(this.store);
+    this.#tablePoll = new TablePollTask(
+      this.#tableStore,
+      this.keeper,
+      () =>
+        Math.max(
+          checked.table.pollIntervalMs,
+          this.directory.live().length * TABLE_POLL_PER_MEMBER_MS,
+        ),
+    );
     this.peerClients = new peers.PeerClients(
       checked.peers.timeoutMs,
       this.#meter,
@@ -179,6 +192,7 @@
     this.admission = new gateway.GatewayAdmission({
       inProgressMax: checked.limits.inProgressMax,
       isIsolated: () => this.#isIsolated(),
+      probe: () => this.#probe(),
       isTableKnown: () => this.keeper.isKnown,
     });
     this.#exchange = new PeersExchangeTask({
@@ -301,19 +315,9 @@
   }
 
   #startTree(): void {
-    const { table: tableSettings, engines } = this.#settings;
+    const { engines } = this.#settings;
     const root = this.#supervisor;
-    root.child("table").start(
-      new TablePollTask(
-        this.#tableStore,
-        this.keeper,
-        () =>
-          Math.max(
-            tableSettings.pollIntervalMs,
-            this.directory.live().length * TABLE_POLL_PER_MEMBER_MS,
-          ),
-      ),
-    );
+    root.child("table").start(this.#tablePoll);
     const peersChild = root.child("peers");
     peersChild.start(
       new PeersListTask(this.#list, this.directory, this.fleet),
@@ -385,6 +389,20 @@
     return silentMs > this.#settings.isolation.graceMs;
   }
 
+  /** Asks store and peers until one has answered, for a bounded time. */
+  async #probe(): Promise<void> {
+    const caughtUp = Promise.all([
+      this.#exchange.pushToAll(),
+      this.#tablePoll.poll(),
+    ]);
+    const deadline = new core.Deadline(PROBE_MAX_MS);
+    while (this.#isIsolated() && !deadline.isOver()) {
+      await core.sleep(PROBE_POLL_MS);
+    }
+    // Whoever answered may have brought a newer table.
+    await Promise.race([caughtUp, core.sleep(deadline.remainingMs())]);
+  }
+
   #gauges(): Readonly<Record<string, number>> {
     const { use } = this.store;
     const cpu = process.cpuUsage();
--- a/packages/instance/table/table_poll_task.ts
+++ b/packages/instance/table/table_poll_task.ts
@@ -22,11 +22,12 @@
 
   override async run(signal: AbortSignal): Promise<void> {
     do {
-      await this.#poll();
+      await this.poll();
     } while (await core.sleep(core.jitterMs(this.#intervalMs()), signal));
   }
 
-  async #poll(): Promise<void> {
+  /** Reads the table now if the store has a newer one. */
+  async poll(): Promise<void> {
     const revision = await this.#store.readRevision();
     if (revision.isErr()) return;
     const isNewer = revision.value > this.#keeper.snapshot.revision;
--- a/packages/proofs/tests/unit/edits_test.ts
+++ b/packages/proofs/tests/unit/edits_test.ts
@@ -251,3 +251,24 @@
       return testing.textOf(answer) === testing.expectedText(call, "2");
     });
   }));
+
+test("an entry that was paused asks before it refuses", (t) =>
+  withWorld(t, { entries: 2, engines: 1, rows }, async (world) => {
+    const [paused] = world.entries;
+    const origin = paused?.ready.callerAddress ?? "";
+    const call = { model: "llama", prompt: "x" };
+    await testing.complete(origin, call);
+    for (let round = 0; round < 3; round++) {
+      paused?.signal("SIGSTOP");
+      await core.sleep(2_500);
+      const answers = Array.from(
+        { length: 8 },
+        () => testing.complete(origin, call),
+      );
+      await core.sleep(50);
+      paused?.signal("SIGCONT");
+      for (const { status, body } of await Promise.all(answers)) {
+        t.is(status, 200, JSON.stringify(body));
+      }
+    }
+  }));
