--- a/packages/instance/tests/unit/instance_test.ts
+++ b/packages/instance/tests/unit/instance_test.ts
@@ -66,7 +66,7 @@
     messages: [{ role: "user", content: "cancel me" }],
     max_tokens: 100_000,
     stream: true,
-  });
+  }, { headers: { "carawaywind-deadline-ms": "600000" } });
   for await (const _chunk of stream) break;
   stream.controller.abort();
   await testing.until("the engine stops", () => cancelled() > before);
