Remove an unused stop and an unused counter

Cause: reading the whole change once more: `Instance.abandon` has no caller, and the counter `claims_replayed` is never counted. Change: both are gone; behaviour stays as it is. Measured: build, format and lint are clean, the instance tests pass; the whole suite was not run again for this.

--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -306,14 +306,6 @@
     this.logger.info("instance_stopped", { idle });
   }
 
-  /** Stops at once, for tests. */
-  async abandon(): Promise<void> {
-    await this.claimRunner.settler.drain(0);
-    await this.#listener.close(0);
-    await this.#supervisor.stop();
-    await this.#lifecycle.close();
-  }
-
   #startTree(): void {
     const { engines } = this.#settings;
     const root = this.#supervisor;
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -45,7 +45,6 @@
   | "failures"
   | "retries"
   | "streams_broken"
-  | "claims_replayed"
   | "orders_load"
   | "orders_unload";
 
