Rename packages/platform to packages/store

Cause: the users' platform gets an adapter in platform/ at the root, and the same word named our own abstract platform services.

--- a/packages/claims/claims_store.ts
+++ b/packages/claims/claims_store.ts
@@ -2,7 +2,7 @@
 import type { Result } from "neverthrow";
 import { Codec, enumeration, number, optional, string } from "purify-ts";
 import * as core from "../core/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 import type { ClaimRequest, ClaimRow, VersionedClaim } from "./claims_types.ts";
 
 const CLAIM_PREFIX = "claims/";
@@ -38,8 +38,8 @@
 /** The part of a table service that claims need. */
 export interface ClaimTransactor {
   transact(
-    transaction: platform.Transaction,
-  ): Promise<Result<platform.TransactOutcome, platform.StoreFailure>>;
+    transaction: store.Transaction,
+  ): Promise<Result<store.TransactOutcome, store.StoreFailure>>;
 }
 
 /**
@@ -58,7 +58,7 @@
 }
 
 /** The part of an object store that claims need. */
-export type ClaimObjects = Pick<platform.ObjectStore, "put" | "get">;
+export type ClaimObjects = Pick<store.ObjectStore, "put" | "get">;
 
 /** Writes claims by compare-and-set. */
 export class ClaimStore {
@@ -116,7 +116,7 @@
   }
 }
 
-function decodeClaim(row: platform.StoredRow): VersionedClaim | undefined {
+function decodeClaim(row: store.StoredRow): VersionedClaim | undefined {
   return core.decodeValue(row.value, ClaimRowCodec).match(
     (claim) => ({
       version: row.version,
--- a/packages/claims/tests/unit/claims_test.ts
+++ b/packages/claims/tests/unit/claims_test.ts
@@ -3,7 +3,7 @@
 import process from "node:process";
 import { err, ok, type Result } from "neverthrow";
 import * as core from "../../../core/mod.ts";
-import type * as platform from "../../../platform/mod.ts";
+import type * as store from "../../../store/mod.ts";
 import * as claims from "../../mod.ts";
 
 type Fault = "none" | "refused" | "lostBefore" | "lostAfter" | "lateEffect";
@@ -14,7 +14,7 @@
 
 /** A store in memory whose writes fail as a schedule says. */
 class FaultyStore implements claims.ClaimTransactor {
-  readonly rows = new Map<string, platform.StoredRow>();
+  readonly rows = new Map<string, store.StoredRow>();
   readonly #faults: Fault[];
   #version = 0;
 
@@ -28,8 +28,8 @@
   }
 
   async transact(
-    transaction: platform.Transaction,
-  ): Promise<Result<platform.TransactOutcome, platform.StoreFailure>> {
+    transaction: store.Transaction,
+  ): Promise<Result<store.TransactOutcome, store.StoreFailure>> {
     await core.sleep(1);
     const lost = { reached: false, detail: "lost", effect: "unknown" } as const;
     switch (this.#faults.shift() ?? "none") {
@@ -48,7 +48,7 @@
     }
   }
 
-  #apply({ checks, writes }: platform.Transaction): platform.TransactOutcome {
+  #apply({ checks, writes }: store.Transaction): store.TransactOutcome {
     const failed = checks.filter(({ key, version }) =>
       (this.rows.get(key)?.version ?? 0) !== version
     );
@@ -74,20 +74,20 @@
   put(
     name: string,
     text: string,
-  ): Promise<Result<void, platform.StoreFailure>> {
+  ): Promise<Result<void, store.StoreFailure>> {
     if (this.isDown) return Promise.resolve(err(OUTAGE));
     this.texts.set(name, text);
     return Promise.resolve(ok(undefined));
   }
 
-  get(name: string): Promise<Result<string, platform.StoreFailure>> {
+  get(name: string): Promise<Result<string, store.StoreFailure>> {
     const text = this.texts.get(name);
     const isFound = text !== undefined && !this.isDown;
     return Promise.resolve(isFound ? ok(text) : err(OUTAGE));
   }
 }
 
-const OUTAGE: platform.StoreFailure = {
+const OUTAGE: store.StoreFailure = {
   effect: "none",
   reached: true,
   detail: "outage",
--- a/packages/gateway/gateway_types.ts
+++ b/packages/gateway/gateway_types.ts
@@ -7,7 +7,7 @@
 import type * as metrics from "../metrics/mod.ts";
 import type * as peers from "../peers/mod.ts";
 import type * as placement from "../placement/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 import type * as routing from "../routing/mod.ts";
 import type * as settings from "../settings/mod.ts";
 import type * as table from "../table/mod.ts";
@@ -25,7 +25,7 @@
 /** Gives clients of upstreams. */
 export abstract class UpstreamClients {
   abstract engine(view: routing.EngineView): upstream.Engine;
-  abstract service(listed: platform.ListedInstance): upstream.PlainService;
+  abstract service(listed: store.ListedInstance): upstream.PlainService;
 }
 
 /** Everything that the gateway's handlers share. */
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -9,7 +9,7 @@
 import * as metrics from "../metrics/mod.ts";
 import * as peers from "../peers/mod.ts";
 import * as placement from "../placement/mod.ts";
-import * as platform from "../platform/mod.ts";
+import * as store from "../store/mod.ts";
 import * as routing from "../routing/mod.ts";
 import type * as settings from "../settings/mod.ts";
 import * as table from "../table/mod.ts";
@@ -74,7 +74,7 @@
   readonly fleet: routing.Fleet;
   readonly admission: gateway.GatewayAdmission;
   readonly claimRunner: claims.ClaimRunner;
-  readonly store: platform.HttpTableService;
+  readonly store: store.HttpTableService;
   readonly peerClients: peers.PeerClients;
   readonly #settings: settings.Settings;
   readonly #lifecycle = new core.Lifecycle();
@@ -89,7 +89,7 @@
   readonly #board = new placement.DemandBoard();
   readonly #digests: DigestBook;
   readonly #clients: HttpUpstreamClients;
-  readonly #list: platform.InstanceList;
+  readonly #list: store.InstanceList;
   readonly #tableStore: table.TableStore;
   readonly #tablePoll: TablePollTask;
   readonly #controller: ledger.LedgerController;
@@ -120,12 +120,12 @@
     });
     this.#lifecycle.own(() => dispatcher.destroy());
     const { timeoutMs } = checked.platform;
-    this.store = new platform.HttpTableService(
+    this.store = new store.HttpTableService(
       dispatcher,
       checked.platform.tableServiceUrl,
       timeoutMs,
     );
-    this.#list = new platform.HttpInstanceList({
+    this.#list = new store.HttpInstanceList({
       dispatcher,
       origin: checked.platform.instanceListUrl,
       timeoutMs,
@@ -150,11 +150,11 @@
       this.#meter,
     );
     this.#lifecycle.own(() => this.#clients.close());
-    const batcher = new platform.TransactBatcher(this.store, {
+    const batcher = new store.TransactBatcher(this.store, {
       batchMax: CLAIM_BATCH_MAX,
       writesAtOnceMax: CLAIM_WRITES_AT_ONCE_MAX,
     });
-    const objects = new platform.HttpObjectStore({
+    const objects = new store.HttpObjectStore({
       dispatcher,
       origin: checked.platform.objectStoreUrl,
       timeoutMs,
--- a/packages/instance/peers/peers_list_task.ts
+++ b/packages/instance/peers/peers_list_task.ts
@@ -1,7 +1,7 @@
 /** Reads the platform's instance list. */
 import * as core from "../../core/mod.ts";
 import type * as peers from "../../peers/mod.ts";
-import type * as platform from "../../platform/mod.ts";
+import type * as store from "../../store/mod.ts";
 import type * as routing from "../../routing/mod.ts";
 
 const INTERVAL_MIN_MS = 1_000;
@@ -11,12 +11,12 @@
 /** Polls the list and tells the directory and the fleet. */
 export class PeersListTask extends core.Task {
   override readonly name = "poll-instance-list";
-  readonly #list: platform.InstanceList;
+  readonly #list: store.InstanceList;
   readonly #directory: peers.PeerDirectory;
   readonly #fleet: routing.Fleet;
 
   constructor(
-    list: platform.InstanceList,
+    list: store.InstanceList,
     directory: peers.PeerDirectory,
     fleet: routing.Fleet,
   ) {
--- a/packages/instance/upstreams/upstreams_clients.ts
+++ b/packages/instance/upstreams/upstreams_clients.ts
@@ -1,7 +1,7 @@
 /** Clients of upstreams, kept by address. */
 import { Agent } from "undici";
 import * as gateway from "../../gateway/mod.ts";
-import type * as platform from "../../platform/mod.ts";
+import type * as store from "../../store/mod.ts";
 import type * as routing from "../../routing/mod.ts";
 import type * as transport from "../../transport/mod.ts";
 import * as upstream from "../../upstream/mod.ts";
@@ -54,7 +54,7 @@
     return engine;
   }
 
-  override service(listed: platform.ListedInstance): upstream.PlainService {
+  override service(listed: store.ListedInstance): upstream.PlainService {
     return new upstream.HttpPlainService(this.#serviceAgent, listed.address);
   }
 
--- a/packages/ledger/ledger_store.ts
+++ b/packages/ledger/ledger_store.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { array, Codec, enumeration, number, optional, string } from "purify-ts";
 import * as core from "../core/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 import { heldBytes } from "./ledger_row.ts";
 import type { LedgerRow, VersionedLedgerRow } from "./ledger_types.ts";
 
@@ -91,10 +91,10 @@
 
 /** Reads and writes ledger rows. */
 export class LedgerStore {
-  readonly #service: platform.TableService;
+  readonly #service: store.TableService;
   readonly #slots: LoadSlotOptions;
 
-  constructor(service: platform.TableService, slots: LoadSlotOptions) {
+  constructor(service: store.TableService, slots: LoadSlotOptions) {
     this.#service = service;
     this.#slots = slots;
   }
@@ -102,7 +102,7 @@
   /** Reads an engine's row; undefined when there is none. */
   async read(
     upstreamId: core.UpstreamId,
-  ): Promise<Result<VersionedLedgerRow | undefined, platform.StoreFailure>> {
+  ): Promise<Result<VersionedLedgerRow | undefined, store.StoreFailure>> {
     const rows = await this.#service.read({
       keys: [LEDGER_PREFIX + upstreamId],
     });
@@ -136,7 +136,7 @@
   ): Promise<LedgerWriteEnd> {
     const key = LEDGER_PREFIX + write.upstreamId;
     const checks = [{ key, version: write.version }];
-    const writes: platform.RowWrite[] = [{
+    const writes: store.RowWrite[] = [{
       key,
       value: core.toJsonValue(write.row),
     }];
@@ -173,7 +173,7 @@
 
 /** A conflict that shows our own row means that a lost write took effect. */
 function ownOrConflict(
-  rows: readonly platform.StoredRow[],
+  rows: readonly store.StoredRow[],
   key: string,
   write: LedgerWrite,
 ): LedgerWriteEnd {
@@ -202,11 +202,11 @@
 }
 
 function decodeRow(
-  row: platform.StoredRow | undefined,
-): Result<VersionedLedgerRow | undefined, platform.StoreFailure> {
+  row: store.StoredRow | undefined,
+): Result<VersionedLedgerRow | undefined, store.StoreFailure> {
   if (row === undefined) return ok(undefined);
   return core.decodeValue(row.value, LedgerRowCodec).match<
-    Result<VersionedLedgerRow | undefined, platform.StoreFailure>
+    Result<VersionedLedgerRow | undefined, store.StoreFailure>
   >(
     (decoded) =>
       ok({ version: row.version, row: decoded as unknown as LedgerRow }),
--- a/packages/ledger/tests/unit/ledger_test.ts
+++ b/packages/ledger/tests/unit/ledger_test.ts
@@ -4,7 +4,7 @@
 import process from "node:process";
 import * as core from "../../../core/mod.ts";
 import * as fakes from "../../../fakes/mod.ts";
-import * as platform from "../../../platform/mod.ts";
+import * as store from "../../../store/mod.ts";
 import * as upstream from "../../../upstream/mod.ts";
 import { Agent } from "undici";
 import * as ledger from "../../mod.ts";
@@ -14,24 +14,24 @@
 const logger = new core.Logger({}, -999);
 
 /** The fake table service, called without a network. */
-class LocalTableService extends platform.TableService {
+class LocalTableService extends store.TableService {
   readonly fake = new fakes.FakeTableService();
   /** Faults for the next writes. */
   faults: ("none" | "refused" | "lostAfter")[] = [];
 
   override read(
-    request: platform.ReadRequest,
-  ): Promise<Result<readonly platform.StoredRow[], platform.StoreFailure>> {
+    request: store.ReadRequest,
+  ): Promise<Result<readonly store.StoredRow[], store.StoreFailure>> {
     const rows = this.fake.read({
       keys: [...request.keys ?? []],
       prefixes: [...request.prefixes ?? []],
     });
-    return Promise.resolve(ok(structuredClone(rows) as platform.StoredRow[]));
+    return Promise.resolve(ok(structuredClone(rows) as store.StoredRow[]));
   }
 
   override transact(
-    transaction: platform.Transaction,
-  ): Promise<Result<platform.TransactOutcome, platform.StoreFailure>> {
+    transaction: store.Transaction,
+  ): Promise<Result<store.TransactOutcome, store.StoreFailure>> {
     const fault = this.faults.shift() ?? "none";
     const lost = { effect: "unknown", reached: false, detail: "lost" } as const;
     const none = { effect: "none", reached: true, detail: "outage" } as const;
@@ -40,7 +40,7 @@
       structuredClone(transaction) as Parameters<
         fakes.FakeTableService["transact"]
       >[0],
-    ) as platform.TransactOutcome;
+    ) as store.TransactOutcome;
     if (fault === "lostAfter") return Promise.resolve(err(lost));
     return Promise.resolve(ok(outcome));
   }
--- a/packages/limits/limits_shares.ts
+++ b/packages/limits/limits_shares.ts
@@ -1,7 +1,7 @@
 /** Limits of requests in progress, shared out over instances. */
 import { Codec, number, record, string } from "purify-ts";
 import * as core from "../core/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 
 const LIMIT_PREFIX = "limits/";
 const ACQUIRE_ATTEMPTS_MAX = 4;
@@ -24,7 +24,7 @@
 export interface LimitSharesOptions {
   readonly instanceId: core.InstanceId;
   readonly incarnation: core.Incarnation;
-  readonly service: platform.TableService;
+  readonly service: store.TableService;
   /** Whether a holder is known to be gone for good. */
   readonly isGone: (instanceId: core.InstanceId) => boolean;
 }
@@ -164,7 +164,7 @@
 
   async #write(
     rowName: core.RowName,
-    stored: platform.StoredRow | undefined,
+    stored: store.StoredRow | undefined,
     shares: Shares,
     ownCount: number,
   ): Promise<"committed" | "conflict" | "failed"> {
@@ -190,7 +190,7 @@
   }
 }
 
-function decodeShares(row: platform.StoredRow | undefined): Shares {
+function decodeShares(row: store.StoredRow | undefined): Shares {
   if (row === undefined) return {};
   return core.decodeValue(row.value, LimitRowCodec)
     .map(({ shares }) => shares)
--- a/packages/limits/tests/unit/limits_test.ts
+++ b/packages/limits/tests/unit/limits_test.ts
@@ -4,14 +4,14 @@
 import process from "node:process";
 import * as core from "../../../core/mod.ts";
 import * as fakes from "../../../fakes/mod.ts";
-import * as platform from "../../../platform/mod.ts";
+import * as store from "../../../store/mod.ts";
 import * as limits from "../../mod.ts";
 
 const ROW = core.brandId<core.RowName>("llama");
 const LIMIT = 5;
 
 /** A table service in memory that loses replies as a schedule says. */
-class LossyTableService extends platform.TableService {
+class LossyTableService extends store.TableService {
   readonly fake = new fakes.FakeTableService();
   readonly #lost: boolean[];
 
@@ -21,16 +21,16 @@
   }
 
   override async read(
-    { keys = [] }: platform.ReadRequest,
-  ): Promise<Result<readonly platform.StoredRow[], platform.StoreFailure>> {
+    { keys = [] }: store.ReadRequest,
+  ): Promise<Result<readonly store.StoredRow[], store.StoreFailure>> {
     await core.sleep(0);
     const rows = this.fake.read({ keys: [...keys] });
-    return ok(structuredClone(rows) as platform.StoredRow[]);
+    return ok(structuredClone(rows) as store.StoredRow[]);
   }
 
   override async transact(
-    transaction: platform.Transaction,
-  ): Promise<Result<platform.TransactOutcome, platform.StoreFailure>> {
+    transaction: store.Transaction,
+  ): Promise<Result<store.TransactOutcome, store.StoreFailure>> {
     await core.sleep(0);
     const outcome = this.fake.transact(
       structuredClone(transaction) as Parameters<
@@ -40,12 +40,12 @@
     if (this.#lost.shift()) {
       return err({ effect: "unknown", reached: false, detail: "lost" });
     }
-    return ok(outcome as platform.TransactOutcome);
+    return ok(outcome as store.TransactOutcome);
   }
 }
 
 function shares(
-  service: platform.TableService,
+  service: store.TableService,
   n: number,
   gone: ReadonlySet<string> = new Set(),
 ): limits.LimitShares {
--- a/packages/peers/peers_directory.ts
+++ b/packages/peers/peers_directory.ts
@@ -1,6 +1,6 @@
 /** Which entry instances live, by heartbeat and by the instance list. */
 import * as core from "../core/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 
 /** One entry instance as its own heartbeat describes it. */
 export interface PeerMember {
@@ -55,7 +55,7 @@
   readonly #options: PeerDirectoryOptions;
   readonly #known = new Map<core.InstanceId, KnownMember>();
   readonly #gone = new Map<core.Incarnation, number>();
-  #listed = new Map<core.InstanceId, platform.ListedInstance>();
+  #listed = new Map<core.InstanceId, store.ListedInstance>();
   #self: PeerMember;
   #lastPeerContactMs = -Infinity;
   #listRead = false;
@@ -150,7 +150,7 @@
   }
 
   /** Takes the platform's list of entry instances. */
-  mergeList(instances: readonly platform.ListedInstance[]): void {
+  mergeList(instances: readonly store.ListedInstance[]): void {
     const others = instances.filter(({ kind, id }) =>
       kind === "entry" && id !== this.#self.instanceId
     );
--- a/packages/peers/tests/unit/peers_test.ts
+++ b/packages/peers/tests/unit/peers_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import * as core from "../../../core/mod.ts";
-import type * as platform from "../../../platform/mod.ts";
+import type * as store from "../../../store/mod.ts";
 import * as peers from "../../mod.ts";
 
 function member(
@@ -115,7 +115,7 @@
 test("leaving members are live, but not active", (t) => {
   const directory = makeDirectory("a", "b");
   directory.merge(member("a", { heartbeat: 6, leaving: true }));
-  const listed: platform.ListedInstance = {
+  const listed: store.ListedInstance = {
     id: "b",
     kind: "entry",
     address: "http://127.0.0.1/b",
--- a/packages/routing/routing_fleet.ts
+++ b/packages/routing/routing_fleet.ts
@@ -1,6 +1,6 @@
 /** The engines and services as this instance knows them. */
 import * as core from "../core/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
 
 /** The part of an engine's report that routing needs. */
@@ -23,7 +23,7 @@
 
 /** One engine: its listing, its last report, and our own sends to it. */
 export class EngineView {
-  listed: platform.ListedInstance;
+  listed: store.ListedInstance;
   load: EngineLoad | undefined;
   /** When the report was true, on our monotonic clock. */
   observedAtMs = -Infinity;
@@ -39,7 +39,7 @@
   /** Whether this instance reads the engine's reports itself. */
   isWatched = false;
 
-  constructor(listed: platform.ListedInstance) {
+  constructor(listed: store.ListedInstance) {
     this.listed = listed;
   }
 
@@ -93,7 +93,7 @@
   readonly #listeners = new Set<FleetListener>();
   readonly #staleAfterMs: number;
   readonly #engines = new Map<core.UpstreamId, EngineView>();
-  #services: platform.ListedInstance[] = [];
+  #services: store.ListedInstance[] = [];
   readonly #leavingSince = new Map<string, number>();
   readonly #serviceAvoidUntilMs = new Map<string, number>();
 
@@ -123,7 +123,7 @@
   }
 
   /** Instances of a service that may be sent new work. */
-  servicesNamed(service: string): platform.ListedInstance[] {
+  servicesNamed(service: string): store.ListedInstance[] {
     const nowMs = core.monotonicMs();
     return this.#services.filter((listed) =>
       listed.service === service && !this.#isServiceLeaving(listed) &&
@@ -154,7 +154,7 @@
   }
 
   /** Takes the platform's list of upstreams. */
-  mergeList(instances: readonly platform.ListedInstance[]): void {
+  mergeList(instances: readonly store.ListedInstance[]): void {
     const engines = instances.filter(({ kind }) => kind === "engine");
     for (const listed of engines) this.#listEngine(listed);
     const ids = new Set(engines.map(({ id }) => id));
@@ -201,14 +201,14 @@
     };
   }
 
-  #listEngine(listed: platform.ListedInstance): void {
+  #listEngine(listed: store.ListedInstance): void {
     const id = core.brandId<core.UpstreamId>(listed.id);
     const known = this.#engines.get(id);
     if (known && known.listed.address === listed.address) known.listed = listed;
     else this.#engines.set(id, new EngineView(listed));
   }
 
-  #isServiceLeaving(listed: platform.ListedInstance): boolean {
+  #isServiceLeaving(listed: store.ListedInstance): boolean {
     return listed.state === "leaving" || this.#leavingSince.has(listed.id);
   }
 
--- a/packages/routing/tests/unit/routing_test.ts
+++ b/packages/routing/tests/unit/routing_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import * as core from "../../../core/mod.ts";
-import type * as platform from "../../../platform/mod.ts";
+import type * as store from "../../../store/mod.ts";
 import * as routing from "../../mod.ts";
 
 const SILENT_AFTER_MS = 5_000;
@@ -8,8 +8,8 @@
 
 function listed(
   id: string,
-  change: Partial<platform.ListedInstance> = {},
-): platform.ListedInstance {
+  change: Partial<store.ListedInstance> = {},
+): store.ListedInstance {
   return {
     id,
     kind: "engine",
--- a/packages/platform/platform_services.ts
+++ b/packages/store/store_services.ts
@@ -3,12 +3,12 @@
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
-import { InstanceListCodec, ManifestCodec } from "./platform_codecs.ts";
+import { InstanceListCodec, ManifestCodec } from "./store_codecs.ts";
 import type {
   ArtifactManifest,
   ListedInstance,
   StoreFailure,
-} from "./platform_types.ts";
+} from "./store_types.ts";
 
 /** Large values by name. */
 export abstract class ObjectStore {
--- a/packages/platform/table_service.ts
+++ b/packages/store/store_table_service.ts
@@ -3,14 +3,14 @@
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
-import { ReadAnswerCodec, TransactAnswerCodec } from "./platform_codecs.ts";
+import { ReadAnswerCodec, TransactAnswerCodec } from "./store_codecs.ts";
 import type {
   ReadRequest,
   StoredRow,
   StoreFailure,
   Transaction,
   TransactOutcome,
-} from "./platform_types.ts";
+} from "./store_types.ts";
 
 /** Transactional rows; the only place where instances agree on anything. */
 export abstract class TableService {
--- a/packages/platform/transact_batcher.ts
+++ b/packages/store/store_transact_batcher.ts
@@ -1,12 +1,12 @@
 /** Groups small transactions into few writes to the table service. */
 import { err, ok, type Result } from "neverthrow";
 import * as core from "../core/mod.ts";
-import type { TableService } from "./table_service.ts";
+import type { TableService } from "./store_table_service.ts";
 import type {
   StoreFailure,
   Transaction,
   TransactOutcome,
-} from "./platform_types.ts";
+} from "./store_types.ts";
 
 type Outcome = Result<TransactOutcome, StoreFailure>;
 
--- a/packages/platform/tests/unit/platform_test.ts
+++ b/packages/store/tests/unit/store_test.ts
@@ -2,7 +2,7 @@
 import { Agent } from "undici";
 import * as core from "../../../core/mod.ts";
 import * as fakes from "../../../fakes/mod.ts";
-import * as platform from "../../mod.ts";
+import * as store from "../../mod.ts";
 
 const TIMEOUT_MS = 200;
 const CLOSED_ORIGIN = "http://127.0.0.1:1";
@@ -12,14 +12,14 @@
 
 async function withStore(
   body: (
-    client: platform.HttpTableService,
+    client: store.HttpTableService,
     fake: fakes.FakeTableService,
   ) => Promise<void>,
 ): Promise<void> {
   const fake = new fakes.FakeTableService();
   await fake.start();
   try {
-    const client = new platform.HttpTableService(
+    const client = new store.HttpTableService(
       dispatcher,
       fake.origin,
       TIMEOUT_MS,
@@ -30,7 +30,7 @@
   }
 }
 
-const insert: platform.Transaction = {
+const insert: store.Transaction = {
   checks: [{ key: "a", version: 0 }],
   writes: [{ key: "a", value: { n: 1 } }],
 };
@@ -73,7 +73,7 @@
 }
 
 test("table service: a refused connection has no effect", async (t) => {
-  const client = new platform.HttpTableService(
+  const client = new store.HttpTableService(
     dispatcher,
     CLOSED_ORIGIN,
     TIMEOUT_MS,
@@ -87,7 +87,7 @@
   const odd = new fakes.FakeObjectStore();
   odd.app.post("/v1/transact", (c) => c.json({ outcome: "maybe" }));
   await odd.start();
-  const client = new platform.HttpTableService(
+  const client = new store.HttpTableService(
     dispatcher,
     odd.origin,
     TIMEOUT_MS,
@@ -100,7 +100,7 @@
 test("batcher: conflicts do not fail the others", (t) =>
   withStore(async (client, fake) => {
     await client.transact(insert);
-    const batcher = new platform.TransactBatcher(client, {
+    const batcher = new store.TransactBatcher(client, {
       batchMax: 10,
       writesAtOnceMax: 1,
     });
@@ -127,7 +127,7 @@
 
 test("batcher: a lost reply is unknown to everyone in the write", (t) =>
   withStore(async (client, fake) => {
-    const batcher = new platform.TransactBatcher(client, {
+    const batcher = new store.TransactBatcher(client, {
       batchMax: 10,
       writesAtOnceMax: 1,
     });
@@ -159,7 +159,7 @@
     origin,
     timeoutMs: TIMEOUT_MS,
   });
-  const objectStore = new platform.HttpObjectStore(at(objects.origin));
+  const objectStore = new store.HttpObjectStore(at(objects.origin));
   t.true((await objectStore.get("a/b")).isErr());
   t.true((await objectStore.put("a/b", "text")).isOk());
   t.is((await objectStore.get("a/b"))._unsafeUnwrap(), "text");
@@ -171,12 +171,12 @@
     state: "leaving",
   };
   list.put(instance);
-  const instanceList = new platform.HttpInstanceList(at(list.origin));
+  const instanceList = new store.HttpInstanceList(at(list.origin));
   const listed = (await instanceList.list())._unsafeUnwrap();
   t.like(listed[0], instance);
   list.put({ ...instance, kind: "toaster" });
   t.true((await instanceList.list()).isErr());
-  const weightStore = new platform.HttpWeightStore(at(weights.origin));
+  const weightStore = new store.HttpWeightStore(at(weights.origin));
   const artifactId = core.brandId<core.ArtifactId>("llama@1");
   const manifest = (await weightStore.manifest(artifactId))._unsafeUnwrap();
   t.is(manifest.artifactId, artifactId);
--- a/packages/table/table_store.ts
+++ b/packages/table/table_store.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { Codec, number, string } from "purify-ts";
 import * as core from "../core/mod.ts";
-import type * as platform from "../platform/mod.ts";
+import type * as store from "../store/mod.ts";
 import { applyEdit, decodeRevisedRow, makeSnapshot } from "./table_codecs.ts";
 import type {
   AcceptedEdit,
@@ -41,7 +41,7 @@
   readonly snapshot: TableSnapshot;
   readonly headVersion: number;
   readonly rowVersions: ReadonlyMap<string, number>;
-  readonly edit: platform.StoredRow | undefined;
+  readonly edit: store.StoredRow | undefined;
 }
 
 type AttemptEnd =
@@ -55,7 +55,7 @@
   STORE_RETRY_AFTER_MS,
 );
 
-function storeFailure(failure: platform.StoreFailure): core.Failure {
+function storeFailure(failure: store.StoreFailure): core.Failure {
   return core.refuse(
     core.STORE_UNAVAILABLE,
     failure.detail,
@@ -74,9 +74,9 @@
 
 /** Reads and edits the table in the table service. */
 export class TableStore {
-  readonly #service: platform.TableService;
+  readonly #service: store.TableService;
 
-  constructor(service: platform.TableService) {
+  constructor(service: store.TableService) {
     this.#service = service;
   }
 
@@ -185,7 +185,7 @@
 
   #afterConflict(
     edit: TableEdit,
-    rows: readonly platform.StoredRow[],
+    rows: readonly store.StoredRow[],
   ): AttemptEnd {
     const editKey = EDIT_PREFIX + edit.editId;
     const known = this.#findEdit(edit, rows.find(({ key }) => key === editKey));
@@ -197,7 +197,7 @@
 
   #findEdit(
     edit: TableEdit,
-    stored: platform.StoredRow | undefined,
+    stored: store.StoredRow | undefined,
   ): AttemptEnd | undefined {
     if (stored === undefined || stored.version === 0) return undefined;
     const record = core.decodeValue(stored.value, EditRecordCodec);
@@ -222,7 +222,7 @@
   }
 }
 
-function revisionOf(head: platform.StoredRow | undefined): number {
+function revisionOf(head: store.StoredRow | undefined): number {
   if (head === undefined) return 0;
   return core.decodeValue(head.value, HeadCodec)
     .map(({ revision }) => revision)
@@ -230,7 +230,7 @@
 }
 
 function toStoredTable(
-  rows: readonly platform.StoredRow[],
+  rows: readonly store.StoredRow[],
   editKey: string | undefined,
 ): StoredTable {
   const head = rows.find(({ key }) => key === HEAD_KEY);
@@ -296,7 +296,7 @@
     `at revision ${revision}`;
 }
 
-function conflictWith(stored: platform.StoredRow): core.Failure {
+function conflictWith(stored: store.StoredRow): core.Failure {
   const name = stored.key.slice(ROW_PREFIX.length);
   const winner = decodeRevisedRow(stored.value).unwrapOr(undefined as never);
   return core.refuse(core.EDIT_CONFLICT, describeWinner(name, winner));
@@ -306,7 +306,7 @@
   edit: TableEdit,
   stored: StoredTable,
   next: TableSnapshot,
-): platform.Transaction {
+): store.Transaction {
   const editKey = EDIT_PREFIX + edit.editId;
   const rowKeys = edit.changes.map(({ name }) => ROW_PREFIX + name);
   const { revision } = next;
