Run on the users' platform: adapter, relay, dispatch, orders, placement

Cause: the product knew rows and OpenAI requests, the platform has routes, opaque bodies, fenced orders and a store with feeds. Change: platform/ decodes names and formats; packages fleet, routes, relay, dispatch, orders and entry serve the whole path; the peers package gains the exchange of digests, placement gains planners of copies and adapters. The node that sends orders turns in an endless loop: each settled account rings the planner, which settles again.

--- a/packages/cli/tests/unit/cli_test.ts
+++ b/packages/cli/tests/unit/cli_test.ts
@@ -18,7 +18,7 @@
   return new Promise((resolve) => {
     execFile(
       process.execPath,
-      ["dist/cli/main.js", ...args],
+      ["dist/packages/cli/main.js", ...args],
       (error, stdout, stderr) => {
         const exitCode = error === null ? 0 : Number(error.code);
         resolve({ exitCode, stdout, stderr });
--- a/packages/core/invariants.ts
+++ b/packages/core/invariants.ts
@@ -6,6 +6,7 @@
   2: "Table revision stepped back",
   3: "Claim dispatched without a committed row",
   4: "Limit share released twice",
+  5: "Two orders on the way to one engine",
 } as const;
 
 /** Thrown when the program contradicts itself. */
--- a/packages/core/log.ts
+++ b/packages/core/log.ts
@@ -1,6 +1,7 @@
 /** Logs: one line of key=value pairs for each event. */
 import { type ConsolaInstance, createConsola, type LogObject } from "consola";
 import process from "node:process";
+import { monotonicMs } from "./clock.ts";
 
 /** A value that a log line can carry. */
 export type LogValue = string | number | boolean | undefined;
@@ -32,10 +33,55 @@
   return pairs.join(" ");
 }
 
-function writeLine(line: LogObject): void {
+/** Takes whole lines, newline included. */
+export type LogOutput = (line: string) => void;
+
+/** Lines written in one second at most: 200 bytes each are 50 KB a second. */
+const LINES_PER_S_MAX = 250;
+/** Bytes that may wait for the reader of standard output. */
+const WAITING_BYTES_MAX = 256 * 1024;
+const MS_PER_S = 1_000;
+
+let windowFromMs = -Infinity;
+let windowLines = 0;
+let droppedLines = 0;
+
+/**
+ * Writes to standard output, never waiting for its reader: lines beyond the
+ * bound are dropped and counted.
+ *
+ * @example
+ * ```ts
+ * const logger = new core.Logger({}, core.toStandardOutput);
+ * ```
+ */
+export function toStandardOutput(line: string): void {
+  const nowMs = monotonicMs();
+  if (nowMs - windowFromMs >= MS_PER_S) {
+    windowFromMs = nowMs;
+    windowLines = 0;
+  }
+  const isFull = ++windowLines > LINES_PER_S_MAX ||
+    process.stdout.writableLength > WAITING_BYTES_MAX;
+  if (isFull) {
+    droppedLines++;
+    return;
+  }
+  if (droppedLines > 0) {
+    process.stdout.write(`event=log_lines_dropped lines=${droppedLines}\n`);
+    droppedLines = 0;
+  }
+  process.stdout.write(line);
+}
+
+function toStandardError(line: string): void {
+  process.stderr.write(line);
+}
+
+function renderLine(line: LogObject): string {
   const text = line.args.map(String).join(" ");
   const head = `time=${line.date.toISOString()} level=${line.type}`;
-  process.stderr.write(`${head} ${text}\n`);
+  return `${head} ${text}\n`;
 }
 
 /** Writes events with fields that stay the same for a whole process. */
@@ -43,9 +89,14 @@
   readonly #consola: ConsolaInstance;
   readonly #common: LogFields;
 
-  constructor(common: LogFields = {}, level = 3) {
+  constructor(
+    common: LogFields = {},
+    output: LogOutput = toStandardError,
+    level = 3,
+  ) {
     this.#common = common;
-    this.#consola = createConsola({ level, reporters: [{ log: writeLine }] });
+    const log = (line: LogObject) => output(renderLine(line));
+    this.#consola = createConsola({ level, reporters: [{ log }] });
   }
 
   /** Logs an ordinary event. */
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -55,8 +55,10 @@
   IdempotencyKey,
   Incarnation,
   InstanceId,
+  ModelName,
   Nonce,
   OperatorId,
+  RequestId,
   RowName,
   ServiceName,
   TransmissionId,
@@ -65,8 +67,8 @@
 export { Lifecycle, mergeCleanups } from "./lifecycle.ts";
 export type { Cleanup } from "./lifecycle.ts";
 export { Alarm, Deadline, jitterMs, monotonicMs, sleep } from "./clock.ts";
-export { Logger, renderEvent } from "./log.ts";
-export type { LogFields, LogValue } from "./log.ts";
+export { Logger, renderEvent, toStandardOutput } from "./log.ts";
+export type { LogFields, LogOutput, LogValue } from "./log.ts";
 export { Supervisor, Task } from "./supervisor.ts";
 export { hash32, rendezvous } from "./rendezvous.ts";
 export { invariant, INVARIANT_MESSAGES, InvariantError } from "./invariants.ts";
--- /dev/null
+++ b/packages/dispatch/dispatch_queue.ts
@@ -0,0 +1,46 @@
+/** Requests that wait for an engine, in the order in which they may go. */
+
+/** One waiting request. */
+export interface WaitingRequest {
+  /** Rank; 0 is the most urgent. */
+  readonly priority: number;
+  readonly arrivedAtMs: number;
+  /** When its first event is still in time. */
+  readonly aimAtMs: number;
+  /** Tries to place the request; true when it has left the queue. */
+  readonly tryPlace: () => boolean;
+}
+
+/**
+ * Orders by rank, then requests that can still be in time before late ones,
+ * then by arrival, so that nothing of one rank starves.
+ */
+export class WaitingQueue {
+  readonly #waiting = new Set<WaitingRequest>();
+
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  /** Adds a request; the returned function takes it out. */
+  add(request: WaitingRequest): () => void {
+    this.#waiting.add(request);
+    return () => {
+      this.#waiting.delete(request);
+    };
+  }
+
+  /** Tries to place every waiting request once, in order. */
+  drain(nowMs: number): void {
+    if (this.#waiting.size === 0) return;
+    const order = [...this.#waiting].sort((a, b) => {
+      if (a.priority !== b.priority) return a.priority - b.priority;
+      const aLate = a.aimAtMs <= nowMs ? 1 : 0;
+      const bLate = b.aimAtMs <= nowMs ? 1 : 0;
+      return aLate - bLate || a.arrivedAtMs - b.arrivedAtMs;
+    });
+    for (const request of order) {
+      if (request.tryPlace()) this.#waiting.delete(request);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/entry_orders_task.ts
@@ -0,0 +1,378 @@
+/** Plans and sends the orders, while this node holds the right to. */
+import * as core from "../core/mod.ts";
+import type * as dispatch from "../dispatch/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import * as orders from "../orders/mod.ts";
+import type * as peers from "../peers/mod.ts";
+import * as placement from "../placement/mod.ts";
+import type { ExchangeHub } from "./entry_exchange.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Interval between plans. */
+const PLAN_INTERVAL_MS = 50;
+/** Time for nodes to hear that a model closes before it is unloaded. */
+const CLOSE_NOTICE_MS = 150;
+/** Time for requests of a closing model to end before it is unloaded. */
+const CLOSE_WAIT_MS = 1_200;
+/** Time that an adapter is expected to take: up to 19 ms on the sheets. */
+const ADAPTER_LOAD_MS = 20;
+/** Loads from the weight store at once, in seconds of the allowed rate. */
+const STORE_LOADS_AT_ONCE_S = 1.4;
+const STORE_LOADS_AT_ONCE_MIN = 2;
+
+/** What one engine holds, as the sender of orders knows it. */
+export interface EngineHoldings {
+  readonly record: fleet.UpstreamRecord;
+  readonly account: orders.EngineAccount;
+}
+
+/** One engine under orders. */
+interface Ordered {
+  readonly sender: orders.OrderSender;
+  readonly closingSinceMs: Map<core.ModelName, number>;
+  storeLoadUntilMs: number;
+}
+
+/** Demand and work over all nodes, as the digests tell. */
+interface Totals {
+  readonly models: Map<core.ModelName, placement.ModelDemand>;
+  readonly adapters: Map<string, placement.AdapterDemand>;
+  /** Requests on the way by engine, then by model or model and adapter. */
+  readonly inFlight: Map<string, Map<string, number>>;
+}
+
+/** Keeps models and adapters where the demand is. */
+export class OrdersTask extends core.Task {
+  override readonly name = "orders";
+  readonly #state: EntryState;
+  readonly #hub: ExchangeHub;
+  readonly #lease: orders.OrderLease;
+  readonly #control: fleet.EngineControl;
+  readonly #ordered = new Map<core.UpstreamId, Ordered>();
+  readonly #lastAskedAtMs = new Map<core.ModelName, number>();
+  #rate: orders.LoadRate | undefined;
+  readonly alarm = new core.Alarm();
+
+  constructor(
+    state: EntryState,
+    hub: ExchangeHub,
+    lease: orders.OrderLease,
+    control: fleet.EngineControl,
+  ) {
+    super();
+    this.#state = state;
+    this.#hub = hub;
+    this.#lease = lease;
+    this.#control = control;
+  }
+
+  /** What engines hold, or undefined while this node sends no orders. */
+  holdings(): readonly EngineHoldings[] | undefined {
+    if (!this.#lease.isHeld || this.#rate === undefined) return undefined;
+    return [...this.#ordered.values()].map(({ sender }) => ({
+      record: sender.record,
+      account: sender.account,
+    }));
+  }
+
+  override async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#lease.isHeld) this.#tick(core.monotonicMs());
+      else this.#forget();
+      await this.alarm.pause(PLAN_INTERVAL_MS, signal);
+    }
+  }
+
+  #forget(): void {
+    this.#ordered.clear();
+    this.#rate = undefined;
+  }
+
+  #tick(nowMs: number): void {
+    this.#rate ??= new orders.LoadRate(nowMs);
+    this.#followList();
+    const totals = sumDigests(this.#hub.digests(nowMs));
+    for (const model of totals.models.keys()) {
+      this.#lastAskedAtMs.set(model, nowMs);
+    }
+    for (const { sender } of this.#ordered.values()) {
+      this.#detach(sender.settle(nowMs));
+    }
+    if (this.#lease.fence !== undefined) {
+      for (const service of this.#state.config?.services.values() ?? []) {
+        if (service.engine) this.#plan(service, service.engine, totals, nowMs);
+      }
+    }
+    this.#applyToBoard(nowMs);
+  }
+
+  /** Keeps one sender for each incarnation of an engine on the list. */
+  #followList(): void {
+    const listed = new Set<core.UpstreamId>();
+    for (const { record } of this.#state.board.all()) {
+      if (!this.#state.config?.services.get(record.service)?.engine) continue;
+      listed.add(record.id);
+      const known = this.#ordered.get(record.id);
+      if (known && known.sender.record.bornMs === record.bornMs) continue;
+      const sender = new orders.OrderSender(
+        record,
+        new orders.EngineAccount(record),
+        {
+          control: this.#control,
+          lease: this.#lease,
+          self: this.#state.settings.nodeName,
+          logger: this.#state.logger,
+        },
+      );
+      this.#ordered.set(record.id, {
+        sender,
+        closingSinceMs: new Map(),
+        storeLoadUntilMs: 0,
+      });
+    }
+    for (const id of this.#ordered.keys()) {
+      if (!listed.has(id)) this.#ordered.delete(id);
+    }
+  }
+
+  #plan(
+    service: fleet.ServiceSpec,
+    spec: fleet.EngineSpec,
+    totals: Totals,
+    nowMs: number,
+  ): void {
+    const states = [...this.#state.board.ofService(service.name)];
+    this.#unloadClosed(states, totals, nowMs);
+    this.#planAdapters(states, spec, totals, nowMs);
+    const view: placement.CopyView = {
+      engines: states.flatMap((state) =>
+        this.#toCopyEngine(state, spec, totals, nowMs)
+      ),
+      demand: totals.models,
+      sizeMb: (model) => spec.models.get(model)?.weightsMb ?? Infinity,
+      lastAskedMs: (model) =>
+        nowMs - (this.#lastAskedAtMs.get(model) ?? -Infinity),
+    };
+    for (const action of new placement.CopyPlanner(view).plan()) {
+      this.#carryOut(action, spec, nowMs);
+    }
+  }
+
+  #toCopyEngine(
+    state: dispatch.EngineState,
+    spec: fleet.EngineSpec,
+    totals: Totals,
+    nowMs: number,
+  ): placement.CopyEngine[] {
+    const ordered = this.#ordered.get(state.record.id);
+    if (!ordered) return [];
+    const { account, isActive } = ordered.sender;
+    const inFlight = totals.inFlight.get(state.record.id);
+    return [{
+      id: state.record.id,
+      isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
+      canOrder: !isActive && !account.isBusy,
+      freeMb: spec.weightsMb - account.usedMb(spec),
+      models: new Map(
+        [...account.models].map(([model, { phase }]) => [model, {
+          phase,
+          inFlight: countOf(inFlight, model),
+        }]),
+      ),
+      loadMs: (model) => {
+        const known = spec.models.get(model);
+        return known ? account.loadTime(known).ms : Infinity;
+      },
+    }];
+  }
+
+  #carryOut(
+    { kind, engine, model, inFavourOf }: placement.CopyAction,
+    spec: fleet.EngineSpec,
+    nowMs: number,
+  ): void {
+    const ordered = this.#ordered.get(engine);
+    const known = spec.models.get(model);
+    if (!ordered || !known) return;
+    const { account } = ordered.sender;
+    if (kind === "close") {
+      const held = account.models.get(model);
+      if (!held) return;
+      held.phase = "closing";
+      ordered.closingSinceMs.set(model, nowMs);
+      this.#state.logger.info("model_closing", {
+        upstream: engine,
+        model,
+        inFavourOf,
+      });
+      return;
+    }
+    const { ms, isFromStore } = account.loadTime(known);
+    if (isFromStore) {
+      if (!this.#mayLoadFromStore(spec, nowMs)) return;
+      this.#rate!.take();
+      ordered.storeLoadUntilMs = nowMs + ms;
+    }
+    this.#detach(ordered.sender.send({ kind: "load", model }, ms));
+  }
+
+  #mayLoadFromStore(spec: fleet.EngineSpec, nowMs: number): boolean {
+    const atOnceMax = Math.max(
+      STORE_LOADS_AT_ONCE_MIN,
+      Math.floor(spec.loadsPerS * STORE_LOADS_AT_ONCE_S),
+    );
+    let atOnce = 0;
+    for (const { storeLoadUntilMs } of this.#ordered.values()) {
+      if (storeLoadUntilMs > nowMs) atOnce++;
+    }
+    return atOnce < atOnceMax && this.#rate!.mayBegin(spec.loadsPerS, nowMs);
+  }
+
+  /** Unloads closing models whose requests have ended, or had their time. */
+  #unloadClosed(
+    states: readonly dispatch.EngineState[],
+    totals: Totals,
+    nowMs: number,
+  ): void {
+    for (const { record } of states) {
+      const ordered = this.#ordered.get(record.id);
+      if (!ordered || ordered.sender.isActive) continue;
+      const { account } = ordered.sender;
+      if (account.isBusy) continue;
+      for (const [model, { phase }] of account.models) {
+        if (phase !== "closing") continue;
+        const sinceMs = nowMs - (ordered.closingSinceMs.get(model) ?? nowMs);
+        const left = countOf(totals.inFlight.get(record.id), model);
+        if (sinceMs < CLOSE_NOTICE_MS) continue;
+        if (left > 0 && sinceMs < CLOSE_WAIT_MS) continue;
+        this.#detach(ordered.sender.send({ kind: "unload", model }, 0));
+        break;
+      }
+    }
+  }
+
+  #planAdapters(
+    states: readonly dispatch.EngineState[],
+    spec: fleet.EngineSpec,
+    totals: Totals,
+    nowMs: number,
+  ): void {
+    const demand = [...totals.adapters.values()];
+    if (demand.length === 0) return;
+    const engines = states.flatMap((state): placement.AdapterEngine[] => {
+      const ordered = this.#ordered.get(state.record.id);
+      if (!ordered) return [];
+      const { account, isActive } = ordered.sender;
+      const inFlight = totals.inFlight.get(state.record.id);
+      const ready = [...account.models]
+        .filter(([, { phase }]) => phase === "ready");
+      return [{
+        id: state.record.id,
+        isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
+        canOrder: !isActive && !account.isBusy,
+        slotsFree: spec.adapterSlots - account.adapterCount,
+        freeMb: spec.weightsMb - account.usedMb(spec),
+        models: new Set(ready.map(([model]) => model)),
+        adapters: ready.flatMap(([model, { adapters }]) =>
+          [...adapters.keys()].map((adapter) => ({
+            model,
+            adapter,
+            inFlight: inFlight?.get(`${model}/${adapter}`) ?? 0,
+            ratePerS: totals.adapters.get(`${model}/${adapter}`)?.ratePerS ?? 0,
+          }))
+        ),
+        inFlight: state.inFlight,
+      }];
+    });
+    const sizeMb = (model: core.ModelName) =>
+      spec.models.get(model)?.adapterMb ?? Infinity;
+    for (const action of placement.planAdapters(engines, demand, sizeMb)) {
+      const { kind, engine, model, adapter } = action;
+      const sent = this.#ordered.get(engine)?.sender
+        .send({ kind, model, adapter }, ADAPTER_LOAD_MS);
+      if (sent) this.#detach(sent);
+    }
+  }
+
+  #applyToBoard(nowMs: number): void {
+    for (const { sender: { record, account } } of this.#ordered.values()) {
+      const engine = this.#state.board.get(record.id);
+      if (!engine || engine.record.bornMs !== record.bornMs) continue;
+      engine.hold(
+        new Map(
+          [...account.models].map(([model, held]) => [model, {
+            isUsable: held.phase === "ready",
+            adapters: new Set(
+              [...held.adapters].filter(([, atMs]) => atMs <= nowMs)
+                .map(([adapter]) => adapter),
+            ),
+            readyAtMs: held.readyAtMs,
+          }]),
+        ),
+      );
+    }
+  }
+
+  /** Orders go on beside the task; what they do shows in the accounts. */
+  #detach(work: Promise<unknown>): void {
+    work.then(() => this.alarm.ring(), (thrown) => {
+      const reason = core.messageOf(thrown);
+      this.#state.logger.error("order_failed", { reason });
+    });
+  }
+}
+
+function countOf(
+  inFlight: ReadonlyMap<string, number> | undefined,
+  model: core.ModelName,
+): number {
+  let count = 0;
+  for (const [weights, requests] of inFlight ?? []) {
+    const isOfModel = weights === model || weights.startsWith(`${model}/`);
+    if (isOfModel) count += requests;
+  }
+  return count;
+}
+
+function sumDigests(digests: readonly peers.NodeDigest[]): Totals {
+  const totals: Totals = {
+    models: new Map(),
+    adapters: new Map(),
+    inFlight: new Map(),
+  };
+  for (const { demand, uses } of digests) {
+    for (const line of demand) addDemand(totals, line);
+    for (const { upstreamId, models } of uses) {
+      let counts = totals.inFlight.get(upstreamId);
+      if (!counts) totals.inFlight.set(upstreamId, counts = new Map());
+      for (const { model, adapter, inFlight } of models) {
+        const weights = adapter === "" ? model : `${model}/${adapter}`;
+        counts.set(weights, (counts.get(weights) ?? 0) + inFlight);
+      }
+    }
+  }
+  return totals;
+}
+
+function addDemand(
+  totals: Totals,
+  line: peers.NodeDigest["demand"][number],
+): void {
+  const { ratePerS, waiting, workMsPerS, adapter } = line;
+  const model = core.brandId<core.ModelName>(line.model);
+  const sum = totals.models.get(model);
+  totals.models.set(model, {
+    ratePerS: (sum?.ratePerS ?? 0) + ratePerS,
+    waiting: (sum?.waiting ?? 0) + waiting,
+    workMsPerS: (sum?.workMsPerS ?? 0) + workMsPerS,
+  });
+  if (adapter === "") return;
+  const key = `${model}/${adapter}`;
+  const known = totals.adapters.get(key);
+  totals.adapters.set(key, {
+    model,
+    adapter,
+    ratePerS: (known?.ratePerS ?? 0) + ratePerS,
+    waiting: (known?.waiting ?? 0) + waiting,
+  });
+}
--- /dev/null
+++ b/packages/entry/entry_placer.ts
@@ -0,0 +1,227 @@
+/** Places requests: chooses, waits where that is worth while, or refuses. */
+import { err, ok, type Result } from "neverthrow";
+import * as core from "../core/mod.ts";
+import * as dispatch from "../dispatch/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import * as relay from "../relay/mod.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Longest wait for an engine; callers leave a silent stream after 2 s. */
+const WAIT_MAX_MS = 2_000;
+/** Wait that is left unused, so that a first event can still arrive. */
+const WAIT_MARGIN_MS = 300;
+/** Suggested when no upstream of a service is known. */
+const NO_UPSTREAM_RETRY_MS = 500;
+/** Suggested when a wait was in vain. */
+const WAITED_RETRY_MS = 400;
+/** Share of an engine that one decoding request takes up. */
+const DECODE_SHARE = 1 / 32;
+
+type Placed = Result<relay.Placement, relay.Refusal>;
+
+/** Places requests by the node's state. */
+export class EntryPlacer extends relay.Placer {
+  readonly #state: EntryState;
+  /** Called when a request begins to wait. */
+  onWait: () => void = () => {};
+
+  constructor(state: EntryState) {
+    super();
+    this.#state = state;
+  }
+
+  override tryRetry(service: core.ServiceName): boolean {
+    const allowed = this.#state.budget(service)
+      .trySpend(this.#state.members.count(), core.monotonicMs());
+    if (allowed) this.#state.metrics.count("retries");
+    return allowed;
+  }
+
+  override async place(
+    request: relay.RelayedRequest,
+    tried: ReadonlySet<core.UpstreamId>,
+    signal: AbortSignal,
+  ): Promise<Placed> {
+    const service = this.#state.config?.services.get(request.service);
+    const { model } = request.caller;
+    if (!service) return refuse("service is not configured");
+    if (!service.engine || model === undefined) {
+      return this.#placeOnInstance(request, service, tried);
+    }
+    const nowMs = core.monotonicMs();
+    if (tried.size === 0) this.#noteDemand(request, model, nowMs);
+    const choose = () =>
+      this.#placeOnEngine(request, service, service.engine!, model, tried);
+    return choose() ?? await this.#wait(request, model, choose, signal);
+  }
+
+  /** Tries to place the requests that wait. */
+  drain(): void {
+    this.#state.queue.drain(core.monotonicMs());
+  }
+
+  #noteDemand(
+    { caller }: relay.RelayedRequest,
+    model: core.ModelName,
+    nowMs: number,
+  ): void {
+    const { pace } = this.#state;
+    const decodeMs = caller.outputTokensMax * pace.stepMs(model) * DECODE_SHARE;
+    const workMs = pace.prefillMs(model, caller.promptTokens) + decodeMs;
+    this.#state.demand.arrive(model, caller.adapter, workMs, nowMs);
+  }
+
+  #placeOnInstance(
+    request: relay.RelayedRequest,
+    service: fleet.ServiceSpec,
+    tried: ReadonlySet<core.UpstreamId>,
+  ): Placed {
+    const instances = this.#state.board.ofService(request.service);
+    const excluded = this.#excluded(instances, tried);
+    const nowMs = core.monotonicMs();
+    const instance = dispatch.chooseInstance(instances, excluded, nowMs) ??
+      dispatch.chooseInstance(instances, new Set(), nowMs);
+    if (!instance) return refuse("no upstream of the service is known");
+    return ok(this.#start(instance, service, {
+      weights: "",
+      tokens: 0,
+      prefillMs: 0,
+      sentAtMs: nowMs,
+      hasAnswer: false,
+    }, 0));
+  }
+
+  #placeOnEngine(
+    request: relay.RelayedRequest,
+    service: fleet.ServiceSpec,
+    spec: fleet.EngineSpec,
+    model: core.ModelName,
+    tried: ReadonlySet<core.UpstreamId>,
+  ): Placed | undefined {
+    const { board, pace } = this.#state;
+    const { adapter, promptTokens, outputTokensMax, parts } = request.caller;
+    const engines = board.ofService(request.service);
+    const nowMs = core.monotonicMs();
+    const needs: dispatch.RequestNeeds = {
+      model,
+      ...(adapter === undefined ? {} : { adapter }),
+      promptTokens,
+      outputTokensMax,
+      parts,
+    };
+    const excluded = this.#excluded(engines, tried);
+    const context = { pace, spec, nowMs };
+    const choice = dispatch.chooseEngine(engines, needs, {
+      ...context,
+      excluded,
+    });
+    if (!choice) return undefined;
+    const weights = adapter === undefined ? model : `${model}/${adapter}`;
+    choice.engine.prefixes.remember(weights, parts);
+    return ok(this.#start(
+      choice.engine,
+      service,
+      {
+        weights,
+        tokens: promptTokens + outputTokensMax,
+        prefillMs: choice.prefillMs,
+        sentAtMs: nowMs,
+        hasAnswer: false,
+      },
+      choice.firstEventMs,
+      model,
+      spec.eventTokens,
+    ));
+  }
+
+  #excluded(
+    engines: Iterable<dispatch.EngineState>,
+    tried: ReadonlySet<core.UpstreamId>,
+  ): ReadonlySet<dispatch.EngineState> {
+    const excluded = new Set<dispatch.EngineState>();
+    if (tried.size === 0) return excluded;
+    for (const engine of engines) {
+      if (tried.has(engine.record.id)) excluded.add(engine);
+    }
+    return excluded;
+  }
+
+  #start(
+    engine: dispatch.EngineState,
+    service: fleet.ServiceSpec,
+    work: dispatch.EngineWork,
+    estimatedMs: number,
+    model?: core.ModelName,
+    eventTokens = 1,
+  ): relay.Placement {
+    const { pools, members, pace } = this.#state;
+    const finish = engine.start(work);
+    return {
+      upstream: engine.record,
+      dispatcher: pools
+        .get(engine.record, service.connectionsMax, members.count()),
+      answered: (nowMs) => engine.answered(work, estimatedMs, nowMs),
+      heard: (nowMs) => engine.health.heard(nowMs),
+      absent: (nowMs) => engine.noteAbsent(work.weights, nowMs),
+      noteGap: (gapMs) => {
+        if (model !== undefined) pace.noteGap(model, gapMs, eventTokens);
+      },
+      end: (outcome) => {
+        finish();
+        if (outcome !== "shed" && outcome !== "cancelled") {
+          engine.health.note(outcome, core.monotonicMs());
+        }
+        this.drain();
+      },
+    };
+  }
+
+  #wait(
+    request: relay.RelayedRequest,
+    model: core.ModelName,
+    choose: () => Placed | undefined,
+    signal: AbortSignal,
+  ): Promise<Placed> {
+    const { queue, demand } = this.#state;
+    const { caller, route, receivedAtMs, endsAtMs } = request;
+    const nowMs = core.monotonicMs();
+    const untilMs = Math.min(
+      receivedAtMs + WAIT_MAX_MS,
+      endsAtMs - WAIT_MARGIN_MS,
+    );
+    if (untilMs <= nowMs) {
+      return Promise.resolve(refuse("no engine in time", WAITED_RETRY_MS));
+    }
+    const waited = demand.wait(model, caller.adapter, nowMs);
+    this.onWait();
+    return new Promise((resolve) => {
+      const settle = (placed: Placed) => {
+        clearTimeout(timer);
+        signal.removeEventListener("abort", stop);
+        leave();
+        waited();
+        resolve(placed);
+      };
+      const stop = () => settle(refuse("request ended while waiting"));
+      const leave = queue.add({
+        priority: route.priority,
+        arrivedAtMs: receivedAtMs,
+        aimAtMs: receivedAtMs + route.aimMs,
+        tryPlace: () => {
+          const placed = choose();
+          if (placed) settle(placed);
+          return placed !== undefined;
+        },
+      });
+      const timer = setTimeout(
+        () => settle(refuse("no engine in time", WAITED_RETRY_MS)),
+        untilMs - nowMs,
+      );
+      signal.addEventListener("abort", stop, { once: true });
+    });
+  }
+}
+
+function refuse(reason: string, retryAfterMs = NO_UPSTREAM_RETRY_MS): Placed {
+  return err({ reason, retryAfterMs });
+}
--- /dev/null
+++ b/packages/fleet/mod.ts
@@ -0,0 +1,24 @@
+/** What the fleet consists of, and what a platform must offer to run it. */
+export { EngineControl } from "./fleet_control.ts";
+export type { EngineReport, Order, OrderReply } from "./fleet_control.ts";
+export { CallerDialect } from "./fleet_dialect.ts";
+export type {
+  AnswerFacts,
+  CallerRequest,
+  PromptPart,
+  UpstreamRequest,
+} from "./fleet_dialect.ts";
+export { FleetSource } from "./fleet_source.ts";
+export type {
+  EngineSpec,
+  FleetConfig,
+  FleetSettings,
+  ListenAddress,
+  ModelHolding,
+  ModelSpec,
+  RouteKind,
+  RouteSpec,
+  RouteTarget,
+  ServiceSpec,
+  UpstreamRecord,
+} from "./fleet_types.ts";
--- a/packages/ledger/tests/unit/ledger_test.ts
+++ b/packages/ledger/tests/unit/ledger_test.ts
@@ -11,7 +11,7 @@
 
 const ORDER_DELAY_MAX_MS = 60;
 const UPSTREAM_ID = core.brandId<core.UpstreamId>("engine-1");
-const logger = new core.Logger({}, -999);
+const logger = new core.Logger({}, () => {}, -999);
 
 /** The fake table service, called without a network. */
 class LocalTableService extends store.TableService {
--- /dev/null
+++ b/packages/orders/orders_account.ts
@@ -0,0 +1,141 @@
+/**
+ * What one engine holds, exactly: its own word, and the orders that it has
+ * accepted since. Every order names the count of orders that the account is
+ * built on, so an engine that has accepted anything else refuses it.
+ */
+import type * as core from "../core/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+
+/** Where a model stands on an engine. */
+export type ModelPhase = "loading" | "ready" | "closing" | "unloading";
+
+/** A model on an engine, with its adapters. */
+export interface AccountedModel {
+  phase: ModelPhase;
+  /** When a load is expected to end, on the monotonic clock. */
+  readyAtMs: number;
+  /** Adapters, with the time at which each is expected to be loaded. */
+  readonly adapters: Map<string, number>;
+}
+
+/** The account of one incarnation of an engine. */
+export class EngineAccount {
+  readonly models = new Map<core.ModelName, AccountedModel>();
+  #orderCount: number;
+  #copiesInMemory: ReadonlySet<core.ModelName>;
+  #copiesOnDisk: ReadonlySet<core.ModelName>;
+
+  constructor(record: fleet.UpstreamRecord) {
+    this.#orderCount = record.orderCount;
+    this.#copiesInMemory = new Set(record.modelsInMemory);
+    this.#copiesOnDisk = new Set(record.modelsOnDisk);
+    this.#take(record.models, []);
+  }
+
+  /** Orders accepted by the engine, as far as is known. */
+  get orderCount(): number {
+    return this.#orderCount;
+  }
+
+  /** Whether a model is on its way in or out: no other order is taken. */
+  get isBusy(): boolean {
+    for (const { phase } of this.models.values()) {
+      if (phase === "loading" || phase === "unloading") return true;
+    }
+    return false;
+  }
+
+  /** Weights and adapters held, coming or not yet gone, in MB. */
+  usedMb(spec: fleet.EngineSpec): number {
+    let usedMb = 0;
+    for (const [name, { adapters }] of this.models) {
+      const model = spec.models.get(name);
+      // A model that the configuration no longer names may fill the engine.
+      if (!model) return spec.weightsMb;
+      usedMb += model.weightsMb + adapters.size * model.adapterMb;
+    }
+    return usedMb;
+  }
+
+  /** Adapters held or coming, over all models. */
+  get adapterCount(): number {
+    let count = 0;
+    for (const { adapters } of this.models.values()) count += adapters.size;
+    return count;
+  }
+
+  /** Time that a load would take, and whether the weight store is asked. */
+  loadTime(model: fleet.ModelSpec): { ms: number; isFromStore: boolean } {
+    if (this.#copiesInMemory.has(model.name)) {
+      return { ms: model.loadFromMemoryMs, isFromStore: false };
+    }
+    if (this.#copiesOnDisk.has(model.name)) {
+      return { ms: model.loadFromDiskMs, isFromStore: false };
+    }
+    return { ms: model.loadMs, isFromStore: true };
+  }
+
+  /** Applies an order that the engine has accepted. */
+  accepted(order: fleet.Order, takesMs: number, nowMs: number): void {
+    this.#orderCount++;
+    const readyAtMs = nowMs + takesMs;
+    const { model, adapter, kind } = order;
+    const held = this.models.get(model);
+    if (adapter !== undefined) {
+      if (kind === "load") held?.adapters.set(adapter, readyAtMs);
+      else held?.adapters.delete(adapter);
+    } else if (kind === "load") {
+      this.models.set(model, {
+        phase: "loading",
+        readyAtMs,
+        adapters: new Map(),
+      });
+    } else if (held) {
+      held.phase = "unloading";
+      held.readyAtMs = nowMs;
+    }
+  }
+
+  /**
+   * Takes the engine's report. One that lags behind orders already accepted is
+   * of no use.
+   *
+   * @returns whether the report was used.
+   */
+  reported(report: fleet.EngineReport): boolean {
+    if (report.orderCount < this.#orderCount) return false;
+    const isKnown = report.orderCount === this.#orderCount;
+    this.#copiesInMemory = new Set(report.modelsInMemory);
+    this.#copiesOnDisk = new Set(report.modelsOnDisk);
+    if (report.isBusy) {
+      // Unknown orders are under way; what they do shows when they end.
+      if (!isKnown) this.#orderCount = report.orderCount;
+      return isKnown;
+    }
+    this.#orderCount = report.orderCount;
+    this.#take(report.models, report.comingAdapters);
+    return true;
+  }
+
+  #take(
+    holdings: readonly fleet.ModelHolding[],
+    coming: readonly (readonly [core.ModelName, string])[],
+  ): void {
+    const known = new Map(this.models);
+    this.models.clear();
+    for (const { model, adapters } of holdings) {
+      const before = known.get(model);
+      const loaded = new Map(adapters.map((adapter) => [adapter, 0]));
+      this.models.set(model, {
+        phase: before?.phase === "closing" ? "closing" : "ready",
+        readyAtMs: 0,
+        adapters: loaded,
+      });
+    }
+    for (const [model, adapter] of coming) {
+      const held = this.models.get(model);
+      const readyAtMs = known.get(model)?.adapters.get(adapter) ?? Infinity;
+      held?.adapters.set(adapter, readyAtMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/orders/orders_sender.ts
@@ -0,0 +1,134 @@
+/** Sends orders to one engine, one after the other, and settles doubts. */
+import * as core from "../core/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type { EngineAccount } from "./orders_account.ts";
+import type { OrderLease } from "./orders_lease.ts";
+
+/** Time for an engine to answer an order. */
+const ORDER_TIMEOUT_MS = 400;
+const REPORT_TIMEOUT_MS = 600;
+/** Sendings of one order; each names the same count, so one at most acts. */
+const SENDINGS_MAX = 3;
+/** Time by which an engine's report lags behind. */
+const REPORT_LAG_MS = 150;
+
+/** Options of a sender. */
+export interface OrderSenderOptions {
+  readonly control: fleet.EngineControl;
+  readonly lease: OrderLease;
+  readonly self: core.InstanceId;
+  readonly logger: core.Logger;
+}
+
+/** What a caller of `send` may want to order. */
+export type WantedOrder = Pick<fleet.Order, "kind" | "model" | "adapter">;
+
+/** Sends the orders to one engine. */
+export class OrderSender {
+  readonly account: EngineAccount;
+  readonly record: fleet.UpstreamRecord;
+  readonly #options: OrderSenderOptions;
+  #isActive = false;
+  #needsReport = false;
+  #reportFromMs = 0;
+
+  constructor(
+    record: fleet.UpstreamRecord,
+    account: EngineAccount,
+    options: OrderSenderOptions,
+  ) {
+    this.record = record;
+    this.account = account;
+    this.#options = options;
+  }
+
+  /** Whether an order or a question is on its way, or the account in doubt. */
+  get isActive(): boolean {
+    return this.#isActive || this.#needsReport;
+  }
+
+  /**
+   * Sends an order; only while nothing else is active.
+   *
+   * @param takesMs time that the engine is expected to take.
+   * @returns whether the engine has accepted it.
+   */
+  async send(order: WantedOrder, takesMs: number): Promise<boolean> {
+    core.invariant(!this.#isActive, 5, this.record.id);
+    this.#isActive = true;
+    try {
+      return await this.#sendUntilAnswered(order, takesMs);
+    } finally {
+      this.#isActive = false;
+    }
+  }
+
+  /** Asks for the report if the account needs it. */
+  async settle(nowMs: number): Promise<void> {
+    const isDue = this.#needsReport || this.#hasOverdueModel(nowMs);
+    if (!isDue || this.#isActive || nowMs < this.#reportFromMs) return;
+    this.#isActive = true;
+    try {
+      const report = await this.#options.control
+        .report(this.record, REPORT_TIMEOUT_MS);
+      this.#reportFromMs = core.monotonicMs() + REPORT_LAG_MS;
+      if (report.isErr()) return;
+      if (report.value.bornMs !== this.record.bornMs) return;
+      if (this.account.reported(report.value)) this.#needsReport = false;
+    } finally {
+      this.#isActive = false;
+    }
+  }
+
+  #hasOverdueModel(nowMs: number): boolean {
+    for (const { phase, readyAtMs } of this.account.models.values()) {
+      const isMoving = phase === "loading" || phase === "unloading";
+      if (isMoving && nowMs >= readyAtMs + REPORT_LAG_MS) return true;
+    }
+    return false;
+  }
+
+  async #sendUntilAnswered(
+    wanted: WantedOrder,
+    takesMs: number,
+  ): Promise<boolean> {
+    const { control, lease, self, logger } = this.#options;
+    const expectedOrderCount = this.account.orderCount;
+    for (let sending = 1; sending <= SENDINGS_MAX; sending++) {
+      const fence = lease.fence;
+      if (fence === undefined) break;
+      const order = { ...wanted, expectedOrderCount, holder: self, fence };
+      const reply = await control.order(this.record, order, ORDER_TIMEOUT_MS);
+      const nowMs = core.monotonicMs();
+      logger.info("order", {
+        upstream: this.record.id,
+        kind: wanted.kind,
+        model: wanted.model,
+        adapter: wanted.adapter,
+        expected: expectedOrderCount,
+        fence,
+        sending,
+        reply,
+      });
+      if (reply === "lost") {
+        this.#doubt();
+        continue;
+      }
+      const isAdapterGone = reply === "alreadySo" && wanted.kind === "unload";
+      if (reply === "accepted" || isAdapterGone) {
+        this.account.accepted(order, takesMs, nowMs);
+        this.#needsReport = false;
+        return true;
+      }
+      if (reply === "fenced") lease.lose("an engine has seen a higher fence");
+      if (reply === "conflict" || reply === "alreadySo") this.#doubt();
+      return false;
+    }
+    return false;
+  }
+
+  #doubt(): void {
+    this.#needsReport = true;
+    this.#reportFromMs = core.monotonicMs() + REPORT_LAG_MS;
+  }
+}
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -29,3 +29,19 @@
   ResolveClaimReply,
   ResolveClaimRequest,
 } from "./gen/peers_pb.ts";
+export {
+  EngineUseSchema,
+  FleetViewSchema,
+  NodeDigestSchema,
+} from "./gen/fleet_pb.ts";
+export type {
+  EngineState,
+  EngineUse,
+  FleetView,
+  NodeDigest,
+} from "./gen/fleet_pb.ts";
+export {
+  FleetClients,
+  FleetHandler,
+  registerFleetListener,
+} from "./peers_fleet.ts";
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -11,3 +11,18 @@
   PlacementAction,
   PlacementView,
 } from "./placement_policy.ts";
+export { planAdapters } from "./placement_adapters.ts";
+export type {
+  AdapterAction,
+  AdapterCopy,
+  AdapterDemand,
+  AdapterEngine,
+} from "./placement_adapters.ts";
+export { CopyPlanner } from "./placement_copies.ts";
+export type {
+  CopyAction,
+  CopyEngine,
+  CopyView,
+  ModelCopy,
+  ModelDemand,
+} from "./placement_copies.ts";
--- /dev/null
+++ b/packages/routes/tests/unit/routes_test.ts
@@ -0,0 +1,66 @@
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import type * as fleet from "../../../fleet/mod.ts";
+import * as routes from "../../mod.ts";
+
+const service = (name: string) => core.brandId<core.ServiceName>(name);
+
+function makeRoute(part: Partial<fleet.RouteSpec>): fleet.RouteSpec {
+  return {
+    name: "r",
+    host: "shop.example",
+    pathPrefix: "/a/",
+    kind: "safe",
+    timeoutMs: 1_000,
+    aimMs: 100,
+    pauseAimMs: 300,
+    priority: 1,
+    targets: [{ service: service("s"), weight: 1 }],
+    attemptsMax: 1,
+    isResumable: false,
+    ...part,
+  };
+}
+
+const table = new routes.RouteTable(1, [
+  makeRoute({ name: "short", pathPrefix: "/a/" }),
+  makeRoute({ name: "long", pathPrefix: "/a/b/" }),
+  makeRoute({ name: "other", host: "other.example", pathPrefix: "/" }),
+]);
+
+const cases: [string, string, string | undefined][] = [
+  ["shop.example", "/a/x", "short"],
+  ["shop.example", "/a/b/x", "long"],
+  ["shop.example", "/a/b", "short"],
+  ["shop.example", "/a/b/", "long"],
+  ["shop.example", "/a/?to=/a/b/", "short"],
+  ["shop.example", "/ab/x", undefined],
+  ["SHOP.example:8080", "/a/x", "short"],
+  ["other.example", "/", "other"],
+  ["other.example", "/any/path", "other"],
+  ["nobody.example", "/a/x", undefined],
+];
+
+for (const [host, path, name] of cases) {
+  test(`${host}${path} selects ${name}`, (t) => {
+    t.is(table.match(host, path)?.name, name);
+  });
+}
+
+test("a split sends by weight and never to a weight of 0", (t) => {
+  const route = makeRoute({
+    targets: [
+      { service: service("none"), weight: 0 },
+      { service: service("most"), weight: 90 },
+      { service: service("few"), weight: 10 },
+    ],
+  });
+  t.is(routes.pickTarget(route, 0), service("most"));
+  t.is(routes.pickTarget(route, 0.89), service("most"));
+  t.is(routes.pickTarget(route, 0.91), service("few"));
+  t.is(routes.pickTarget(route, 0.999999), service("few"));
+  const closed = makeRoute({
+    targets: [{ service: service("none"), weight: 0 }],
+  });
+  t.is(routes.pickTarget(closed, 0.5), undefined);
+});
--- a/packages/store/mod.ts
+++ b/packages/store/mod.ts
@@ -1,4 +1,10 @@
 /** The platform's services, each an abstract class with an HTTP client. */
+export { FollowedTableService } from "./store_followed_table.ts";
+export type {
+  RowChange,
+  TableChanges,
+  TableSnapshot,
+} from "./store_followed_table.ts";
 export { HttpTableService, TableService } from "./store_table_service.ts";
 export type { TableServiceUse } from "./store_table_service.ts";
 export {
