Begin orders from an engine's report, not from its entry on the list

Cause: the entry's seq counts heartbeats; the accounts took it for the count of accepted orders, so every order was refused and reports were asked for without end (3,364 probes). Change: an account knows no count before the first report.

--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -96,7 +96,7 @@
       this.#lastAskedAtMs.set(model, nowMs);
     }
     for (const { sender } of this.#ordered.values()) {
-      this.#detach(sender.settle(nowMs));
+      if (sender.mustSettle(nowMs)) this.#detach(sender.settle());
     }
     if (this.#lease.fence !== undefined) {
       for (const service of this.#state.config?.services.values() ?? []) {
@@ -315,7 +315,7 @@
 
   /** Orders go on beside the task; what they do shows in the accounts. */
   #detach(work: Promise<unknown>): void {
-    work.then(() => this.alarm.ring(), (thrown) => {
+    work.catch((thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("order_failed", { reason });
     });
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -95,8 +95,6 @@
   readonly models: readonly ModelHolding[];
   readonly modelsInMemory: readonly core.ModelName[];
   readonly modelsOnDisk: readonly core.ModelName[];
-  /** Orders that this incarnation has accepted. */
-  readonly orderCount: number;
 }
 
 /** Where a listener binds. */
--- a/packages/orders/orders_account.ts
+++ b/packages/orders/orders_account.ts
@@ -21,19 +21,18 @@
 /** The account of one incarnation of an engine. */
 export class EngineAccount {
   readonly models = new Map<core.ModelName, AccountedModel>();
-  #orderCount: number;
+  #orderCount: number | undefined;
   #copiesInMemory: ReadonlySet<core.ModelName>;
   #copiesOnDisk: ReadonlySet<core.ModelName>;
 
   constructor(record: fleet.UpstreamRecord) {
-    this.#orderCount = record.orderCount;
     this.#copiesInMemory = new Set(record.modelsInMemory);
     this.#copiesOnDisk = new Set(record.modelsOnDisk);
     this.#take(record.models, []);
   }
 
-  /** Orders accepted by the engine, as far as is known. */
-  get orderCount(): number {
+  /** Orders accepted by the engine; undefined before its first report. */
+  get orderCount(): number | undefined {
     return this.#orderCount;
   }
 
@@ -77,7 +76,7 @@
 
   /** Applies an order that the engine has accepted. */
   accepted(order: fleet.Order, takesMs: number, nowMs: number): void {
-    this.#orderCount++;
+    this.#orderCount = order.expectedOrderCount + 1;
     const readyAtMs = nowMs + takesMs;
     const { model, adapter, kind } = order;
     const held = this.models.get(model);
@@ -103,7 +102,7 @@
    * @returns whether the report was used.
    */
   reported(report: fleet.EngineReport): boolean {
-    if (report.orderCount < this.#orderCount) return false;
+    if (report.orderCount < (this.#orderCount ?? 0)) return false;
     const isKnown = report.orderCount === this.#orderCount;
     this.#copiesInMemory = new Set(report.modelsInMemory);
     this.#copiesOnDisk = new Set(report.modelsOnDisk);
--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -29,7 +29,8 @@
   readonly record: fleet.UpstreamRecord;
   readonly #options: OrderSenderOptions;
   #isActive = false;
-  #needsReport = false;
+  // The list does not tell how many orders an engine has accepted.
+  #needsReport = true;
   #reportFromMs = 0;
 
   constructor(
@@ -63,18 +64,38 @@
     }
   }
 
-  /** Asks for the report if the account needs it. */
-  async settle(nowMs: number): Promise<void> {
-    const isDue = this.#needsReport || this.#hasOverdueModel(nowMs);
-    if (!isDue || this.#isActive || nowMs < this.#reportFromMs) return;
+  /** Whether the account needs the engine's report now. */
+  mustSettle(nowMs: number): boolean {
+    if (this.#isActive || nowMs < this.#reportFromMs) return false;
+    return this.#needsReport || this.#hasOverdueModel(nowMs);
+  }
+
+  /** Asks the engine for its report and takes it into the account. */
+  async settle(): Promise<void> {
     this.#isActive = true;
     try {
       const report = await this.#options.control
         .report(this.record, REPORT_TIMEOUT_MS);
       this.#reportFromMs = core.monotonicMs() + REPORT_LAG_MS;
-      if (report.isErr()) return;
-      if (report.value.bornMs !== this.record.bornMs) return;
-      if (this.account.reported(report.value)) this.#needsReport = false;
+      const { logger } = this.#options;
+      if (report.isErr()) {
+        const reason = report.error;
+        logger.warn("report_failed", { upstream: this.record.id, reason });
+        return;
+      }
+      const { bornMs, orderCount, isBusy, models } = report.value;
+      const isUsed = bornMs === this.record.bornMs &&
+        this.account.reported(report.value);
+      if (isUsed) this.#needsReport = false;
+      logger.info("report", {
+        upstream: this.record.id,
+        orderCount,
+        known: this.account.orderCount,
+        busy: isBusy,
+        models: models.length,
+        sameIncarnation: bornMs === this.record.bornMs,
+        used: isUsed,
+      });
     } finally {
       this.#isActive = false;
     }
@@ -94,6 +115,7 @@
   ): Promise<boolean> {
     const { control, lease, self, logger } = this.#options;
     const expectedOrderCount = this.account.orderCount;
+    if (expectedOrderCount === undefined) return false;
     for (let sending = 1; sending <= SENDINGS_MAX; sending++) {
       const fence = lease.fence;
       if (fence === undefined) break;
