Keep an account in doubt while another holder's order is under way

Cause: after a change of holder the first busy report raised the count, the second was taken as complete; the load that the holder before had sent was in neither, and its room was given away: two engines fell over (LIMIT 2). Ruled out: a late order of the old holder; the log shows one holder at a time. Change: a busy report is used only if the account itself knows of the work. Test: orders_account_test, which failed first.

--- a/packages/orders/orders_account.ts
+++ b/packages/orders/orders_account.ts
@@ -22,6 +22,7 @@
 export class EngineAccount {
   readonly models = new Map<core.ModelName, AccountedModel>();
   #orderCount: number | undefined;
+  #hasUnknownWork = false;
   #copiesInMemory: ReadonlySet<core.ModelName>;
   #copiesOnDisk: ReadonlySet<core.ModelName>;
 
@@ -106,12 +107,13 @@
     const isKnown = report.orderCount === this.#orderCount;
     this.#copiesInMemory = new Set(report.modelsInMemory);
     this.#copiesOnDisk = new Set(report.modelsOnDisk);
+    this.#orderCount = report.orderCount;
     if (report.isBusy) {
-      // Unknown orders are under way; what they do shows when they end.
-      if (!isKnown) this.#orderCount = report.orderCount;
-      return isKnown;
+      // What another's order does shows only when it has ended.
+      this.#hasUnknownWork ||= !isKnown || !this.isBusy;
+      return !this.#hasUnknownWork;
     }
-    this.#orderCount = report.orderCount;
+    this.#hasUnknownWork = false;
     this.#take(report.models, report.comingAdapters);
     return true;
   }
