Take a reset for a broken answer where the answer has no length

Ruled out: a fault in our own buffering; lengths and chunks are checked. Change: connections to upstreams rename that error before undici sees it. Test: relay_attempt_test, of which the case of the reset failed first.

--- a/packages/relay/relay_pools.ts
+++ b/packages/relay/relay_pools.ts
@@ -12,6 +12,22 @@
 const CONNECTIONS_SHARE = 0.8;
 const CONNECTIONS_MIN = 4;
 
+/**
+ * Opens connections whose resets are never taken for the end of a body:
+ * undici counts ECONNRESET as the end of an answer without a length.
+ */
+const connect: undici.buildConnector.connector = (options, callback) => {
+  openConnection(options, (...opened) => {
+    const [, socket] = opened;
+    socket?.on("error", (error: NodeJS.ErrnoException) => {
+      if (error.code === "ECONNRESET") error.code = "UPSTREAM_RESET";
+    });
+    callback(...opened);
+  });
+};
+
+const openConnection = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
 /** Opens pools on demand and closes those of upstreams that are gone. */
 export class UpstreamPools {
   readonly #pools = new Map<string, undici.Pool>();
@@ -34,7 +50,7 @@
         connections: Math.max(CONNECTIONS_MIN, Math.floor(share)),
         // One request at a time: undici resends only pipelined requests.
         pipelining: 1,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect,
         headersTimeout: 0,
         bodyTimeout: 0,
         keepAliveTimeout: IDLE_DEFAULT_MS,
