Keep a copy of every model; add copies by work; reserve room that is made

Cause: late answers waited for models that had been unloaded while their last copy still fitted, and for hot models whose copies were closed for others: room closed for one model was taken by the next, and closed again elsewhere. Change: the planner ranks models asked for without a copy, overloaded ones, spares and the tail; what is closed for a model is kept for it; a copy is to take 800 ms of work a second; the weight store's rate is part of the view. Test: placement_copies_test, one case for each load pattern.

--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -16,9 +16,11 @@
 const CLOSE_WAIT_MS = 1_200;
 /** Time that an adapter is expected to take: up to 19 ms on the sheets. */
 const ADAPTER_LOAD_MS = 20;
-/** Loads from the weight store at once, in seconds of the allowed rate. */
-const STORE_LOADS_AT_ONCE_S = 1.4;
-const STORE_LOADS_AT_ONCE_MIN = 2;
+/** Time after which room that was made is free for any model. */
+const RESERVED_FOR_MS = 5_000;
+/** Work that has been seen counts for this long: demand comes in waves. */
+const WORK_REMEMBERED_MS = 4_000;
+const MS_PER_S = 1_000;
 
 /** What one engine holds, as the sender of orders knows it. */
 export interface EngineHoldings {
@@ -30,6 +32,9 @@
 interface Ordered {
   readonly sender: orders.OrderSender;
   readonly closingSinceMs: Map<core.ModelName, number>;
+  readonly plannedAtMs: Map<core.ModelName, number>;
+  /** Model for which room is being made, and since when. */
+  reserved: { model: core.ModelName; atMs: number } | undefined;
   storeLoadUntilMs: number;
 }
 
@@ -50,6 +55,10 @@
   readonly #control: fleet.EngineControl;
   readonly #ordered = new Map<core.UpstreamId, Ordered>();
   readonly #lastAskedAtMs = new Map<core.ModelName, number>();
+  readonly #work = new Map<
+    core.ModelName,
+    { workMsPerS: number; atMs: number }
+  >();
   #rate: orders.LoadRate | undefined;
   readonly alarm = new core.Alarm();
 
@@ -127,6 +136,8 @@
       this.#ordered.set(record.id, {
         sender,
         closingSinceMs: new Map(),
+        plannedAtMs: new Map(),
+        reserved: undefined,
         storeLoadUntilMs: 0,
       });
     }
@@ -148,10 +159,12 @@
       engines: states.flatMap((state) =>
         this.#toCopyEngine(state, spec, totals, nowMs)
       ),
-      demand: totals.models,
-      sizeMb: (model) => spec.models.get(model)?.weightsMb ?? Infinity,
-      lastAskedMs: (model) =>
-        nowMs - (this.#lastAskedAtMs.get(model) ?? -Infinity),
+      demand: this.#remembered(totals.models, nowMs),
+      sizesMb: new Map(
+        [...spec.models].map(([model, { weightsMb }]) => [model, weightsMb]),
+      ),
+      idleMs: (model) => nowMs - (this.#lastAskedAtMs.get(model) ?? -Infinity),
+      storeLoads: this.#storeLoadsNow(spec, nowMs),
     };
     for (const action of new placement.CopyPlanner(view).plan()) {
       this.#carryOut(action, spec, nowMs);
@@ -168,7 +181,10 @@
     if (!ordered) return [];
     const { account, isActive } = ordered.sender;
     const inFlight = totals.inFlight.get(state.record.id);
+    const { reserved } = ordered;
+    const isReserved = reserved && nowMs - reserved.atMs < RESERVED_FOR_MS;
     return [{
+      ...(isReserved ? { reservedFor: reserved.model } : {}),
       id: state.record.id,
       isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
       canOrder: !isActive && !account.isBusy,
@@ -177,12 +193,12 @@
         [...account.models].map(([model, { phase }]) => [model, {
           phase,
           inFlight: countOf(inFlight, model),
+          ageMs: nowMs - (ordered.plannedAtMs.get(model) ?? -Infinity),
         }]),
       ),
-      loadMs: (model) => {
-        const known = spec.models.get(model);
-        return known ? account.loadTime(known).ms : Infinity;
-      },
+      loadMs: (model) => account.loadTime(spec.models.get(model)!).ms,
+      needsStore: (model) =>
+        account.loadTime(spec.models.get(model)!).isFromStore,
     }];
   }
 
@@ -200,6 +216,9 @@
       if (!held) return;
       held.phase = "closing";
       ordered.closingSinceMs.set(model, nowMs);
+      if (inFavourOf !== undefined) {
+        ordered.reserved = { model: inFavourOf, atMs: nowMs };
+      }
       this.#state.logger.info("model_closing", {
         upstream: engine,
         model,
@@ -209,23 +228,44 @@
     }
     const { ms, isFromStore } = account.loadTime(known);
     if (isFromStore) {
-      if (!this.#mayLoadFromStore(spec, nowMs)) return;
       this.#rate!.take();
       ordered.storeLoadUntilMs = nowMs + ms;
     }
+    ordered.reserved = undefined;
+    ordered.plannedAtMs.set(model, nowMs);
     this.#detach(ordered.sender.send({ kind: "load", model }, ms));
   }
 
-  #mayLoadFromStore(spec: fleet.EngineSpec, nowMs: number): boolean {
-    const atOnceMax = Math.max(
-      STORE_LOADS_AT_ONCE_MIN,
-      Math.floor(spec.loadsPerS * STORE_LOADS_AT_ONCE_S),
-    );
-    let atOnce = 0;
+  /** Loads from the weight store that keep its rate and its full speed. */
+  #storeLoadsNow(spec: fleet.EngineSpec, nowMs: number): number {
+    const models = [...spec.models.values()];
+    const sumMs = models.reduce((sum, { loadMs }) => sum + loadMs, 0);
+    const meanS = sumMs / Math.max(1, models.length) / MS_PER_S;
+    let left = Math.max(1, Math.floor(spec.loadsPerS * meanS));
     for (const { storeLoadUntilMs } of this.#ordered.values()) {
-      if (storeLoadUntilMs > nowMs) atOnce++;
+      if (storeLoadUntilMs > nowMs) left--;
     }
-    return atOnce < atOnceMax && this.#rate!.mayBegin(spec.loadsPerS, nowMs);
+    return Math.min(left, this.#rate!.available(spec.loadsPerS, nowMs));
+  }
+
+  /** Demand, with the most work seen of late, so that lulls close nothing. */
+  #remembered(
+    demand: ReadonlyMap<core.ModelName, placement.ModelDemand>,
+    nowMs: number,
+  ): Map<core.ModelName, placement.ModelDemand> {
+    for (const [model, { workMsPerS }] of demand) {
+      const known = this.#work.get(model);
+      const isOld = known && nowMs - known.atMs > WORK_REMEMBERED_MS;
+      if (!known || isOld || workMsPerS >= known.workMsPerS) {
+        this.#work.set(model, { workMsPerS, atMs: nowMs });
+      }
+    }
+    return new Map(
+      [...demand].map(([model, line]) => [model, {
+        ...line,
+        workMsPerS: this.#work.get(model)?.workMsPerS ?? line.workMsPerS,
+      }]),
+    );
   }
 
   /** Unloads closing models whose requests have ended, or had their time. */
--- a/packages/orders/orders_load_rate.ts
+++ b/packages/orders/orders_load_rate.ts
@@ -16,10 +16,10 @@
     this.#atMs = nowMs;
   }
 
-  /** Whether a load may begin now. */
-  mayBegin(loadsPerS: number, nowMs: number): boolean {
+  /** Loads that may begin now. */
+  available(loadsPerS: number, nowMs: number): number {
     this.#fill(loadsPerS, nowMs);
-    return this.#tokens >= 1;
+    return Math.floor(this.#tokens);
   }
 
   /** Takes one load. */
--- a/packages/placement/placement_copies.ts
+++ b/packages/placement/placement_copies.ts
@@ -13,6 +13,8 @@
 export interface ModelCopy {
   readonly phase: "loading" | "ready" | "closing" | "unloading";
   readonly inFlight: number;
+  /** Time since the copy was planned, in ms. */
+  readonly ageMs: number;
 }
 
 /** One engine as the planner sees it. */
@@ -24,17 +26,24 @@
   readonly canOrder: boolean;
   readonly freeMb: number;
   readonly models: ReadonlyMap<core.ModelName, ModelCopy>;
-  /** Time that a load of the model would take here. */
+  /** Model for which room is being made here. */
+  readonly reservedFor?: core.ModelName;
+  /** Time that a load of the model would take here, in ms. */
   readonly loadMs: (model: core.ModelName) => number;
+  /** Whether a load of the model would need the weight store. */
+  readonly needsStore: (model: core.ModelName) => boolean;
 }
 
 /** What the planner looks at. */
 export interface CopyView {
   readonly engines: readonly CopyEngine[];
+  /** Sizes of all models that may be asked for, in MB. */
+  readonly sizesMb: ReadonlyMap<core.ModelName, number>;
   readonly demand: ReadonlyMap<core.ModelName, ModelDemand>;
-  readonly sizeMb: (model: core.ModelName) => number;
-  /** Demand that a model had before, to tell the tail from the forgotten. */
-  readonly lastAskedMs: (model: core.ModelName) => number;
+  /** Time since a model was last asked for, in ms; Infinity if never. */
+  readonly idleMs: (model: core.ModelName) => number;
+  /** Loads from the weight store that may begin now. */
+  readonly storeLoads: number;
 }
 
 /** One step: load a model, or close one that makes room. */
@@ -47,49 +56,65 @@
 }
 
 /** Work that one copy is meant to take, in ms a second; the rest is reserve. */
-const WORK_PER_COPY_MS = 350;
+const WORK_PER_COPY_MS = 800;
 /** Rate from which the loss of one engine must not stop a model. */
-const SECOND_COPY_RATE_PER_S = 1.5;
-/** Rate below which a model that nobody waits for is not wanted. */
-const WANTED_RATE_PER_S = 0.05;
+const SECOND_COPY_RATE_PER_S = 2;
 /** Cost of a victim's request on the way, in ms of work a second. */
 const IN_FLIGHT_COST = 40;
-/** Cost of taking the last copy of a model that was asked for lately. */
-const LAST_COPY_COST = 2_000;
-/** Time after which a last copy that nobody asked for costs little. */
-const FORGOTTEN_AFTER_MS = 20_000;
+/** Cost of a victim that was loaded only just now. */
+const YOUNG_COPY_COST = 400;
+const YOUNG_FOR_MS = 4_000;
+/** Cost of taking a model's last copy, fading with the time it was not used. */
+const LAST_COPY_COST = 1_500;
+const LAST_COPY_HALF_LIFE_MS = 10_000;
+/** Cost of taking the second copy of a model that should survive a crash. */
+const SPARE_COPY_COST = 300;
 /** Weight of load time against engine work in the choice of an engine. */
 const LOAD_TIME_WEIGHT = 0.1;
+/** Weight of room left unused, per MB: small models fill small gaps. */
+const WASTE_WEIGHT = 0.002;
+/** Loads from the weight store kept back from models nobody asks for. */
+const STORE_RESERVE = 1;
 
-interface Ranked {
+/** Why a model should get a copy; the lower goes first. */
+const enum Urgency {
+  AskedFor = 0,
+  Overloaded = 1,
+  Spare = 2,
+  Tail = 3,
+}
+
+interface Deficit {
   readonly model: core.ModelName;
-  readonly copies: number;
-  readonly demand: ModelDemand;
+  readonly urgency: Urgency;
+  readonly weight: number;
 }
 
-/** Plans copies by demand. */
+/**
+ * Plans copies: every model that may be asked for keeps one as far as there is
+ * room, and the busy ones get as many as their work needs.
+ */
 export class CopyPlanner {
   readonly #view: CopyView;
   readonly #copies = new Map<core.ModelName, number>();
   readonly #workOf = new Map<core.UpstreamId, number>();
   readonly #taken = new Set<core.UpstreamId>();
+  #storeLoads: number;
 
   constructor(view: CopyView) {
     this.#view = view;
+    this.#storeLoads = view.storeLoads;
     for (const engine of view.engines) this.#count(engine);
     for (const engine of view.engines) {
       this.#workOf.set(engine.id, this.#workOn(engine));
     }
   }
 
-  /** Copies that a model should have. */
+  /** Copies that a model's work needs. */
   wanted(model: core.ModelName): number {
-    const demand = this.#view.demand.get(model);
-    if (!demand) return 0;
-    if (demand.waiting === 0 && demand.ratePerS < WANTED_RATE_PER_S) return 0;
-    const byWork = Math.ceil(demand.workMsPerS / WORK_PER_COPY_MS);
-    const least = demand.ratePerS >= SECOND_COPY_RATE_PER_S ? 2 : 1;
-    return Math.min(Math.max(byWork, least), this.#view.engines.length);
+    const workMsPerS = this.#view.demand.get(model)?.workMsPerS ?? 0;
+    const byWork = Math.ceil(workMsPerS / WORK_PER_COPY_MS);
+    return Math.max(1, Math.min(byWork, this.#view.engines.length));
   }
 
   /** Copies that serve or are being loaded. */
@@ -106,24 +131,43 @@
    * ```
    */
   plan(): CopyAction[] {
-    const actions: CopyAction[] = [];
-    for (const { model } of this.#deficits()) {
-      const action = this.#place(model);
+    const actions = this.#keepReservations();
+    for (const deficit of this.#deficits()) {
+      const action = this.#place(deficit);
       if (!action) continue;
       this.#taken.add(action.engine);
-      if (action.kind === "load") {
-        this.#copies.set(model, this.copies(model) + 1);
-      } else {
-        const victims = this.copies(action.model) - 1;
-        this.#copies.set(action.model, victims);
+      this.#copies.set(model(action), this.copies(model(action)) + 1);
+      if (action.kind === "close") {
+        this.#copies.set(action.model, this.copies(action.model) - 1);
       }
       actions.push(action);
     }
     return actions;
   }
 
-  #count({ isUsable, models }: CopyEngine): void {
+  /** Loads what room has been made for. */
+  #keepReservations(): CopyAction[] {
+    const actions: CopyAction[] = [];
+    for (const engine of this.#view.engines) {
+      const model = engine.reservedFor;
+      if (model === undefined || engine.models.has(model)) continue;
+      this.#taken.add(engine.id);
+      const sizeMb = this.#view.sizesMb.get(model) ?? Infinity;
+      if (!engine.canOrder || engine.freeMb < sizeMb) continue;
+      if (engine.needsStore(model)) {
+        if (this.#storeLoads < 1) continue;
+        this.#storeLoads -= 1;
+      }
+      actions.push({ kind: "load", engine: engine.id, model });
+    }
+    return actions;
+  }
+
+  #count({ isUsable, models, reservedFor }: CopyEngine): void {
     if (!isUsable) return;
+    if (reservedFor !== undefined && !models.has(reservedFor)) {
+      this.#copies.set(reservedFor, this.copies(reservedFor) + 1);
+    }
     for (const [model, { phase }] of models) {
       if (phase !== "ready" && phase !== "loading") continue;
       this.#copies.set(model, this.copies(model) + 1);
@@ -145,45 +189,65 @@
     return workMsPerS / Math.max(1, this.copies(model));
   }
 
-  /** Models without a copy first, then those with the most work a copy. */
-  #deficits(): Ranked[] {
-    const ranked: Ranked[] = [];
-    for (const [model, demand] of this.#view.demand) {
-      const copies = this.copies(model);
-      if (copies < this.wanted(model)) ranked.push({ model, copies, demand });
+  #deficits(): Deficit[] {
+    const deficits: Deficit[] = [];
+    for (const model of this.#view.sizesMb.keys()) {
+      const deficit = this.#deficit(model);
+      if (deficit) deficits.push(deficit);
     }
-    return ranked.sort((a, b) => {
-      const aNone = a.copies === 0 ? 0 : 1;
-      const bNone = b.copies === 0 ? 0 : 1;
-      if (aNone !== bNone) return aNone - bNone;
-      if (aNone === 0 && a.demand.waiting !== b.demand.waiting) {
-        return b.demand.waiting - a.demand.waiting;
-      }
-      return this.#workShare(b.model) - this.#workShare(a.model);
-    });
+    return deficits.sort((a, b) =>
+      a.urgency - b.urgency || b.weight - a.weight
+    );
+  }
+
+  #deficit(model: core.ModelName): Deficit | undefined {
+    const demand = this.#view.demand.get(model);
+    const copies = this.copies(model);
+    if (copies === 0) {
+      const isAskedFor = (demand?.waiting ?? 0) > 0;
+      return isAskedFor
+        ? { model, urgency: Urgency.AskedFor, weight: demand!.waiting }
+        : {
+          model,
+          urgency: Urgency.Tail,
+          weight: demand?.ratePerS ?? -this.#view.idleMs(model),
+        };
+    }
+    if (copies < this.wanted(model)) {
+      const weight = this.#workShare(model);
+      return { model, urgency: Urgency.Overloaded, weight };
+    }
+    const isBusy = (demand?.ratePerS ?? 0) >= SECOND_COPY_RATE_PER_S;
+    return isBusy && copies < 2
+      ? { model, urgency: Urgency.Spare, weight: demand!.ratePerS }
+      : undefined;
   }
 
-  #place(model: core.ModelName): CopyAction | undefined {
-    const sizeMb = this.#view.sizeMb(model);
+  #place({ model, urgency }: Deficit): CopyAction | undefined {
+    const sizeMb = this.#view.sizesMb.get(model) ?? Infinity;
     let best: CopyAction | undefined;
     let bestCost = Infinity;
+    let bestNeedsStore = false;
     for (const engine of this.#view.engines) {
       if (!engine.isUsable || !engine.canOrder) continue;
       if (this.#taken.has(engine.id) || engine.models.has(model)) continue;
-      const makesRoom = hasClosing(engine);
-      const workMs = this.#workOf.get(engine.id) ?? 0;
-      const loadMs = engine.loadMs(model) * LOAD_TIME_WEIGHT;
+      const needsStore = engine.needsStore(model);
+      const reserve = urgency === Urgency.Tail ? STORE_RESERVE : 0;
+      if (needsStore && this.#storeLoads < 1 + reserve) continue;
+      const base = (this.#workOf.get(engine.id) ?? 0) +
+        engine.loadMs(model) * LOAD_TIME_WEIGHT;
       if (engine.freeMb >= sizeMb) {
-        const cost = workMs + loadMs;
+        const cost = base + (engine.freeMb - sizeMb) * WASTE_WEIGHT;
         if (cost >= bestCost) continue;
         best = { kind: "load", engine: engine.id, model };
         bestCost = cost;
+        bestNeedsStore = needsStore;
         continue;
       }
-      if (makesRoom) continue;
-      const victim = this.#victim(engine, model, sizeMb - engine.freeMb);
+      if (hasClosing(engine)) continue;
+      const victim = this.#victim(engine, urgency, sizeMb - engine.freeMb);
       if (!victim) continue;
-      const cost = workMs + loadMs + victim.cost;
+      const cost = base + victim.cost;
       if (cost >= bestCost) continue;
       best = {
         kind: "close",
@@ -192,51 +256,61 @@
         inFavourOf: model,
       };
       bestCost = cost;
+      bestNeedsStore = needsStore;
     }
+    if (best?.kind === "load" && bestNeedsStore) this.#storeLoads -= 1;
     return best;
   }
 
-  /** The copy that is missed least; several small ones go one by one. */
+  /** The copy that is missed least among those large enough. */
   #victim(
     engine: CopyEngine,
-    inFavourOf: core.ModelName,
+    urgency: Urgency,
     neededMb: number,
   ): { model: core.ModelName; cost: number } | undefined {
     let best: { model: core.ModelName; cost: number } | undefined;
     for (const [model, copy] of engine.models) {
       if (copy.phase !== "ready") continue;
-      const cost = this.#victimCost(model, copy, inFavourOf);
+      if ((this.#view.sizesMb.get(model) ?? 0) < neededMb) continue;
+      const cost = this.#victimCost(model, copy, urgency);
       if (cost === undefined) continue;
-      const isEnough = this.#view.sizeMb(model) >= neededMb;
-      const total = cost + (isEnough ? 0 : LAST_COPY_COST / 4);
-      if (!best || total < best.cost) best = { model, cost: total };
+      if (!best || cost < best.cost) best = { model, cost };
     }
     return best;
   }
 
+  /** What closing a copy costs; undefined where the urgency forbids it. */
   #victimCost(
     model: core.ModelName,
-    { inFlight }: ModelCopy,
-    inFavourOf: core.ModelName,
+    { inFlight, ageMs }: ModelCopy,
+    urgency: Urgency,
   ): number | undefined {
+    // Before callers have asked for anything, what is busy is not known.
+    if (urgency === Urgency.Tail && this.#view.demand.size === 0) {
+      return undefined;
+    }
     const copies = this.copies(model);
-    const wanted = this.wanted(model);
-    const cost = this.#workShare(model) + inFlight * IN_FLIGHT_COST;
-    if (wanted === 0) {
-      const idleMs = this.#view.lastAskedMs(model);
-      const isForgotten = copies > 1 || idleMs >= FORGOTTEN_AFTER_MS;
-      return cost + (isForgotten ? 0 : LAST_COPY_COST / 8);
+    const demand = this.#view.demand.get(model);
+    const young = ageMs < YOUNG_FOR_MS ? YOUNG_COPY_COST : 0;
+    const cost = this.#workShare(model) + inFlight * IN_FLIGHT_COST + young;
+    if (copies > this.wanted(model)) {
+      const isSpare = copies === 2 &&
+        (demand?.ratePerS ?? 0) >= SECOND_COPY_RATE_PER_S;
+      if (!isSpare) return urgency === Urgency.Tail && young ? undefined : cost;
+      return urgency <= Urgency.Overloaded ? cost + SPARE_COPY_COST : undefined;
     }
-    if (copies > wanted) return cost;
-    // A model with copies yields to one that has none at all.
-    if (this.copies(inFavourOf) > 0) return undefined;
-    if (copies > 1) return cost + LAST_COPY_COST / 2;
-    const rate = this.#view.demand.get(model)?.ratePerS ?? 0;
-    const wantedRate = this.#view.demand.get(inFavourOf)?.ratePerS ?? 0;
-    return rate * 4 < wantedRate ? cost + LAST_COPY_COST : undefined;
+    if (urgency > Urgency.Overloaded || copies > 1) return undefined;
+    if ((demand?.waiting ?? 0) > 0) return undefined;
+    const fade = 0.5 ** (this.#view.idleMs(model) / LAST_COPY_HALF_LIFE_MS);
+    return cost + LAST_COPY_COST * fade;
   }
 }
 
+/** The model that an action is for. */
+function model(action: CopyAction): core.ModelName {
+  return action.inFavourOf ?? action.model;
+}
+
 function hasClosing(engine: CopyEngine): boolean {
   for (const { phase } of engine.models.values()) {
     if (phase === "closing" || phase === "unloading") return true;
--- /dev/null
+++ b/packages/placement/tests/unit/placement_copies_test.ts
@@ -0,0 +1,203 @@
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import * as placement from "../../mod.ts";
+
+const model = (name: string) => core.brandId<core.ModelName>(name);
+const engineId = (name: string) => core.brandId<core.UpstreamId>(name);
+
+const SIZE_MB = 60;
+const ENGINE_MB = 200;
+
+interface Held {
+  readonly name: string;
+  readonly inFlight?: number;
+  readonly ageMs?: number;
+}
+
+function makeEngine(
+  id: string,
+  held: readonly Held[],
+  part: Partial<placement.CopyEngine> = {},
+): placement.CopyEngine {
+  return {
+    id: engineId(id),
+    isUsable: true,
+    canOrder: true,
+    freeMb: ENGINE_MB - held.length * SIZE_MB,
+    models: new Map(held.map(({ name, inFlight, ageMs }) => [model(name), {
+      phase: "ready" as const,
+      inFlight: inFlight ?? 0,
+      ageMs: ageMs ?? 60_000,
+    }])),
+    loadMs: () => 1_500,
+    needsStore: () => true,
+    ...part,
+  };
+}
+
+function makeView(
+  engines: readonly placement.CopyEngine[],
+  demand: Record<string, Partial<placement.ModelDemand>>,
+  part: Partial<placement.CopyView> & { names?: string } = {},
+): placement.CopyView {
+  const names = [...(part.names ?? "abcdef")];
+  return {
+    engines,
+    sizesMb: new Map(names.map((name) => [model(name), SIZE_MB])),
+    demand: new Map(
+      Object.entries(demand).map(([name, line]) => [model(name), {
+        ratePerS: 0,
+        waiting: 0,
+        workMsPerS: 0,
+        ...line,
+      }]),
+    ),
+    idleMs: () => Infinity,
+    storeLoads: 3,
+    ...part,
+  };
+}
+
+const plan = (view: placement.CopyView) =>
+  new placement.CopyPlanner(view).plan();
+
+test("quiet: models that nobody asks for fill free room only", (t) => {
+  const actions = plan(makeView([
+    makeEngine("e1", [{ name: "a" }, { name: "b" }, { name: "a" }]),
+    makeEngine("e2", [{ name: "a" }, { name: "c" }, { name: "d" }]),
+    makeEngine("e3", [{ name: "a" }]),
+  ], {}));
+  t.deepEqual(actions.map(({ kind, engine }) => [kind, engine]), [
+    ["load", engineId("e1")],
+    ["load", engineId("e3")],
+  ]);
+});
+
+test("rare models asked for at once: each takes the copy missed least", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [{ name: "a", inFlight: 9 }, { name: "b" }, {
+        name: "c",
+      }]),
+      makeEngine("e2", [{ name: "a" }, { name: "b", inFlight: 9 }, {
+        name: "d",
+      }]),
+    ],
+    {
+      a: { ratePerS: 9, workMsPerS: 700 },
+      b: { ratePerS: 9, workMsPerS: 700 },
+      e: { waiting: 2 },
+      f: { waiting: 1 },
+    },
+    {
+      idleMs: (name) => name === model("c") || name === model("d") ? 60_000 : 0,
+    },
+  ));
+  t.deepEqual(
+    actions.map(({ kind, model, inFavourOf }) => [
+      kind,
+      model,
+      inFavourOf,
+    ]).sort(),
+    [
+      ["close", model("c"), model("f")],
+      ["close", model("d"), model("e")],
+    ].sort(),
+  );
+});
+
+test("room that was made is kept for the model it was made for", (t) => {
+  const made = makeEngine("e1", [{ name: "a" }, { name: "b" }], {
+    reservedFor: model("e"),
+  });
+  const view = makeView([
+    made,
+    makeEngine("e2", [
+      { name: "a" },
+      { name: "c" },
+      { name: "d" },
+    ]),
+  ], { e: { waiting: 3 }, f: { waiting: 5 } });
+  const actions = plan(view);
+  t.like(actions[0], {
+    kind: "load",
+    model: model("e"),
+    engine: engineId("e1"),
+  });
+  t.false(
+    actions.some(({ model: name, inFavourOf }) =>
+      name === model("f") && inFavourOf === undefined
+    ),
+  );
+});
+
+test("no second engine is emptied while room is being made", (t) => {
+  const closing = makeEngine("e1", [{ name: "a" }, { name: "b" }], {
+    freeMb: 20,
+    canOrder: false,
+    reservedFor: model("e"),
+  });
+  const other = makeEngine("e2", [{ name: "b" }, { name: "c" }, { name: "d" }]);
+  const actions = plan(makeView([closing, other], { e: { waiting: 3 } }, {
+    names: "abcde",
+  }));
+  t.deepEqual(actions, []);
+});
+
+test("demand moves: the risen model takes the fallen one's copies", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [{ name: "a" }, { name: "a" }, { name: "c" }]),
+      makeEngine("e2", [{ name: "a" }, { name: "d" }, { name: "f" }]),
+      makeEngine("e3", [{ name: "b", inFlight: 9 }, { name: "e" }, {
+        name: "c",
+      }]),
+    ].map((engine) => ({ ...engine, freeMb: 20 })),
+    { b: { ratePerS: 20, workMsPerS: 2_000 } },
+    { idleMs: () => 100 },
+  ));
+  t.true(actions.length > 0);
+  for (const { kind, model: name, inFavourOf } of actions) {
+    t.is(kind, "close");
+    t.is(inFavourOf, model("b"));
+    t.not(name, model("b"));
+  }
+});
+
+test("a third of the engines gone: what they held alone comes first", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [{ name: "a" }, { name: "b" }]),
+      makeEngine("e2", [{ name: "a" }, { name: "c" }]),
+      makeEngine("e3", [{ name: "d" }], { isUsable: false }),
+    ],
+    { d: { waiting: 4, ratePerS: 3 }, a: { ratePerS: 9, workMsPerS: 2_000 } },
+  ));
+  t.like(actions[0], { kind: "load", model: model("d") });
+});
+
+test("the weight store's rate bounds loads; kept copies need none of it", (t) => {
+  const engines = ["e1", "e2", "e3"].map((id) => makeEngine(id, []));
+  const demand = { a: { waiting: 1 }, b: { waiting: 1 }, c: { waiting: 1 } };
+  const storeLoads = 1;
+  t.is(plan(makeView(engines, demand, { storeLoads })).length, 1);
+  const kept = engines.map((engine) => ({
+    ...engine,
+    needsStore: () => false,
+  }));
+  t.is(plan(makeView(kept, demand, { storeLoads: 0 })).length, 3);
+});
+
+test("a copy that requests wait for is never closed", (t) => {
+  const actions = plan(makeView(
+    [makeEngine("e1", [{ name: "a" }, { name: "b" }, { name: "c" }])],
+    {
+      a: { waiting: 1 },
+      b: { waiting: 1 },
+      c: { waiting: 1 },
+      e: { waiting: 9 },
+    },
+    { names: "abce" },
+  ));
+  t.deepEqual(actions, []);
+});
