Hand over orders by counts; spare only copies that serve; fewer store calls

Cause: (1) a new holder waited 4.4 s before it ordered any engine; (2) a copy still on its way made the only serving one look spare; (3) a victim in use holds its room until its runs end, for seconds; (4) each renewal of the lease woke every follower, a quarter of all store calls. Change: the holder tells order counts, ages of last orders and its renewal in every exchange; a new holder orders an engine at once if the report shows no order beyond those; standbys read the lease only when the holder is silent; copies on their way spare nothing; victims in use cost more; a load whose time is over counts as ended; feeds wait 2 s (8 s for members). Test: two cases of placement_copies_test, which failed first.

--- a/packages/dispatch/dispatch_board.ts
+++ b/packages/dispatch/dispatch_board.ts
@@ -33,6 +33,9 @@
 const OTHERS_STALE_MS = 1_500;
 /** Time for which an upstream's own word that it lacks a model holds. */
 const ABSENT_FOR_MS = 400;
+/** The same just after a load was to end, and when it is merely full. */
+const NOT_YET_FOR_MS = 40;
+const FRESH_FOR_MS = 1_000;
 /** Weight of one measured first event against the history. */
 const SLOWNESS_WEIGHT = 0.15;
 const SLOWNESS_MIN = 0.5;
@@ -43,6 +46,10 @@
   readonly health = new UpstreamHealth();
   readonly prefixes: PrefixMemory;
   record: fleet.UpstreamRecord;
+  /** Orders of the holder, as it last told: kept for the next holder. */
+  ordersTold:
+    | { orderCount: number; lastOrderAtMs: number | undefined }
+    | undefined;
   /** Whether its leaving has been logged. */
   isLeavingNoted = false;
   /** Measured against estimated time to the first event. */
@@ -147,9 +154,13 @@
     );
   }
 
-  /** Notes that it refused a model or adapter as not present. */
-  noteAbsent(weights: string, nowMs: number): void {
-    this.#absentUntilMs.set(weights, nowMs + ABSENT_FOR_MS);
+  /** Notes that it refused a request, for want of the model if so told. */
+  noteRefused(weights: string, lacksModel: boolean, nowMs: number): void {
+    const [name] = weights.split("/");
+    const held = this.#held.get(name as core.ModelName);
+    const isFresh = nowMs - (held?.readyAtMs ?? -Infinity) < FRESH_FOR_MS;
+    const forMs = lacksModel && !isFresh ? ABSENT_FOR_MS : NOT_YET_FOR_MS;
+    this.#absentUntilMs.set(weights, nowMs + forMs);
   }
 
   /** Whether it can run the model, and the adapter if one is named. */
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import * as core from "../core/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
+import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { EngineHoldings } from "./entry_orders_task.ts";
@@ -20,6 +21,9 @@
   readonly #received = new Map<string, Received>();
   /** What engines hold, if this node sends the orders. */
   holdings: () => readonly EngineHoldings[] | undefined = () => undefined;
+  /** The lease's renewal, if this node holds the lease. */
+  renewal: () => { version: number; ageMs: number } | undefined = () =>
+    undefined;
   /** Called when a digest shows requests that wait. */
   onWaiting: () => void = () => {};
 
@@ -35,8 +39,11 @@
     this.#state.members.heard(node, 0, digest.accepts);
     if (digest.demand.some(({ waiting }) => waiting > 0)) this.onWaiting();
     const holdings = this.holdings();
+    const renewal = this.renewal();
     return create(peers.FleetViewSchema, {
       hasOrders: holdings !== undefined,
+      leaseVersion: BigInt(renewal?.version ?? 0),
+      leaseAgeMs: Math.round(renewal?.ageMs ?? 0),
       members: this.#members(nowMs),
       uses: this.#sumUses(digest.node, nowMs),
       engines: (holdings ?? []).map((engine) => toEngineState(engine, nowMs)),
@@ -139,7 +146,8 @@
   engines: readonly peers.EngineState[],
   nowMs: number,
 ): void {
-  for (const { upstreamId, bornMs, models } of engines) {
+  for (const told of engines) {
+    const { upstreamId, bornMs, models, orderCount, lastOrderAgeMs } = told;
     const id = core.brandId<core.UpstreamId>(upstreamId);
     const engine = state.board.get(id);
     if (!engine || engine.record.bornMs !== bornMs) continue;
@@ -152,6 +160,11 @@
       },
     ]);
     engine.hold(new Map(held));
+    if (orderCount === undefined) continue;
+    const lastOrderAtMs = lastOrderAgeMs === undefined
+      ? undefined
+      : nowMs - lastOrderAgeMs;
+    engine.ordersTold = { orderCount, lastOrderAtMs };
   }
 }
 
@@ -177,13 +190,22 @@
   };
 }
 
-function toEngineState({ record, account }: EngineHoldings, nowMs: number) {
+function toEngineState(
+  { record, account, lastOrderAtMs }: EngineHoldings,
+  nowMs: number,
+) {
   return {
+    ...(account.orderCount === undefined
+      ? {}
+      : { orderCount: account.orderCount }),
+    ...(lastOrderAtMs === undefined
+      ? {}
+      : { lastOrderAgeMs: Math.round(nowMs - lastOrderAtMs) }),
     upstreamId: record.id,
     bornMs: record.bornMs,
     models: [...account.models].map(([model, held]) => ({
       model,
-      isUsable: held.phase === "ready",
+      isUsable: orders.isUsable(held, nowMs),
       adapters: [...held.adapters]
         .filter(([, readyAtMs]) => readyAtMs <= nowMs)
         .map(([adapter]) => adapter),
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -84,6 +84,9 @@
       this.#state.members.heard(member, ageMs, accepts);
     }
     applyUses(this.#state, view.uses, answeredAtMs);
+    if (view.leaseVersion > 0n) {
+      this.#lease.heard(hub, Number(view.leaseVersion), view.leaseAgeMs);
+    }
     if (view.hasOrders) {
       this.#holdingsAtMs = answeredAtMs;
       applyHoldings(this.#state, view.engines, answeredAtMs);
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -2,8 +2,14 @@
 import * as core from "../core/mod.ts";
 import type * as store from "../store/mod.ts";
 
-/** Longest wait of one call, so that a silent connection shows soon. */
-const FOLLOW_WAIT_MS = 1_000;
+/** How a table is followed. */
+export interface FollowOptions {
+  /** Longest wait of one call, so that a silent connection shows. */
+  readonly waitMs: number;
+  /** Pause after a change, in which further ones gather. */
+  readonly gatherMs: number;
+}
+
 /** Pause after a failure; jittered, so that nodes do not call together. */
 const RETRY_DELAY_MS = 200;
 
@@ -50,14 +56,17 @@
   readonly #table: string;
   readonly #listener: TableListener;
   readonly #watch: StoreWatch;
+  readonly #options: FollowOptions;
 
   constructor(
     tables: store.FollowedTableService,
     table: string,
     listener: TableListener,
     watch: StoreWatch,
+    options: FollowOptions,
   ) {
     super();
+    this.#options = options;
     this.name = `follow-${table}`;
     this.#store = tables;
     this.#table = table;
@@ -73,11 +82,14 @@
         : await this.#followOn(version);
       if (version === undefined || this.#hasFailed) {
         await core.sleep(core.jitterMs(RETRY_DELAY_MS), signal);
+      } else if (this.#hasChanged && this.#options.gatherMs > 0) {
+        await core.sleep(this.#options.gatherMs, signal);
       }
     }
   }
 
   #hasFailed = false;
+  #hasChanged = false;
 
   async #readWhole(): Promise<number | undefined> {
     const snapshot = await this.#store.readTable(this.#table);
@@ -93,14 +105,16 @@
 
   async #followOn(version: number): Promise<number | undefined> {
     const answer = await this.#store
-      .follow(this.#table, version, FOLLOW_WAIT_MS);
+      .follow(this.#table, version, this.#options.waitMs);
     this.#hasFailed = answer.isErr();
+    this.#hasChanged = false;
     if (answer.isErr()) {
       this.#watch.failed(answer.error.detail);
       return version;
     }
     this.#watch.answered();
     if (answer.value.outcome === "historyGone") return undefined;
+    this.#hasChanged = answer.value.changes.length > 0;
     for (const change of answer.value.changes) this.#listener.change(change);
     return Math.max(version, answer.value.version);
   }
--- a/packages/entry/entry_listeners.ts
+++ b/packages/entry/entry_listeners.ts
@@ -1,15 +1,9 @@
 /** Turns rows of the store into the node's state. */
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import type * as orders from "../orders/mod.ts";
 import type * as store from "../store/mod.ts";
 import { type StoreWatch, TableListener } from "./entry_follow_task.ts";
-import {
-  LEASE_KEY,
-  LeaseRowCodec,
-  MEMBER_PREFIX,
-  MemberRowCodec,
-} from "./entry_members.ts";
+import { MEMBER_PREFIX, MemberRowCodec } from "./entry_members.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Time after an outage in which upstreams may come back to the list. */
@@ -127,27 +121,21 @@
   }
 }
 
-/** Takes the nodes' own rows: members, and the right to send orders. */
+/** Takes the nodes' own rows. */
 export class OwnListener extends TableListener {
   readonly #state: EntryState;
-  readonly #lease: orders.OrderLease;
 
-  constructor(state: EntryState, lease: orders.OrderLease) {
+  constructor(state: EntryState) {
     super();
     this.#state = state;
-    this.#lease = lease;
   }
 
   override replace({ rows, version }: store.TableSnapshot): void {
     for (const row of rows) this.change(row);
-    if (!rows.some(({ key }) => key === LEASE_KEY)) {
-      this.#lease.observeAbsent(0);
-    }
     this.#state.logger.info("members_read", { rows: rows.length, version });
   }
 
-  override change({ key, version, value }: store.RowChange): void {
-    if (key === LEASE_KEY) return this.#changeLease(version, value);
+  override change({ key, value }: store.RowChange): void {
     if (!key.startsWith(MEMBER_PREFIX)) return;
     const node = core.brandId<core.InstanceId>(
       key.slice(MEMBER_PREFIX.length),
@@ -166,16 +154,4 @@
       leaving: row.value.isLeaving,
     });
   }
-
-  #changeLease(version: number, value: core.JsonValue | undefined): void {
-    if (value === undefined) return this.#lease.observe(undefined, version);
-    const row = core.decodeValue(value, LeaseRowCodec);
-    if (row.isErr()) {
-      const reason = row.error;
-      this.#state.logger.error("lease_unreadable", { version, reason });
-      return;
-    }
-    const holder = core.brandId<core.InstanceId>(row.value.holder);
-    this.#lease.observe({ ...row.value, holder }, version);
-  }
 }
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -4,8 +4,9 @@
 
 /** Table in which entry nodes keep what they agree on. */
 export const OWN_TABLE = "carawaywind";
+/** Table of the right to send orders: no node follows its renewals. */
+export const LEASE_TABLE = "carawaywind-orders";
 export const MEMBER_PREFIX = "member/";
-export const LEASE_KEY = "orders";
 
 /** Time without news after which a member counts as dead. */
 const ALIVE_FOR_MS = 1_500;
@@ -23,12 +24,6 @@
 /** What a node tells of itself in the store. */
 export type MemberRow = purify.GetType<typeof MemberRowCodec>;
 
-export const LeaseRowCodec = purify.Codec.interface({
-  holder: purify.string,
-  incarnation: purify.string,
-  isFree: purify.boolean,
-});
-
 interface Member {
   row: MemberRow;
   seenAtMs: number;
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -7,7 +7,12 @@
 import type * as store from "../store/mod.ts";
 import { ExchangeHub } from "./entry_exchange.ts";
 import { ExchangeTask } from "./entry_exchange_task.ts";
-import { FollowTask, StoreWatch } from "./entry_follow_task.ts";
+import {
+  type FollowOptions,
+  FollowTask,
+  StoreWatch,
+  type TableListener,
+} from "./entry_follow_task.ts";
 import {
   ConfigListener,
   OwnListener,
@@ -15,7 +20,7 @@
 } from "./entry_listeners.ts";
 import { CallerListener } from "./entry_caller_listener.ts";
 import {
-  LEASE_KEY,
+  LEASE_TABLE,
   MEMBER_PREFIX,
   type MemberRow,
   OWN_TABLE,
@@ -42,6 +47,15 @@
 /** Pause between tries to write this node's row. */
 const ROW_RETRY_MS = 300;
 
+/**
+ * How tables are followed. A wait ends well before the 3 s for which the rules
+ * excuse a connection that fell silent; changes of the list come in bursts and
+ * have 2 s to be taken in; members tell each other most themselves.
+ */
+const CONFIG_FOLLOW = { waitMs: 2_000, gatherMs: 0 };
+const UPSTREAM_FOLLOW = { waitMs: 2_000, gatherMs: 150 };
+const OWN_FOLLOW = { waitMs: 8_000, gatherMs: 100 };
+
 /** Hands exchanges of other nodes to the hub. */
 class HubHandler extends peers.FleetHandler {
   readonly #hub: ExchangeHub;
@@ -76,7 +90,7 @@
     this.#tools = tools;
     this.#supervisor = new core.Supervisor("entry", logger);
     this.#lease = new orders.OrderLease(tools.store, {
-      key: `${OWN_TABLE}/${LEASE_KEY}`,
+      key: `${LEASE_TABLE}/holder`,
       self: settings.nodeName,
       incarnation: this.state.incarnation,
       leaseMs: settings.orders.leaseMs,
@@ -158,9 +172,10 @@
       this.#lifecycle,
     );
     const config = new ConfigListener(state, source, upstreams);
-    const own = new OwnListener(state, lease);
+    const own = new OwnListener(state);
     const ordersTask = new OrdersTask(state, hub, lease, control);
     const exchange = new ExchangeTask(state, hub, lease, clients, this.#placer);
+    hub.renewal = () => lease.renewal;
     hub.holdings = () => ordersTask.holdings();
     hub.onWaiting = () => ordersTask.alarm.ring();
     this.#placer.onWait = () => {
@@ -169,16 +184,13 @@
     };
     upstreams.onChange = () => this.#placer.drain();
     const follow = this.#supervisor.child("follow");
-    const followed: [
-      string,
-      ConfigListener | UpstreamListener | OwnListener,
-    ][] = [
-      [source.configTable, config],
-      [source.upstreamTable, upstreams],
-      [OWN_TABLE, own],
+    const followed: [string, TableListener, FollowOptions][] = [
+      [source.configTable, config, CONFIG_FOLLOW],
+      [source.upstreamTable, upstreams, UPSTREAM_FOLLOW],
+      [OWN_TABLE, own, OWN_FOLLOW],
     ];
-    for (const [table, listener] of followed) {
-      follow.start(new FollowTask(tables, table, listener, watch));
+    for (const [table, listener, options] of followed) {
+      follow.start(new FollowTask(tables, table, listener, watch, options));
     }
     this.#supervisor.start(new RowTask((signal) => this.#keepRow(signal)));
     this.#supervisor.start(exchange);
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -26,6 +26,8 @@
 export interface EngineHoldings {
   readonly record: fleet.UpstreamRecord;
   readonly account: orders.EngineAccount;
+  /** When the last order was sent, on the monotonic clock. */
+  readonly lastOrderAtMs: number | undefined;
 }
 
 /** One engine under orders. */
@@ -81,6 +83,7 @@
     return [...this.#ordered.values()].map(({ sender }) => ({
       record: sender.record,
       account: sender.account,
+      lastOrderAtMs: sender.lastOrderAtMs,
     }));
   }
 
@@ -130,8 +133,10 @@
           control: this.#control,
           lease: this.#lease,
           self: this.#state.settings.nodeName,
+          leaseMs: this.#state.settings.orders.leaseMs,
           logger: this.#state.logger,
         },
+        this.#state.board.get(record.id)?.ordersTold,
       );
       this.#ordered.set(record.id, {
         sender,
@@ -179,7 +184,8 @@
   ): placement.CopyEngine[] {
     const ordered = this.#ordered.get(state.record.id);
     if (!ordered) return [];
-    const { account, isActive } = ordered.sender;
+    const { account } = ordered.sender;
+    const isClosed = ordered.sender.isClosed(nowMs);
     const inFlight = totals.inFlight.get(state.record.id);
     const { reserved } = ordered;
     const isReserved = reserved && nowMs - reserved.atMs < RESERVED_FOR_MS;
@@ -187,7 +193,7 @@
       ...(isReserved ? { reservedFor: reserved.model } : {}),
       id: state.record.id,
       isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
-      canOrder: !isActive && !account.isBusy,
+      canOrder: !isClosed && !account.isBusy,
       freeMb: spec.weightsMb - account.usedMb(spec),
       models: new Map(
         [...account.models].map(([model, { phase }]) => [model, {
@@ -276,7 +282,7 @@
   ): void {
     for (const { record } of states) {
       const ordered = this.#ordered.get(record.id);
-      if (!ordered || ordered.sender.isActive) continue;
+      if (!ordered || ordered.sender.isClosed(nowMs)) continue;
       const { account } = ordered.sender;
       if (account.isBusy) continue;
       for (const [model, { phase }] of account.models) {
@@ -302,14 +308,15 @@
     const engines = states.flatMap((state): placement.AdapterEngine[] => {
       const ordered = this.#ordered.get(state.record.id);
       if (!ordered) return [];
-      const { account, isActive } = ordered.sender;
+      const { account } = ordered.sender;
+      const isClosed = ordered.sender.isClosed(nowMs);
       const inFlight = totals.inFlight.get(state.record.id);
       const ready = [...account.models]
         .filter(([, { phase }]) => phase === "ready");
       return [{
         id: state.record.id,
         isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
-        canOrder: !isActive && !account.isBusy,
+        canOrder: !isClosed && !account.isBusy,
         slotsFree: spec.adapterSlots - account.adapterCount,
         freeMb: spec.weightsMb - account.usedMb(spec),
         models: new Set(ready.map(([model]) => model)),
@@ -341,7 +348,7 @@
       engine.hold(
         new Map(
           [...account.models].map(([model, held]) => [model, {
-            isUsable: held.phase === "ready",
+            isUsable: orders.isUsable(held, nowMs),
             adapters: new Set(
               [...held.adapters].filter(([, atMs]) => atMs <= nowMs)
                 .map(([adapter]) => adapter),
--- a/packages/entry/entry_placer.ts
+++ b/packages/entry/entry_placer.ts
@@ -22,6 +22,7 @@
 /** Places requests by the node's state. */
 export class EntryPlacer extends relay.Placer {
   readonly #state: EntryState;
+  readonly #asked = new WeakSet<relay.RelayedRequest>();
   /** Called when a request begins to wait. */
   onWait: () => void = () => {};
 
@@ -49,7 +50,10 @@
       return this.#placeOnInstance(request, service, tried);
     }
     const nowMs = core.monotonicMs();
-    if (tried.size === 0) this.#noteDemand(request, model, nowMs);
+    if (!this.#asked.has(request)) {
+      this.#asked.add(request);
+      this.#noteDemand(request, model, nowMs);
+    }
     const choose = () =>
       this.#placeOnEngine(request, service, service.engine!, model, tried);
     return choose() ?? await this.#wait(request, model, choose, signal);
@@ -170,7 +174,8 @@
         .get(engine.record, service.connectionsMax, members.count()),
       answered: (nowMs) => engine.answered(work, estimatedMs, nowMs),
       heard: (nowMs) => engine.health.heard(nowMs),
-      absent: (nowMs) => engine.noteAbsent(work.weights, nowMs),
+      refused: (lacksModel, nowMs) =>
+        engine.noteRefused(work.weights, lacksModel, nowMs),
       noteGap: (gapMs) => {
         if (model !== undefined) pace.noteGap(model, gapMs, eventTokens);
       },
--- a/packages/orders/orders_account.ts
+++ b/packages/orders/orders_account.ts
@@ -18,6 +18,20 @@
   readonly adapters: Map<string, number>;
 }
 
+/**
+ * Whether requests may be sent to a model. A load whose time is over counts as
+ * ended: an engine that is not ready yet refuses them without running them.
+ *
+ * @example
+ * ```ts
+ * const usable = orders.isUsable(account.models.get(name)!, nowMs);
+ * ```
+ */
+export function isUsable(model: AccountedModel, nowMs: number): boolean {
+  if (model.phase === "ready") return true;
+  return model.phase === "loading" && model.readyAtMs <= nowMs;
+}
+
 /** The account of one incarnation of an engine. */
 export class EngineAccount {
   readonly models = new Map<core.ModelName, AccountedModel>();
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -3,6 +3,7 @@
  * holder stops before its own time ends; another node begins only when that
  * time, and the time that must lie between two holders' orders, have passed.
  */
+import * as purify from "purify-ts";
 import * as core from "../core/mod.ts";
 import type * as store from "../store/mod.ts";
 
@@ -14,8 +15,14 @@
 const SUSPENDED_AFTER_MS = 250;
 /** Delay between candidates, so that they do not all write at once. */
 const CANDIDATE_STAGGER_MS = 150;
-/** Pause between looks at the row. */
-const LOOK_INTERVAL_MS = 100;
+/** Pause before a renewal that failed is tried again. */
+const RETRY_INTERVAL_MS = 50;
+/** Pause between looks at the holder's news. */
+const LOOK_INTERVAL_MS = 50;
+/** Pause between reads of the row, while the holder is not heard. */
+const READ_INTERVAL_MS = 300;
+/** Time for which news of the holder itself spares reading the row. */
+const HEARD_FOR_MS = 400;
 
 /** What the lease's row says. */
 export interface LeaseRow {
@@ -26,6 +33,16 @@
   readonly isFree: boolean;
 }
 
+const LeaseRowCodec = purify.Codec.interface({
+  holder: purify.string,
+  incarnation: purify.string,
+  isFree: purify.boolean,
+});
+
+function toLeaseRow(row: purify.GetType<typeof LeaseRowCodec>): LeaseRow {
+  return { ...row, holder: core.brandId<core.InstanceId>(row.holder) };
+}
+
 /** Options of a lease. */
 export interface OrderLeaseOptions {
   readonly key: string;
@@ -57,6 +74,8 @@
   #renewedAtMs = -Infinity;
   #renewedAtWallMs = 0;
   #releasing = false;
+  #heardAtMs = -Infinity;
+  #readAtMs = -Infinity;
 
   constructor(
     table: store.TableService,
@@ -82,21 +101,31 @@
 
   /** The fencing number to order with, or undefined when not allowed. */
   get fence(): number | undefined {
-    if (this.#fence === undefined || !this.#isValid()) return undefined;
-    return core.monotonicMs() >= this.#ordersFromMs ? this.#fence : undefined;
+    return this.isHeld ? this.#fence : undefined;
   }
 
-  /** Notes the row as the store's feed shows it. */
-  observe(row: LeaseRow | undefined, version: number): void {
-    if (this.#seen && version <= this.#seen.version) return;
-    this.#see(row, version);
-    const isOwn = row?.incarnation === this.#options.incarnation;
-    if (this.#fence !== undefined && !isOwn) this.#lose("taken over");
+  /**
+   * When orders may go to an engine of which this node does not know when the
+   * holder before last ordered it, on the monotonic clock.
+   */
+  get ordersFromMs(): number {
+    return this.#ordersFromMs;
+  }
+
+  /** The row's version and the age of its renewal, while held. */
+  get renewal(): { version: number; ageMs: number } | undefined {
+    if (!this.isHeld || !this.#seen) return undefined;
+    const ageMs = core.monotonicMs() - this.#renewedAtMs;
+    return { version: this.#seen.version, ageMs };
   }
 
-  /** Notes that the table was read whole and has no such row. */
-  observeAbsent(version: number): void {
-    if (!this.#seen) this.#see(undefined, version);
+  /** Notes what the holder itself tells of its renewal. */
+  heard(holder: core.InstanceId, version: number, ageMs: number): void {
+    if (this.#fence !== undefined) return;
+    if (this.#seen && version < this.#seen.version) return;
+    const row = { holder, incarnation: "", isFree: false };
+    this.#seen = { row, version, atMs: core.monotonicMs() - ageMs };
+    this.#heardAtMs = core.monotonicMs();
   }
 
   /** Gives the right up at once, for a planned stop. */
@@ -118,15 +147,43 @@
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isHolder = this.#fence !== undefined;
-      if (isHolder) await this.#renew();
-      else if (this.#mayTake()) await this.#take();
+      const hasWorked = isHolder ? await this.#renew() : await this.#look();
       const pauseMs = this.#fence === undefined
         ? LOOK_INTERVAL_MS
-        : RENEW_INTERVAL_MS;
+        : hasWorked
+        ? RENEW_INTERVAL_MS
+        : RETRY_INTERVAL_MS;
       await core.sleep(pauseMs, signal);
     }
   }
 
+  /** Looks at the row while the holder is not heard, and takes it if due. */
+  async #look(): Promise<boolean> {
+    const { isEligible, key } = this.#options;
+    if (this.#releasing || !isEligible()) return true;
+    const nowMs = core.monotonicMs();
+    if (nowMs - this.#heardAtMs < HEARD_FOR_MS) return true;
+    if (this.#mayTake()) await this.#take();
+    else if (nowMs - this.#readAtMs >= READ_INTERVAL_MS) {
+      this.#readAtMs = nowMs;
+      const rows = await this.#store.read({ keys: [key] });
+      if (rows.isOk()) this.#seeRow(rows.value);
+    }
+    return true;
+  }
+
+  /** A version seen before keeps the time at which it was first seen. */
+  #seeRow(rows: readonly store.StoredRow[]): void {
+    const current = rows.find(({ key }) => key === this.#options.key);
+    const version = current?.version ?? 0;
+    if (this.#seen && version <= this.#seen.version) return;
+    const row = core.decodeValue(current?.value ?? null, LeaseRowCodec);
+    if (current && row.isErr()) {
+      this.#logger.error("lease_unreadable", { version, reason: row.error });
+    }
+    this.#see(row.isOk() ? toLeaseRow(row.value) : undefined, version);
+  }
+
   #see(row: LeaseRow | undefined, version: number): void {
     this.#seen = { row, version, atMs: core.monotonicMs() };
   }
@@ -180,30 +237,32 @@
     return before.atMs + VALID_FOR_MS + leaseMs;
   }
 
-  async #renew(): Promise<void> {
+  async #renew(): Promise<boolean> {
     const sentAtMs = core.monotonicMs();
     const sentAtWallMs = Date.now();
     const version = this.#seen!.version;
     const outcome = await this.#write(version, false);
-    if (this.#fence === undefined) return;
+    if (this.#fence === undefined) return true;
     if (outcome.isErr()) {
       if (!this.#isValid()) this.#lose(outcome.error.detail);
-      return;
+      return false;
     }
     if (outcome.value.outcome === "committed") {
       this.#renewedAtMs = sentAtMs;
       this.#renewedAtWallMs = sentAtWallMs;
       this.#see(this.#ownRow(false), outcome.value.version);
-      return;
+      return true;
     }
     this.#seeConflict(outcome.value.rows);
+    return false;
   }
 
   /** A lost reply shows as a conflict with this node's own row. */
   #seeConflict(rows: readonly store.StoredRow[]): void {
     const current = rows.find(({ key }) => key === this.#options.key);
-    const row = current?.value as LeaseRow | null | undefined;
-    this.#see(row ?? undefined, current?.version ?? 0);
+    const decoded = core.decodeValue(current?.value ?? null, LeaseRowCodec);
+    const row = decoded.isOk() ? toLeaseRow(decoded.value) : undefined;
+    this.#see(row, current?.version ?? 0);
     const isOwn = row?.incarnation === this.#options.incarnation;
     if (!isOwn && this.#fence !== undefined) this.#lose("taken over");
   }
--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -17,9 +17,18 @@
   readonly control: fleet.EngineControl;
   readonly lease: OrderLease;
   readonly self: core.InstanceId;
+  /** Time that must pass between orders of two holders. */
+  readonly leaseMs: number;
   readonly logger: core.Logger;
 }
 
+/** What the holder before told of its orders to one engine. */
+export interface OrdersBefore {
+  readonly orderCount: number;
+  /** Undefined if it sent none. */
+  readonly lastOrderAtMs: number | undefined;
+}
+
 /** What a caller of `send` may want to order. */
 export type WantedOrder = Pick<fleet.Order, "kind" | "model" | "adapter">;
 
@@ -28,6 +37,9 @@
   readonly account: EngineAccount;
   readonly record: fleet.UpstreamRecord;
   readonly #options: OrderSenderOptions;
+  readonly #before: OrdersBefore | undefined;
+  #ordersFromMs: number;
+  #lastOrderAtMs: number | undefined;
   #isActive = false;
   // The list does not tell how many orders an engine has accepted.
   #needsReport = true;
@@ -37,15 +49,23 @@
     record: fleet.UpstreamRecord,
     account: EngineAccount,
     options: OrderSenderOptions,
+    before?: OrdersBefore,
   ) {
+    this.#before = before;
+    this.#ordersFromMs = options.lease.ordersFromMs;
     this.record = record;
     this.account = account;
     this.#options = options;
   }
 
-  /** Whether an order or a question is on its way, or the account in doubt. */
-  get isActive(): boolean {
-    return this.#isActive || this.#needsReport;
+  /** Whether no order may be sent now: one is on its way, or in doubt. */
+  isClosed(nowMs: number): boolean {
+    return this.#isActive || this.#needsReport || nowMs < this.#ordersFromMs;
+  }
+
+  /** When the last order was sent, on the monotonic clock. */
+  get lastOrderAtMs(): number | undefined {
+    return this.#lastOrderAtMs;
   }
 
   /**
@@ -86,7 +106,10 @@
       const { bornMs, orderCount, isBusy, models } = report.value;
       const isUsed = bornMs === this.record.bornMs &&
         this.account.reported(report.value);
-      if (isUsed) this.#needsReport = false;
+      if (isUsed) {
+        this.#needsReport = false;
+        this.#openEarly(orderCount);
+      }
       logger.info("report", {
         upstream: this.record.id,
         orderCount,
@@ -101,6 +124,16 @@
     }
   }
 
+  /** An engine whose orders are all known needs no wait for unknown ones. */
+  #openEarly(orderCount: number): void {
+    if (this.#before?.orderCount !== orderCount) return;
+    const { lastOrderAtMs } = this.#before;
+    const fromMs = lastOrderAtMs === undefined
+      ? 0
+      : lastOrderAtMs + this.#options.leaseMs;
+    this.#ordersFromMs = Math.min(this.#ordersFromMs, fromMs);
+  }
+
   #hasOverdueModel(nowMs: number): boolean {
     for (const { phase, readyAtMs } of this.account.models.values()) {
       const isMoving = phase === "loading" || phase === "unloading";
@@ -119,6 +152,7 @@
     for (let sending = 1; sending <= SENDINGS_MAX; sending++) {
       const fence = lease.fence;
       if (fence === undefined) break;
+      this.#lastOrderAtMs = core.monotonicMs();
       const order = { ...wanted, expectedOrderCount, holder: self, fence };
       const reply = await control.order(this.record, order, ORDER_TIMEOUT_MS);
       const nowMs = core.monotonicMs();
--- a/packages/placement/placement_copies.ts
+++ b/packages/placement/placement_copies.ts
@@ -59,7 +59,8 @@
 const WORK_PER_COPY_MS = 800;
 /** Rate from which the loss of one engine must not stop a model. */
 const SECOND_COPY_RATE_PER_S = 2;
-/** Cost of a victim's request on the way, in ms of work a second. */
+/** Cost of a victim's requests on the way: an unload waits for all to end. */
+const IN_USE_COST = 500;
 const IN_FLIGHT_COST = 40;
 /** Cost of a victim that was loaded only just now. */
 const YOUNG_COPY_COST = 400;
@@ -96,7 +97,10 @@
  */
 export class CopyPlanner {
   readonly #view: CopyView;
+  /** Copies that are there or on their way. */
   readonly #copies = new Map<core.ModelName, number>();
+  /** Copies that serve now: only of these one can be spared. */
+  readonly #ready = new Map<core.ModelName, number>();
   readonly #workOf = new Map<core.UpstreamId, number>();
   readonly #taken = new Set<core.UpstreamId>();
   #storeLoads: number;
@@ -139,6 +143,8 @@
       this.#copies.set(model(action), this.copies(model(action)) + 1);
       if (action.kind === "close") {
         this.#copies.set(action.model, this.copies(action.model) - 1);
+        const ready = this.#ready.get(action.model) ?? 0;
+        this.#ready.set(action.model, ready - 1);
       }
       actions.push(action);
     }
@@ -171,6 +177,8 @@
     for (const [model, { phase }] of models) {
       if (phase !== "ready" && phase !== "loading") continue;
       this.#copies.set(model, this.copies(model) + 1);
+      if (phase !== "ready") continue;
+      this.#ready.set(model, (this.#ready.get(model) ?? 0) + 1);
     }
   }
 
@@ -289,10 +297,11 @@
     if (urgency === Urgency.Tail && this.#view.demand.size === 0) {
       return undefined;
     }
-    const copies = this.copies(model);
+    const copies = this.#ready.get(model) ?? 0;
     const demand = this.#view.demand.get(model);
     const young = ageMs < YOUNG_FOR_MS ? YOUNG_COPY_COST : 0;
-    const cost = this.#workShare(model) + inFlight * IN_FLIGHT_COST + young;
+    const cost = this.#workShare(model) + young +
+      (inFlight > 0 ? IN_USE_COST + inFlight * IN_FLIGHT_COST : 0);
     if (copies > this.wanted(model)) {
       const isSpare = copies === 2 &&
         (demand?.ratePerS ?? 0) >= SECOND_COPY_RATE_PER_S;
--- a/packages/placement/tests/unit/placement_copies_test.ts
+++ b/packages/placement/tests/unit/placement_copies_test.ts
@@ -182,6 +182,46 @@
   t.is(plan(makeView(kept, demand, { storeLoads: 0 })).length, 3);
 });
 
+test("a copy on its way does not make the only one that serves spare", (t) => {
+  const loading = makeEngine("e1", [{ name: "a" }, { name: "b" }], {
+    freeMb: 20,
+    canOrder: false,
+    models: new Map([[model("a"), {
+      phase: "loading",
+      inFlight: 0,
+      ageMs: 100,
+    }]]),
+  });
+  const serving = makeEngine("e2", [{ name: "a" }, { name: "a" }, {
+    name: "a",
+  }], { freeMb: 20 });
+  const actions = plan(makeView([loading, serving], {
+    a: { ratePerS: 1, workMsPerS: 100, waiting: 1 },
+    e: { waiting: 5 },
+  }, { names: "ae", idleMs: () => 0 }));
+  t.deepEqual(actions, []);
+});
+
+test("a copy in use yields only if no idle one can", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [{ name: "a", inFlight: 3 }, { name: "c" }, {
+        name: "b",
+        inFlight: 2,
+      }]),
+      makeEngine("e2", [{ name: "a", inFlight: 3 }, { name: "c" }, {
+        name: "d",
+        inFlight: 1,
+      }]),
+    ].map((engine) => ({ ...engine, freeMb: 20 })),
+    { a: { ratePerS: 1 }, e: { waiting: 1 } },
+    { names: "abcde", idleMs: () => 0 },
+  ));
+  t.deepEqual(actions.map(({ kind, model: name }) => [kind, name]), [
+    ["close", model("c")],
+  ]);
+});
+
 test("a copy that requests wait for is never closed", (t) => {
   const actions = plan(makeView(
     [makeEngine("e1", [{ name: "a" }, { name: "b" }, { name: "c" }])],
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -36,8 +36,8 @@
   answered(nowMs: number): void;
   /** Bytes have arrived from the upstream. */
   heard(nowMs: number): void;
-  /** The upstream says that it lacks what the request needs. */
-  absent(nowMs: number): void;
+  /** The upstream did not run it; it may have said that it lacks the model. */
+  refused(lacksModel: boolean, nowMs: number): void;
   /** Two events of a stream were this far apart. */
   noteGap(gapMs: number): void;
   /** The request has ended there. */
@@ -135,7 +135,6 @@
       const end = await this.#send(placed.value);
       if (end.kind === "done") return this.#logEnd("done", end.status);
       if (this.#signal.aborted) return this.#endAborted();
-      this.#tried.add(placed.value.upstream.id);
       if (end.kind === "notRun") {
         const again = this.#sendings < NOT_RUN_SENDINGS_MAX &&
           this.#tools.placer.tryRetry(this.#request.service);
@@ -145,7 +144,10 @@
             retryAfterMs: SHED_RETRY_AFTER_MS,
           });
         }
-      } else if (!this.#mayRunAgain()) {
+        continue;
+      }
+      this.#tried.add(placed.value.upstream.id);
+      if (!this.#mayRunAgain()) {
         return this.#fail(STATUS_BAD_GATEWAY, end.detail);
       }
     }
@@ -207,9 +209,8 @@
     }
     if (facts.isNotRun) {
       // The rest of such an answer is read, so that the connection stays.
-      if (head.status === STATUS_MISDIRECTED) {
-        placement.absent(core.monotonicMs());
-      }
+      const lacksModel = head.status === STATUS_MISDIRECTED;
+      placement.refused(lacksModel, core.monotonicMs());
       placement.end("shed");
       return { kind: "notRun", detail: `upstream refused: ${head.status}` };
     }
