Admit prompts only while running streams keep their pauses

Cause: half of the late answers had an early first event and a pause of over 300 ms: an engine reads prompts between the tokens of running streams, and several prompts sent at once hold all its streams up. Change: an engine with prompts to read takes another only if all of them fit into the route's longest pause; the request waits in its rank meanwhile. Exchanges come every 50 ms; request_end tells pauses.

--- a/packages/dispatch/dispatch_choice.ts
+++ b/packages/dispatch/dispatch_choice.ts
@@ -11,6 +11,11 @@
   readonly promptTokens: number;
   readonly outputTokensMax: number;
   readonly parts: readonly fleet.PromptPart[];
+  /**
+   * Longest pause that streams may have: prompts are read between the tokens
+   * of running streams, so too many at once hold all of them up.
+   */
+  readonly pauseMaxMs: number;
 }
 
 /** An engine, and what is expected of it. */
@@ -22,6 +27,8 @@
 
 /** Share of an engine's memory that admission fills: outputs vary. */
 const MEMORY_SHARE = 0.9;
+/** Part of a pause that is left for what other nodes send meanwhile. */
+const PAUSE_MARGIN_MS = 40;
 /** Added to the estimate for a failure share of 1. */
 const FAILURE_PENALTY_MS = 4_000;
 
@@ -61,10 +68,15 @@
     const cached = engine.prefixes.cachedTokens(weights, parts);
     const rest = Math.max(0, needs.promptTokens - cached);
     const prefillMs = pace.prefillMs(model, rest);
+    const eventMs = pace.stepMs(model) * spec.eventTokens;
+    const pauseMs = engine.prefillBacklogMs + prefillMs + eventMs;
+    const holdsUpStreams = engine.prefillBacklogMs > 0 &&
+      pauseMs > needs.pauseMaxMs - PAUSE_MARGIN_MS;
+    if (holdsUpStreams) continue;
     const firstEventMs = estimateFirstEventMs(
       engine,
       prefillMs,
-      pace.stepMs(model) * spec.eventTokens,
+      eventMs,
     );
     const cost = firstEventMs +
       engine.health.failureShare(nowMs) * FAILURE_PENALTY_MS +
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -12,7 +12,7 @@
 import type { EntryState } from "./entry_state.ts";
 
 /** Interval of exchanges: in it, others send an engine about one request. */
-const EXCHANGE_INTERVAL_MS = 100;
+const EXCHANGE_INTERVAL_MS = 50;
 /** Interval while requests wait for models or adapters to be loaded. */
 const WAITING_INTERVAL_MS = 25;
 /** Time for which a hub that did not answer is passed over. */
--- a/packages/entry/entry_placer.ts
+++ b/packages/entry/entry_placer.ts
@@ -112,6 +112,7 @@
       promptTokens,
       outputTokensMax,
       parts,
+      pauseMaxMs: request.route.pauseAimMs,
     };
     const excluded = this.#excluded(engines, tried);
     const context = { pace, spec, nowMs };
@@ -172,7 +173,10 @@
       },
       dispatcher: pools
         .get(engine.record, service.connectionsMax, members.count()),
-      answered: (nowMs) => engine.answered(work, estimatedMs, nowMs),
+      answered: (nowMs) => {
+        engine.answered(work, estimatedMs, nowMs);
+        this.drain();
+      },
       heard: (nowMs) => engine.health.heard(nowMs),
       refused: (lacksModel, nowMs) =>
         engine.noteRefused(work.weights, lacksModel, nowMs),
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -99,6 +99,9 @@
   #upstream: core.UpstreamId | undefined;
   #basis: core.LogFields = {};
   #waitedMs = 0;
+  /** Longest pauses between pieces: as they came, and until they were read. */
+  #gapMaxMs = 0;
+  #lagMaxMs = 0;
 
   /** @param signal aborted when the caller leaves or time is over. */
   constructor(
@@ -286,8 +289,13 @@
       }
       if (piece.kind === "end") break;
       placement.heard(piece.atMs);
+      const lagMs = core.monotonicMs() - piece.atMs;
+      this.#lagMaxMs = Math.max(this.#lagMaxMs, lagMs);
       if (lastAtMs === undefined) placement.answered(piece.atMs);
-      else placement.noteGap(piece.atMs - lastAtMs);
+      else {
+        placement.noteGap(piece.atMs - lastAtMs);
+        this.#gapMaxMs = Math.max(this.#gapMaxMs, piece.atMs - lastAtMs);
+      }
       lastAtMs = piece.atMs;
       const data = isCut ? this.#cutter.push(piece.data) : piece.data;
       if (data.length === 0) continue;
@@ -355,6 +363,8 @@
       firstMs: firstAtMs === undefined
         ? undefined
         : Math.round(firstAtMs - receivedAtMs),
+      gapMaxMs: Math.round(this.#gapMaxMs),
+      lagMaxMs: Math.round(this.#lagMaxMs),
       waitedMs: Math.round(this.#waitedMs),
       totalMs: Math.round(nowMs - receivedAtMs),
       ...this.#basis,
