Send no request again to an engine that lacks the model; close faster

Change: a refusal for want of the model holds for 400 ms, an engine that refuses connections is passed over until its next try; a closing model is unloaded after 0.3 s at most, as the unload itself waits for runs; demand is averaged over 2 s.

--- a/packages/dispatch/dispatch_board.ts
+++ b/packages/dispatch/dispatch_board.ts
@@ -33,9 +33,8 @@
 const OTHERS_STALE_MS = 1_500;
 /** Time for which an upstream's own word that it lacks a model holds. */
 const ABSENT_FOR_MS = 400;
-/** The same just after a load was to end, and when it is merely full. */
-const NOT_YET_FOR_MS = 40;
-const FRESH_FOR_MS = 1_000;
+/** The same when it is merely full. */
+const FULL_FOR_MS = 50;
 /** Weight of one measured first event against the history. */
 const SLOWNESS_WEIGHT = 0.15;
 const SLOWNESS_MIN = 0.5;
@@ -156,10 +155,7 @@
 
   /** Notes that it refused a request, for want of the model if so told. */
   noteRefused(weights: string, lacksModel: boolean, nowMs: number): void {
-    const [name] = weights.split("/");
-    const held = this.#held.get(name as core.ModelName);
-    const isFresh = nowMs - (held?.readyAtMs ?? -Infinity) < FRESH_FOR_MS;
-    const forMs = lacksModel && !isFresh ? ABSENT_FOR_MS : NOT_YET_FOR_MS;
+    const forMs = lacksModel ? ABSENT_FOR_MS : FULL_FOR_MS;
     this.#absentUntilMs.set(weights, nowMs + forMs);
   }
 
--- a/packages/dispatch/dispatch_choice.ts
+++ b/packages/dispatch/dispatch_choice.ts
@@ -61,6 +61,7 @@
   for (const engine of engines) {
     if (engine.record.isLeaving || excluded.has(engine)) continue;
     if (!engine.canRun(model, adapter, nowMs)) continue;
+    if (engine.health.isUnreachable(nowMs)) continue;
     if (engine.inFlight >= spec.slots) continue;
     const room = spec.cacheTokens * MEMORY_SHARE - engine.tokens;
     if (need > room && engine.inFlight > 0) continue;
--- a/packages/dispatch/dispatch_demand.ts
+++ b/packages/dispatch/dispatch_demand.ts
@@ -11,7 +11,7 @@
 }
 
 /** Time over which arrivals are averaged: demand moves within seconds. */
-const WINDOW_MS = 3_000;
+const WINDOW_MS = 2_000;
 /** Rate below which a line is dropped. */
 const RATE_MIN_PER_S = 0.02;
 const MS_PER_S = 1_000;
--- a/packages/dispatch/dispatch_health.ts
+++ b/packages/dispatch/dispatch_health.ts
@@ -61,8 +61,13 @@
     return nowMs - sinceMs > SILENT_AFTER_MS;
   }
 
+  /** Whether connections were refused so lately that none is tried. */
+  isUnreachable(nowMs: number): boolean {
+    return nowMs < this.#closedUntilMs;
+  }
+
   /** Whether new requests should go elsewhere if they can. */
   isSuspect(nowMs: number): boolean {
-    return nowMs < this.#closedUntilMs || this.isSilent(nowMs);
+    return this.isUnreachable(nowMs) || this.isSilent(nowMs);
   }
 }
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -11,9 +11,9 @@
 /** Interval between plans. */
 const PLAN_INTERVAL_MS = 50;
 /** Time for nodes to hear that a model closes before it is unloaded. */
-const CLOSE_NOTICE_MS = 150;
-/** Time for requests of a closing model to end before it is unloaded. */
-const CLOSE_WAIT_MS = 1_200;
+const CLOSE_NOTICE_MS = 80;
+/** Time for requests of a closing model to end; the unload waits for the rest. */
+const CLOSE_WAIT_MS = 300;
 /** Time that an adapter is expected to take: up to 19 ms on the sheets. */
 const ADAPTER_LOAD_MS = 20;
 /** Time after which room that was made is free for any model. */
