--- a/packages/dispatch/dispatch_choice.ts
+++ b/packages/dispatch/dispatch_choice.ts
@@ -28,7 +28,7 @@
 /** Share of an engine's memory that admission fills: outputs vary. */
 const MEMORY_SHARE = 0.9;
 /** Part of a pause that is left for what other nodes send meanwhile. */
-const PAUSE_MARGIN_MS = 40;
+const PAUSE_MARGIN_MS = 100;
 /** Added to the estimate for a failure share of 1. */
 const FAILURE_PENALTY_MS = 4_000;
 
--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -7,6 +7,10 @@
   readonly arrivedAtMs: number;
   /** When its first event is still in time. */
   readonly aimAtMs: number;
+  /** What it waits for: a model, or an adapter of it. */
+  readonly weights: string;
+  /** Engine time that it is expected to take. */
+  readonly workMs: number;
   /** Tries to place the request; true when it has left the queue. */
   readonly tryPlace: () => boolean;
 }
@@ -22,6 +26,16 @@
     return this.#waiting.size;
   }
 
+  /** Engine time that requests for the same, of this rank or above, take. */
+  workAheadMs(weights: string, priority: number): number {
+    let sumMs = 0;
+    for (const request of this.#waiting) {
+      if (request.weights !== weights || request.priority > priority) continue;
+      sumMs += request.workMs;
+    }
+    return sumMs;
+  }
+
   /** Adds a request; the returned function takes it out. */
   add(request: WaitingRequest): () => void {
     this.#waiting.add(request);
--- a/packages/entry/entry_placer.ts
+++ b/packages/entry/entry_placer.ts
@@ -6,14 +6,14 @@
 import * as relay from "../relay/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 
-/** Longest wait for an engine; callers leave a silent stream after 2 s. */
-const WAIT_MAX_MS = 2_000;
+/** Longest wait for an engine; callers leave a silent stream after 2.4 s. */
+const WAIT_MAX_MS = 2_100;
 /** Wait that is left unused, so that a first event can still arrive. */
 const WAIT_MARGIN_MS = 300;
 /** Suggested when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_MS = 500;
-/** Suggested when a wait was in vain. */
-const WAITED_RETRY_MS = 400;
+/** Suggested where too much waits: a further copy takes 2 s to be loaded. */
+const WAITED_RETRY_MS = 2_000;
 /** Share of an engine that one decoding request takes up. */
 const DECODE_SHARE = 1 / 32;
 
@@ -69,10 +69,33 @@
     model: core.ModelName,
     nowMs: number,
   ): void {
+    const workMs = this.#workOf(caller, model);
+    this.#state.demand.arrive(model, caller.adapter, workMs, nowMs);
+  }
+
+  /** Engine time that a request is expected to take. */
+  #workOf(caller: fleet.CallerRequest, model: core.ModelName): number {
     const { pace } = this.#state;
     const decodeMs = caller.outputTokensMax * pace.stepMs(model) * DECODE_SHARE;
-    const workMs = pace.prefillMs(model, caller.promptTokens) + decodeMs;
-    this.#state.demand.arrive(model, caller.adapter, workMs, nowMs);
+    return pace.prefillMs(model, caller.promptTokens) + decodeMs;
+  }
+
+  /** Time until what waits before a request has been begun, by all nodes. */
+  #aheadMs(
+    request: relay.RelayedRequest,
+    model: core.ModelName,
+    weights: string,
+  ): number {
+    const { board, queue, members } = this.#state;
+    const nowMs = core.monotonicMs();
+    let copies = 0;
+    for (const engine of board.ofService(request.service)) {
+      if (engine.canRun(model, request.caller.adapter, nowMs)) copies++;
+    }
+    // Without a copy the wait is for a load, however many wait for it.
+    if (copies === 0) return 0;
+    const ownMs = queue.workAheadMs(weights, request.route.priority);
+    return ownMs * members.alive().length / copies;
   }
 
   #placeOnInstance(
@@ -121,7 +144,7 @@
       excluded,
     });
     if (!choice) return undefined;
-    const weights = adapter === undefined ? model : `${model}/${adapter}`;
+    const weights = weightsOf(model, adapter);
     choice.engine.prefixes.remember(weights, parts);
     return ok(this.#start(
       choice.engine,
@@ -209,6 +232,13 @@
     if (untilMs <= nowMs) {
       return Promise.resolve(refuse("no engine in time", WAITED_RETRY_MS));
     }
+    const weights = weightsOf(model, caller.adapter);
+    const workMs = this.#workOf(caller, model);
+    const aheadMs = this.#aheadMs(request, model, weights);
+    if (nowMs + aheadMs > untilMs) {
+      const reason = `queue is ${Math.round(aheadMs)} ms long`;
+      return Promise.resolve(refuse(reason, WAITED_RETRY_MS));
+    }
     const waited = demand.wait(model, caller.adapter, nowMs);
     this.onWait();
     return new Promise((resolve) => {
@@ -224,6 +254,8 @@
         priority: route.priority,
         arrivedAtMs: receivedAtMs,
         aimAtMs: receivedAtMs + route.aimMs,
+        weights,
+        workMs,
         tryPlace: () => {
           const placed = choose();
           if (placed) settle(placed);
@@ -239,6 +271,10 @@
   }
 }
 
+function weightsOf(model: core.ModelName, adapter: string | undefined): string {
+  return adapter === undefined ? model : `${model}/${adapter}`;
+}
+
 function refuse(reason: string, retryAfterMs = NO_UPSTREAM_RETRY_MS): Placed {
   return err({ reason, retryAfterMs });
 }
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -200,6 +200,7 @@
     const { isEligible, rank } = this.#options;
     if (this.#releasing || !this.#seen || !isEligible()) return false;
     const { row, atMs } = this.#seen;
+    if (row?.holder === this.#options.self) return true;
     const waitMs = rank() * CANDIDATE_STAGGER_MS;
     const ageMs = core.monotonicMs() - atMs;
     if (!row || row.isFree) return ageMs >= waitMs;
@@ -232,7 +233,8 @@
   /** When the holder before can no longer have sent an order too recently. */
   #earliestOrderMs(before: Seen): number {
     const { leaseMs } = this.#options;
-    if (!before.row) return 0;
+    // What this node's earlier life has ordered was ordered by this node.
+    if (!before.row || before.row.holder === this.#options.self) return 0;
     if (before.row.isFree) return before.atMs + leaseMs;
     return before.atMs + VALID_FOR_MS + leaseMs;
   }
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -163,3 +163,20 @@
     t.true(tookMs >= 1_300 && tookMs < 2_500, `taken after ${tookMs} ms`);
   });
 });
+
+test("a restarted holder takes its own right at once", async (t) => {
+  const table = new MemoryTable();
+  const holder = core.brandId<core.InstanceId>("a");
+  table.row = {
+    key: KEY,
+    version: ++table.version,
+    value: { holder, incarnation: "a-0", isFree: false },
+  };
+  const startedAtMs = core.monotonicMs();
+  const lease = makeLease(table, "a");
+  await withLeases([lease], async () => {
+    await until(() => lease.isHeld);
+    t.true(core.monotonicMs() - startedAtMs < 600);
+    t.true(lease.ordersFromMs <= core.monotonicMs());
+  });
+});
--- a/packages/placement/placement_copies.ts
+++ b/packages/placement/placement_copies.ts
@@ -68,6 +68,8 @@
 /** Cost of taking a model's last copy, fading with the time it was not used. */
 const LAST_COPY_COST = 1_500;
 const LAST_COPY_HALF_LIFE_MS = 10_000;
+/** Time for which a rare model's only copy is kept from busy models. */
+const RARE_KEPT_MS = 12_000;
 /** Cost of taking the second copy of a model that should survive a crash. */
 const SPARE_COPY_COST = 300;
 /** Weight of load time against engine work in the choice of an engine. */
@@ -310,7 +312,12 @@
     }
     if (urgency > Urgency.Overloaded || copies > 1) return undefined;
     if ((demand?.waiting ?? 0) > 0) return undefined;
-    const fade = 0.5 ** (this.#view.idleMs(model) / LAST_COPY_HALF_LIFE_MS);
+    const idleMs = this.#view.idleMs(model);
+    // Another copy for a busy model is not worth a rare one's only copy.
+    if (urgency === Urgency.Overloaded && idleMs < RARE_KEPT_MS) {
+      return undefined;
+    }
+    const fade = 0.5 ** (idleMs / LAST_COPY_HALF_LIFE_MS);
     return cost + LAST_COPY_COST * fade;
   }
 }
