Give up silent upstreams for requests that may run elsewhere

Change: a safe request is given up after its aim, a resumable stream after 1.2 s of silence, if attempts and the retry budget allow another run; else the wait goes on. Test: relay_task_test, every promise of a relay by upstream behaviour.

--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -82,6 +82,8 @@
 const STATUS_MISDIRECTED = 421;
 /** Sendings that no upstream ran, after which a request is refused. */
 const NOT_RUN_SENDINGS_MAX = 6;
+/** Silence of a stream after which it goes on elsewhere; callers leave at 2 s. */
+const STREAM_SILENCE_MS = 1_200;
 /** Suggested to callers when upstreams turned a request away. */
 const SHED_RETRY_AFTER_MS = 500;
 
@@ -99,6 +101,8 @@
   #upstream: core.UpstreamId | undefined;
   #basis: core.LogFields = {};
   #waitedMs = 0;
+  /** Whether a further run has been paid for from the retry budget. */
+  #hasRetry = false;
   /** Longest pauses between pieces: as they came, and until they were read. */
   #gapMaxMs = 0;
   #lagMaxMs = 0;
@@ -156,12 +160,50 @@
     }
   }
 
-  #mayRunAgain(): boolean {
-    const { route, service } = this.#request;
+  /** Whether the request may run once more, the retry budget left aside. */
+  #isRepeatable(runs: number): boolean {
+    const { route } = this.#request;
     const isRepeatable = route.kind === "safe" ||
       (route.kind === "stream" && route.isResumable);
-    return isRepeatable && this.#runs < route.attemptsMax &&
-      this.#tools.placer.tryRetry(service);
+    return isRepeatable && runs < route.attemptsMax;
+  }
+
+  #mayRunAgain(): boolean {
+    if (this.#hasRetry) {
+      this.#hasRetry = false;
+      return true;
+    }
+    return this.#isRepeatable(this.#runs) &&
+      this.#tools.placer.tryRetry(this.#request.service);
+  }
+
+  /**
+   * Waits for an upstream. One that stays silent is given up if the request
+   * may run elsewhere and the retry budget allows it; else the wait goes on.
+   *
+   * @param runs runs of the request, this attempt included.
+   */
+  async #patiently<T>(
+    attempt: Attempt,
+    awaited: Promise<T>,
+    runs: number,
+  ): Promise<T> {
+    const { route, service } = this.#request;
+    if (!this.#isRepeatable(runs) || this.#hasRetry) return await awaited;
+    const isStream = route.kind === "stream";
+    const patienceMs = isStream
+      ? Math.max(route.aimMs, STREAM_SILENCE_MS)
+      : route.aimMs;
+    const timer = setTimeout(() => {
+      if (!this.#tools.placer.tryRetry(service)) return;
+      this.#hasRetry = true;
+      attempt.cancel("silent for too long");
+    }, patienceMs);
+    try {
+      return await awaited;
+    } finally {
+      clearTimeout(timer);
+    }
   }
 
   async #send(placement: Placement): Promise<AttemptEnd> {
@@ -185,7 +227,7 @@
       body: body.length > 0 ? body : null,
     });
     this.#attempt = attempt;
-    const head = await attempt.head;
+    const head = await this.#patiently(attempt, attempt.head, this.#runs + 1);
     if (head.isErr()) {
       const { sent, detail } = head.error;
       if (this.#signal.aborted) placement.end("cancelled");
@@ -251,7 +293,7 @@
   ): Promise<AttemptEnd> {
     const pieces: Buffer[] = [];
     for (;;) {
-      const piece = await attempt.next();
+      const piece = await this.#patiently(attempt, attempt.next(), this.#runs);
       if (piece.kind === "broken") {
         placement.end(this.#signal.aborted ? "cancelled" : "failed");
         return { kind: "mayHaveRun", detail: piece.failure.detail };
@@ -281,7 +323,7 @@
     const isCut = this.#request.route.isResumable;
     let lastAtMs: number | undefined;
     for (;;) {
-      const piece = await attempt.next();
+      const piece = await this.#patiently(attempt, attempt.next(), this.#runs);
       if (piece.kind === "broken") {
         placement.end(this.#signal.aborted ? "cancelled" : "failed");
         this.#cutter.dropRest();
