Tell a reset right behind the last bytes from an orderly end

Change: for a body that ends with its connection, an end in the same turn of the event loop as the last bytes counts as a break; an orderly end always comes in a later turn.

--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -36,6 +36,8 @@
   #isOver = false;
   #cancelled: Error | undefined;
   #heldBytes = 0;
+  #endsWithConnection = false;
+  #hasDataThisTurn = false;
   readonly #pieces: AttemptPiece[] = [];
   #wake: (() => void) | undefined;
 
@@ -77,20 +79,39 @@
     },
     onResponseStart: (_controller, status, headers) => {
       // Informational answers come before the real one.
-      if (status >= 200) this.#settleHead(ok({ status, headers }));
+      if (status < 200) return;
+      this.#endsWithConnection = headers["content-length"] === undefined &&
+        headers["transfer-encoding"] === undefined;
+      this.#settleHead(ok({ status, headers }));
     },
     onResponseData: (controller, data) => {
       this.#heldBytes += data.length;
       if (this.#heldBytes > HELD_BYTES_MAX) controller.pause();
+      if (this.#endsWithConnection) this.#noteTurn();
       this.#push({ kind: "data", data, atMs: core.monotonicMs() });
     },
     onResponseEnd: () => {
+      if (this.#hasDataThisTurn) {
+        return this.#fail(new Error("reset right after the last bytes"));
+      }
       this.#isOver = true;
       this.#push({ kind: "end" });
     },
     onResponseError: (_controller, error) => this.#fail(error),
   };
 
+  /**
+   * Notes that data came in this turn of the event loop. A connection that ends
+   * in order tells so in a later turn; one that was reset tells both at once,
+   * as libuv reports a hang-up after a partial read as the end.
+   */
+  #noteTurn(): void {
+    this.#hasDataThisTurn = true;
+    setImmediate(() => {
+      this.#hasDataThisTurn = false;
+    });
+  }
+
   #fail(error: Error): void {
     if (this.#isOver) return;
     this.#isOver = true;
--- a/packages/relay/tests/unit/relay_attempt_test.ts
+++ b/packages/relay/tests/unit/relay_attempt_test.ts
@@ -98,6 +98,15 @@
       ),
     expected: { status: 200, end: "broken", body: "short" },
   },
+  {
+    name: "a body without a length is broken by a reset close behind it",
+    answer: (socket) =>
+      socket.write(
+        "HTTP/1.1 200 OK\r\n\r\nshort",
+        () => socket.resetAndDestroy(),
+      ),
+    expected: { status: 200, end: "broken", body: "short" },
+  },
   {
     name: "chunks that break off are broken",
     answer: (socket) =>
@@ -135,3 +144,14 @@
   });
   t.like(await ask(gone!), { end: "none", sent: "no" });
 });
+
+test("an orderly end right behind the data is never taken for a reset", async (t) => {
+  for (let n = 0; n < 200; n++) {
+    await withUpstream(
+      (socket) => socket.end("HTTP/1.1 200 OK\r\n\r\nwhole"),
+      async (upstream) => {
+        t.like(await ask(upstream), { end: "end", body: "whole" });
+      },
+    );
+  }
+});
