--- a/packages/dispatch/dispatch_retry_budget.ts
+++ b/packages/dispatch/dispatch_retry_budget.ts
@@ -14,7 +14,7 @@
 
 /** Counts requests and retries of one service in a sliding window. */
 export class SharedRetryBudget {
-  readonly #options: SharedRetryBudgetOptions;
+  #options: SharedRetryBudgetOptions;
   readonly #requestsAtMs: number[] = [];
   readonly #retriesAtMs: number[] = [];
 
@@ -22,6 +22,11 @@
     this.#options = options;
   }
 
+  /** Takes changed settings; what was spent stays spent. */
+  reload(options: SharedRetryBudgetOptions): void {
+    this.#options = options;
+  }
+
   /** Notes a request of a caller. */
   noteRequest(nowMs: number): void {
     this.#requestsAtMs.push(nowMs);
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -126,6 +126,11 @@
     });
   }
 
+  /** Takes changed settings; requests on the way are not touched. */
+  reload(settings: fleet.FleetSettings): void {
+    this.state.reload(settings);
+  }
+
   /** Stops as planned: no request that was taken is cut off. */
   async stop(): Promise<void> {
     const { state } = this;
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -12,7 +12,7 @@
 
 /** The node's state. */
 export class EntryState {
-  readonly settings: fleet.FleetSettings;
+  settings: fleet.FleetSettings;
   /** Tells one life of this node from another. */
   readonly incarnation: string;
   readonly bornMs: number;
@@ -46,6 +46,21 @@
     return this.table !== undefined && this.hasUpstreams && !this.isStopping;
   }
 
+  /** Takes changed settings; listeners stay where they are. */
+  reload(settings: fleet.FleetSettings): void {
+    const { listen, nodeName, failureDomain, storeOrigin } = this.settings;
+    this.settings = {
+      ...settings,
+      listen,
+      nodeName,
+      failureDomain,
+      storeOrigin,
+    };
+    for (const budget of this.budgets.values()) {
+      budget.reload(settings.retryBudget);
+    }
+  }
+
   /** Puts a configuration in force, unless a newer one is. */
   apply(config: fleet.FleetConfig): void {
     if (this.config && config.version <= this.config.version) return;
