--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -19,6 +19,14 @@
 /** Largest header section; the configuration's limit is below. */
 const HEADER_BYTES_MAX = 65_536;
 
+/** Counters of requests by their end. */
+const COUNTED_AS = {
+  done: "answers",
+  refused: "refusals",
+  failed: "failures",
+  callerLeft: "callers_left",
+} as const;
+
 /** Serves callers on one address. */
 export class CallerListener {
   readonly #state: EntryState;
@@ -144,7 +152,8 @@
       logger: this.#state.logger,
     };
     try {
-      await new relay.RelayTask(request, answer, tools, ended.signal).run();
+      const task = new relay.RelayTask(request, answer, tools, ended.signal);
+      this.#state.metrics.count(COUNTED_AS[await task.run()]);
     } finally {
       clearTimeout(timer);
       response.off("close", onClose);
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -43,6 +43,7 @@
   | "answers"
   | "refusals"
   | "failures"
+  | "callers_left"
   | "retries"
   | "streams_broken"
   | "orders_load"
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -13,6 +13,7 @@
   Placement,
   Refusal,
   RelayedRequest,
+  RelayOutcome,
   RelayTools,
 } from "./relay_task.ts";
 export { CallerAnswer } from "./relay_answer.ts";
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -70,6 +70,9 @@
   readonly logger: core.Logger;
 }
 
+/** How a request ended for its caller. */
+export type RelayOutcome = "done" | "refused" | "failed" | "callerLeft";
+
 /** How one attempt ended. */
 type AttemptEnd =
   | { readonly kind: "done"; readonly status: number }
@@ -100,6 +103,7 @@
   #sendings = 0;
   #upstream: core.UpstreamId | undefined;
   #basis: core.LogFields = {};
+  #outcome: RelayOutcome = "failed";
   #waitedMs = 0;
   /** Whether a further run has been paid for from the retry budget. */
   #hasRetry = false;
@@ -121,11 +125,12 @@
   }
 
   /** Runs the request to its end; the answer is always ended or broken. */
-  async run(): Promise<void> {
+  async run(): Promise<RelayOutcome> {
     const stop = () => this.#attempt?.cancel("request ended early");
     this.#signal.addEventListener("abort", stop, { once: true });
     try {
       await this.#attempts();
+      return this.#outcome;
     } finally {
       this.#signal.removeEventListener("abort", stop);
     }
@@ -387,8 +392,9 @@
     return this.#refuse({ reason, retryAfterMs: SHED_RETRY_AFTER_MS });
   }
 
-  #logEnd(outcome: string, status: number, reason?: string): void {
+  #logEnd(outcome: RelayOutcome, status: number, reason?: string): void {
     const { caller, route, receivedAtMs } = this.#request;
+    this.#outcome = outcome;
     const nowMs = core.monotonicMs();
     const firstAtMs = this.#answer.firstByteAtMs;
     this.#tools.logger.info("request_end", {
