Let the last node serve on while it stops

Ruled out: the store (calm then), the directory (callers keep old answers). Change: a stopping node goes on taking requests if no other node accepts and the request is sure to end before the process: its timeout, or its largest output at a third of the model's pace, must fit.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import * as core from "../core/mod.ts";
+import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
@@ -19,6 +20,23 @@
 /** Largest header section; the configuration's limit is below. */
 const HEADER_BYTES_MAX = 65_536;
 
+/** Time left unused before the end of a stop. */
+const STOP_MARGIN_MS = 300;
+/** Slowest pace counted on, against a model's own: batches and prompts. */
+const SLOWEST_PACE = 3;
+/** Longest time counted on before a stream's first token. */
+const FIRST_TOKEN_MAX_MS = 1_000;
+
+/** Time that a generation may take at most; unknown for plain services. */
+function longestMs(
+  pace: dispatch.ModelPace,
+  { model, outputTokensMax }: fleet.CallerRequest,
+): number {
+  if (model === undefined || outputTokensMax === 0) return Infinity;
+  return FIRST_TOKEN_MAX_MS +
+    outputTokensMax * pace.stepMs(model) * SLOWEST_PACE;
+}
+
 /** Counters of requests by their end. */
 const COUNTED_AS = {
   done: "answers",
@@ -34,7 +52,8 @@
   readonly #placer: relay.Placer;
   readonly #server: Server;
   #keepsOpen = true;
-  #refusesNew = false;
+  #refusalFromMs = Infinity;
+  #stopEndsAtMs = Infinity;
 
   constructor(
     state: EntryState,
@@ -72,9 +91,21 @@
     this.#keepsOpen = false;
   }
 
-  /** Refuses requests that arrive from now on. */
-  refuseNew(): void {
-    this.#refusesNew = true;
+  /**
+   * Refuses requests from a moment on, unless no other node takes any and they
+   * are sure to end before the process does.
+   */
+  refuseNew(fromMs: number, stopEndsAtMs: number): void {
+    this.#refusalFromMs = fromMs;
+    this.#stopEndsAtMs = stopEndsAtMs;
+  }
+
+  #mayTake(caller: fleet.CallerRequest, lastsMs: number): boolean {
+    const nowMs = core.monotonicMs();
+    if (nowMs < this.#refusalFromMs) return true;
+    if (this.#state.members.callerAddresses().length > 0) return false;
+    const leftMs = this.#stopEndsAtMs - nowMs - STOP_MARGIN_MS;
+    return leftMs > Math.min(lastsMs, longestMs(this.#state.pace, caller));
   }
 
   #take(request: IncomingMessage, response: ServerResponse): void {
@@ -96,7 +127,7 @@
     const receivedAtMs = core.monotonicMs();
     const answer = new relay.CallerAnswer(response, () => this.#keepsOpen);
     const { config, table, hasUpstreams } = this.#state;
-    if (!config || !table || !hasUpstreams || this.#refusesNew) {
+    if (!config || !table || !hasUpstreams) {
       return this.#refuse(request, answer, 503, "node takes no requests");
     }
     this.#server.keepAliveTimeout = config.idleTimeoutMs;
@@ -108,12 +139,15 @@
     if (caller.isErr()) {
       return this.#refuse(request, answer, 400, caller.error);
     }
+    const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
+    const lastsMs = Math.min(deadlineMs, route.timeoutMs);
+    if (!this.#mayTake(caller.value, lastsMs)) {
+      return this.#refuse(request, answer, 503, "node is stopping");
+    }
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#refuse(request, answer, 503, "no service");
     const body = await this.#read(request, answer, config.bodyBytesMax);
     if (!body) return;
-    const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
-    const lastsMs = Math.min(deadlineMs, route.timeoutMs);
     this.#state.budget(service).noteRequest(receivedAtMs);
     await this.#run(
       {
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -142,11 +142,11 @@
     const released = this.#lease.release();
     const told = this.#writeRow(true);
     const endsAtMs = startedAtMs + state.settings.graceMs - GRACE_MARGIN_MS;
+    this.#callers.refuseNew(startedAtMs + STOP_LINGER_MS, endsAtMs);
     for (;;) {
       await core.sleep(STOP_POLL_MS);
       const nowMs = core.monotonicMs();
       const hasLingered = nowMs - startedAtMs >= STOP_LINGER_MS;
-      if (hasLingered) this.#callers.refuseNew();
       if (hasLingered && state.requests === 0) break;
       if (nowMs >= endsAtMs) break;
     }
