Try a resumable stream elsewhere when an engine answers with its own failure

Change: a further run is paid for before an engine's failure is let go; else the failure is returned as it is. Test: two cases of relay_task_test, which failed before.

--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -173,13 +173,18 @@
     return isRepeatable && runs < route.attemptsMax;
   }
 
+  /** Whether a further run has been, or can be, paid for. */
   #mayRunAgain(): boolean {
-    if (this.#hasRetry) {
-      this.#hasRetry = false;
-      return true;
-    }
-    return this.#isRepeatable(this.#runs) &&
+    const mayRun = this.#hasRetry || this.#takesRetry();
+    this.#hasRetry = false;
+    return mayRun;
+  }
+
+  /** Pays for a further run from the retry budget, if there may be one. */
+  #takesRetry(): boolean {
+    this.#hasRetry = this.#isRepeatable(this.#runs) &&
       this.#tools.placer.tryRetry(this.#request.service);
+    return this.#hasRetry;
   }
 
   /**
@@ -271,11 +276,8 @@
       return { kind: "mayHaveRun", detail: "unsealed answer" };
     }
     const isSuccess = head.status < 300;
-    if (
-      !isSuccess && this.#request.route.kind === "safe" &&
-      this.#mayRunAgainAfterFailure()
-    ) {
-      attempt.cancel("trying elsewhere");
+    if (!isSuccess && this.#takesRetry()) {
+      // The rest of such an answer is read, so that the connection stays.
       placement.end("failed");
       return { kind: "mayHaveRun", detail: `upstream failed: ${head.status}` };
     }
@@ -285,10 +287,6 @@
       : await this.#passWhole(placement, attempt, head.status, headers);
   }
 
-  #mayRunAgainAfterFailure(): boolean {
-    return this.#runs < this.#request.route.attemptsMax;
-  }
-
   /** Passes on a body once it is whole. */
   async #passWhole(
     placement: Placement,
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -270,6 +270,18 @@
     upstreams: [fail, serve],
     expected: { status: 200, body: "whole" },
   },
+  {
+    name: "safe: without budget an upstream's own failure is returned",
+    upstreams: [fail, serve],
+    options: { budget: 0 },
+    expected: { status: 500, body: "own error", outcomes: ["failed"] },
+  },
+  {
+    name: "resumable: an upstream's own failure is tried elsewhere",
+    upstreams: [fail, serve],
+    route: { kind: "stream", isResumable: true },
+    expected: { status: 200, outcomes: ["failed", "served"] },
+  },
   {
     name: "unsafe: what was not run goes elsewhere",
     upstreams: [shed, serve],
