--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -180,3 +180,21 @@
     t.true(lease.ordersFromMs <= core.monotonicMs());
   });
 });
+
+test.serial("a holder that was suspended sends nothing when it wakes", async (t) => {
+  const table = new MemoryTable();
+  const lease = makeLease(table, "a");
+  const wallNow = Date.now;
+  try {
+    await withLeases([lease], async () => {
+      await until(() => lease.isHeld);
+      // The steady clock does not count the suspension, the time of day does.
+      Date.now = () => wallNow() + 5_000;
+      t.is(lease.fence, undefined);
+      await until(() => lease.fence !== undefined);
+      t.is(table.row?.version, lease.renewal?.version);
+    });
+  } finally {
+    Date.now = wallNow;
+  }
+});
