Pass on when other holders ordered an engine last

Cause: found by reading: a holder that had sent nothing told its successor of no order at all, so after two planned stops within 3 s the third holder would have ordered an engine less than the lease after the first. Ruled out: changes after a death, which take 1.5 s each, so 3 s for two. Change: a sender inherits the time of the last order, or the latest possible one where it is not known. Test: orders_sender_test, which failed first.

--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -40,6 +40,7 @@
   readonly #before: OrdersBefore | undefined;
   #ordersFromMs: number;
   #lastOrderAtMs: number | undefined;
+  #hasOrdered = false;
   #isActive = false;
   // The list does not tell how many orders an engine has accepted.
   #needsReport = true;
@@ -53,6 +54,9 @@
   ) {
     this.#before = before;
     this.#ordersFromMs = options.lease.ordersFromMs;
+    if (this.#ordersFromMs > 0) {
+      this.#lastOrderAtMs = this.#ordersFromMs - options.leaseMs;
+    }
     this.record = record;
     this.account = account;
     this.#options = options;
@@ -63,7 +67,10 @@
     return this.#isActive || this.#needsReport || nowMs < this.#ordersFromMs;
   }
 
-  /** When the last order was sent, on the monotonic clock. */
+  /**
+   * When the last order was sent by any holder, on the monotonic clock; the
+   * latest possible time where that is not known. The next holder counts on it.
+   */
   get lastOrderAtMs(): number | undefined {
     return this.#lastOrderAtMs;
   }
@@ -132,6 +139,7 @@
       ? 0
       : lastOrderAtMs + this.#options.leaseMs;
     this.#ordersFromMs = Math.min(this.#ordersFromMs, fromMs);
+    if (!this.#hasOrdered) this.#lastOrderAtMs = lastOrderAtMs;
   }
 
   #hasOverdueModel(nowMs: number): boolean {
@@ -153,6 +161,7 @@
       const fence = lease.fence;
       if (fence === undefined) break;
       this.#lastOrderAtMs = core.monotonicMs();
+      this.#hasOrdered = true;
       const order = { ...wanted, expectedOrderCount, holder: self, fence };
       const reply = await control.order(this.record, order, ORDER_TIMEOUT_MS);
       const nowMs = core.monotonicMs();
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -127,6 +127,28 @@
   t.regex(lostBecause(), /fence/);
 });
 
+test("a holder that sent nothing passes on when others ordered last", async (t) => {
+  const nowMs = core.monotonicMs();
+  const lastOrderAtMs = nowMs - 200;
+  const known = makeSender(new ScriptedControl(), {
+    orderCount: 0,
+    lastOrderAtMs,
+  }, nowMs + 2_500);
+  await known.sender.settle();
+  t.is(known.sender.lastOrderAtMs, lastOrderAtMs);
+
+  // Of unknown orders the latest possible time is passed on.
+  const unknown = makeSender(new ScriptedControl(), undefined, nowMs + 2_500);
+  await unknown.sender.settle();
+  t.is(unknown.sender.lastOrderAtMs, nowMs + 2_500 - 3_000);
+
+  const first = makeSender(new ScriptedControl());
+  await first.sender.settle();
+  t.is(first.sender.lastOrderAtMs, undefined);
+  await first.sender.send({ kind: "load", model }, 10);
+  t.true((first.sender.lastOrderAtMs ?? 0) >= nowMs);
+});
+
 test("an engine whose orders are all known is ordered without a wait", async (t) => {
   const laterMs = core.monotonicMs() + 60_000;
   const known = makeSender(new ScriptedControl(), {
