Remove three members of entry that nothing reads

Cause: reading the whole change: Members.ageMs, CallerListener.port and StoreWatch.lastAnswerAtMs have no reader. Change: they are gone; behaviour is the same.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -5,7 +5,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import * as core from "../core/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
@@ -81,11 +80,6 @@
     };
   }
 
-  /** Port listened on. */
-  get port(): number {
-    return (this.#server.address() as AddressInfo).port;
-  }
-
   /** Asks callers to close their connections after the next answer. */
   stopKeepingOpen(): void {
     this.#keepsOpen = false;
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -20,10 +20,9 @@
   abstract change(change: store.RowChange): void;
 }
 
-/** When the store last failed and last answered, over all followers. */
+/** When the store last failed, and whether it is lost, over all followers. */
 export class StoreWatch {
   lastFailureAtMs = -Infinity;
-  lastAnswerAtMs = -Infinity;
   readonly #logger: core.Logger;
   #isLost = false;
 
@@ -33,8 +32,6 @@
 
   /** Notes an answer. */
   answered(): void {
-    const nowMs = core.monotonicMs();
-    this.lastAnswerAtMs = nowMs;
     if (!this.#isLost) return;
     this.#isLost = false;
     this.#logger.info("dependency_regained", { dependency: "store" });
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -76,12 +76,6 @@
     return this.#members.get(node)?.row;
   }
 
-  /** How long ago a member was heard of, in ms. */
-  ageMs(node: core.InstanceId): number {
-    const member = this.#members.get(node);
-    return member ? core.monotonicMs() - member.heardAtMs : Infinity;
-  }
-
   /** Whether a member was heard of lately, or is so new that it may be. */
   isAlive(node: core.InstanceId): boolean {
     if (node === this.#self) return true;
