Send a lost load again, so that its row does not starve

Ruled out: too little room (the engine had two free places), lost unloads (they were sent again), the fencing (no order was refused).

Change: a load that was not carried out within orderMaxMs is sent again with a further transmission; its bytes are held already, and an engine carries out a load it has once. One transmission that was carried out settles the entry.

--- a/packages/instance/placement/placement_task.ts
+++ b/packages/instance/placement/placement_task.ts
@@ -6,6 +6,7 @@
 import type * as placement from "../../placement/mod.ts";
 import * as routing from "../../routing/mod.ts";
 import * as table from "../../table/mod.ts";
+import type * as upstream from "../../upstream/mod.ts";
 
 /** Pause between looks at an engine that carries out an order. */
 const PENDING_POLL_MS = 40;
@@ -103,6 +104,7 @@
     const view = this.#view(engines);
     const actions = [
       ...this.#lostUnloads(engines),
+      ...this.#lostLoads(engines),
       ...this.#options.policy.plan(view),
     ];
     const byEngine = new Map<core.UpstreamId, placement.PlacementAction[]>();
@@ -139,6 +141,26 @@
     });
   }
 
+  /** Loads that were not carried out; their bytes stay held meanwhile. */
+  #lostLoads(
+    engines: readonly routing.EngineView[],
+  ): placement.PlacementAction[] {
+    const { rows } = this.#options.keeper.snapshot;
+    const byArtifact = new Map(
+      [...rows.values()].map(({ row }) => [table.artifactOf(row), row]),
+    );
+    return engines.flatMap(({ upstreamId }) => {
+      const entries = this.#rows.get(upstreamId)?.row.entries ?? [];
+      return entries
+        .filter((entry) => this.#isLostLoad(upstreamId, entry))
+        .flatMap(({ artifactId }): placement.PlacementAction[] => {
+          const row = byArtifact.get(artifactId);
+          if (row === undefined) return [];
+          return [{ kind: "load", upstreamId, row }];
+        });
+    });
+  }
+
   /** Reads the ledger row of an engine that is new or in change. */
   async #refresh(view: routing.EngineView): Promise<void> {
     const known = this.#rows.get(view.upstreamId);
@@ -228,15 +250,7 @@
     if (view === undefined) return false;
     const engine = clients.engine(view);
     const sent = action.kind === "load"
-      ? await controller.load(
-        upstreamId,
-        engine,
-        {
-          artifactId: table.artifactOf(action.row),
-          weightBytes: action.row.weightBytes,
-        },
-        action.row.kind === "model",
-      )
+      ? await this.#load(upstreamId, engine, action.row)
       : await controller.unload(upstreamId, engine, action.artifactId);
     if (sent.isErr()) {
       if (sent.error !== "slots-taken") this.#avoid(upstreamId);
@@ -257,6 +271,28 @@
     return true;
   }
 
+  /** Sends a load, or sends a lost one again where that one is held. */
+  #load(
+    upstreamId: core.UpstreamId,
+    engine: upstream.Engine,
+    row: table.TableRow,
+  ): ReturnType<ledger.LedgerController["load"]> {
+    const { controller } = this.#options;
+    const artifact = {
+      artifactId: table.artifactOf(row),
+      weightBytes: row.weightBytes,
+    };
+    const takesSlot = row.kind === "model";
+    const entries = this.#rows.get(upstreamId)?.row.entries ?? [];
+    const held = entries
+      .find(({ artifactId }) => artifactId === artifact.artifactId);
+    if (!held || !this.#isLostLoad(upstreamId, held)) {
+      return controller.load(upstreamId, engine, artifact, takesSlot);
+    }
+    this.#states.delete(keyOf(upstreamId, artifact.artifactId));
+    return controller.loadAgain(upstreamId, engine, artifact, takesSlot);
+  }
+
   #avoid(upstreamId: core.UpstreamId): void {
     const untilMs = core.monotonicMs() + core.jitterMs(AVOID_MS);
     this.#avoidUntilMs.set(upstreamId, untilMs);
--- a/packages/ledger/ledger_controller.ts
+++ b/packages/ledger/ledger_controller.ts
@@ -4,6 +4,7 @@
 import type * as upstream from "../upstream/mod.ts";
 import {
   addLoad,
+  addLoadAgain,
   addRoleChange,
   addUnload,
   type LedgerFault,
@@ -86,6 +87,21 @@
     });
   }
 
+  /** Records and sends a load that may be lost once more. */
+  loadAgain(
+    upstreamId: core.UpstreamId,
+    engine: upstream.Engine,
+    artifact: LedgerArtifact,
+    takesSlot: boolean,
+  ): Promise<Result<core.TransmissionId, OrderFault>> {
+    return this.#order(upstreamId, engine, {
+      order: { kind: "load", ...artifact },
+      takesSlot,
+      change: (row, transmissionId) =>
+        addLoadAgain(row, artifact, this.#transmission(transmissionId, "load")),
+    });
+  }
+
   /** Records and sends an unload. */
   unload(
     upstreamId: core.UpstreamId,
--- a/packages/ledger/ledger_row.ts
+++ b/packages/ledger/ledger_row.ts
@@ -80,6 +80,27 @@
   return heldBytes(next) > row.capacityBytes ? err("no-room") : ok(next);
 }
 
+/**
+ * Adds a further transmission of a load that may be lost. The bytes are held
+ * already, and an engine carries out a load that it has carried out only once.
+ *
+ * @example
+ * ```ts
+ * const next = ledger.addLoadAgain(row, artifact, transmission);
+ * ```
+ */
+export function addLoadAgain(
+  row: LedgerRow,
+  artifact: LedgerArtifact,
+  transmission: LedgerTransmission,
+): Result<LedgerRow, LedgerFault> {
+  const entry = findEntry(row, artifact.artifactId);
+  if (!entry) return err("absent");
+  if (entry.state !== "loading") return err("busy");
+  const transmissions = [...entry.transmissions, transmission];
+  return ok(replaceEntry(row, { ...entry, transmissions }));
+}
+
 /**
  * Marks an artifact as being unloaded; its bytes stay held.
  *
@@ -206,9 +227,7 @@
   const left = { ...entry, transmissions: open };
   switch (entry.state) {
     case "loading":
-      if (open.length > 0) return [left];
-      if (isResident) return [{ ...left, state: "resident" }];
-      return release(left, options);
+      return reconcileLoad(entry, left, isResident, options);
     case "resident":
       return isResident ? [left] : release(left, options);
     case "unloading":
@@ -219,6 +238,21 @@
   }
 }
 
+/** One transmission that was carried out settles the others of the load. */
+function reconcileLoad(
+  entry: LedgerEntry,
+  left: LedgerEntry,
+  isResident: boolean,
+  options: ReconcileOptions,
+): LedgerEntry[] {
+  const anyResolved = left.transmissions.length < entry.transmissions.length;
+  if (anyResolved && isResident) {
+    return [{ ...entry, state: "resident", transmissions: [] }];
+  }
+  if (left.transmissions.length > 0) return [left];
+  return isResident ? [{ ...left, state: "resident" }] : release(left, options);
+}
+
 function reconcileUnload(
   entry: LedgerEntry,
   left: LedgerEntry,
--- a/packages/ledger/tests/unit/ledger_test.ts
+++ b/packages/ledger/tests/unit/ledger_test.ts
@@ -105,6 +105,14 @@
     return controller.load(UPSTREAM_ID, this.engine, artifact, true);
   }
 
+  loadAgain(
+    controller: ledger.LedgerController,
+    name: string,
+  ): Promise<Result<core.TransmissionId, ledger.OrderFault>> {
+    const artifact = { artifactId: artifactId(name), weightBytes: 20 };
+    return controller.loadAgain(UPSTREAM_ID, this.engine, artifact, true);
+  }
+
   unload(
     controller: ledger.LedgerController,
     name: string,
@@ -209,6 +217,44 @@
       t.is(bench.fake.memory.overcommits, 0);
     }));
 
+  test(`an engine that ${kind} fencing: a lost load is sent again`, (t) =>
+    withBench(honours, async (bench) => {
+      const controller = bench.controller();
+      bench.fake.faults.set({ name: "dropOrder", count: 1 });
+      await bench.load(controller, "a");
+      t.is((await bench.load(controller, "a"))._unsafeUnwrapErr(), "busy");
+      t.true((await bench.loadAgain(controller, "a")).isOk());
+      await bench.settle(controller, (row) => stateOf(row, "a") === "resident");
+      t.true((await bench.unload(controller, "a")).isOk());
+      await bench.settle(controller, (row) => row.entries.length === 0);
+      t.is(bench.fake.memory.overcommits, 0);
+      t.is(bench.fake.loads, 1);
+    }));
+
+  test(`an engine that ${kind} fencing: a load sent again that was only late`, (t) =>
+    withBench(honours, async (bench) => {
+      const controller = bench.controller();
+      bench.fake.faults.set({ name: "lateOrder", count: 1, delayMs: 60 });
+      await bench.load(controller, "a");
+      t.true((await bench.loadAgain(controller, "a")).isOk());
+      await bench.settle(controller, (row) => stateOf(row, "a") === "resident");
+      t.true((await bench.unload(controller, "a")).isOk());
+      const others = ["b", "c"].map(async (name) => {
+        for (let tries = 0; tries < 40; tries++) {
+          if ((await bench.load(controller, name)).isOk()) return;
+          await core.sleep(5);
+        }
+      });
+      await Promise.all(others);
+      await core.sleep(120);
+      t.is(bench.fake.memory.overcommits, 0);
+      // Where the late order was not refused, the ledger has taken it in.
+      const row = await controller.reconcile(UPSTREAM_ID, bench.engine);
+      const isHeld = bench.fake.memory.isReady(artifactId("a"));
+      t.is(row.isOk() && stateOf(row.value, "a") === "resident", isHeld);
+      t.true(!honours || !isHeld);
+    }, 100));
+
   test(`an engine that ${kind} fencing: a duplicate after the unload`, (t) =>
     withBench(honours, async (bench) => {
       const controller = bench.controller();
--- a/packages/proofs/tests/unit/reachability_test.ts
+++ b/packages/proofs/tests/unit/reachability_test.ts
@@ -160,6 +160,18 @@
   });
 });
 
+test("a row is loaded where its load was lost, if nowhere else", async (t) => {
+  const world = makeWorld(100, 1);
+  await withWorld(world, async () => {
+    const [engine] = world.engines;
+    engine?.faults.set({ name: "dropOrder", count: 2, match: "load" });
+    const tookMs = await reach(world, "model-0", 0);
+    t.is(engine?.faults.taken.get("dropOrder"), 2);
+    t.log(`answered after ${tookMs} ms`);
+    t.is(engine?.memory.overcommits, 0);
+  });
+});
+
 test("every row answers while an engine and an entry die", async (t) => {
   const world = makeWorld(100, 3);
   await withWorld(world, async () => {
