Plan copies by the requests that they serve

With few engines no copy of a busy pair could yield.

Change: a copy is added where it serves more requests a second than the room that it takes serves now, over a horizon of 4 s less the time for runs to end, unload and load; nodes tell when their runs are expected to end; an unload is ordered only when the runs have ended. The old costs and urgencies go.

--- a/packages/dispatch/dispatch_board.ts
+++ b/packages/dispatch/dispatch_board.ts
@@ -7,7 +7,11 @@
 /** One request on its way to an upstream. */
 export interface EngineWork {
   readonly weights: string;
+  /** Undefined for services that run no models. */
+  readonly model?: core.ModelName;
   readonly tokens: number;
+  /** Tokens that it may generate; 0 if not known. */
+  readonly outputTokens: number;
   readonly prefillMs: number;
   readonly sentAtMs: number;
   hasAnswer: boolean;
--- a/packages/dispatch/dispatch_estimate.ts
+++ b/packages/dispatch/dispatch_estimate.ts
@@ -1,6 +1,6 @@
 /** How fast models run, and when a request's first event can be expected. */
 import type * as core from "../core/mod.ts";
-import type { EngineState } from "./dispatch_board.ts";
+import type { EngineState, EngineWork } from "./dispatch_board.ts";
 
 /** Step time assumed for a model not seen yet, in ms: the users' sheets. */
 const STEP_DEFAULT_MS = 10.5;
@@ -35,6 +35,29 @@
   }
 }
 
+/** Streams share steps, so that they take longer than alone. */
+const SHARED_STEP_FACTOR = 1.5;
+/** Time that a request is expected to take on when its estimate has passed. */
+const LEFT_MIN_MS = 100;
+
+/**
+ * Estimates how long a request on its way still takes, in ms.
+ *
+ * @example
+ * ```ts
+ * const leftMs = dispatch.estimateLeftMs(pace, work, core.monotonicMs());
+ * ```
+ */
+export function estimateLeftMs(
+  pace: ModelPace,
+  { model, prefillMs, outputTokens, sentAtMs }: EngineWork,
+  nowMs: number,
+): number {
+  if (model === undefined) return LEFT_MIN_MS;
+  const decodeMs = outputTokens * pace.stepMs(model) * SHARED_STEP_FACTOR;
+  return Math.max(LEFT_MIN_MS, sentAtMs + prefillMs + decodeMs - nowMs);
+}
+
 /**
  * Estimates when a request's first event would arrive, in ms from now.
  *
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -3,7 +3,11 @@
 export type { EngineWork, HeldModel, OthersUse } from "./dispatch_board.ts";
 export { DemandMeter } from "./dispatch_demand.ts";
 export type { DemandLine } from "./dispatch_demand.ts";
-export { estimateFirstEventMs, ModelPace } from "./dispatch_estimate.ts";
+export {
+  estimateFirstEventMs,
+  estimateLeftMs,
+  ModelPace,
+} from "./dispatch_estimate.ts";
 export { UpstreamHealth } from "./dispatch_health.ts";
 export type { UpstreamOutcome } from "./dispatch_health.ts";
 export { PrefixMemory } from "./dispatch_prefixes.ts";
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -35,6 +35,7 @@
   return {
     weights: model,
     tokens: 100,
+    outputTokens: 10,
     prefillMs,
     sentAtMs: 0,
     hasAnswer: false,
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -1,7 +1,7 @@
 /** What nodes tell each other, through the node that sends the orders. */
 import { create } from "@bufbuild/protobuf";
 import * as core from "../core/mod.ts";
-import type * as dispatch from "../dispatch/mod.ts";
+import * as dispatch from "../dispatch/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type { EntryState } from "./entry_state.ts";
@@ -113,7 +113,7 @@
 ): peers.NodeDigest {
   const uses = [...state.board.all()]
     .filter(({ mine, health }) => mine.size > 0 || health.isSuspect(nowMs))
-    .map((engine) => toUse(engine, nowMs));
+    .map((engine) => toUse(state, engine, nowMs));
   return create(peers.NodeDigestSchema, {
     node: state.settings.nodeName,
     bornMs: state.bornMs,
@@ -168,12 +168,20 @@
   }
 }
 
-function toUse(engine: dispatch.EngineState, nowMs: number) {
-  const models = new Map<string, number>();
+function toUse(
+  { pace }: EntryState,
+  engine: dispatch.EngineState,
+  nowMs: number,
+) {
+  const models = new Map<string, { inFlight: number; drainMs: number }>();
   let prefillMs = 0;
   let tokens = 0;
   for (const work of engine.mine) {
-    models.set(work.weights, (models.get(work.weights) ?? 0) + 1);
+    const use = models.get(work.weights) ?? { inFlight: 0, drainMs: 0 };
+    use.inFlight++;
+    const leftMs = dispatch.estimateLeftMs(pace, work, nowMs);
+    use.drainMs = Math.max(use.drainMs, Math.round(leftMs));
+    models.set(work.weights, use);
     if (!work.hasAnswer) prefillMs += work.prefillMs;
     tokens += work.tokens;
   }
@@ -183,9 +191,9 @@
     prefillMs,
     tokens,
     isSuspect: engine.health.isSuspect(nowMs),
-    models: [...models].map(([weights, inFlight]) => {
+    models: [...models].map(([weights, use]) => {
       const [model, adapter] = weights.split("/");
-      return { model: model ?? "", adapter: adapter ?? "", inFlight };
+      return { model: model ?? "", adapter: adapter ?? "", ...use };
     }),
   };
 }
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -10,14 +10,10 @@
 
 /** Interval between plans. */
 const PLAN_INTERVAL_MS = 50;
-/** Time for nodes to hear that a model closes before it is unloaded. */
-const CLOSE_NOTICE_MS = 80;
-/** Time for requests of a closing model to end; the unload waits for the rest. */
-const CLOSE_WAIT_MS = 300;
 /** Time that an adapter is expected to take: up to 19 ms on the sheets. */
 const ADAPTER_LOAD_MS = 20;
 /** Time after which room that was made is free for any model. */
-const RESERVED_FOR_MS = 5_000;
+const RESERVED_FOR_MS = 2_000;
 /** Work that has been seen counts for this long: demand comes in waves. */
 const WORK_REMEMBERED_MS = 4_000;
 const MS_PER_S = 1_000;
@@ -35,8 +31,8 @@
   readonly sender: orders.OrderSender;
   readonly closingSinceMs: Map<core.ModelName, number>;
   readonly plannedAtMs: Map<core.ModelName, number>;
-  /** Model for which room is being made, and since when. */
-  reserved: { model: core.ModelName; atMs: number } | undefined;
+  /** Model for which room is being made, and since when there is room. */
+  reserved: { model: core.ModelName; madeAtMs?: number } | undefined;
   storeLoadUntilMs: number;
 }
 
@@ -45,9 +41,17 @@
   readonly models: Map<core.ModelName, placement.ModelDemand>;
   readonly adapters: Map<string, placement.AdapterDemand>;
   /** Requests on the way by engine, then by model or model and adapter. */
-  readonly inFlight: Map<string, Map<string, number>>;
+  readonly inFlight: Map<string, Map<string, InFlight>>;
 }
 
+/** Requests on the way, and the time until they are expected to end. */
+interface InFlight {
+  readonly count: number;
+  readonly drainMs: number;
+}
+
+const NONE_IN_FLIGHT: InFlight = { count: 0, drainMs: 0 };
+
 /** Keeps models and adapters where the demand is. */
 export class OrdersTask extends core.Task {
   override readonly name = "orders";
@@ -57,6 +61,7 @@
   readonly #control: fleet.EngineControl;
   readonly #ordered = new Map<core.UpstreamId, Ordered>();
   readonly #lastAskedAtMs = new Map<core.ModelName, number>();
+  readonly #lackingSinceMs = new Map<core.ModelName, number>();
   readonly #work = new Map<
     core.ModelName,
     { workMsPerS: number; atMs: number }
@@ -159,6 +164,7 @@
   ): void {
     const states = [...this.#state.board.ofService(service.name)];
     this.#unloadClosed(states, totals, nowMs);
+    this.#noteLacking(states, totals, nowMs);
     this.#planAdapters(states, spec, totals, nowMs);
     const view: placement.CopyView = {
       engines: states.flatMap((state) =>
@@ -169,6 +175,7 @@
         [...spec.models].map(([model, { weightsMb }]) => [model, weightsMb]),
       ),
       idleMs: (model) => nowMs - (this.#lastAskedAtMs.get(model) ?? -Infinity),
+      lackingMs: (model) => nowMs - (this.#lackingSinceMs.get(model) ?? nowMs),
       storeLoads: this.#storeLoadsNow(spec, nowMs),
     };
     for (const action of new placement.CopyPlanner(view).plan()) {
@@ -176,6 +183,21 @@
     }
   }
 
+  /** Notes since when models are asked for that no engine serves. */
+  #noteLacking(
+    states: readonly dispatch.EngineState[],
+    totals: Totals,
+    nowMs: number,
+  ): void {
+    for (const [model, { waiting }] of totals.models) {
+      const isServed = states.some(({ held }) => held.get(model)?.isUsable);
+      if (isServed || waiting === 0) this.#lackingSinceMs.delete(model);
+      else if (!this.#lackingSinceMs.has(model)) {
+        this.#lackingSinceMs.set(model, nowMs);
+      }
+    }
+  }
+
   #toCopyEngine(
     state: dispatch.EngineState,
     spec: fleet.EngineSpec,
@@ -188,7 +210,8 @@
     const isClosed = ordered.sender.isClosed(nowMs);
     const inFlight = totals.inFlight.get(state.record.id);
     const { reserved } = ordered;
-    const isReserved = reserved && nowMs - reserved.atMs < RESERVED_FOR_MS;
+    const isReserved = reserved &&
+      nowMs - (reserved.madeAtMs ?? nowMs) < RESERVED_FOR_MS;
     return [{
       ...(isReserved ? { reservedFor: reserved.model } : {}),
       id: state.record.id,
@@ -198,7 +221,7 @@
       models: new Map(
         [...account.models].map(([model, { phase }]) => [model, {
           phase,
-          inFlight: countOf(inFlight, model),
+          drainMs: inFlightOf(inFlight, model).drainMs,
           ageMs: nowMs - (ordered.plannedAtMs.get(model) ?? -Infinity),
         }]),
       ),
@@ -223,7 +246,7 @@
       held.phase = "closing";
       ordered.closingSinceMs.set(model, nowMs);
       if (inFavourOf !== undefined) {
-        ordered.reserved = { model: inFavourOf, atMs: nowMs };
+        ordered.reserved = { model: inFavourOf };
       }
       this.#state.logger.info("model_closing", {
         upstream: engine,
@@ -288,9 +311,11 @@
       for (const [model, { phase }] of account.models) {
         if (phase !== "closing") continue;
         const sinceMs = nowMs - (ordered.closingSinceMs.get(model) ?? nowMs);
-        const left = countOf(totals.inFlight.get(record.id), model);
-        if (sinceMs < CLOSE_NOTICE_MS) continue;
-        if (left > 0 && sinceMs < CLOSE_WAIT_MS) continue;
+        const inFlight = inFlightOf(totals.inFlight.get(record.id), model);
+        if (!placement.mayUnload({ sinceMs, inFlight: inFlight.count })) {
+          continue;
+        }
+        if (ordered.reserved) ordered.reserved.madeAtMs = nowMs;
         this.#detach(ordered.sender.send({ kind: "unload", model }, 0));
         break;
       }
@@ -324,7 +349,7 @@
           [...adapters.keys()].map((adapter) => ({
             model,
             adapter,
-            inFlight: inFlight?.get(`${model}/${adapter}`) ?? 0,
+            inFlight: inFlight?.get(`${model}/${adapter}`)?.count ?? 0,
             ratePerS: totals.adapters.get(`${model}/${adapter}`)?.ratePerS ?? 0,
           }))
         ),
@@ -369,16 +394,23 @@
   }
 }
 
-function countOf(
-  inFlight: ReadonlyMap<string, number> | undefined,
+function inFlightOf(
+  inFlight: ReadonlyMap<string, InFlight> | undefined,
   model: core.ModelName,
-): number {
-  let count = 0;
-  for (const [weights, requests] of inFlight ?? []) {
+): InFlight {
+  let sum = NONE_IN_FLIGHT;
+  for (const [weights, use] of inFlight ?? []) {
     const isOfModel = weights === model || weights.startsWith(`${model}/`);
-    if (isOfModel) count += requests;
+    if (isOfModel) sum = addInFlight(sum, use);
   }
-  return count;
+  return sum;
+}
+
+function addInFlight(a: InFlight, b: InFlight): InFlight {
+  return {
+    count: a.count + b.count,
+    drainMs: Math.max(a.drainMs, b.drainMs),
+  };
 }
 
 function sumDigests(digests: readonly peers.NodeDigest[]): Totals {
@@ -392,9 +424,10 @@
     for (const { upstreamId, models } of uses) {
       let counts = totals.inFlight.get(upstreamId);
       if (!counts) totals.inFlight.set(upstreamId, counts = new Map());
-      for (const { model, adapter, inFlight } of models) {
+      for (const { model, adapter, inFlight, drainMs } of models) {
         const weights = adapter === "" ? model : `${model}/${adapter}`;
-        counts.set(weights, (counts.get(weights) ?? 0) + inFlight);
+        const known = counts.get(weights) ?? NONE_IN_FLIGHT;
+        counts.set(weights, addInFlight(known, { count: inFlight, drainMs }));
       }
     }
   }
--- a/packages/entry/entry_placer.ts
+++ b/packages/entry/entry_placer.ts
@@ -112,6 +112,7 @@
     return ok(this.#start(instance, service, {
       weights: "",
       tokens: 0,
+      outputTokens: 0,
       prefillMs: 0,
       sentAtMs: nowMs,
       hasAnswer: false,
@@ -151,13 +152,14 @@
       service,
       {
         weights,
+        model,
         tokens: promptTokens + outputTokensMax,
+        outputTokens: outputTokensMax,
         prefillMs: choice.prefillMs,
         sentAtMs: nowMs,
         hasAnswer: false,
       },
       choice.firstEventMs,
-      model,
       spec.eventTokens,
     ));
   }
@@ -179,10 +181,10 @@
     service: fleet.ServiceSpec,
     work: dispatch.EngineWork,
     estimatedMs: number,
-    model?: core.ModelName,
     eventTokens = 1,
   ): relay.Placement {
     const { pools, members, pace } = this.#state;
+    const { model } = work;
     const finish = engine.start(work);
     return {
       upstream: engine.record,
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -18,6 +18,8 @@
   AdapterDemand,
   AdapterEngine,
 } from "./placement_adapters.ts";
+export { mayUnload } from "./placement_closing.ts";
+export type { ClosingCopy } from "./placement_closing.ts";
 export { CopyPlanner } from "./placement_copies.ts";
 export type {
   CopyAction,
--- a/packages/placement/placement_copies.ts
+++ b/packages/placement/placement_copies.ts
@@ -12,7 +12,8 @@
 /** A copy of a model on an engine. */
 export interface ModelCopy {
   readonly phase: "loading" | "ready" | "closing" | "unloading";
-  readonly inFlight: number;
+  /** Time until its requests on the way are expected to end, in ms. */
+  readonly drainMs: number;
   /** Time since the copy was planned, in ms. */
   readonly ageMs: number;
 }
@@ -42,6 +43,8 @@
   readonly demand: ReadonlyMap<core.ModelName, ModelDemand>;
   /** Time since a model was last asked for, in ms; Infinity if never. */
   readonly idleMs: (model: core.ModelName) => number;
+  /** Time for which a model without a copy has been asked for, in ms. */
+  readonly lackingMs: (model: core.ModelName) => number;
   /** Loads from the weight store that may begin now. */
   readonly storeLoads: number;
 }
@@ -57,45 +60,56 @@
 
 /** Work that one copy is meant to take, in ms a second; the rest is reserve. */
 const WORK_PER_COPY_MS = 800;
+/** Work that an engine can do for all its models, in ms a second. */
+const WORK_PER_ENGINE_MS = 1_000;
+/** Least share of a copy's use where an engine is full of work. */
+const FULL_ENGINE_SHARE = 0.25;
 /** Rate from which the loss of one engine must not stop a model. */
 const SECOND_COPY_RATE_PER_S = 2;
-/** Cost of a victim's requests on the way: an unload waits for all to end. */
-const IN_USE_COST = 500;
-const IN_FLIGHT_COST = 40;
-/** Cost of a victim that was loaded only just now. */
-const YOUNG_COPY_COST = 400;
+/** Share of a model's requests that a copy held in reserve is worth. */
+const SECOND_COPY_SHARE = 0.05;
+/** Time for which a copy is expected to be of use: demand moves in seconds. */
+const HORIZON_MS = 4_000;
+/** Least part of that time counted for a copy that comes late. */
+const LATE_SHARE = 0.1;
+/** Time for which requests wait for a copy; those waiting came in that time. */
+const WAIT_S = 2;
+/** Time in which a model lacking a copy counts as asked for once more. */
+const LACKING_MS = 3_000;
+/** Rate of a model that was just asked for, and of one that never was. */
+const RECENT_RATE_PER_S = 0.5;
+const TAIL_RATE_PER_S = 0.01;
+/** Requests a second that a swap must win: loads take from the weight store. */
+const SWAP_LOSS_PER_S = 0.05;
+/** Requests a second ascribed to a copy that was loaded only just now. */
+const YOUNG_RATE_PER_S = 0.4;
 const YOUNG_FOR_MS = 4_000;
-/** Cost of taking a model's last copy, fading with the time it was not used. */
-const LAST_COPY_COST = 1_500;
-const LAST_COPY_HALF_LIFE_MS = 10_000;
-/** Time for which a rare model's only copy is kept from busy models. */
-const RARE_KEPT_MS = 12_000;
-/** Cost of taking the second copy of a model that should survive a crash. */
-const SPARE_COPY_COST = 300;
-/** Weight of load time against engine work in the choice of an engine. */
-const LOAD_TIME_WEIGHT = 0.1;
+/** Time for an engine to unload a model that is not in use, as reported. */
+const UNLOAD_MS = 150;
 /** Weight of room left unused, per MB: small models fill small gaps. */
-const WASTE_WEIGHT = 0.002;
+const WASTE_PER_MB = 1e-8;
 /** Loads from the weight store kept back from models nobody asks for. */
 const STORE_RESERVE = 1;
+const MS_PER_S = 1_000;
 
-/** Why a model should get a copy; the lower goes first. */
-const enum Urgency {
-  AskedFor = 0,
-  Overloaded = 1,
-  Spare = 2,
-  Tail = 3,
-}
-
+/** A model for which a further copy would serve more requests. */
 interface Deficit {
   readonly model: core.ModelName;
-  readonly urgency: Urgency;
-  readonly weight: number;
+  /** Requests a second that the copy would serve. */
+  readonly gainPerS: number;
+}
+
+/** A way to get a copy, and the requests a second that it wins. */
+interface Option {
+  readonly action: CopyAction;
+  readonly netPerS: number;
+  readonly needsStore: boolean;
 }
 
 /**
- * Plans copies: every model that may be asked for keeps one as far as there is
- * room, and the busy ones get as many as their work needs.
+ * Plans copies by the requests that they serve: a copy is added where it
+ * serves more than the room that it takes serves now, after the time that
+ * making room and loading take.
  */
 export class CopyPlanner {
   readonly #view: CopyView;
@@ -116,13 +130,6 @@
     }
   }
 
-  /** Copies that a model's work needs. */
-  wanted(model: core.ModelName): number {
-    const workMsPerS = this.#view.demand.get(model)?.workMsPerS ?? 0;
-    const byWork = Math.ceil(workMsPerS / WORK_PER_COPY_MS);
-    return Math.max(1, Math.min(byWork, this.#view.engines.length));
-  }
-
   /** Copies that serve or are being loaded. */
   copies(model: core.ModelName): number {
     return this.#copies.get(model) ?? 0;
@@ -199,129 +206,131 @@
     return workMsPerS / Math.max(1, this.copies(model));
   }
 
+  /** Requests a second expected for a model. */
+  #rateOf(model: core.ModelName): number {
+    const demand = this.#view.demand.get(model);
+    const idleS = this.#view.idleMs(model) / MS_PER_S;
+    const recent = RECENT_RATE_PER_S * Math.min(1, 1 / idleS);
+    const seen = Math.max(
+      demand?.ratePerS ?? 0,
+      (demand?.waiting ?? 0) / WAIT_S,
+    );
+    return Math.max(seen, recent, TAIL_RATE_PER_S);
+  }
+
+  /** Requests a second that a number of copies serves. */
+  #servedPerS(model: core.ModelName, copies: number): number {
+    if (copies <= 0) return 0;
+    const ratePerS = this.#rateOf(model);
+    const workMs = this.#view.demand.get(model)?.workMsPerS ?? 0;
+    const capacityMs = copies * WORK_PER_COPY_MS;
+    const share = workMs <= capacityMs ? 1 : capacityMs / workMs;
+    const isSpared = copies > 1 && ratePerS >= SECOND_COPY_RATE_PER_S;
+    return ratePerS * (share + (isSpared ? SECOND_COPY_SHARE : 0));
+  }
+
   #deficits(): Deficit[] {
     const deficits: Deficit[] = [];
     for (const model of this.#view.sizesMb.keys()) {
-      const deficit = this.#deficit(model);
-      if (deficit) deficits.push(deficit);
+      const copies = this.copies(model);
+      const lacking = copies === 0
+        ? 1 + this.#view.lackingMs(model) / LACKING_MS
+        : 1;
+      const gainPerS = lacking *
+        (this.#servedPerS(model, copies + 1) -
+          this.#servedPerS(model, copies));
+      if (gainPerS > 0) deficits.push({ model, gainPerS });
     }
-    return deficits.sort((a, b) =>
-      a.urgency - b.urgency || b.weight - a.weight
-    );
+    return deficits.sort((a, b) => b.gainPerS - a.gainPerS);
   }
 
-  #deficit(model: core.ModelName): Deficit | undefined {
-    const demand = this.#view.demand.get(model);
-    const copies = this.copies(model);
-    if (copies === 0) {
-      const isAskedFor = (demand?.waiting ?? 0) > 0;
-      return isAskedFor
-        ? { model, urgency: Urgency.AskedFor, weight: demand!.waiting }
-        : {
-          model,
-          urgency: Urgency.Tail,
-          weight: demand?.ratePerS ?? -this.#view.idleMs(model),
-        };
-    }
-    if (copies < this.wanted(model)) {
-      const weight = this.#workShare(model);
-      return { model, urgency: Urgency.Overloaded, weight };
+  #place(deficit: Deficit): CopyAction | undefined {
+    let best: Option | undefined;
+    for (const engine of this.#view.engines) {
+      const option = this.#optionOn(engine, deficit);
+      if (option && option.netPerS > (best?.netPerS ?? 0)) best = option;
     }
-    const isBusy = (demand?.ratePerS ?? 0) >= SECOND_COPY_RATE_PER_S;
-    return isBusy && copies < 2
-      ? { model, urgency: Urgency.Spare, weight: demand!.ratePerS }
-      : undefined;
+    if (best?.action.kind === "load" && best.needsStore) this.#storeLoads -= 1;
+    return best?.action;
   }
 
-  #place({ model, urgency }: Deficit): CopyAction | undefined {
+  #optionOn(engine: CopyEngine, { model, gainPerS }: Deficit) {
+    if (!engine.isUsable || !engine.canOrder) return undefined;
+    if (this.#taken.has(engine.id) || engine.models.has(model)) {
+      return undefined;
+    }
+    const needsStore = engine.needsStore(model);
+    const isAskedFor = gainPerS > TAIL_RATE_PER_S;
+    const reserve = isAskedFor ? 0 : STORE_RESERVE;
+    if (needsStore && this.#storeLoads < 1 + reserve) return undefined;
     const sizeMb = this.#view.sizesMb.get(model) ?? Infinity;
-    let best: CopyAction | undefined;
-    let bestCost = Infinity;
-    let bestNeedsStore = false;
-    for (const engine of this.#view.engines) {
-      if (!engine.isUsable || !engine.canOrder) continue;
-      if (this.#taken.has(engine.id) || engine.models.has(model)) continue;
-      const needsStore = engine.needsStore(model);
-      const reserve = urgency === Urgency.Tail ? STORE_RESERVE : 0;
-      if (needsStore && this.#storeLoads < 1 + reserve) continue;
-      const base = (this.#workOf.get(engine.id) ?? 0) +
-        engine.loadMs(model) * LOAD_TIME_WEIGHT;
-      if (engine.freeMb >= sizeMb) {
-        const cost = base + (engine.freeMb - sizeMb) * WASTE_WEIGHT;
-        if (cost >= bestCost) continue;
-        best = { kind: "load", engine: engine.id, model };
-        bestCost = cost;
-        bestNeedsStore = needsStore;
-        continue;
-      }
-      if (hasClosing(engine)) continue;
-      const victim = this.#victim(engine, urgency, sizeMb - engine.freeMb);
-      if (!victim) continue;
-      const cost = base + victim.cost;
-      if (cost >= bestCost) continue;
-      best = {
-        kind: "close",
-        engine: engine.id,
-        model: victim.model,
-        inFavourOf: model,
-      };
-      bestCost = cost;
-      bestNeedsStore = needsStore;
+    const loadMs = engine.loadMs(model);
+    const workLeftMs = WORK_PER_ENGINE_MS - (this.#workOf.get(engine.id) ?? 0);
+    const use = this.copies(model) === 0
+      ? 1
+      : Math.min(1, workLeftMs / WORK_PER_COPY_MS);
+    const fullGain = gainPerS * Math.max(FULL_ENGINE_SHARE, use);
+    if (engine.freeMb >= sizeMb) {
+      const wasted = (engine.freeMb - sizeMb) * WASTE_PER_MB;
+      const action: CopyAction = { kind: "load", engine: engine.id, model };
+      const netPerS = fullGain * shareOfHorizon(loadMs) - wasted;
+      return { action, netPerS, needsStore };
     }
-    if (best?.kind === "load" && bestNeedsStore) this.#storeLoads -= 1;
-    return best;
+    if (hasClosing(engine)) return undefined;
+    return this.#swapOn(engine, model, fullGain, loadMs);
   }
 
-  /** The copy that is missed least among those large enough. */
-  #victim(
+  /** The swap that wins most on an engine, if any wins. */
+  #swapOn(
     engine: CopyEngine,
-    urgency: Urgency,
-    neededMb: number,
-  ): { model: core.ModelName; cost: number } | undefined {
-    let best: { model: core.ModelName; cost: number } | undefined;
-    for (const [model, copy] of engine.models) {
+    model: core.ModelName,
+    gainPerS: number,
+    loadMs: number,
+  ): Option | undefined {
+    const sizeMb = this.#view.sizesMb.get(model) ?? Infinity;
+    let best: Option | undefined;
+    for (const [victim, copy] of engine.models) {
       if (copy.phase !== "ready") continue;
-      if ((this.#view.sizesMb.get(model) ?? 0) < neededMb) continue;
-      const cost = this.#victimCost(model, copy, urgency);
-      if (cost === undefined) continue;
-      if (!best || cost < best.cost) best = { model, cost };
+      const victimMb = this.#view.sizesMb.get(victim) ?? 0;
+      if (victimMb < sizeMb - engine.freeMb) continue;
+      const lossPerS = this.#lossOf(victim, copy);
+      if (lossPerS === undefined) continue;
+      const share = shareOfHorizon(copy.drainMs + UNLOAD_MS + loadMs);
+      const netPerS = gainPerS * share - lossPerS - SWAP_LOSS_PER_S;
+      if (netPerS <= (best?.netPerS ?? 0)) continue;
+      best = {
+        action: {
+          kind: "close",
+          engine: engine.id,
+          model: victim,
+          inFavourOf: model,
+        },
+        netPerS,
+        needsStore: engine.needsStore(model),
+      };
     }
     return best;
   }
 
-  /** What closing a copy costs; undefined where the urgency forbids it. */
-  #victimCost(
+  /** Requests a second that are lost with a copy; undefined if it must stay. */
+  #lossOf(
     model: core.ModelName,
-    { inFlight, ageMs }: ModelCopy,
-    urgency: Urgency,
+    { ageMs }: ModelCopy,
   ): number | undefined {
-    // Before callers have asked for anything, what is busy is not known.
-    if (urgency === Urgency.Tail && this.#view.demand.size === 0) {
-      return undefined;
-    }
-    const copies = this.#ready.get(model) ?? 0;
-    const demand = this.#view.demand.get(model);
-    const young = ageMs < YOUNG_FOR_MS ? YOUNG_COPY_COST : 0;
-    const cost = this.#workShare(model) + young +
-      (inFlight > 0 ? IN_USE_COST + inFlight * IN_FLIGHT_COST : 0);
-    if (copies > this.wanted(model)) {
-      const isSpare = copies === 2 &&
-        (demand?.ratePerS ?? 0) >= SECOND_COPY_RATE_PER_S;
-      if (!isSpare) return urgency === Urgency.Tail && young ? undefined : cost;
-      return urgency <= Urgency.Overloaded ? cost + SPARE_COPY_COST : undefined;
-    }
-    if (urgency > Urgency.Overloaded || copies > 1) return undefined;
-    if ((demand?.waiting ?? 0) > 0) return undefined;
-    const idleMs = this.#view.idleMs(model);
-    // Another copy for a busy model is not worth a rare one's only copy.
-    if (urgency === Urgency.Overloaded && idleMs < RARE_KEPT_MS) {
-      return undefined;
-    }
-    const fade = 0.5 ** (idleMs / LAST_COPY_HALF_LIFE_MS);
-    return cost + LAST_COPY_COST * fade;
+    const ready = this.#ready.get(model) ?? 0;
+    const isWaitedFor = (this.#view.demand.get(model)?.waiting ?? 0) > 0;
+    if (ready <= 1 && isWaitedFor) return undefined;
+    const youngPerS = ageMs < YOUNG_FOR_MS ? YOUNG_RATE_PER_S : 0;
+    return youngPerS + this.#servedPerS(model, ready) -
+      this.#servedPerS(model, ready - 1);
   }
 }
 
+/** Part of a copy's time of use that is left once it serves. */
+function shareOfHorizon(readyMs: number): number {
+  return Math.max(LATE_SHARE, (HORIZON_MS - readyMs) / HORIZON_MS);
+}
+
 /** The model that an action is for. */
 function model(action: CopyAction): core.ModelName {
   return action.inFavourOf ?? action.model;
--- a/packages/placement/tests/unit/placement_copies_test.ts
+++ b/packages/placement/tests/unit/placement_copies_test.ts
@@ -11,9 +11,13 @@
 interface Held {
   readonly name: string;
   readonly inFlight?: number;
+  readonly drainMs?: number;
   readonly ageMs?: number;
 }
 
+/** Time assumed for requests on the way to end, where a test names none. */
+const DRAIN_MS = 1_000;
+
 function makeEngine(
   id: string,
   held: readonly Held[],
@@ -24,11 +28,13 @@
     isUsable: true,
     canOrder: true,
     freeMb: ENGINE_MB - held.length * SIZE_MB,
-    models: new Map(held.map(({ name, inFlight, ageMs }) => [model(name), {
-      phase: "ready" as const,
-      inFlight: inFlight ?? 0,
-      ageMs: ageMs ?? 60_000,
-    }])),
+    models: new Map(
+      held.map(({ name, inFlight, drainMs, ageMs }) => [model(name), {
+        phase: "ready" as const,
+        drainMs: drainMs ?? (inFlight ? DRAIN_MS : 0),
+        ageMs: ageMs ?? 60_000,
+      }]),
+    ),
     loadMs: () => 1_500,
     needsStore: () => true,
     ...part,
@@ -53,6 +59,7 @@
       }]),
     ),
     idleMs: () => Infinity,
+    lackingMs: () => 0,
     storeLoads: 3,
     ...part,
   };
@@ -188,7 +195,7 @@
     canOrder: false,
     models: new Map([[model("a"), {
       phase: "loading",
-      inFlight: 0,
+      drainMs: 0,
       ageMs: 100,
     }]]),
   });
@@ -235,3 +242,113 @@
   ));
   t.deepEqual(actions, []);
 });
+
+test("demand moves to a model without a copy: room that is free soon", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [
+        { name: "a", inFlight: 9, drainMs: 5_500 },
+        { name: "b", inFlight: 4, drainMs: 4_000 },
+        { name: "c", inFlight: 2, drainMs: 3_000 },
+      ]),
+      makeEngine("e2", [
+        { name: "a", inFlight: 9, drainMs: 5_000 },
+        { name: "b", inFlight: 9, drainMs: 5_000 },
+        { name: "d" },
+      ]),
+    ],
+    {
+      a: { ratePerS: 2, workMsPerS: 100 },
+      b: { ratePerS: 8, workMsPerS: 700 },
+      d: { ratePerS: 0.2, workMsPerS: 20 },
+      e: { ratePerS: 6, waiting: 10 },
+    },
+    { names: "abcde", idleMs: () => 2_000 },
+  ));
+  t.deepEqual(actions[0], {
+    kind: "close",
+    engine: engineId("e2"),
+    model: model("d"),
+    inFavourOf: model("e"),
+  });
+});
+
+test("engines are few: a model without a copy takes one of a busy pair", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [
+        { name: "a", inFlight: 9, drainMs: 900 },
+        { name: "b", inFlight: 9, drainMs: 900 },
+        { name: "c" },
+      ]),
+      makeEngine("e2", [
+        { name: "a", inFlight: 9, drainMs: 900 },
+        { name: "b", inFlight: 9, drainMs: 900 },
+        { name: "d" },
+      ]),
+    ],
+    {
+      a: { ratePerS: 12, workMsPerS: 1_500 },
+      b: { ratePerS: 10, workMsPerS: 1_000 },
+      c: { waiting: 2 },
+      d: { waiting: 2 },
+      e: { ratePerS: 15, waiting: 20, workMsPerS: 1_500 },
+    },
+    { names: "abcde", idleMs: () => 0 },
+  ));
+  t.like(actions[0], {
+    kind: "close",
+    model: model("b"),
+    inFavourOf: model("e"),
+  });
+});
+
+test("a rare model takes no copy that a busy one needs", (t) => {
+  const actions = plan(makeView(
+    [
+      makeEngine("e1", [{ name: "a" }, { name: "b" }, { name: "c" }]),
+      makeEngine("e2", [{ name: "a" }, { name: "b" }, { name: "d" }]),
+    ],
+    {
+      a: { ratePerS: 12, workMsPerS: 1_500 },
+      b: { ratePerS: 10, workMsPerS: 1_500 },
+      c: { ratePerS: 0.4 },
+      d: { ratePerS: 0.4 },
+      e: { waiting: 1, ratePerS: 0.3 },
+    },
+    { names: "abcde", idleMs: () => 500 },
+  ));
+  t.deepEqual(actions, []);
+});
+
+test("rare models asked for in turn do not push each other out", (t) => {
+  const held = makeEngine("e1", [{ name: "a" }, { name: "b" }, { name: "c" }]);
+  const demand = {
+    a: { ratePerS: 0.3 },
+    b: { ratePerS: 0.3 },
+    c: { ratePerS: 0.3 },
+    e: { ratePerS: 0.3, waiting: 1 },
+  };
+  const names = "abce";
+  t.deepEqual(plan(makeView([held], demand, { names, idleMs: () => 900 })), []);
+  const fallen = { ...demand, b: { ratePerS: 0.02 } };
+  const later = plan(makeView([held], fallen, {
+    names,
+    idleMs: (name) => name === model("b") ? 20_000 : 900,
+  }));
+  t.deepEqual(later.map(({ model: name }) => name), [model("b")]);
+  const starved = plan(makeView([held], demand, {
+    names,
+    idleMs: () => 900,
+    lackingMs: (name) => name === model("e") ? 8_000 : 0,
+  }));
+  t.is(starved.length, 1);
+});
+
+test("a copy is unloaded when its requests have ended, not before", (t) => {
+  const closing = { sinceMs: 1_000, inFlight: 2 };
+  t.false(placement.mayUnload(closing));
+  t.true(placement.mayUnload({ ...closing, inFlight: 0 }));
+  t.false(placement.mayUnload({ sinceMs: 20, inFlight: 0 }));
+  t.true(placement.mayUnload({ sinceMs: 60_000, inFlight: 2 }));
+});
