Break a stream off when it goes on at an upstream that fails

Ruled out: the refusal after a begun answer (it breaks off already). Change: an error answer after the first events counts as a failed run: the request goes on elsewhere within its attempts and budget, or is broken off. Test that failed first: a stream that goes on at a failing upstream is broken off or goes on (before: no end within the test's time).

--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -276,7 +276,8 @@
       return { kind: "mayHaveRun", detail: "unsealed answer" };
     }
     const isSuccess = head.status < 300;
-    if (!isSuccess && this.#takesRetry()) {
+    // An error cannot be passed on after the first events of a stream.
+    if (!isSuccess && (this.#answer.hasBegun || this.#takesRetry())) {
       // The rest of such an answer is read, so that the connection stays.
       placement.end("failed");
       return { kind: "mayHaveRun", detail: `upstream failed: ${head.status}` };
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -405,6 +405,23 @@
   t.deepEqual(told.runs, [""]);
 });
 
+test("a stream that goes on at a failing upstream is broken off or goes on", async (t) => {
+  const broken = await relayTo(
+    [breakAfter(1, 3), fail],
+    { kind: "stream", isResumable: true },
+  );
+  t.deepEqual(idsOf(broken.body), [1, 2, 3]);
+  t.false(broken.isWhole);
+  t.deepEqual(broken.outcomes, ["failed", "failed"]);
+  const served = await relayTo([
+    breakAfter(1, 3),
+    fail,
+    (_request, response) => response.writeHead(200, sealed).end(events(4, 6)),
+  ], { kind: "stream", isResumable: true, attemptsMax: 3 });
+  t.deepEqual(idsOf(served.body), [1, 2, 3, 4, 5, 6]);
+  t.true(served.isWhole);
+});
+
 test("a resumable stream that ends inside an event goes on", async (t) => {
   const told = await relayTo([
     (_request, response) =>
