Let the next holder order at once where engines check fences

Where engines refuse a lower fencing number, and every order names the count it is meant for, a late order of the holder before does nothing, and the rule on turns concerns holders in touch with the platform only; one that has lost it is not. Ruled out: the 1.5 s until a lapsed lease may be taken (needed: the holder may still renew), the reports (3 ms). Test that failed first: where engines check fences, the next holder orders at once.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -94,6 +94,7 @@
       self: settings.nodeName,
       incarnation: this.state.incarnation,
       leaseMs: settings.orders.leaseMs,
+      enginesCheckFences: settings.orders.enginesCheckFences,
       isEligible: () => this.state.isReady,
       rank: () => this.state.members.alive().indexOf(settings.nodeName),
     }, logger);
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -129,6 +129,8 @@
   readonly orders: {
     /** Time that must pass between orders of two holders to one engine. */
     readonly leaseMs: number;
+    /** Whether engines refuse orders with a lower fencing number. */
+    readonly enginesCheckFences: boolean;
     readonly loadWindowMs: number;
   };
 }
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -1,7 +1,8 @@
 /**
  * The right to send orders: one row in the store, renewed by its holder. A
  * holder stops before its own time ends; another node begins only when that
- * time, and the time that must lie between two holders' orders, have passed.
+ * time has passed and, where engines do not refuse a lower fencing number, the
+ * time that must lie between two holders' orders.
  */
 import * as purify from "purify-ts";
 import * as core from "../core/mod.ts";
@@ -50,6 +51,11 @@
   readonly incarnation: string;
   /** Time that must pass between orders of two holders. */
   readonly leaseMs: number;
+  /**
+   * Whether engines refuse orders with a lower fencing number. Then an order
+   * of the holder before that comes late does nothing, and none is waited for.
+   */
+  readonly enginesCheckFences: boolean;
   /** Whether this node may hold the right now. */
   readonly isEligible: () => boolean;
   /** Position among the live nodes; 0 tries first. */
@@ -232,7 +238,8 @@
 
   /** When the holder before can no longer have sent an order too recently. */
   #earliestOrderMs(before: Seen): number {
-    const { leaseMs } = this.#options;
+    const { leaseMs, enginesCheckFences } = this.#options;
+    if (enginesCheckFences) return 0;
     // What this node's earlier life has ordered was ordered by this node.
     if (!before.row || before.row.holder === this.#options.self) return 0;
     if (before.row.isFree) return before.atMs + leaseMs;
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -42,12 +42,17 @@
   }
 }
 
-function makeLease(table: MemoryTable, name: string): orders.OrderLease {
+function makeLease(
+  table: MemoryTable,
+  name: string,
+  enginesCheckFences = false,
+): orders.OrderLease {
   return new orders.OrderLease(table, {
     key: KEY,
     self: core.brandId<core.InstanceId>(name),
     incarnation: `${name}-1`,
     leaseMs: LEASE_MS,
+    enginesCheckFences,
     isEligible: () => true,
     rank: () => 0,
   }, quiet);
@@ -109,6 +114,23 @@
   });
 });
 
+test("where engines check fences, the next holder orders at once", async (t) => {
+  const table = new MemoryTable();
+  const first = makeLease(table, "a", true);
+  const second = makeLease(table, "b", true);
+  await withLeases([first], async () => {
+    await until(() => first.isHeld);
+    const fence = first.fence ?? 0;
+    await withLeases([second], async () => {
+      table.cutOff.add("a");
+      await until(() => second.isHeld);
+      t.false(first.isHeld);
+      t.true((second.fence ?? 0) > fence);
+      t.true(second.ordersFromMs <= core.monotonicMs());
+    });
+  });
+});
+
 test("a lost reply leaves the holder what it has", async (t) => {
   const table = new MemoryTable();
   const lease = makeLease(table, "a");
