Take an engine that orders cannot reach for gone

Ruled out: the list (it names the engine until its entry lapses). Change: an order that does not reach its engine counts like a request that does not; an unreachable engine is not counted on for 2 s, the sender of orders asks such engines for their report every 0.5 s, and an order that was not taken is not sent again for 0.3 s. Tests that failed first: an engine that is gone is told of, and not ordered on and on; none is counted on between two tries.

--- a/packages/dispatch/dispatch_health.ts
+++ b/packages/dispatch/dispatch_health.ts
@@ -12,6 +12,8 @@
 /** Pause before an unreachable upstream is tried again; doubles to the max. */
 const RETRY_DELAY_MIN_MS = 300;
 const RETRY_DELAY_MAX_MS = 3_000;
+/** Time for which an unreachable upstream is not counted on: crashes last. */
+const SUSPECT_FOR_MS = 2_000;
 
 /** Tracks one incarnation of an upstream. */
 export class UpstreamHealth {
@@ -19,6 +21,7 @@
   #updatedAtMs = 0;
   #unreachableRow = 0;
   #closedUntilMs = 0;
+  #suspectUntilMs = 0;
   #heardAtMs = -Infinity;
   #oldestPendingMs: number | undefined;
 
@@ -28,14 +31,23 @@
     const failed = outcome === "served" ? 0 : 1;
     this.#failureShare = share + (failed - share) * OUTCOME_WEIGHT;
     this.#updatedAtMs = nowMs;
-    if (outcome !== "unreachable") {
-      this.#unreachableRow = 0;
-      this.#closedUntilMs = 0;
-      return;
-    }
+    if (outcome === "unreachable") this.noteUnreachable(nowMs);
+    else this.noteReached();
+  }
+
+  /** Notes that it could not be reached, be it by orders or requests. */
+  noteUnreachable(nowMs: number): void {
     const delayMs = RETRY_DELAY_MIN_MS * 2 ** this.#unreachableRow;
     this.#unreachableRow++;
     this.#closedUntilMs = nowMs + Math.min(delayMs, RETRY_DELAY_MAX_MS);
+    this.#suspectUntilMs = nowMs + SUSPECT_FOR_MS;
+  }
+
+  /** Notes that it was reached, whatever it answered. */
+  noteReached(): void {
+    this.#unreachableRow = 0;
+    this.#closedUntilMs = 0;
+    this.#suspectUntilMs = 0;
   }
 
   /** Notes that bytes arrived from it. */
@@ -68,6 +80,7 @@
 
   /** Whether new requests should go elsewhere if they can. */
   isSuspect(nowMs: number): boolean {
-    return this.isUnreachable(nowMs) || this.isSilent(nowMs);
+    return nowMs < this.#suspectUntilMs || this.isUnreachable(nowMs) ||
+      this.isSilent(nowMs);
   }
 }
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -263,3 +263,16 @@
   t.true(pace.stepMs(model) < 20);
   t.true(Math.abs(pace.prefillMs(model, 200) - pace.stepMs(model)) < 1e-9);
 });
+
+test("a third of the engines gone: none is counted on between two tries", (t) => {
+  const health = new dispatch.UpstreamHealth();
+  health.note("unreachable", 0);
+  t.true(health.isUnreachable(100));
+  // It may be tried again, and is still not counted on.
+  t.false(health.isUnreachable(400));
+  t.true(health.isSuspect(400));
+  t.false(health.isSuspect(2_100));
+  health.noteUnreachable(500);
+  health.noteReached();
+  t.false(health.isSuspect(501));
+});
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -113,7 +113,11 @@
       this.#lastAskedAtMs.set(model, nowMs);
     }
     for (const { sender } of this.#ordered.values()) {
-      if (sender.mustSettle(nowMs)) this.#detach(sender.settle());
+      const isSuspect = this.#state.board.get(sender.record.id)
+        ?.isSuspect(nowMs) ?? false;
+      const mustAsk = sender.mustSettle(nowMs) ||
+        (isSuspect && sender.mustLook(nowMs));
+      if (mustAsk) this.#detach(sender.settle());
     }
     if (this.#lease.fence !== undefined) {
       for (const service of this.#state.config?.services.values() ?? []) {
@@ -140,6 +144,7 @@
           self: this.#state.settings.nodeName,
           leaseMs: this.#state.settings.orders.leaseMs,
           logger: this.#state.logger,
+          onContact: (isReached) => this.#noteContact(record, isReached),
         },
         this.#state.board.get(record.id)?.ordersTold,
       );
@@ -156,6 +161,14 @@
     }
   }
 
+  /** What orders tell of an engine counts for requests as well. */
+  #noteContact(record: fleet.UpstreamRecord, isReached: boolean): void {
+    const engine = this.#state.board.get(record.id);
+    if (!engine || engine.record.bornMs !== record.bornMs) return;
+    if (isReached) engine.health.noteReached();
+    else engine.health.noteUnreachable(core.monotonicMs());
+  }
+
   #plan(
     service: fleet.ServiceSpec,
     spec: fleet.EngineSpec,
--- a/packages/fleet/fleet_control.ts
+++ b/packages/fleet/fleet_control.ts
@@ -26,6 +26,7 @@
   | "invalid"
   | "otherEngine"
   | "unavailable"
+  | "unreachable"
   | "lost";
 
 /** An engine's account of itself, as of some hundred milliseconds ago. */
--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -9,6 +9,10 @@
 const REPORT_TIMEOUT_MS = 600;
 /** Sendings of one order; each names the same count, so one at most acts. */
 const SENDINGS_MAX = 3;
+/** Pause after an order that the engine did not take. */
+const NOT_TAKEN_PAUSE_MS = 300;
+/** Pause between looks at an engine that may be gone. */
+const LOOK_INTERVAL_MS = 500;
 /** Time by which an engine's report lags behind. */
 const REPORT_LAG_MS = 150;
 
@@ -20,6 +24,8 @@
   /** Time that must pass between orders of two holders. */
   readonly leaseMs: number;
   readonly logger: core.Logger;
+  /** Called when the engine answered, or could not be reached. */
+  readonly onContact: (isReached: boolean) => void;
 }
 
 /** What the holder before told of its orders to one engine. */
@@ -45,6 +51,8 @@
   // The list does not tell how many orders an engine has accepted.
   #needsReport = true;
   #reportFromMs = 0;
+  #pausedUntilMs = 0;
+  #lookedAtMs = -Infinity;
 
   constructor(
     record: fleet.UpstreamRecord,
@@ -64,7 +72,8 @@
 
   /** Whether no order may be sent now: one is on its way, or in doubt. */
   isClosed(nowMs: number): boolean {
-    return this.#isActive || this.#needsReport || nowMs < this.#ordersFromMs;
+    return this.#isActive || this.#needsReport || nowMs < this.#ordersFromMs ||
+      nowMs < this.#pausedUntilMs;
   }
 
   /**
@@ -97,14 +106,21 @@
     return this.#needsReport || this.#hasOverdueModel(nowMs);
   }
 
+  /** Whether an engine that may be gone should be asked for its report. */
+  mustLook(nowMs: number): boolean {
+    return !this.#isActive && nowMs - this.#lookedAtMs >= LOOK_INTERVAL_MS;
+  }
+
   /** Asks the engine for its report and takes it into the account. */
   async settle(): Promise<void> {
     this.#isActive = true;
+    this.#lookedAtMs = core.monotonicMs();
     try {
       const report = await this.#options.control
         .report(this.record, REPORT_TIMEOUT_MS);
       this.#reportFromMs = core.monotonicMs() + REPORT_LAG_MS;
-      const { logger } = this.#options;
+      const { logger, onContact } = this.#options;
+      onContact(report.isOk());
       if (report.isErr()) {
         const reason = report.error;
         logger.warn("report_failed", { upstream: this.record.id, reason });
@@ -154,7 +170,7 @@
     wanted: WantedOrder,
     takesMs: number,
   ): Promise<boolean> {
-    const { control, lease, self, logger } = this.#options;
+    const { control, lease, self, logger, onContact } = this.#options;
     const expectedOrderCount = this.account.orderCount;
     if (expectedOrderCount === undefined) return false;
     for (let sending = 1; sending <= SENDINGS_MAX; sending++) {
@@ -179,6 +195,10 @@
         this.#doubt();
         continue;
       }
+      onContact(reply !== "unreachable");
+      if (reply === "unavailable" || reply === "unreachable") {
+        this.#pausedUntilMs = nowMs + NOT_TAKEN_PAUSE_MS;
+      }
       const isAdapterGone = reply === "alreadySo" && wanted.kind === "unload";
       if (reply === "accepted" || isAdapterGone) {
         this.account.accepted(order, takesMs, nowMs);
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -63,6 +63,7 @@
   ordersFromMs = 0,
 ) {
   let lost = "";
+  const contacts: boolean[] = [];
   const lease = {
     fence: 7,
     ordersFromMs,
@@ -79,10 +80,11 @@
       self: core.brandId<core.InstanceId>("n"),
       leaseMs: 3_000,
       logger: quiet,
+      onContact: (isReached) => contacts.push(isReached),
     },
     before,
   );
-  return { sender, lostBecause: () => lost };
+  return { sender, contacts, lostBecause: () => lost };
 }
 
 test("no order is sent before the engine's first report", async (t) => {
@@ -173,3 +175,17 @@
   await unknown.sender.settle();
   t.true(unknown.sender.isClosed(core.monotonicMs()));
 });
+
+test("an engine that is gone is told of, and not ordered on and on", async (t) => {
+  const control = new ScriptedControl();
+  const { sender, contacts } = makeSender(control);
+  await sender.settle();
+  control.replies.push("unreachable");
+  t.false(await sender.send({ kind: "unload", model }, 0));
+  t.deepEqual(contacts, [true, false]);
+  t.true(sender.isClosed(core.monotonicMs()));
+  t.false(sender.isClosed(core.monotonicMs() + 1_000));
+  // Nothing is in doubt: the order never left.
+  t.false(sender.mustSettle(core.monotonicMs()));
+  t.true(sender.mustLook(core.monotonicMs() + 1_000));
+});
