Keep ordering while the store is away, as long as peers follow

Ruled out: taking the lease sooner (no node could write). Change: where engines check fences, a holder goes on without renewing for up to 30 s while at least half of the nodes that exchanged with it at its last renewal still do; the next holder's higher number shuts it out. A node that reaches the store takes over from a holder that does not; one that cannot write tries again after 0.4 s. A suspended holder still stops. Tests that failed first: store away for long; a node that reaches the store takes over.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -9,6 +9,8 @@
 
 /** Time after which a node's digest no longer counts. */
 const DIGEST_VALID_MS = 1_000;
+/** Time after which a node that exchanges no more follows another hub. */
+const FOLLOWS_FOR_MS = 500;
 
 interface Received {
   readonly digest: peers.NodeDigest;
@@ -50,6 +52,16 @@
     });
   }
 
+  /** Other nodes that exchange with this one. */
+  followers(): number {
+    const nowMs = core.monotonicMs();
+    let count = 0;
+    for (const { atMs } of this.#received.values()) {
+      if (nowMs - atMs < FOLLOWS_FOR_MS) count++;
+    }
+    return count;
+  }
+
   /** Digests that still count; this node's own is made anew. */
   digests(nowMs: number): peers.NodeDigest[] {
     const digests = [makeDigest(this.#state, nowMs)];
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -76,6 +76,7 @@
   readonly #tools: EntryTools;
   readonly #lifecycle = new core.Lifecycle();
   readonly #supervisor: core.Supervisor;
+  readonly #hub: ExchangeHub;
   readonly #lease: orders.OrderLease;
   readonly #placer: EntryPlacer;
   readonly #callers: CallerListener;
@@ -89,6 +90,7 @@
     this.state = new EntryState(settings, logger);
     this.#tools = tools;
     this.#supervisor = new core.Supervisor("entry", logger);
+    this.#hub = new ExchangeHub(this.state);
     this.#lease = new orders.OrderLease(tools.store, {
       key: `${LEASE_TABLE}/holder`,
       self: settings.nodeName,
@@ -97,6 +99,7 @@
       enginesCheckFences: settings.orders.enginesCheckFences,
       isEligible: () => this.state.isReady,
       rank: () => this.state.members.alive().indexOf(settings.nodeName),
+      followers: () => this.#hub.followers(),
     }, logger);
     this.#placer = new EntryPlacer(this.state);
     this.#callers = new CallerListener(this.state, tools.dialect, this.#placer);
@@ -106,7 +109,7 @@
   async start(): Promise<void> {
     const { settings, logger } = this.state;
     const watch = new StoreWatch(logger);
-    const hub = new ExchangeHub(this.state);
+    const hub = this.#hub;
     const clients = new peers.FleetClients(logger);
     this.#lifecycle.own(() => clients.close());
     this.#lifecycle.own(() => this.state.pools.close());
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -14,6 +14,10 @@
 const VALID_FOR_MS = 1_500;
 /** Difference between clocks that tells of a suspended process. */
 const SUSPENDED_AFTER_MS = 250;
+/** Time for which a holder may go on without the store: outages end sooner. */
+const STORE_AWAY_MAX_MS = 30_000;
+/** Pause of a candidate that could not write; the holder tries more often. */
+const TAKE_RETRY_MS = 400;
 /** Delay between candidates, so that they do not all write at once. */
 const CANDIDATE_STAGGER_MS = 150;
 /** Pause before a renewal that failed is tried again. */
@@ -60,6 +64,8 @@
   readonly isEligible: () => boolean;
   /** Position among the live nodes; 0 tries first. */
   readonly rank: () => number;
+  /** Other nodes that take this one for the holder now. */
+  readonly followers: () => number;
 }
 
 interface Seen {
@@ -82,6 +88,8 @@
   #releasing = false;
   #heardAtMs = -Infinity;
   #readAtMs = -Infinity;
+  #takeFromMs = -Infinity;
+  #followersThen = 0;
 
   constructor(
     table: store.TableService,
@@ -168,7 +176,9 @@
     const { isEligible, key } = this.#options;
     if (this.#releasing || !isEligible()) return true;
     const nowMs = core.monotonicMs();
-    if (nowMs - this.#heardAtMs < HEARD_FOR_MS) return true;
+    const isFresh = this.#seen && nowMs - this.#seen.atMs < VALID_FOR_MS;
+    if (isFresh && nowMs - this.#heardAtMs < HEARD_FOR_MS) return true;
+    if (nowMs < this.#takeFromMs) return true;
     if (this.#mayTake()) await this.#take();
     else if (nowMs - this.#readAtMs >= READ_INTERVAL_MS) {
       this.#readAtMs = nowMs;
@@ -199,7 +209,20 @@
     const wallMs = Date.now() - this.#renewedAtWallMs;
     // The steady clock does not count time in which the node is suspended.
     const wasSuspended = Math.abs(wallMs - elapsedMs) > SUSPENDED_AFTER_MS;
-    return elapsedMs < VALID_FOR_MS && !wasSuspended;
+    if (wasSuspended) return false;
+    return elapsedMs < VALID_FOR_MS || this.#mayOutlast(elapsedMs);
+  }
+
+  /**
+   * Whether the holder may go on though it cannot renew. Where engines check
+   * fences, the next holder's orders shut it out; until there is one, orders
+   * are better than none. It stops when its peers leave it: they have found
+   * another holder, or cannot be reached.
+   */
+  #mayOutlast(elapsedMs: number): boolean {
+    const { enginesCheckFences, followers } = this.#options;
+    if (!enginesCheckFences || elapsedMs > STORE_AWAY_MAX_MS) return false;
+    return followers() * 2 >= this.#followersThen;
   }
 
   #mayTake(): boolean {
@@ -218,7 +241,10 @@
     const sentAtMs = core.monotonicMs();
     const sentAtWallMs = Date.now();
     const outcome = await this.#write(before.version, false);
-    if (outcome.isErr()) return;
+    if (outcome.isErr()) {
+      this.#takeFromMs = core.monotonicMs() + TAKE_RETRY_MS;
+      return;
+    }
     if (outcome.value.outcome === "conflict") {
       return this.#seeConflict(outcome.value.rows);
     }
@@ -226,6 +252,7 @@
     this.#fence = version;
     this.#renewedAtMs = sentAtMs;
     this.#renewedAtWallMs = sentAtWallMs;
+    this.#followersThen = this.#options.followers();
     this.#see(this.#ownRow(false), version);
     this.#ordersFromMs = this.#earliestOrderMs(before);
     this.#logger.info("orders_taken", {
@@ -259,6 +286,7 @@
     if (outcome.value.outcome === "committed") {
       this.#renewedAtMs = sentAtMs;
       this.#renewedAtWallMs = sentAtWallMs;
+      this.#followersThen = this.#options.followers();
       this.#see(this.#ownRow(false), outcome.value.version);
       return true;
     }
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -46,6 +46,7 @@
   table: MemoryTable,
   name: string,
   enginesCheckFences = false,
+  followers = () => 0,
 ): orders.OrderLease {
   return new orders.OrderLease(table, {
     key: KEY,
@@ -55,6 +56,7 @@
     enginesCheckFences,
     isEligible: () => true,
     rank: () => 0,
+    followers,
   }, quiet);
 }
 
@@ -116,7 +118,8 @@
 
 test("where engines check fences, the next holder orders at once", async (t) => {
   const table = new MemoryTable();
-  const first = makeLease(table, "a", true);
+  let following = 2;
+  const first = makeLease(table, "a", true, () => following);
   const second = makeLease(table, "b", true);
   await withLeases([first], async () => {
     await until(() => first.isHeld);
@@ -124,6 +127,8 @@
     await withLeases([second], async () => {
       table.cutOff.add("a");
       await until(() => second.isHeld);
+      // Its peers follow the next holder now.
+      following = 0;
       t.false(first.isHeld);
       t.true((second.fence ?? 0) > fence);
       t.true(second.ordersFromMs <= core.monotonicMs());
@@ -131,6 +136,57 @@
   });
 });
 
+test("store away for long: the holder goes on while its peers follow", async (t) => {
+  const table = new MemoryTable();
+  let following = 2;
+  const checked = makeLease(table, "a", true, () => following);
+  const standby = makeLease(table, "b", true);
+  await withLeases([checked], async () => {
+    await until(() => checked.isHeld);
+    await core.sleep(600);
+    const { fence } = checked;
+    await withLeases([standby], async () => {
+      table.cutOff.add("a").add("b");
+      await core.sleep(2_200);
+      t.true(checked.isHeld);
+      t.is(checked.fence, fence);
+      t.false(standby.isHeld);
+      following = 0;
+      t.false(checked.isHeld);
+    });
+  });
+  const unchecked = new MemoryTable();
+  const strict = makeLease(unchecked, "a", false, () => 2);
+  await withLeases([strict], async () => {
+    await until(() => strict.isHeld);
+    unchecked.cutOff.add("a");
+    await core.sleep(2_200);
+    t.false(strict.isHeld);
+  });
+});
+
+test("a node that reaches the store takes over from a holder that does not", async (t) => {
+  const table = new MemoryTable();
+  const holder = makeLease(table, "a", true, () => 1);
+  const standby = makeLease(table, "b", true);
+  await withLeases([holder], async () => {
+    await until(() => holder.isHeld);
+    await withLeases([standby], async () => {
+      table.cutOff.add("a");
+      const self = core.brandId<core.InstanceId>("a");
+      // The holder tells of its old renewal all the while.
+      const telling = setInterval(() => {
+        const { renewal } = holder;
+        if (renewal) standby.heard(self, renewal.version, renewal.ageMs);
+      }, 20);
+      await until(() => standby.isHeld);
+      clearInterval(telling);
+      t.true(standby.isHeld);
+      t.true((standby.fence ?? 0) > (holder.fence ?? 0));
+    });
+  });
+});
+
 test("a lost reply leaves the holder what it has", async (t) => {
   const table = new MemoryTable();
   const lease = makeLease(table, "a");
