Let a stopping holder order until it can give the right back

Change: where engines check fences, a stopping holder gives the right back when the store has noted it, orders until then, and stays within its grace period. Test that failed first: a stopping holder that cannot release goes on until it can.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -151,7 +151,8 @@
       await core.sleep(STOP_POLL_MS);
       const nowMs = core.monotonicMs();
       const hasLingered = nowMs - startedAtMs >= STOP_LINGER_MS;
-      if (hasLingered && state.requests === 0) break;
+      const isDone = state.requests === 0 && !this.#lease.isHeld;
+      if (hasLingered && isDone) break;
       if (nowMs >= endsAtMs) break;
     }
     await Promise.race([Promise.all([released, told]), core.sleep(100)]);
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -142,15 +142,31 @@
     this.#heardAtMs = core.monotonicMs();
   }
 
-  /** Gives the right up at once, for a planned stop. */
+  /**
+   * Gives the right up for a planned stop: at once, or, where engines check
+   * fences, as soon as the store has noted it. Until then no other node can
+   * take over, and orders are better than none.
+   */
   async release(): Promise<void> {
     this.#releasing = true;
     if (this.#fence === undefined || !this.#seen) return;
-    this.#fence = undefined;
-    const outcome = await this.#write(this.#seen.version, true);
+    if (!this.#options.enginesCheckFences) this.#fence = undefined;
+    await this.#giveBack();
+  }
+
+  async #giveBack(): Promise<boolean> {
+    const outcome = await this.#write(this.#seen!.version, true);
     this.#logger.info("orders_released", {
       outcome: outcome.isOk() ? outcome.value.outcome : outcome.error.detail,
     });
+    if (outcome.isErr()) {
+      if (this.#fence !== undefined && !this.#isValid()) {
+        this.#lose(outcome.error.detail);
+      }
+      return false;
+    }
+    this.#fence = undefined;
+    return true;
   }
 
   /** Gives the right up because an engine has seen a higher number. */
@@ -161,10 +177,14 @@
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isHolder = this.#fence !== undefined;
-      const hasWorked = isHolder ? await this.#renew() : await this.#look();
+      const hasWorked = !isHolder
+        ? await this.#look()
+        : this.#releasing
+        ? await this.#giveBack()
+        : await this.#renew();
       const pauseMs = this.#fence === undefined
         ? LOOK_INTERVAL_MS
-        : hasWorked
+        : hasWorked || this.#releasing
         ? RENEW_INTERVAL_MS
         : RETRY_INTERVAL_MS;
       await core.sleep(pauseMs, signal);
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -219,6 +219,26 @@
   });
 });
 
+test("a stopping holder that cannot release goes on until it can", async (t) => {
+  const table = new MemoryTable();
+  const first = makeLease(table, "a", true);
+  const second = makeLease(table, "b", true);
+  await withLeases([first], async () => {
+    await until(() => first.isHeld);
+    await withLeases([second], async () => {
+      table.cutOff.add("a").add("b");
+      await first.release();
+      t.true(first.isHeld);
+      await core.sleep(600);
+      t.true(first.isHeld);
+      table.cutOff.clear();
+      await until(() => second.isHeld);
+      t.false(first.isHeld);
+      t.true(second.isHeld);
+    });
+  });
+});
+
 test("news of the holder spares the store, and dates its renewal", async (t) => {
   const table = new MemoryTable();
   const standby = makeLease(table, "b");
