Listen in one place; drop settings and facts that nothing reads

Decoded but unread: the heartbeat interval, the window of the load ceiling, an answer's Retry-After and its Connection: close (answers without a length carry it too, so it is no sign of leaving). The longest time for directory answers now bounds the time that is told.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -10,6 +10,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
+import * as transport from "../transport/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Time that callers without a deadline are taken to wait. */
@@ -69,15 +70,8 @@
   }
 
   /** Starts listening; the returned clean-up ends every connection. */
-  async listen({ host, port }: fleet.ListenAddress): Promise<core.Cleanup> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
-    return () => {
-      this.#server.close();
-      this.#server.closeAllConnections();
-    };
+  listen({ host, port }: fleet.ListenAddress): Promise<core.Cleanup> {
+    return transport.registerServer(this.#server, host, port);
   }
 
   /** Asks callers to close their connections after the next answer. */
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -5,6 +5,7 @@
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type * as store from "../store/mod.ts";
+import * as transport from "../transport/mod.ts";
 import { ExchangeHub } from "./entry_exchange.ts";
 import { ExchangeTask } from "./entry_exchange_task.ts";
 import {
@@ -37,7 +38,7 @@
   readonly store: store.FollowedTableService;
 }
 
-/** Time for which callers may keep a directory answer. */
+/** Time for which callers keep a directory answer, unless they allow less. */
 const DIRECTORY_TTL_MS = 900;
 /** Callers keep answers up to three times as long, then stop coming. */
 const STOP_LINGER_MS = 3 * DIRECTORY_TTL_MS;
@@ -254,18 +255,12 @@
         const addresses = this.#directoryAddresses();
         if (addresses.length === 0) return response.writeHead(503).end();
         response.writeHead(200, { "content-type": "application/json" })
-          .end(this.#tools.dialect.writeDirectory(addresses, DIRECTORY_TTL_MS));
+          .end(this.#tools.dialect.writeDirectory(addresses, this.#ttlMs));
       } else response.writeHead(404).end();
     });
     const listen = async (server: Server, address: fleet.ListenAddress) => {
-      await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(address.port, address.host, resolve);
-      });
-      this.#lifecycle.own(() => {
-        server.close();
-        server.closeAllConnections();
-      });
+      const { host, port } = address;
+      this.#lifecycle.own(await transport.registerServer(server, host, port));
     };
     await listen(answer, readiness);
     const isShared = readiness.host === directory.host &&
@@ -281,6 +276,10 @@
     await listen(counts, metrics);
   }
 
+  get #ttlMs(): number {
+    return Math.min(DIRECTORY_TTL_MS, this.state.settings.directoryTtlMs);
+  }
+
   #directoryAddresses(): string[] {
     const { members, isReady, settings } = this.state;
     const { host, port } = settings.listen.callers;
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -43,8 +43,6 @@
   readonly isNotRun: boolean;
   /** Whether the body was encoded on the way. */
   readonly isEncoded: boolean;
-  readonly isLeaving: boolean;
-  readonly retryAfterMs?: number;
   /** Headers to return to the caller, hop-by-hop headers removed. */
   readonly returnedHeaders: Readonly<Record<string, string | string[]>>;
 }
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -115,8 +115,6 @@
     readonly metrics: ListenAddress;
   };
   readonly storeOrigin: string;
-  /** Interval at which upstreams renew their entry on the list. */
-  readonly heartbeatMs: number;
   /** Time between a stop signal and the kill. */
   readonly graceMs: number;
   /** Longest time for which callers keep a directory answer. */
@@ -131,6 +129,5 @@
     readonly leaseMs: number;
     /** Whether engines refuse orders with a lower fencing number. */
     readonly enginesCheckFences: boolean;
-    readonly loadWindowMs: number;
   };
 }
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -5,8 +5,8 @@
   createConnectTransport,
 } from "@connectrpc/connect-node";
 import { Agent, createServer } from "node:http";
-import type { Socket } from "node:net";
 import * as core from "../core/mod.ts";
+import * as transport from "../transport/mod.ts";
 import {
   FleetService,
   type FleetView,
@@ -43,19 +43,7 @@
     },
     acceptCompression: [],
   }));
-  const sockets = new Set<Socket>();
-  server.on("connection", (socket) => {
-    sockets.add(socket);
-    socket.on("close", () => sockets.delete(socket));
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, resolve);
-  });
-  return () => {
-    server.close();
-    for (const socket of sockets) socket.destroy();
-  };
+  return await transport.registerServer(server, host, port);
 }
 
 /** Clients of other entry nodes, one for each address. */
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -34,7 +34,6 @@
       isSealed: headers["x-seal"] !== undefined,
       isNotRun: headers["x-not-run"] !== undefined,
       isEncoded: false,
-      isLeaving: false,
       returnedHeaders: { "x-seal": String(headers["x-seal"] ?? "") },
     };
   }
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -1,4 +1,5 @@
-/** HTTP requests that are sent at most once, with typed failures. */
+/** HTTP requests that are sent at most once, typed failures, and servers. */
+export { registerServer } from "./transport_listen.ts";
 export {
   boundSignal,
   flattenHeaders,
