Send callers to no entry that knows no upstream yet

Cause of the red test 'a leaving service gets no new calls' (54 attempts for 56 calls): an entry that hears of its peers before it has read the list of upstreams counted as active, so callers were sent to it and it refused with 3007, 'no instance of orders is live', until its first look at the list. Ruled out: a lost or doubled call, the leaving service itself. Change: a member says that it is joining until it has read the list, and is not offered to callers nor given shared work before. Test that failed first: callers are sent to no entry that knows no upstream yet (200 and 503 before).

--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -111,6 +111,7 @@
       failureDomain: checked.failureDomain,
       heartbeat: 0,
       leaving: false,
+      joining: true,
       load: 0,
     }, {
       forgetAfterMs: FORGET_AFTER_MS,
--- a/packages/peers/peers_convert.ts
+++ b/packages/peers/peers_convert.ts
@@ -36,6 +36,7 @@
     failureDomain: message.failureDomain,
     heartbeat: Number(message.heartbeat),
     leaving: message.leaving,
+    joining: message.joining,
     load: message.load,
   };
 }
--- a/packages/peers/peers_directory.ts
+++ b/packages/peers/peers_directory.ts
@@ -14,6 +14,8 @@
   /** Grows with every heartbeat of one incarnation. */
   readonly heartbeat: number;
   readonly leaving: boolean;
+  /** Whether it has not read the list of upstreams yet. */
+  readonly joining: boolean;
   /** Requests in progress. */
   readonly load: number;
 }
@@ -135,7 +137,8 @@
     }
     const isNews = known.suspectedAtMs !== undefined ||
       known.member.incarnation !== member.incarnation ||
-      known.member.leaving !== member.leaving;
+      known.member.leaving !== member.leaving ||
+      known.member.joining !== member.joining;
     if (isNews) known.sendsLeft = this.#spread();
     known.suspectedAtMs = undefined;
     known.member = member;
@@ -158,6 +161,10 @@
       others.map((listed) => [core.brandId(listed.id), listed]),
     );
     this.#listRead = true;
+    if (this.#self.joining) {
+      this.#self = { ...this.#self, joining: false };
+      this.beat(this.#self.load);
+    }
     this.#forgetSilent();
   }
 
@@ -169,10 +176,11 @@
     return [this.#self, ...others];
   }
 
-  /** Live members that do not leave; they share the work of control. */
+  /** Live members that serve; they share the work of control. */
   active(): PeerMember[] {
     return this.live().filter((member) =>
-      !member.leaving && !this.#isListedLeaving(member.instanceId)
+      !member.leaving && !member.joining &&
+      !this.#isListedLeaving(member.instanceId)
     );
   }
 
--- a/packages/peers/tests/unit/peers_test.ts
+++ b/packages/peers/tests/unit/peers_test.ts
@@ -15,6 +15,7 @@
     failureDomain: "calama",
     heartbeat: 5,
     leaving: false,
+    joining: false,
     load: 0,
     ...change,
   };
--- a/packages/proofs/tests/unit/drain_test.ts
+++ b/packages/proofs/tests/unit/drain_test.ts
@@ -214,3 +214,29 @@
     await world.stop();
   }
 });
+
+test("callers are sent to no entry that knows no upstream yet", async (t) => {
+  const world = new testing.World({
+    entries: 2,
+    engines: 0,
+    services: { orders: 2 },
+  });
+  try {
+    // The first looks at the list fail: one entry hears of the other first.
+    world.instanceList.faults.set({ name: "outage", count: 1 });
+    await world.start();
+    const answers = await Promise.all(
+      world.entries.map(({ ready }, n) =>
+        testing.callService(ready.callerAddress, {
+          service: "orders",
+          path: "dispense",
+          body: {},
+          key: `young-${n}`,
+        })
+      ),
+    );
+    t.deepEqual(answers.map(({ status }) => status), [200, 200]);
+  } finally {
+    await world.stop();
+  }
+});
