Learn a model's pace from means of gaps, and let it rise slowly

Prompts were held back for engines that had time for them, and refused. Change: the pace is learned from the mean of eight gaps, as pieces arrive in bunches, and rises by 0.1 % a sample. Test that failed first: full engines' long steps do not slow the estimate of reading prompts.

--- a/packages/dispatch/dispatch_estimate.ts
+++ b/packages/dispatch/dispatch_estimate.ts
@@ -6,9 +6,12 @@
 const STEP_DEFAULT_MS = 10.5;
 /** Prompt tokens read in the time of one step: 19.2 per ms on the sheets. */
 const PROMPT_TOKENS_PER_STEP = 200;
-/** Weight with which a longer gap raises the estimate of a step. */
-const STEP_RISE_WEIGHT = 0.02;
-/** Weight with which a shorter gap lowers it: gaps are never too short. */
+/**
+ * Weight with which a longer gap raises the estimate of a step. Full engines
+ * make longer steps for seconds on end, but read prompts as fast as ever.
+ */
+const STEP_RISE_WEIGHT = 0.001;
+/** Weight with which a shorter gap lowers it: means are hardly too short. */
 const STEP_FALL_WEIGHT = 0.3;
 const STEP_MIN_MS = 0.2;
 
@@ -16,7 +19,7 @@
 export class ModelPace {
   readonly #stepMs = new Map<core.ModelName, number>();
 
-  /** Notes the gap between two events of one stream. */
+  /** Notes the mean gap between some events of one stream. */
   noteGap(model: core.ModelName, gapMs: number, eventTokens: number): void {
     const sampleMs = Math.max(STEP_MIN_MS, gapMs / eventTokens);
     const stepMs = this.#stepMs.get(model) ?? sampleMs;
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -276,3 +276,12 @@
   health.noteReached();
   t.false(health.isSuspect(501));
 });
+
+test("full engines' long steps do not slow the estimate of reading prompts", (t) => {
+  const pace = new dispatch.ModelPace();
+  for (let n = 0; n < 20; n++) pace.noteGap(model, 21, 2);
+  const before = pace.prefillMs(model, 1_000);
+  // Two seconds of forty streams at steps three times as long.
+  for (let n = 0; n < 150; n++) pace.noteGap(model, 63, 2);
+  t.true(pace.prefillMs(model, 1_000) < before * 1.35);
+});
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -38,7 +38,7 @@
   heard(nowMs: number): void;
   /** The upstream did not run it; it may have said that it lacks the model. */
   refused(lacksModel: boolean, nowMs: number): void;
-  /** Two events of a stream were this far apart. */
+  /** Some events of a stream were this far apart on average. */
   noteGap(gapMs: number): void;
   /** The request has ended there. */
   end(outcome: dispatch.UpstreamOutcome | "shed" | "cancelled"): void;
@@ -87,6 +87,8 @@
 const NOT_RUN_SENDINGS_MAX = 6;
 /** Silence of a stream after which it goes on elsewhere; callers leave at 2 s. */
 const STREAM_SILENCE_MS = 1_200;
+/** Gaps that are averaged: pieces arrive in bunches at times. */
+const GAPS_AVERAGED = 8;
 /** Suggested to callers when upstreams turned a request away. */
 const SHED_RETRY_AFTER_MS = 500;
 
@@ -326,6 +328,8 @@
   ): Promise<AttemptEnd> {
     const isCut = this.#request.route.isResumable;
     let lastAtMs: number | undefined;
+    let gaps = 0;
+    let gapsFromMs = 0;
     for (;;) {
       const piece = await this.#patiently(attempt, attempt.next(), this.#runs);
       if (piece.kind === "broken") {
@@ -337,10 +341,16 @@
       placement.heard(piece.atMs);
       const lagMs = core.monotonicMs() - piece.atMs;
       this.#lagMaxMs = Math.max(this.#lagMaxMs, lagMs);
-      if (lastAtMs === undefined) placement.answered(piece.atMs);
-      else {
-        placement.noteGap(piece.atMs - lastAtMs);
+      if (lastAtMs === undefined) {
+        placement.answered(piece.atMs);
+        gapsFromMs = piece.atMs;
+      } else {
         this.#gapMaxMs = Math.max(this.#gapMaxMs, piece.atMs - lastAtMs);
+        if (++gaps === GAPS_AVERAGED) {
+          placement.noteGap((piece.atMs - gapsFromMs) / gaps);
+          gaps = 0;
+          gapsFromMs = piece.atMs;
+        }
       }
       lastAtMs = piece.atMs;
       const data = isCut ? this.#cutter.push(piece.data) : piece.data;
