Expect answers to be as long as they have been, not as allowed

Runs seemed to take 10 to 14 s on, so all room seemed to be late. Ruled out: crashed engines counted as serving (they were not), the weight store. Change: the share of the allowed tokens that answers use is learned and used for the work of requests and for the time that runs still take. Tests that failed first: answers are expected to be as long as they have been; a run's time left follows the length expected.

--- a/packages/dispatch/dispatch_board.ts
+++ b/packages/dispatch/dispatch_board.ts
@@ -11,7 +11,7 @@
   readonly model?: core.ModelName;
   readonly tokens: number;
   /** Tokens that it may generate; 0 if not known. */
-  readonly outputTokens: number;
+  readonly outputTokensMax: number;
   readonly prefillMs: number;
   readonly sentAtMs: number;
   hasAnswer: boolean;
--- a/packages/dispatch/dispatch_estimate.ts
+++ b/packages/dispatch/dispatch_estimate.ts
@@ -38,6 +38,37 @@
   }
 }
 
+/** Part of the tokens allowed that is assumed to be used at first. */
+const OUTPUT_SHARE_DEFAULT = 0.4;
+/** Weight of one whole answer against the history: lengths vary widely. */
+const OUTPUT_SHARE_WEIGHT = 0.02;
+/** Part of the rest that an answer longer than expected is taken to use. */
+const OUTPUT_REST_SHARE = 0.3;
+
+/** Learns how much of the tokens that callers allow answers use. */
+export class OutputLength {
+  #share = OUTPUT_SHARE_DEFAULT;
+
+  /** Notes a whole answer. */
+  note(tokens: number, tokensMax: number): void {
+    if (tokensMax <= 0) return;
+    const share = Math.min(1, tokens / tokensMax);
+    this.#share += (share - this.#share) * OUTPUT_SHARE_WEIGHT;
+  }
+
+  /** Tokens expected of an answer that may have so many. */
+  expected(tokensMax: number): number {
+    return tokensMax * this.#share;
+  }
+
+  /** Tokens expected still to come. */
+  left(tokensMax: number, tokensMade: number): number {
+    const left = this.expected(tokensMax) - tokensMade;
+    const rest = Math.max(0, tokensMax - tokensMade) * OUTPUT_REST_SHARE;
+    return left > 0 ? left : Math.min(rest, this.expected(tokensMax));
+  }
+}
+
 /** Streams share steps, so that they take longer than alone. */
 const SHARED_STEP_FACTOR = 1.5;
 /** Time that a request is expected to take on when its estimate has passed. */
@@ -48,17 +79,21 @@
  *
  * @example
  * ```ts
- * const leftMs = dispatch.estimateLeftMs(pace, work, core.monotonicMs());
+ * const leftMs = dispatch.estimateLeftMs(pace, output, work, nowMs);
  * ```
  */
 export function estimateLeftMs(
   pace: ModelPace,
-  { model, prefillMs, outputTokens, sentAtMs }: EngineWork,
+  output: OutputLength,
+  { model, prefillMs, outputTokensMax, sentAtMs }: EngineWork,
   nowMs: number,
 ): number {
   if (model === undefined) return LEFT_MIN_MS;
-  const decodeMs = outputTokens * pace.stepMs(model) * SHARED_STEP_FACTOR;
-  return Math.max(LEFT_MIN_MS, sentAtMs + prefillMs + decodeMs - nowMs);
+  const stepMs = pace.stepMs(model) * SHARED_STEP_FACTOR;
+  const decodingMs = nowMs - sentAtMs - prefillMs;
+  const made = Math.max(0, decodingMs / stepMs);
+  const leftMs = output.left(outputTokensMax, made) * stepMs;
+  return Math.max(LEFT_MIN_MS, leftMs - Math.min(0, decodingMs));
 }
 
 /**
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -7,6 +7,7 @@
   estimateFirstEventMs,
   estimateLeftMs,
   ModelPace,
+  OutputLength,
 } from "./dispatch_estimate.ts";
 export { UpstreamHealth } from "./dispatch_health.ts";
 export type { UpstreamOutcome } from "./dispatch_health.ts";
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -35,7 +35,7 @@
   return {
     weights: model,
     tokens: 100,
-    outputTokens: 10,
+    outputTokensMax: 10,
     prefillMs,
     sentAtMs: 0,
     hasAnswer: false,
@@ -285,3 +285,29 @@
   for (let n = 0; n < 150; n++) pace.noteGap(model, 63, 2);
   t.true(pace.prefillMs(model, 1_000) < before * 1.35);
 });
+
+test("answers are expected to be as long as they have been, not as allowed", (t) => {
+  const output = new dispatch.OutputLength();
+  for (let n = 0; n < 300; n++) output.note(n % 2 === 0 ? 20 : 180, 500);
+  const expected = output.expected(500);
+  t.true(expected > 80 && expected < 120, `${expected}`);
+  t.is(output.left(500, 50), expected - 50);
+  // An answer that is longer than expected is not taken to end at once.
+  t.true(output.left(500, 200) > 50);
+  t.is(output.left(500, 500), 0);
+});
+
+test("a run's time left follows the length expected", (t) => {
+  const pace = new dispatch.ModelPace();
+  const output = new dispatch.OutputLength();
+  for (let n = 0; n < 300; n++) output.note(100, 500);
+  const work: dispatch.EngineWork = {
+    ...makeWork(60),
+    model,
+    outputTokensMax: 500,
+  };
+  const atOnce = dispatch.estimateLeftMs(pace, output, work, 0);
+  t.true(atOnce > 1_000 && atOnce < 2_500, `${atOnce}`);
+  const later = dispatch.estimateLeftMs(pace, output, work, 1_000);
+  t.true(later < atOnce - 800);
+});
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -181,7 +181,7 @@
 }
 
 function toUse(
-  { pace }: EntryState,
+  { pace, output }: EntryState,
   engine: dispatch.EngineState,
   nowMs: number,
 ) {
@@ -191,7 +191,7 @@
   for (const work of engine.mine) {
     const use = models.get(work.weights) ?? { inFlight: 0, drainMs: 0 };
     use.inFlight++;
-    const leftMs = dispatch.estimateLeftMs(pace, work, nowMs);
+    const leftMs = dispatch.estimateLeftMs(pace, output, work, nowMs);
     use.drainMs = Math.max(use.drainMs, Math.round(leftMs));
     models.set(work.weights, use);
     if (!work.hasAnswer) prefillMs += work.prefillMs;
--- a/packages/entry/entry_placer.ts
+++ b/packages/entry/entry_placer.ts
@@ -75,8 +75,9 @@
 
   /** Engine time that a request is expected to take. */
   #workOf(caller: fleet.CallerRequest, model: core.ModelName): number {
-    const { pace } = this.#state;
-    const decodeMs = caller.outputTokensMax * pace.stepMs(model) * DECODE_SHARE;
+    const { pace, output } = this.#state;
+    const tokens = output.expected(caller.outputTokensMax);
+    const decodeMs = tokens * pace.stepMs(model) * DECODE_SHARE;
     return pace.prefillMs(model, caller.promptTokens) + decodeMs;
   }
 
@@ -112,7 +113,7 @@
     return ok(this.#start(instance, service, {
       weights: "",
       tokens: 0,
-      outputTokens: 0,
+      outputTokensMax: 0,
       prefillMs: 0,
       sentAtMs: nowMs,
       hasAnswer: false,
@@ -154,7 +155,7 @@
         weights,
         model,
         tokens: promptTokens + outputTokensMax,
-        outputTokens: outputTokensMax,
+        outputTokensMax,
         prefillMs: choice.prefillMs,
         sentAtMs: nowMs,
         hasAnswer: false,
@@ -183,7 +184,7 @@
     estimatedMs: number,
     eventTokens = 1,
   ): relay.Placement {
-    const { pools, members, pace } = this.#state;
+    const { pools, members, pace, output } = this.#state;
     const { model } = work;
     const finish = engine.start(work);
     return {
@@ -205,6 +206,8 @@
       heard: (nowMs) => engine.health.heard(nowMs),
       refused: (lacksModel, nowMs) =>
         engine.noteRefused(work.weights, lacksModel, nowMs),
+      noteLength: (events) =>
+        output.note(events * eventTokens, work.outputTokensMax),
       noteGap: (gapMs) => {
         if (model !== undefined) pace.noteGap(model, gapMs, eventTokens);
       },
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -18,6 +18,7 @@
   readonly bornMs: number;
   readonly board = new dispatch.EngineBoard();
   readonly pace = new dispatch.ModelPace();
+  readonly output = new dispatch.OutputLength();
   readonly demand = new dispatch.DemandMeter();
   readonly queue = new dispatch.WaitingQueue();
   readonly pools = new relay.UpstreamPools();
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -38,6 +38,8 @@
   heard(nowMs: number): void;
   /** The upstream did not run it; it may have said that it lacks the model. */
   refused(lacksModel: boolean, nowMs: number): void;
+  /** A whole stream had so many events. */
+  noteLength(events: number): void;
   /** Some events of a stream were this far apart on average. */
   noteGap(gapMs: number): void;
   /** The request has ended there. */
@@ -328,6 +330,7 @@
   ): Promise<AttemptEnd> {
     const isCut = this.#request.route.isResumable;
     let lastAtMs: number | undefined;
+    let pieces = 0;
     let gaps = 0;
     let gapsFromMs = 0;
     for (;;) {
@@ -353,6 +356,7 @@
         }
       }
       lastAtMs = piece.atMs;
+      pieces++;
       const data = isCut ? this.#cutter.push(piece.data) : piece.data;
       if (data.length === 0) continue;
       if (!this.#answer.hasBegun) {
@@ -366,6 +370,7 @@
       return { kind: "mayHaveRun", detail: "stream ended inside an event" };
     }
     placement.end("served");
+    placement.noteLength(pieces);
     if (!this.#answer.hasBegun) {
       this.#answer.begin(status, headers, core.monotonicMs());
     }
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -87,6 +87,7 @@
       heard: () => {},
       refused: () => {},
       noteGap: () => {},
+      noteLength: () => {},
       end: (outcome: dispatch.UpstreamOutcome | "shed" | "cancelled") => {
         this.outcomes.push(outcome);
       },
