Count long answers for room in use; call for other room when it is late

Ruled out: the weight store (two loads were free all the time). Change: room in use counts for as long as nine in ten answers take, twice the mean; room that is not made after 1 s while four or more wait no longer counts as a copy, so that other room is made.

--- a/packages/dispatch/dispatch_estimate.ts
+++ b/packages/dispatch/dispatch_estimate.ts
@@ -42,7 +42,9 @@
 const OUTPUT_SHARE_DEFAULT = 0.4;
 /** Weight of one whole answer against the history: lengths vary widely. */
 const OUTPUT_SHARE_WEIGHT = 0.02;
-/** Part of the rest that an answer longer than expected is taken to use. */
+/** Length that nine in ten answers keep to, against the mean: they vary widely. */
+const OUTPUT_LONG_FACTOR = 2;
+/** Part of the rest that an answer longer than that is taken to use. */
 const OUTPUT_REST_SHARE = 0.3;
 
 /** Learns how much of the tokens that callers allow answers use. */
@@ -61,11 +63,12 @@
     return tokensMax * this.#share;
   }
 
-  /** Tokens expected still to come. */
+  /** Tokens that are likely to be the most still to come. */
   left(tokensMax: number, tokensMade: number): number {
-    const left = this.expected(tokensMax) - tokensMade;
+    const long = this.expected(tokensMax) * OUTPUT_LONG_FACTOR;
+    const left = Math.min(tokensMax, long) - tokensMade;
     const rest = Math.max(0, tokensMax - tokensMade) * OUTPUT_REST_SHARE;
-    return left > 0 ? left : Math.min(rest, this.expected(tokensMax));
+    return Math.max(left, rest);
   }
 }
 
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -32,7 +32,9 @@
   readonly closingSinceMs: Map<core.ModelName, number>;
   readonly plannedAtMs: Map<core.ModelName, number>;
   /** Model for which room is being made, and since when there is room. */
-  reserved: { model: core.ModelName; madeAtMs?: number } | undefined;
+  reserved:
+    | { model: core.ModelName; sinceMs: number; madeAtMs?: number }
+    | undefined;
   storeLoadUntilMs: number;
 }
 
@@ -226,7 +228,12 @@
     const isReserved = reserved &&
       nowMs - (reserved.madeAtMs ?? nowMs) < RESERVED_FOR_MS;
     return [{
-      ...(isReserved ? { reservedFor: reserved.model } : {}),
+      ...(isReserved
+        ? {
+          reservedFor: reserved.model,
+          reservedMs: nowMs - reserved.sinceMs,
+        }
+        : {}),
       id: state.record.id,
       isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
       canOrder: !isClosed && !account.isBusy,
@@ -259,7 +266,7 @@
       held.phase = "closing";
       ordered.closingSinceMs.set(model, nowMs);
       if (inFavourOf !== undefined) {
-        ordered.reserved = { model: inFavourOf };
+        ordered.reserved = { model: inFavourOf, sinceMs: nowMs };
       }
       this.#state.logger.info("model_closing", {
         upstream: engine,
--- a/packages/placement/placement_copies.ts
+++ b/packages/placement/placement_copies.ts
@@ -29,6 +29,8 @@
   readonly models: ReadonlyMap<core.ModelName, ModelCopy>;
   /** Model for which room is being made here. */
   readonly reservedFor?: core.ModelName;
+  /** Time for which room has been in the making, in ms. */
+  readonly reservedMs?: number;
   /** Time that a load of the model would take here, in ms. */
   readonly loadMs: (model: core.ModelName) => number;
   /** Whether a load of the model would need the weight store. */
@@ -84,6 +86,10 @@
 /** Requests a second ascribed to a copy that was loaded only just now. */
 const YOUNG_RATE_PER_S = 0.4;
 const YOUNG_FOR_MS = 4_000;
+/** Time after which room in the making is late: requests run on for seconds. */
+const ROOM_LATE_MS = 1_000;
+/** Requests that wait from which late room calls for other room as well. */
+const ROOM_LATE_WAITING = 4;
 /** Time for an engine to unload a model that is not in use, as reported. */
 const UNLOAD_MS = 150;
 /** Weight of room left unused, per MB: small models fill small gaps. */
@@ -178,9 +184,12 @@
     return actions;
   }
 
-  #count({ isUsable, models, reservedFor }: CopyEngine): void {
+  #count(engine: CopyEngine): void {
+    const { isUsable, models, reservedFor } = engine;
     if (!isUsable) return;
-    if (reservedFor !== undefined && !models.has(reservedFor)) {
+    const isExpected = reservedFor !== undefined && !models.has(reservedFor) &&
+      !this.#isRoomLate(engine, reservedFor);
+    if (isExpected) {
       this.#copies.set(reservedFor, this.copies(reservedFor) + 1);
     }
     for (const [model, { phase }] of models) {
@@ -191,6 +200,17 @@
     }
   }
 
+  /** Whether many wait for room whose requests do not come to their end. */
+  #isRoomLate(
+    { reservedMs, freeMb }: CopyEngine,
+    model: core.ModelName,
+  ): boolean {
+    const isMade = freeMb >= (this.#view.sizesMb.get(model) ?? Infinity);
+    const waiting = this.#view.demand.get(model)?.waiting ?? 0;
+    return !isMade && waiting >= ROOM_LATE_WAITING &&
+      (reservedMs ?? 0) > ROOM_LATE_MS;
+  }
+
   #workOn({ models }: CopyEngine): number {
     let workMs = 0;
     for (const [model, { phase }] of models) {
--- a/packages/placement/tests/unit/placement_copies_test.ts
+++ b/packages/placement/tests/unit/placement_copies_test.ts
@@ -352,3 +352,25 @@
   t.false(placement.mayUnload({ sinceMs: 20, inFlight: 0 }));
   t.true(placement.mayUnload({ sinceMs: 60_000, inFlight: 2 }));
 });
+
+test("room that is late while many wait calls for other room", (t) => {
+  const late = makeEngine("e1", [{ name: "a" }, { name: "b" }], {
+    freeMb: 20,
+    reservedFor: model("e"),
+    reservedMs: 1_500,
+  });
+  const other = makeEngine("e2", [{ name: "c" }, { name: "d" }, { name: "f" }]);
+  const planFor = (engine: placement.CopyEngine, waiting: number) => {
+    const inUse = { ratePerS: 1 };
+    const demand = { c: inUse, d: inUse, f: inUse, e: { waiting } };
+    return plan(makeView([engine, other], demand));
+  };
+  t.deepEqual(planFor(late, 2), []);
+  t.deepEqual(planFor({ ...late, reservedMs: 200 }, 20), []);
+  t.deepEqual(planFor({ ...late, freeMb: 80, canOrder: false }, 20), []);
+  t.like(planFor(late, 20)[0], {
+    kind: "close",
+    engine: engineId("e2"),
+    inFavourOf: model("e"),
+  });
+});
