Sum the digests in a module of its own; tell what is held in one place

An account's models were turned into what requests may use twice, now EngineAccount.held. No change of behaviour.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -2,7 +2,6 @@
 import { create } from "@bufbuild/protobuf";
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
-import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { EngineHoldings } from "./entry_orders_task.ts";
@@ -223,12 +222,10 @@
       : { lastOrderAgeMs: Math.round(nowMs - lastOrderAtMs) }),
     upstreamId: record.id,
     bornMs: record.bornMs,
-    models: [...account.models].map(([model, held]) => ({
+    models: [...account.held(nowMs)].map(([model, held]) => ({
       model,
-      isUsable: orders.isUsable(held, nowMs),
-      adapters: [...held.adapters]
-        .filter(([, readyAtMs]) => readyAtMs <= nowMs)
-        .map(([adapter]) => adapter),
+      isUsable: held.isUsable,
+      adapters: [...held.adapters],
       readyInMs: Math.max(0, Math.round(held.readyAtMs - nowMs)),
     })),
   };
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -3,10 +3,10 @@
 import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
-import type * as peers from "../peers/mod.ts";
 import * as placement from "../placement/mod.ts";
 import type { ExchangeHub } from "./entry_exchange.ts";
 import type { EntryState } from "./entry_state.ts";
+import { inFlightOf, sumDigests, type Totals } from "./entry_totals.ts";
 
 /** Interval between plans. */
 const PLAN_INTERVAL_MS = 50;
@@ -38,22 +38,6 @@
   storeLoadUntilMs: number;
 }
 
-/** Demand and work over all nodes, as the digests tell. */
-interface Totals {
-  readonly models: Map<core.ModelName, placement.ModelDemand>;
-  readonly adapters: Map<string, placement.AdapterDemand>;
-  /** Requests on the way by engine, then by model or model and adapter. */
-  readonly inFlight: Map<string, Map<string, InFlight>>;
-}
-
-/** Requests on the way, and the time until they are expected to end. */
-interface InFlight {
-  readonly count: number;
-  readonly drainMs: number;
-}
-
-const NONE_IN_FLIGHT: InFlight = { count: 0, drainMs: 0 };
-
 /** Keeps models and adapters where the demand is. */
 export class OrdersTask extends core.Task {
   override readonly name = "orders";
@@ -390,18 +374,7 @@
     for (const { sender: { record, account } } of this.#ordered.values()) {
       const engine = this.#state.board.get(record.id);
       if (!engine || engine.record.bornMs !== record.bornMs) continue;
-      engine.hold(
-        new Map(
-          [...account.models].map(([model, held]) => [model, {
-            isUsable: orders.isUsable(held, nowMs),
-            adapters: new Set(
-              [...held.adapters].filter(([, atMs]) => atMs <= nowMs)
-                .map(([adapter]) => adapter),
-            ),
-            readyAtMs: held.readyAtMs,
-          }]),
-        ),
-      );
+      engine.hold(account.held(nowMs));
     }
   }
 
@@ -413,66 +386,3 @@
     });
   }
 }
-
-function inFlightOf(
-  inFlight: ReadonlyMap<string, InFlight> | undefined,
-  model: core.ModelName,
-): InFlight {
-  let sum = NONE_IN_FLIGHT;
-  for (const [weights, use] of inFlight ?? []) {
-    const isOfModel = weights === model || weights.startsWith(`${model}/`);
-    if (isOfModel) sum = addInFlight(sum, use);
-  }
-  return sum;
-}
-
-function addInFlight(a: InFlight, b: InFlight): InFlight {
-  return {
-    count: a.count + b.count,
-    drainMs: Math.max(a.drainMs, b.drainMs),
-  };
-}
-
-function sumDigests(digests: readonly peers.NodeDigest[]): Totals {
-  const totals: Totals = {
-    models: new Map(),
-    adapters: new Map(),
-    inFlight: new Map(),
-  };
-  for (const { demand, uses } of digests) {
-    for (const line of demand) addDemand(totals, line);
-    for (const { upstreamId, models } of uses) {
-      let counts = totals.inFlight.get(upstreamId);
-      if (!counts) totals.inFlight.set(upstreamId, counts = new Map());
-      for (const { model, adapter, inFlight, drainMs } of models) {
-        const weights = adapter === "" ? model : `${model}/${adapter}`;
-        const known = counts.get(weights) ?? NONE_IN_FLIGHT;
-        counts.set(weights, addInFlight(known, { count: inFlight, drainMs }));
-      }
-    }
-  }
-  return totals;
-}
-
-function addDemand(
-  totals: Totals,
-  line: peers.NodeDigest["demand"][number],
-): void {
-  const { ratePerS, waiting, workMsPerS, adapter } = line;
-  const model = core.brandId<core.ModelName>(line.model);
-  const sum = totals.models.get(model);
-  totals.models.set(model, {
-    ratePerS: (sum?.ratePerS ?? 0) + ratePerS,
-    waiting: (sum?.waiting ?? 0) + waiting,
-    workMsPerS: (sum?.workMsPerS ?? 0) + workMsPerS,
-  });
-  if (adapter === "") return;
-  const key = `${model}/${adapter}`;
-  const known = totals.adapters.get(key);
-  totals.adapters.set(key, {
-    model,
-    adapter,
-    ratePerS: (known?.ratePerS ?? 0) + ratePerS,
-    waiting: (known?.waiting ?? 0) + waiting,
-  });
-}
--- a/packages/orders/orders_account.ts
+++ b/packages/orders/orders_account.ts
@@ -18,6 +18,15 @@
   readonly adapters: Map<string, number>;
 }
 
+/** A model as requests see it. */
+export interface UsableModel {
+  readonly isUsable: boolean;
+  /** Adapters that are loaded. */
+  readonly adapters: ReadonlySet<string>;
+  /** When a load is expected to end, on the monotonic clock. */
+  readonly readyAtMs: number;
+}
+
 /**
  * Whether requests may be sent to a model. A load whose time is over counts as
  * ended: an engine that is not ready yet refuses them without running them.
@@ -78,6 +87,20 @@
     return count;
   }
 
+  /** What may be sent requests now, or will be. */
+  held(nowMs: number): Map<core.ModelName, UsableModel> {
+    return new Map(
+      [...this.models].map(([name, model]) => [name, {
+        isUsable: isUsable(model, nowMs),
+        adapters: new Set(
+          [...model.adapters].filter(([, readyAtMs]) => readyAtMs <= nowMs)
+            .map(([adapter]) => adapter),
+        ),
+        readyAtMs: model.readyAtMs,
+      }]),
+    );
+  }
+
   /** Time that a load would take, and whether the weight store is asked. */
   loadTime(model: fleet.ModelSpec): { ms: number; isFromStore: boolean } {
     if (this.#copiesInMemory.has(model.name)) {
