Believe a report that stays behind; keep adapters that are on their way

An adapter was loaded for one request and, while still on its way, unloaded to make room for the next; the engine answers that it holds already and counts nothing, the account counted one. From then on each report was behind the account (9 against 11) and was passed over as late, for good. Ruled out: orders carried out late (they name a count, and none acted), a lost lease (one holder throughout). Change: a report that is still behind 1.5 s after the last order is believed; an adapter makes no room in its first 0.5 s.

--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -12,6 +12,11 @@
 const PLAN_INTERVAL_MS = 50;
 /** Time that an adapter is expected to take: up to 19 ms on the sheets. */
 const ADAPTER_LOAD_MS = 20;
+/**
+ * Time for which an adapter is kept: requests that waited for it come within
+ * two exchanges, and an engine does not count an unload of one on its way.
+ */
+const ADAPTER_KEPT_MS = 500;
 /** Time after which room that was made is free for any model. */
 const RESERVED_FOR_MS = 2_000;
 /** Work that has been seen counts for this long: demand comes in waves. */
@@ -350,9 +355,10 @@
         freeMb: spec.weightsMb - account.usedMb(spec),
         models: new Set(ready.map(([model]) => model)),
         adapters: ready.flatMap(([model, { adapters }]) =>
-          [...adapters.keys()].map((adapter) => ({
+          [...adapters].map(([adapter, readyAtMs]) => ({
             model,
             adapter,
+            mayYield: nowMs - readyAtMs > ADAPTER_KEPT_MS,
             inFlight: inFlight?.get(`${model}/${adapter}`)?.count ?? 0,
             ratePerS: totals.adapters.get(`${model}/${adapter}`)?.ratePerS ?? 0,
           }))
--- a/packages/orders/orders_account.ts
+++ b/packages/orders/orders_account.ts
@@ -135,12 +135,13 @@
 
   /**
    * Takes the engine's report. One that lags behind orders already accepted is
-   * of no use.
+   * of no use, unless it is too late for that: then an order was counted here
+   * that the engine did not count.
    *
    * @returns whether the report was used.
    */
-  reported(report: fleet.EngineReport): boolean {
-    if (report.orderCount < (this.#orderCount ?? 0)) return false;
+  reported(report: fleet.EngineReport, mayLag = true): boolean {
+    if (mayLag && report.orderCount < (this.#orderCount ?? 0)) return false;
     const isKnown = report.orderCount === this.#orderCount;
     this.#copiesInMemory = new Set(report.modelsInMemory);
     this.#copiesOnDisk = new Set(report.modelsOnDisk);
--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -13,6 +13,8 @@
 const NOT_TAKEN_PAUSE_MS = 300;
 /** Pause between looks at an engine that may be gone. */
 const LOOK_INTERVAL_MS = 500;
+/** Time after an order by which every report must have seen it. */
+const REPORT_SURE_MS = 1_500;
 /** Time by which an engine's report lags behind. */
 const REPORT_LAG_MS = 150;
 
@@ -127,8 +129,9 @@
         return;
       }
       const { bornMs, orderCount, isBusy, models } = report.value;
+      const sinceMs = core.monotonicMs() - (this.#lastOrderAtMs ?? -Infinity);
       const isUsed = bornMs === this.record.bornMs &&
-        this.account.reported(report.value);
+        this.account.reported(report.value, sinceMs < REPORT_SURE_MS);
       if (isUsed) {
         this.#needsReport = false;
         this.#openEarly(orderCount);
--- a/packages/orders/tests/unit/orders_account_test.ts
+++ b/packages/orders/tests/unit/orders_account_test.ts
@@ -143,3 +143,16 @@
   t.deepEqual(timeOf("b"), { ms: 300, isFromStore: false });
   t.deepEqual(timeOf("c"), { ms: 1_000, isFromStore: true });
 });
+
+test("a report that stays behind is believed in the end", (t) => {
+  const account = new orders.EngineAccount(makeRecord());
+  t.true(account.reported(makeReport(9, ["a"])));
+  // The engine counted one of two orders less than was thought.
+  account.accepted(makeOrder("load", "b", 9), 10, 0);
+  account.accepted(makeOrder("unload", "b", 10), 0, 0);
+  t.is(account.orderCount, 11);
+  t.false(account.reported(makeReport(10, ["a", "b"])));
+  t.true(account.reported(makeReport(10, ["a", "b"]), false));
+  t.is(account.orderCount, 10);
+  t.is(account.models.get(model("b"))?.phase, "ready");
+});
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -189,3 +189,21 @@
   t.false(sender.mustSettle(core.monotonicMs()));
   t.true(sender.mustLook(core.monotonicMs() + 1_000));
 });
+
+test("an order that the engine did not count closes it for a while only", async (t) => {
+  const control = new ScriptedControl();
+  const { sender } = makeSender(control);
+  await sender.settle();
+  // An adapter on its way is not there to unload: nothing was counted.
+  control.replies.push("alreadySo");
+  t.true(await sender.send({ kind: "unload", model, adapter: "a" }, 0));
+  t.is(sender.account.orderCount, 1);
+  t.false(await sender.send({ kind: "load", model }, 10));
+  t.true(sender.isClosed(core.monotonicMs()));
+  await sender.settle();
+  t.true(sender.isClosed(core.monotonicMs()));
+  await core.sleep(1_600);
+  await sender.settle();
+  t.is(sender.account.orderCount, 0);
+  t.true(await sender.send({ kind: "load", model }, 10));
+});
--- a/packages/placement/placement_adapters.ts
+++ b/packages/placement/placement_adapters.ts
@@ -15,6 +15,8 @@
   readonly adapter: string;
   readonly inFlight: number;
   readonly ratePerS: number;
+  /** Whether it has been there for long enough to make room for another. */
+  readonly mayYield: boolean;
 }
 
 /** One engine as the planner of adapters sees it. */
@@ -123,7 +125,7 @@
     return { kind: "load", engine: engine.id, model, adapter };
   }
   const idle = engine.adapters
-    .filter(({ inFlight }) => inFlight === 0)
+    .filter(({ inFlight, mayYield }) => inFlight === 0 && mayYield)
     .sort((a, b) => a.ratePerS - b.ratePerS)[0];
   if (!idle) return undefined;
   return {
