--- a/packages/ledger/tests/unit/ledger_test.ts
+++ b/packages/ledger/tests/unit/ledger_test.ts
@@ -234,26 +234,28 @@
   test(`an engine that ${kind} fencing: a load sent again that was only late`, (t) =>
     withBench(honours, async (bench) => {
       const controller = bench.controller();
-      bench.fake.faults.set({ name: "lateOrder", count: 1, delayMs: 60 });
+      // Late enough for the second sending to come first on a busy machine.
+      bench.fake.faults.set({ name: "lateOrder", count: 1, delayMs: 1_000 });
       await bench.load(controller, "a");
       t.true((await bench.loadAgain(controller, "a")).isOk());
       await bench.settle(controller, (row) => stateOf(row, "a") === "resident");
       t.true((await bench.unload(controller, "a")).isOk());
       const others = ["b", "c"].map(async (name) => {
-        for (let tries = 0; tries < 40; tries++) {
+        const deadline = new core.Deadline(4_000);
+        while (!deadline.isOver()) {
           if ((await bench.load(controller, name)).isOk()) return;
-          await core.sleep(5);
+          await core.sleep(20);
         }
       });
       await Promise.all(others);
-      await core.sleep(120);
+      await core.sleep(1_200);
       t.is(bench.fake.memory.overcommits, 0);
       // Where the late order was not refused, the ledger has taken it in.
       const row = await controller.reconcile(UPSTREAM_ID, bench.engine);
       const isHeld = bench.fake.memory.isReady(artifactId("a"));
       t.is(row.isOk() && stateOf(row.value, "a") === "resident", isHeld);
       t.true(!honours || !isHeld);
-    }, 100));
+    }, 1_500));
 
   test(`an engine that ${kind} fencing: a duplicate after the unload`, (t) =>
     withBench(honours, async (bench) => {
