Bound the wait of a table edit in time, not by attempts

Cause (KNOWN-RED, lagging reads never revert an edit): an edit whose reads are stale was retried 20 times with jittered pauses of 40 ms, some 800 ms in all, which is the lag that the store may show. Ruled out: the check that a read is current, which is right to reject the stale read.

Change: commitEdit retries for 3 s, the time in which operators expect an edit to be in force.

--- a/packages/table/table_store.ts
+++ b/packages/table/table_store.ts
@@ -17,8 +17,11 @@
 const HISTORY_PREFIX = "table/history/";
 const HISTORY_DIGITS = 12;
 
-/** Attempts to commit an edit while reads are stale or other edits conflict. */
-const EDIT_ATTEMPTS_MAX = 20;
+/**
+ * Time for which an edit is retried while reads are stale or other edits
+ * conflict. Operators expect an edit to be in force within it.
+ */
+const EDIT_TIMEOUT_MS = 3_000;
 /** Attempts to determine the outcome of an edit whose reply was lost. */
 const LOST_REPLY_ATTEMPTS_MAX = 5;
 const RETRY_DELAY_MS = 40;
@@ -124,14 +127,15 @@
     edit: TableEdit,
     minRevision = 0,
   ): Promise<Result<EditAcceptance, core.Failure>> {
+    const endsAtMs = core.monotonicMs() + EDIT_TIMEOUT_MS;
     let failure = TOO_MANY_CONFLICTS;
-    for (let attempt = 0; attempt < EDIT_ATTEMPTS_MAX; attempt++) {
+    do {
       const result = await this.#attempt(edit, minRevision);
       if (result.kind === "accepted") return ok(result.acceptance);
       if (result.kind === "failed") return err(result.failure);
       failure = result.reason ?? TOO_MANY_CONFLICTS;
       await core.sleep(core.jitterMs(RETRY_DELAY_MS));
-    }
+    } while (core.monotonicMs() < endsAtMs);
     return err(failure);
   }
 
