--- /dev/null
+++ b/packages/entry/entry_engine_states.ts
@@ -0,0 +1,119 @@
+/** The engine states that the lease holder passes on to the other nodes. */
+import { create } from "@bufbuild/protobuf";
+import * as core from "../core/mod.ts";
+import type * as dispatch from "../dispatch/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import type * as orders from "../orders/mod.ts";
+import * as peers from "../peers/mod.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** What an engine holds, as the lease holder knows it. */
+export interface EngineOrderState {
+  readonly record: fleet.UpstreamRecord;
+  readonly inventory: orders.EngineInventory;
+  /** When the last order was sent, in ms of the monotonic clock. */
+  readonly lastOrderAtMs: number | undefined;
+}
+
+/** Engine states at one time, with a tag that changes when they do. */
+export interface TaggedEngineStates {
+  readonly tag: string;
+  readonly engines: readonly peers.EngineState[];
+  /** Time to which the relative times in the states refer. */
+  readonly atMs: number;
+}
+
+/** Encodes the states of all engines; equal states have equal tags. */
+export function tagEngineStates(
+  incarnation: string,
+  states: readonly EngineOrderState[],
+  nowMs: number,
+): TaggedEngineStates {
+  const engines = states.map((state) => toEngineState(state, nowMs));
+  const signature = states.map(({ lastOrderAtMs }, index) => {
+    const { upstreamId, bornMs, models, orderCount } = engines[index]!;
+    const held = models.map(({ model, isUsable, adapters }) =>
+      `${model}:${isUsable}:${adapters.join(",")}`
+    );
+    return [upstreamId, bornMs, orderCount, lastOrderAtMs, ...held].join(" ");
+  });
+  const hash = core.hash32(signature.join("\n")).toString(36);
+  return { tag: `${incarnation}:${hash}`, engines, atMs: nowMs };
+}
+
+/** Converts the relative times in the states to those at a later time. */
+export function ageEngineStates(
+  { engines, atMs }: TaggedEngineStates,
+  nowMs: number,
+): peers.EngineState[] {
+  const ageMs = Math.round(nowMs - atMs);
+  return engines.map((engine) =>
+    create(peers.EngineStateSchema, {
+      ...engine,
+      ...(engine.lastOrderAgeMs === undefined
+        ? {}
+        : { lastOrderAgeMs: engine.lastOrderAgeMs + ageMs }),
+      models: engine.models.map((model) => ({
+        ...model,
+        readyInMs: Math.max(0, model.readyInMs - ageMs),
+      })),
+    })
+  );
+}
+
+/**
+ * Applies the models that engines hold, as reported by the lease holder.
+ * Reports on another incarnation of an engine are skipped.
+ */
+export function applyEngineStates(
+  state: EntryState,
+  engines: readonly peers.EngineState[],
+  nowMs: number,
+): void {
+  for (const reported of engines) {
+    const { upstreamId, bornMs, models, orderCount, lastOrderAgeMs } = reported;
+    const id = core.brandId<core.UpstreamId>(upstreamId);
+    const engine = state.upstreams.get(id);
+    if (!engine || engine.record.startedAtMs !== bornMs) continue;
+    const replicas = models.map((
+      model,
+    ): [core.ModelName, dispatch.ModelReplica] => [
+      core.brandId<core.ModelName>(model.model),
+      {
+        isUsable: model.isUsable,
+        adapters: new Set(model.adapters),
+        ...(model.isUsable ? {} : { readyAtMs: nowMs + model.readyInMs }),
+      },
+    ]);
+    engine.setReplicas(new Map(replicas));
+    if (orderCount === undefined) continue;
+    const lastOrderAtMs = lastOrderAgeMs === undefined
+      ? undefined
+      : nowMs - lastOrderAgeMs;
+    engine.reportedOrders = { orderCount, lastOrderAtMs };
+  }
+}
+
+function toEngineState(
+  { record, inventory, lastOrderAtMs }: EngineOrderState,
+  nowMs: number,
+): peers.EngineState {
+  return create(peers.EngineStateSchema, {
+    ...(inventory.orderCount === undefined
+      ? {}
+      : { orderCount: inventory.orderCount }),
+    ...(lastOrderAtMs === undefined
+      ? {}
+      : { lastOrderAgeMs: Math.max(0, Math.round(nowMs - lastOrderAtMs)) }),
+    upstreamId: record.id,
+    bornMs: record.startedAtMs,
+    models: [...inventory.availability(nowMs)].map(([model, replica]) => ({
+      model,
+      isUsable: replica.isUsable,
+      adapters: [...replica.adapters],
+      readyInMs: Number.isFinite(replica.readyAtMs)
+        ? Math.max(0, Math.round(replica.readyAtMs - nowMs))
+        : 0,
+    })),
+  });
+}
--- /dev/null
+++ b/packages/replica/replica_readers.ts
@@ -0,0 +1,74 @@
+/**
+ * Chooses the few nodes that follow the store for the whole fleet. Pattern of
+ * load: each node that follows a table is woken by every change of it, so calls
+ * to the store grow as nodes times changes unless the readers stay few.
+ */
+import * as core from "../core/mod.ts";
+
+/** Nodes that follow the store at the same time, if there are more. */
+const READERS = 3;
+/** Up to this number of nodes, each follows the store by itself. */
+const ALL_READ_UP_TO = 6;
+/**
+ * Age at which a copy counts as stale, longer than a reader waits for a change.
+ */
+const STALE_MS = 1_500;
+/** Interval between reads of a stale copy by the first node that is no reader. */
+const STALE_READ_INTERVAL_MS = 500;
+/** Nodes that together read a stale copy at that interval. */
+const STALE_READERS_PER_INTERVAL = 4;
+
+/** Position of a node among the live ones in the order in which they read. */
+export interface ReaderRank {
+  readonly rank: number;
+  readonly nodes: number;
+}
+
+/**
+ * Ranks a node among the live ones. Neighbours by name are spread, as they
+ * share failure domains.
+ *
+ * @example
+ * ```ts
+ * const { rank } = replica.rankReader(self, members.alive());
+ * ```
+ */
+export function rankReader(
+  self: core.InstanceId,
+  alive: readonly core.InstanceId[],
+): ReaderRank {
+  const rank = core.rendezvous("store-reader", alive).indexOf(self);
+  return { rank: Math.max(0, rank), nodes: alive.length };
+}
+
+/**
+ * Whether a node follows the store for others as well.
+ *
+ * @example
+ * ```ts
+ * replica.isReader({ rank: 40, nodes: 78 }); // false
+ * ```
+ */
+export function isReader({ rank, nodes }: ReaderRank): boolean {
+  return nodes <= ALL_READ_UP_TO || rank < READERS;
+}
+
+/**
+ * Returns when a node that is no reader reads its copy from the store, as time
+ * since the store last confirmed the copy, and since the node's last read, in
+ * ms. The intervals grow with the rank, so that a store that is away gets few
+ * calls from a large fleet, while the first nodes replace lost readers soon.
+ *
+ * @example
+ * ```ts
+ * const { afterMs, intervalMs } = replica.staleReadTimes({ rank: 7, nodes: 78 });
+ * ```
+ */
+export function staleReadTimes(
+  { rank }: ReaderRank,
+): { afterMs: number; intervalMs: number } {
+  const position = Math.max(0, rank - READERS);
+  const intervalMs = STALE_READ_INTERVAL_MS *
+    (1 + position / STALE_READERS_PER_INTERVAL);
+  return { afterMs: STALE_MS, intervalMs };
+}
