--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -241,7 +241,9 @@
       known.record.address === record.address &&
       known.record.service === record.service;
     if (isSame) {
-      known.record = record;
+      // An incarnation that leaves does not return, though a row may be old.
+      const isLeaving = known.record.isLeaving || record.isLeaving;
+      known.record = { ...record, isLeaving };
       return known;
     }
     if (known) this.remove(record.id);
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -1,256 +1,290 @@
 /**
- * Exchange of load and demand between nodes, through the hub: the node that
- * aggregates the digests of all nodes, normally the lease holder.
+ * Exchange of load, demand and engine states between nodes: what a node has
+ * received from its children and its parent, and what it answers.
  */
 import { create } from "@bufbuild/protobuf";
 import * as core from "../core/mod.ts";
-import * as dispatch from "../dispatch/mod.ts";
+import type * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
+import {
+  addUses,
+  applyPeerLoad,
+  makeDigest,
+  sumDemand,
+  sumUses,
+  type UsesById,
+  usesWithout,
+} from "./entry_digest.ts";
+import {
+  ageEngineStates,
+  type EngineOrderState,
+  tagEngineStates,
+  type TaggedEngineStates,
+} from "./entry_engine_states.ts";
 import type { EntryState } from "./entry_state.ts";
-import type { EngineOrderState } from "./entry_orders_task.ts";
+import type { TableNewsExchange } from "./entry_table_news.ts";
 
 /** A digest older than this is dropped. */
 const DIGEST_TTL_MS = 1_000;
-/** A node that sent no digest for this long has switched to another hub. */
-const FOLLOWER_TIMEOUT_MS = 500;
+/** A node that sent no digest for this long has switched to another parent. */
+const FOLLOWER_TIMEOUT_MS = 800;
+/** Time for which sums and engine states are used again for other children. */
+const SUMS_TTL_MS = 15;
+/** Interval at which a child is sent the states of all members. */
+const MEMBERS_INTERVAL_MS = 300;
+/** After this, the parent's load and engine states are no longer passed on. */
+const PARENT_VIEW_TTL_MS = 1_500;
 
-interface ReceivedDigest {
-  readonly digest: peers.NodeDigest;
-  readonly receivedAtMs: number;
+interface Child {
+  digest: peers.NodeDigest;
+  receivedAtMs: number;
+  membersSentAtMs: number;
+}
+
+/** Load over several digests, with the digests that it contains, by node. */
+interface LoadSums {
+  readonly uses: UsesById;
+  readonly digests: ReadonlyMap<string, peers.NodeDigest>;
+  readonly atMs: number;
+}
+
+/** What the hub needs of the node's other parts. */
+export interface ExchangeHubSources {
+  /** The state of the engines if this node is the lease holder. */
+  readonly engineStates: () => readonly EngineOrderState[] | undefined;
+  readonly lastRenewal: () => orders.LeaseRenewal | undefined;
+  /** Called when a digest reports queued requests. */
+  readonly onQueued: () => void;
 }
 
 /**
- * Aggregates the nodes' digests and answers each with the load of the others.
+ * Sums the digests of this node and its children, and answers each child with
+ * the load of all others.
  */
 export class ExchangeHub {
   readonly #state: EntryState;
-  readonly #received = new Map<string, ReceivedDigest>();
-  /** Returns the state of the engines if this node is the lease holder. */
-  engineStates: () => readonly EngineOrderState[] | undefined = () => undefined;
-  /**
-   * Returns the lease version and the time since the last renewal if this node is
-   * the lease holder.
-   */
-  renewal: () => { version: number; ageMs: number } | undefined = () =>
-    undefined;
-  /** Called when a digest reports queued requests. */
-  onQueued: () => void = () => {};
+  readonly #news: TableNewsExchange;
+  readonly #children = new Map<string, Child>();
+  #sources: ExchangeHubSources = {
+    engineStates: () => undefined,
+    lastRenewal: () => undefined,
+    onQueued: () => {},
+  };
+  #sums: LoadSums | undefined;
+  #ownEngineStates: TaggedEngineStates | undefined;
+  #parentEngineStates: TaggedEngineStates | undefined;
+  #parentUses: readonly peers.EngineUse[] = [];
+  #parentViewAtMs = -Infinity;
 
-  constructor(state: EntryState) {
+  constructor(state: EntryState, news: TableNewsExchange) {
     this.#state = state;
+    this.#news = news;
+  }
+
+  /** Connects the hub to the parts that it reports on. */
+  connect(sources: ExchangeHubSources): void {
+    this.#sources = sources;
   }
 
-  /** Stores a node's digest and returns the view of the rest of the fleet. */
+  /** Stores a child's digest and returns the view of the rest of the fleet. */
   exchange(digest: peers.NodeDigest): peers.FleetView {
     const nowMs = core.monotonicMs();
     const node = core.brandId<core.InstanceId>(digest.node);
-    this.#received.set(digest.node, { digest, receivedAtMs: nowMs });
-    this.#state.members.recordContact(node, 0, digest.accepts);
-    if (digest.demand.some(({ waiting }) => waiting > 0)) this.onQueued();
-    const engineStates = this.engineStates();
-    const renewal = this.renewal();
+    const known = this.#children.get(digest.node);
+    const membersSentAtMs = known?.membersSentAtMs ?? -Infinity;
+    const isMembersDue = nowMs - membersSentAtMs >= MEMBERS_INTERVAL_MS;
+    this.#children.set(digest.node, {
+      digest,
+      receivedAtMs: nowMs,
+      membersSentAtMs: isMembersDue ? nowMs : membersSentAtMs,
+    });
+    const { members } = this.#state;
+    members.recordContact(node, 0, digest.accepts);
+    for (const child of digest.children) {
+      members.recordContact(
+        core.brandId<core.InstanceId>(child.node),
+        child.ageMs,
+        child.accepts,
+      );
+    }
+    this.#news.apply(digest.tables, nowMs);
+    if (digest.demand.some(({ waiting }) => waiting > 0)) {
+      this.#sources.onQueued();
+    }
+    const lease = this.#sources.lastRenewal();
+    const engineStates = this.engineStates(nowMs);
+    const hasTag = engineStates?.tag === digest.enginesTag;
     return create(peers.FleetViewSchema, {
       hasOrders: engineStates !== undefined,
-      leaseVersion: BigInt(renewal?.version ?? 0),
-      leaseAgeMs: Math.round(renewal?.ageMs ?? 0),
-      members: this.#memberStates(nowMs),
-      uses: this.#sumUses(digest.node, nowMs),
-      engines: (engineStates ?? []).map((engine) =>
-        toEngineState(engine, nowMs)
-      ),
+      leaseHolder: lease?.holder ?? "",
+      leaseGeneration: lease?.generation ?? 0,
+      leaseVersion: lease?.version ?? 0,
+      leaseAgeMs: Math.round(lease?.ageMs ?? 0),
+      members: isMembersDue ? this.#memberStates(nowMs) : [],
+      uses: this.#usesOfOthers(digest.node, nowMs),
+      enginesTag: engineStates?.tag ?? "",
+      engines: engineStates && !hasTag
+        ? ageEngineStates(engineStates, nowMs)
+        : [],
+      tables: this.#news.forChild(digest.tables, nowMs),
+    });
+  }
+
+  /** Returns the digest for the parent: of this node and of its children. */
+  digestForParent(parent: string, nowMs: number): peers.NodeDigest {
+    const digests = this.#ownDigests(nowMs);
+    const own = digests[0]!;
+    const isSum = digests.length > 1;
+    return create(peers.NodeDigestSchema, {
+      ...own,
+      ...(isSum
+        ? {
+          uses: [...sumUses(digests).values()],
+          demand: sumDemand(digests),
+        }
+        : {}),
+      isSum,
+      children: this.#childStates(nowMs),
+      enginesTag: this.#parentEngineStates?.tag ?? "",
+      tables: this.#news.forParent(parent, nowMs),
     });
   }
 
-  /** Returns the number of other nodes that use this node as their hub. */
+  /**
+   * Stores the parent's view, for this node's children. Returns its engine
+   * states if they differ from the last ones.
+   */
+  applyParentView(
+    view: peers.FleetView,
+    nowMs: number,
+  ): TaggedEngineStates | undefined {
+    this.#parentUses = view.uses;
+    this.#parentViewAtMs = nowMs;
+    this.#news.applyFromParent(view.tables, nowMs);
+    if (!view.hasOrders) {
+      this.#parentEngineStates = undefined;
+      return undefined;
+    }
+    if (this.#parentEngineStates?.tag === view.enginesTag) return undefined;
+    this.#parentEngineStates = {
+      tag: view.enginesTag,
+      engines: view.engines,
+      atMs: nowMs,
+    };
+    return this.#parentEngineStates;
+  }
+
+  /** The engine states to pass on: own ones if this node holds the lease. */
+  engineStates(nowMs: number): TaggedEngineStates | undefined {
+    const own = this.#sources.engineStates();
+    if (own) {
+      const cached = this.#ownEngineStates;
+      if (cached && nowMs - cached.atMs < SUMS_TTL_MS) return cached;
+      this.#ownEngineStates = tagEngineStates(
+        this.#state.incarnation,
+        own,
+        nowMs,
+      );
+      return this.#ownEngineStates;
+    }
+    const isFresh = nowMs - this.#parentViewAtMs < PARENT_VIEW_TTL_MS;
+    return isFresh ? this.#parentEngineStates : undefined;
+  }
+
+  /** Returns the number of other nodes below this one in the tree. */
   followers(): number {
     const nowMs = core.monotonicMs();
-    let count = 0;
-    for (const { receivedAtMs } of this.#received.values()) {
-      if (nowMs - receivedAtMs < FOLLOWER_TIMEOUT_MS) count++;
+    const nodes = new Set<string>();
+    for (const [node, { digest, receivedAtMs }] of this.#children) {
+      if (nowMs - receivedAtMs >= FOLLOWER_TIMEOUT_MS) continue;
+      nodes.add(node);
+      for (const child of digest.children) {
+        if (child.ageMs < FOLLOWER_TIMEOUT_MS) nodes.add(child.node);
+      }
     }
-    return count;
+    nodes.delete(this.#state.settings.nodeName);
+    return nodes.size;
   }
 
-  /** Returns the current digests; this node's own is computed at each call. */
+  /** Returns this node's own digest and all current ones of its children. */
   digests(nowMs: number): peers.NodeDigest[] {
-    const digests = [makeDigest(this.#state, nowMs)];
-    for (const [node, { digest, receivedAtMs }] of this.#received) {
-      if (nowMs - receivedAtMs > DIGEST_TTL_MS) this.#received.delete(node);
-      else if (node !== this.#state.settings.nodeName) digests.push(digest);
-    }
-    return digests;
+    return [
+      makeDigest(this.#state, nowMs),
+      ...this.#freshChildren(nowMs).map(({ digest }) => digest),
+    ];
   }
 
-  /** Applies the load of the other nodes to the hub's own state. */
-  applyLocally(nowMs: number): void {
-    const uses = this.#sumUses(this.#state.settings.nodeName, nowMs);
-    applyPeerLoad(this.#state, uses, nowMs);
+  /** Applies the load of all other nodes to this node's own state. */
+  applyLoad(nowMs: number): void {
+    const self = this.#state.settings.nodeName;
+    applyPeerLoad(this.#state, this.#usesOfOthers(self, nowMs), nowMs);
   }
 
-  #memberStates(nowMs: number) {
-    const own = {
-      node: this.#state.settings.nodeName,
-      ageMs: 0,
-      accepts: this.#state.isReady,
-    };
-    const others = [...this.#received].map((
-      [node, { digest, receivedAtMs }],
-    ) => ({
-      node,
-      ageMs: Math.round(nowMs - receivedAtMs),
-      accepts: digest.accepts,
-    }));
-    return [own, ...others];
+  #freshChildren(nowMs: number): Child[] {
+    const fresh: Child[] = [];
+    for (const [node, child] of this.#children) {
+      if (nowMs - child.receivedAtMs > DIGEST_TTL_MS) {
+        this.#children.delete(node);
+      } else if (node !== this.#state.settings.nodeName) fresh.push(child);
+    }
+    return fresh;
   }
 
-  #sumUses(exceptNode: string, nowMs: number): peers.EngineUse[] {
-    const sums = new Map<string, peers.EngineUse>();
-    for (const digest of this.digests(nowMs)) {
-      if (digest.node === exceptNode) continue;
-      for (const use of digest.uses) {
-        const sum = sums.get(use.upstreamId);
-        if (!sum) {
-          sums.set(
-            use.upstreamId,
-            create(peers.EngineUseSchema, {
-              ...use,
-              models: [],
-            }),
-          );
-          continue;
-        }
-        sum.inFlight += use.inFlight;
-        sum.prefillMs += use.prefillMs;
-        sum.tokens += use.tokens;
-        sum.isSuspect ||= use.isSuspect;
-      }
-    }
-    return [...sums.values()];
+  /**
+   * The digests that are summed for the parent. Sums of other nodes are left
+   * out: while nodes disagree on the root, they could contain this node's.
+   */
+  #ownDigests(nowMs: number): peers.NodeDigest[] {
+    const children = this.#freshChildren(nowMs).map(({ digest }) => digest)
+      .filter(({ isSum }) => !isSum);
+    return [makeDigest(this.#state, nowMs), ...children];
   }
-}
 
-/** Returns this node's digest: its in-flight requests and its demand. */
-export function makeDigest(
-  state: EntryState,
-  nowMs: number,
-): peers.NodeDigest {
-  const uses = [...state.upstreams.all()]
-    .filter(({ localRequests, health }) =>
-      localRequests.size > 0 || health.isSuspect(nowMs)
-    )
-    .map((upstream) => toEngineUse(state, upstream, nowMs));
-  return create(peers.NodeDigestSchema, {
-    node: state.settings.nodeName,
-    bornMs: state.startedAtMs,
-    accepts: state.isReady,
-    uses,
-    demand: state.demand.snapshot(nowMs),
-  });
-}
+  #usesOfOthers(node: string, nowMs: number): peers.EngineUse[] {
+    const { uses, digests } = this.#currentSums(nowMs);
+    return usesWithout(uses, digests.get(node));
+  }
 
-/** Applies the other nodes' load to all upstreams; unlisted ones have none. */
-export function applyPeerLoad(
-  state: EntryState,
-  uses: readonly peers.EngineUse[],
-  nowMs: number,
-): void {
-  const useById = new Map(uses.map((use) => [use.upstreamId, use]));
-  for (const upstream of state.upstreams.all()) {
-    const use = useById.get(upstream.record.id);
-    if (use) upstream.setPeerLoad(use, use.isSuspect, nowMs);
-    else {
-      const none = { inFlight: 0, prefillMs: 0, tokens: 0 };
-      upstream.setPeerLoad(none, false, nowMs);
-    }
+  #currentSums(nowMs: number): LoadSums {
+    const cached = this.#sums;
+    if (cached && nowMs - cached.atMs < SUMS_TTL_MS) return cached;
+    const isRoot = nowMs - this.#parentViewAtMs >= PARENT_VIEW_TTL_MS;
+    const digests = isRoot ? this.digests(nowMs) : this.#ownDigests(nowMs);
+    const uses = sumUses(digests);
+    if (!isRoot) addUses(uses, this.#parentUses);
+    this.#sums = {
+      uses,
+      digests: new Map(digests.map((digest) => [digest.node, digest])),
+      atMs: nowMs,
+    };
+    return this.#sums;
   }
-}
 
-/**
- * Applies the models that engines hold, as reported by the lease holder.
- * Reports on another incarnation of an engine are skipped.
- */
-export function applyEngineStates(
-  state: EntryState,
-  engines: readonly peers.EngineState[],
-  nowMs: number,
-): void {
-  for (const reported of engines) {
-    const { upstreamId, bornMs, models, orderCount, lastOrderAgeMs } = reported;
-    const id = core.brandId<core.UpstreamId>(upstreamId);
-    const engine = state.upstreams.get(id);
-    if (!engine || engine.record.startedAtMs !== bornMs) continue;
-    const replicas = models.map((
-      model,
-    ): [core.ModelName, dispatch.ModelReplica] => [
-      core.brandId<core.ModelName>(model.model),
-      {
-        isUsable: model.isUsable,
-        adapters: new Set(model.adapters),
-        ...(model.isUsable ? {} : { readyAtMs: nowMs + model.readyInMs }),
-      },
-    ]);
-    engine.setReplicas(new Map(replicas));
-    if (orderCount === undefined) continue;
-    const lastOrderAtMs = lastOrderAgeMs === undefined
-      ? undefined
-      : nowMs - lastOrderAgeMs;
-    engine.reportedOrders = { orderCount, lastOrderAtMs };
+  /** Records that this node is the root, which has no parent. */
+  becomeRoot(): void {
+    this.#parentViewAtMs = -Infinity;
+    this.#parentEngineStates = undefined;
   }
-}
 
-function toEngineUse(
-  { stepTimes, outputLengths }: EntryState,
-  upstream: dispatch.UpstreamState,
-  nowMs: number,
-) {
-  const models = new Map<string, { inFlight: number; drainMs: number }>();
-  let prefillMs = 0;
-  let tokens = 0;
-  for (const request of upstream.localRequests) {
-    const use = models.get(request.modelKey) ?? { inFlight: 0, drainMs: 0 };
-    use.inFlight++;
-    const remainingMs = dispatch.estimateRemainingMs(
-      stepTimes,
-      outputLengths,
-      request,
-      nowMs,
+  #childStates(nowMs: number): peers.MemberState[] {
+    return this.#freshChildren(nowMs).map(({ digest, receivedAtMs }) =>
+      create(peers.MemberStateSchema, {
+        node: digest.node,
+        ageMs: Math.round(nowMs - receivedAtMs),
+        accepts: digest.accepts,
+      })
     );
-    use.drainMs = Math.max(use.drainMs, Math.round(remainingMs));
-    models.set(request.modelKey, use);
-    if (!request.hasOutput) prefillMs += request.prefillMs;
-    tokens += request.reservedTokens;
   }
-  return {
-    upstreamId: upstream.record.id,
-    inFlight: upstream.localRequests.size,
-    prefillMs,
-    tokens,
-    isSuspect: upstream.health.isSuspect(nowMs),
-    models: [...models].map(([modelKey, use]) => {
-      const [model, adapter] = modelKey.split("/");
-      return { model: model ?? "", adapter: adapter ?? "", ...use };
-    }),
-  };
-}
 
-function toEngineState(
-  { record, inventory, lastOrderAtMs }: EngineOrderState,
-  nowMs: number,
-) {
-  return {
-    ...(inventory.orderCount === undefined
-      ? {}
-      : { orderCount: inventory.orderCount }),
-    ...(lastOrderAtMs === undefined
-      ? {}
-      : { lastOrderAgeMs: Math.round(nowMs - lastOrderAtMs) }),
-    upstreamId: record.id,
-    bornMs: record.startedAtMs,
-    models: [...inventory.availability(nowMs)].map(([model, replica]) => ({
-      model,
-      isUsable: replica.isUsable,
-      adapters: [...replica.adapters],
-      readyInMs: Math.max(0, Math.round(replica.readyAtMs - nowMs)),
-    })),
-  };
+  #memberStates(nowMs: number): peers.MemberState[] {
+    const own = create(peers.MemberStateSchema, {
+      node: this.#state.settings.nodeName,
+      ageMs: 0,
+      accepts: this.#state.isReady,
+    });
+    const others = this.#state.members.contacts(nowMs).map((contact) =>
+      create(peers.MemberStateSchema, contact)
+    );
+    return [own, ...others];
+  }
 }
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -1,27 +1,32 @@
 /**
- * Exchanges digests with the hub, at shorter intervals while requests queue.
+ * Exchanges digests with the parent in the tree of nodes, at shorter intervals
+ * while requests queue.
  */
 import * as core from "../core/mod.ts";
 import type * as orders from "../orders/mod.ts";
 import type * as peers from "../peers/mod.ts";
-import {
-  applyEngineStates,
-  applyPeerLoad,
-  type ExchangeHub,
-  makeDigest,
-} from "./entry_exchange.ts";
+import { applyEngineStates } from "./entry_engine_states.ts";
+import type { ExchangeHub } from "./entry_exchange.ts";
 import type { EntryUpstreamSelector } from "./entry_selector.ts";
 import type { EntryState } from "./entry_state.ts";
+import { findTreePlace, type TreePlace } from "./entry_topology.ts";
+
+/** Intervals between the exchanges of a node. */
+interface ExchangeIntervals {
+  readonly idleMs: number;
+  /** While requests are queued for models or adapters to be loaded. */
+  readonly queuedMs: number;
+}
 
 /**
- * Interval of exchanges, in which the other nodes send about one request to an
- * engine.
+ * Interval of a node that exchanges with the root, in which the other nodes
+ * send about one request to an engine.
  */
-const EXCHANGE_INTERVAL_MS = 50;
-/** Interval while requests are queued for models or adapters to be loaded. */
-const QUEUED_INTERVAL_MS = 25;
-/** An unresponsive hub is not chosen again for this long. */
-const HUB_AVOIDANCE_MS = 600;
+const ROOT_INTERVALS: ExchangeIntervals = { idleMs: 50, queuedMs: 25 };
+/** Interval of a node in a group; a leader has up to 20 of them. */
+const GROUP_INTERVALS: ExchangeIntervals = { idleMs: 100, queuedMs: 50 };
+/** An unresponsive parent is not chosen again for this long. */
+const PARENT_AVOIDANCE_MS = 600;
 /** After this, the upstream table replaces the lease holder's engine states. */
 const ENGINE_STATES_TTL_MS = 3_000;
 
@@ -34,8 +39,9 @@
   readonly #clients: peers.FleetClients;
   readonly #selector: EntryUpstreamSelector;
   readonly #avoidedUntilMs = new Map<core.InstanceId, number>();
-  #currentHub: core.InstanceId | undefined;
+  #place: TreePlace | undefined;
   #engineStatesAtMs = -Infinity;
+  #hasQueuedBelow = false;
   readonly wakeSignal = new core.WakeSignal();
 
   constructor(
@@ -53,64 +59,115 @@
     this.#selector = selector;
   }
 
+  /** Passes on soon that a child has queued requests. */
+  noteQueuedBelow(): void {
+    this.#hasQueuedBelow = true;
+  }
+
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.#exchange();
+      const place = this.#findPlace(core.monotonicMs());
+      const hasQueued = this.#state.queue.size > 0 || this.#hasQueuedBelow;
+      this.#hasQueuedBelow = false;
+      await this.#exchange(place);
       this.#selector.selectForQueued();
-      const hasQueued = this.#state.queue.size > 0;
-      if (hasQueued) await core.sleep(QUEUED_INTERVAL_MS, signal);
-      else await this.wakeSignal.wait(EXCHANGE_INTERVAL_MS, signal);
+      const { idleMs, queuedMs } = isInGroup(place, this.#lease.holder)
+        ? GROUP_INTERVALS
+        : ROOT_INTERVALS;
+      if (hasQueued) await core.sleep(queuedMs, signal);
+      else await this.wakeSignal.wait(idleMs, signal);
     }
   }
 
-  async #exchange(): Promise<void> {
-    const nowMs = core.monotonicMs();
-    const hub = this.#chooseHub(nowMs);
-    if (hub !== this.#currentHub) {
-      const { logger } = this.#state;
-      logger.info("hub_changed", { before: this.#currentHub, now: hub });
-      this.#currentHub = hub;
+  #findPlace(nowMs: number): TreePlace {
+    const { settings, members, logger } = this.#state;
+    const isAvoided = (node: core.InstanceId) =>
+      (this.#avoidedUntilMs.get(node) ?? 0) > nowMs;
+    const self = {
+      node: settings.nodeName,
+      failureDomain: settings.failureDomain,
+    };
+    const alive = members.alive();
+    const place = findTreePlace(
+      self,
+      this.#chooseRoot(alive, isAvoided),
+      alive.map((node) => ({
+        node,
+        failureDomain: members.row(node)?.failureDomain ?? "",
+      })),
+      isAvoided,
+    );
+    const before = this.#place;
+    if (before?.parent !== place.parent || before.role !== place.role) {
+      logger.info("hub_changed", {
+        before: before?.parent,
+        now: place.parent,
+        role: place.role,
+        alive: alive.length,
+      });
     }
-    if (hub === this.#state.settings.nodeName) {
-      this.#hub.applyLocally(nowMs);
+    this.#place = place;
+    return place;
+  }
+
+  async #exchange({ role, parent }: TreePlace): Promise<void> {
+    const nowMs = core.monotonicMs();
+    if (role === "root") {
+      this.#hub.becomeRoot();
+      this.#hub.applyLoad(nowMs);
       return this.#fallBack(nowMs);
     }
-    const address = this.#state.members.row(hub)?.peerAddress;
+    const address = this.#state.members.row(parent)?.peerAddress;
     if (address === undefined) return;
     const view = await this.#clients
-      .exchange(address, makeDigest(this.#state, nowMs));
+      .exchange(address, this.#hub.digestForParent(parent, nowMs));
     const answeredAtMs = core.monotonicMs();
     if (!view) {
-      this.#avoidedUntilMs.set(hub, answeredAtMs + HUB_AVOIDANCE_MS);
+      this.#avoidedUntilMs.set(parent, answeredAtMs + PARENT_AVOIDANCE_MS);
       return this.#fallBack(answeredAtMs);
     }
+    this.#applyView(parent, view, answeredAtMs);
+  }
+
+  #applyView(
+    parent: core.InstanceId,
+    view: peers.FleetView,
+    nowMs: number,
+  ): void {
+    const { members } = this.#state;
+    members.recordContact(parent, 0, members.accepts(parent));
     for (const { node, ageMs, accepts } of view.members) {
       const member = core.brandId<core.InstanceId>(node);
-      this.#state.members.recordContact(member, ageMs, accepts);
+      members.recordContact(member, ageMs, accepts);
     }
-    applyPeerLoad(this.#state, view.uses, answeredAtMs);
-    if (view.leaseVersion > 0n) {
-      this.#lease.noteRenewal(hub, Number(view.leaseVersion), view.leaseAgeMs);
+    const changed = this.#hub.applyParentView(view, nowMs);
+    this.#hub.applyLoad(nowMs);
+    if (view.leaseHolder !== "") {
+      this.#lease.noteRenewal({
+        holder: core.brandId<core.InstanceId>(view.leaseHolder),
+        generation: view.leaseGeneration,
+        version: view.leaseVersion,
+        ageMs: view.leaseAgeMs,
+      });
     }
-    if (view.hasOrders) {
-      this.#engineStatesAtMs = answeredAtMs;
-      applyEngineStates(this.#state, view.engines, answeredAtMs);
-    } else this.#fallBack(answeredAtMs);
+    if (!view.hasOrders) return this.#fallBack(nowMs);
+    this.#engineStatesAtMs = nowMs;
+    if (changed) applyEngineStates(this.#state, changed.engines, nowMs);
   }
 
   /** Returns the lease holder, or else the first live node by name. */
-  #chooseHub(nowMs: number): core.InstanceId {
+  #chooseRoot(
+    alive: readonly core.InstanceId[],
+    isAvoided: (node: core.InstanceId) => boolean,
+  ): core.InstanceId {
     const self = this.#state.settings.nodeName;
     const { holder } = this.#lease;
-    const isAvoided = (node: core.InstanceId) =>
-      (this.#avoidedUntilMs.get(node) ?? 0) > nowMs;
     if (holder === self) return self;
     if (
       holder !== undefined && !isAvoided(holder) &&
       this.#state.members.row(holder) !== undefined
     ) return holder;
-    const next = this.#state.members.alive().find((node) => !isAvoided(node));
-    return next ?? self;
+    return alive.find((node) => !isAvoided(node)) ?? self;
   }
 
   /**
@@ -128,3 +185,11 @@
     for (const each of this.#state.upstreams.all()) each.setListedReplicas();
   }
 }
+
+/** Whether a node exchanges with a group leader in place of the root. */
+function isInGroup(
+  { role, parent }: TreePlace,
+  holder: core.InstanceId | undefined,
+): boolean {
+  return role === "leaf" && parent !== holder;
+}
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -1,5 +1,9 @@
-/** Follows a table of the store: a full read first, then its changes. */
+/**
+ * Follows a table of the store: a full read first, then its changes. In a large
+ * fleet only a few nodes do; the others receive the changes from them.
+ */
 import * as core from "../core/mod.ts";
+import * as replica from "../replica/mod.ts";
 import type * as store from "../store/mod.ts";
 
 /** Options for following a table. */
@@ -12,15 +16,11 @@
   readonly coalesceMs: number;
 }
 
-/** Pause after a failure, jittered so that nodes do not retry in step. */
-const RETRY_DELAY_MS = 200;
-
-/** Receives the rows and changes of a table. */
-export abstract class TableListener {
-  /** Applies all rows of the table, in place of those known before. */
-  abstract applySnapshot(snapshot: store.TableSnapshot): void;
-  abstract applyChange(change: store.RowChange): void;
-}
+/** Pauses after failures, jittered so that nodes do not retry in step. */
+const RETRY_DELAY_MIN_MS = 200;
+const RETRY_DELAY_MAX_MS = 600;
+/** Interval at which a node that is no reader checks the age of its copy. */
+const CHECK_INTERVAL_MS = 250;
 
 /** Availability of the store, as seen by all tasks that follow a table. */
 export class StoreHealth {
@@ -46,73 +46,115 @@
   }
 }
 
-/** Follows one table and passes its rows and changes to a listener. */
+/** Keeps one table's copy up to date from the store. */
 export class FollowTask extends core.Task {
   override readonly name: string;
+  readonly copy: replica.TableReplica;
   readonly #store: store.ChangeFeedTableService;
-  readonly #table: string;
-  readonly #listener: TableListener;
   readonly #storeHealth: StoreHealth;
   readonly #options: FollowOptions;
+  readonly #rank: () => replica.ReaderRank;
+  readonly #wakeSignal = new core.WakeSignal();
+  #isReadRequested = false;
+  #failures = 0;
+  #readAtMs = -Infinity;
 
+  /** @param rank this node's position among those that may read the store. */
   constructor(
     store: store.ChangeFeedTableService,
-    table: string,
-    listener: TableListener,
+    copy: replica.TableReplica,
     storeHealth: StoreHealth,
     options: FollowOptions,
+    rank: () => replica.ReaderRank,
   ) {
     super();
+    this.name = `follow-${copy.name}`;
+    this.copy = copy;
     this.#options = options;
-    this.name = `follow-${table}`;
     this.#store = store;
-    this.#table = table;
-    this.#listener = listener;
     this.#storeHealth = storeHealth;
+    this.#rank = rank;
+  }
+
+  /** Makes the task read the whole table, as changes were missed. */
+  requestRead(): void {
+    this.#isReadRequested = true;
+    this.#wakeSignal.wake();
   }
 
   override async run(signal: AbortSignal): Promise<void> {
-    let version: number | undefined;
     while (!signal.aborted) {
-      version = version === undefined
-        ? await this.#readSnapshot()
-        : await this.#readChanges(version);
-      if (version === undefined || this.#hasFailed) {
-        await core.sleep(core.jitterMs(RETRY_DELAY_MS), signal);
-      } else if (this.#hasChanged && this.#options.coalesceMs > 0) {
-        await core.sleep(this.#options.coalesceMs, signal);
-      }
+      const pauseMs = await this.#step();
+      if (pauseMs > 0) await this.#wakeSignal.wait(pauseMs, signal);
     }
   }
 
-  #hasFailed = false;
-  #hasChanged = false;
+  /** Reads or follows the table if it is this node's turn; returns a pause. */
+  async #step(): Promise<number> {
+    const { cursor } = this.copy;
+    const isRestored = cursor !== undefined &&
+      cursor.generation < this.#store.generation;
+    if (cursor === undefined || isRestored || this.#isReadRequested) {
+      return await this.#readSnapshot();
+    }
+    const rank = this.#rank();
+    if (replica.isReader(rank)) {
+      return await this.#readChanges(cursor, this.#options.waitMs);
+    }
+    const { afterMs, intervalMs } = replica.staleReadTimes(rank);
+    const dueAtMs = Math.max(
+      this.copy.confirmedAtMs + afterMs,
+      this.#readAtMs + intervalMs,
+    );
+    const waitMs = dueAtMs - core.monotonicMs();
+    if (waitMs > 0) return Math.min(waitMs, CHECK_INTERVAL_MS);
+    return await this.#readChanges(cursor, 0);
+  }
 
-  async #readSnapshot(): Promise<number | undefined> {
-    const snapshot = await this.#store.readTable(this.#table);
-    this.#hasFailed = snapshot.isErr();
+  async #readSnapshot(): Promise<number> {
+    this.#isReadRequested = false;
+    this.#readAtMs = core.monotonicMs();
+    const snapshot = await this.#store.readTable(this.copy.name);
     if (snapshot.isErr()) {
-      this.#storeHealth.recordFailure(snapshot.error.detail);
-      return undefined;
+      this.#isReadRequested = true;
+      return this.#recordFailure(snapshot.error.detail);
     }
-    this.#storeHealth.recordSuccess();
-    this.#listener.applySnapshot(snapshot.value);
-    return snapshot.value.version;
+    this.#recordSuccess();
+    this.copy.applySnapshot(snapshot.value);
+    this.copy.confirm(this.copy.cursor, this.#readAtMs);
+    return 0;
   }
 
-  async #readChanges(version: number): Promise<number | undefined> {
+  async #readChanges(cursor: replica.Cursor, waitMs: number): Promise<number> {
+    this.#readAtMs = core.monotonicMs();
     const result = await this.#store
-      .follow(this.#table, version, this.#options.waitMs);
-    this.#hasFailed = result.isErr();
-    this.#hasChanged = false;
-    if (result.isErr()) {
-      this.#storeHealth.recordFailure(result.error.detail);
-      return version;
+      .follow(this.copy.name, cursor.version, waitMs);
+    if (result.isErr()) return this.#recordFailure(result.error.detail);
+    this.#recordSuccess();
+    if (result.value.outcome === "historyGone") {
+      this.#isReadRequested = true;
+      return 0;
     }
+    const { changes, version } = result.value;
+    const outcome = this.copy.applyChanges(
+      cursor,
+      Math.max(version, cursor.version),
+      changes,
+    );
+    if (outcome === "gap") this.#isReadRequested = true;
+    else this.copy.confirm(this.copy.cursor, core.monotonicMs());
+    return changes.length > 0 ? this.#options.coalesceMs : 0;
+  }
+
+  #recordSuccess(): void {
+    this.#failures = 0;
     this.#storeHealth.recordSuccess();
-    if (result.value.outcome === "historyGone") return undefined;
-    this.#hasChanged = result.value.changes.length > 0;
-    for (const row of result.value.changes) this.#listener.applyChange(row);
-    return Math.max(version, result.value.version);
+  }
+
+  #recordFailure(detail: string): number {
+    this.#failures++;
+    this.#storeHealth.recordFailure(detail);
+    const delayMs = RETRY_DELAY_MIN_MS * 2 ** (this.#failures - 1);
+    return core.jitterMs(Math.min(delayMs, RETRY_DELAY_MAX_MS));
   }
 }
--- a/packages/entry/entry_listeners.ts
+++ b/packages/entry/entry_listeners.ts
@@ -1,16 +1,22 @@
 /** Listeners that apply rows of the store to the node's state. */
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as replica from "../replica/mod.ts";
 import type * as store from "../store/mod.ts";
-import { type StoreHealth, TableListener } from "./entry_follow_task.ts";
+import type { StoreHealth } from "./entry_follow_task.ts";
 import { MEMBER_PREFIX, MemberRowCodec } from "./entry_members.ts";
 import type { EntryState } from "./entry_state.ts";
 
-/** Time after a store failure in which upstreams may register again. */
+/**
+ * Time after a failure or a restore of the store in which upstreams may register
+ * again.
+ */
 const REMOVAL_GRACE_MS = 2_200;
+/** Removed upstreams that are remembered. */
+const DEPARTED_MAX = 1_000;
 
 /** Applies the operator's configuration. */
-export class ConfigListener extends TableListener {
+export class ConfigListener extends replica.TableListener {
   readonly #state: EntryState;
   readonly #source: fleet.FleetSource;
   readonly #upstreamListener: UpstreamListener;
@@ -44,7 +50,7 @@
 }
 
 /** Applies the upstream table. */
-export class UpstreamListener extends TableListener {
+export class UpstreamListener extends replica.TableListener {
   readonly #state: EntryState;
   readonly #source: fleet.FleetSource;
   readonly #storeHealth: StoreHealth;
@@ -53,6 +59,10 @@
     core.UpstreamId,
     ReturnType<typeof setTimeout>
   >();
+  /** Starts of the last incarnations of removed upstreams. */
+  readonly #departedStartsMs = new Map<core.UpstreamId, number>();
+  #generation: number | undefined;
+  #restoredAtMs = -Infinity;
   /** Called when an upstream was added, changed or removed. */
   onChange: () => void = () => {};
 
@@ -72,15 +82,38 @@
     });
   }
 
-  override applySnapshot({ rows }: store.TableSnapshot): void {
+  override applySnapshot({ rows, generation }: store.TableSnapshot): void {
+    const isRestored = this.#generation !== undefined &&
+      generation > this.#generation;
+    this.#generation = generation;
+    if (isRestored) this.#restoredAtMs = core.monotonicMs();
     const listed = new Set(rows.map(({ key }) => key));
     for (const { record } of [...this.#state.upstreams.all()]) {
       if (!listed.has(record.id)) this.#remove(record.id, "not listed");
     }
-    for (const row of rows) this.applyChange(row);
+    for (const row of rows) {
+      if (!isRestored || !this.#hasDeparted(row)) this.applyChange(row);
+    }
     this.#state.hasReadUpstreams = true;
   }
 
+  /** Whether a restored row is of an incarnation that was removed here. */
+  #hasDeparted({ key, value, version }: store.StoredRow): boolean {
+    const startedAtMs = this.#departedStartsMs
+      .get(core.brandId<core.UpstreamId>(key));
+    if (startedAtMs === undefined) return false;
+    const record = this.#source.decodeUpstream(key, value);
+    if (record.isErr() || record.value.startedAtMs !== startedAtMs) {
+      return false;
+    }
+    this.#state.logger.info("upstream_restored_ignored", {
+      upstream: key,
+      version,
+      generation: this.#generation,
+    });
+    return true;
+  }
+
   override applyChange({ key, version, value }: store.RowChange): void {
     const id = core.brandId<core.UpstreamId>(key);
     if (value === undefined) return this.#remove(id, "row deleted");
@@ -109,22 +142,34 @@
   #remove(id: core.UpstreamId, reason: string): void {
     if (!this.#state.upstreams.get(id) || this.#pendingRemovals.has(id)) return;
     const sinceFailureMs = core.monotonicMs() -
-      this.#storeHealth.lastFailureAtMs;
+      Math.max(this.#storeHealth.lastFailureAtMs, this.#restoredAtMs);
     if (sinceFailureMs > REMOVAL_GRACE_MS || this.#lifecycle.signal.aborted) {
-      this.#state.removeUpstream(id, reason);
-      return this.onChange();
+      return this.#removeNow(id, reason);
     }
     const timer = setTimeout(() => {
       this.#pendingRemovals.delete(id);
-      this.#state.removeUpstream(
+      this.#removeNow(
         id,
         `${reason}, not registered again after a store failure`,
       );
-      this.onChange();
     }, REMOVAL_GRACE_MS - sinceFailureMs);
     this.#pendingRemovals.set(id, timer);
   }
 
+  #removeNow(id: core.UpstreamId, reason: string): void {
+    const upstream = this.#state.upstreams.get(id);
+    if (upstream) {
+      this.#departedStartsMs.delete(id);
+      this.#departedStartsMs.set(id, upstream.record.startedAtMs);
+      const [oldest] = this.#departedStartsMs.keys();
+      if (this.#departedStartsMs.size > DEPARTED_MAX && oldest) {
+        this.#departedStartsMs.delete(oldest);
+      }
+    }
+    this.#state.removeUpstream(id, reason);
+    this.onChange();
+  }
+
   #cancelRemoval(id: core.UpstreamId): void {
     clearTimeout(this.#pendingRemovals.get(id));
     this.#pendingRemovals.delete(id);
@@ -132,7 +177,7 @@
 }
 
 /** Applies the member rows of the entry nodes. */
-export class MemberListener extends TableListener {
+export class MemberListener extends replica.TableListener {
   readonly #state: EntryState;
 
   constructor(state: EntryState) {
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -13,6 +13,8 @@
 
 /** A member without contact for this long counts as dead. */
 const MEMBER_TIMEOUT_MS = 1_500;
+/** Contacts older than this are not passed on to other nodes. */
+const CONTACT_AGE_MAX_MS = 3_000;
 /** A member counts as alive for this long after its row was first seen. */
 const NEW_MEMBER_GRACE_MS = 2_500;
 
@@ -27,6 +29,13 @@
 /** The row by which a node registers itself in the store. */
 export type MemberRow = purify.GetType<typeof MemberRowCodec>;
 
+/** Last contact of a member with any node. */
+export interface MemberContact {
+  readonly node: core.InstanceId;
+  readonly ageMs: number;
+  readonly accepts: boolean;
+}
+
 interface Member {
   row: MemberRow;
   rowSeenAtMs: number;
@@ -38,6 +47,8 @@
 export class Members {
   readonly #self: core.InstanceId;
   readonly #members = new Map<core.InstanceId, Member>();
+  /** Incarnations that a later one has replaced; an older row may return. */
+  readonly #replacedIncarnations = new Set<string>();
 
   constructor(self: core.InstanceId) {
     this.#self = self;
@@ -51,6 +62,8 @@
       existing.row = row;
       return;
     }
+    if (this.#replacedIncarnations.has(row.incarnation)) return;
+    if (existing) this.#replacedIncarnations.add(existing.row.incarnation);
     const lastContactAtMs = -Infinity;
     this.#members.set(node, {
       row,
@@ -81,10 +94,26 @@
     member.acceptsRequests = accepts;
   }
 
+  /** Whether a member accepts callers, as far as this node knows. */
+  accepts(node: core.InstanceId): boolean {
+    return this.#members.get(node)?.acceptsRequests ?? false;
+  }
+
   row(node: core.InstanceId): MemberRow | undefined {
     return this.#members.get(node)?.row;
   }
 
+  /** Returns the recent contacts of the other members. */
+  contacts(nowMs: number): MemberContact[] {
+    const contacts: MemberContact[] = [];
+    for (const [node, { lastContactAtMs, acceptsRequests }] of this.#members) {
+      const ageMs = Math.max(0, Math.round(nowMs - lastContactAtMs));
+      if (node === this.#self || ageMs > CONTACT_AGE_MAX_MS) continue;
+      contacts.push({ node, ageMs, accepts: acceptsRequests });
+    }
+    return contacts;
+  }
+
   /** Whether a member had contact recently, or is too new to have had any. */
   isAlive(node: core.InstanceId): boolean {
     if (node === this.#self) return true;
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -4,6 +4,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
+import * as replica from "../replica/mod.ts";
 import type * as store from "../store/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { ExchangeHub } from "./entry_exchange.ts";
@@ -12,7 +13,6 @@
   type FollowOptions,
   FollowTask,
   StoreHealth,
-  type TableListener,
 } from "./entry_follow_task.ts";
 import {
   ConfigListener,
@@ -29,6 +29,7 @@
 import { OrdersTask } from "./entry_orders_task.ts";
 import { EntryUpstreamSelector } from "./entry_selector.ts";
 import { EntryState } from "./entry_state.ts";
+import { TableNewsExchange } from "./entry_table_news.ts";
 
 /** What the platform provides to an entry node. */
 export interface EntryDependencies {
@@ -48,7 +49,7 @@
 /** A stop ends at the latest this long before the grace period is over. */
 const GRACE_MARGIN_MS = 400;
 const STOP_POLL_MS = 50;
-/** Pause between attempts to write this node's member row. */
+/** Interval at which the member row is written, if it has to be. */
 const MEMBER_ROW_RETRY_MS = 300;
 
 /**
@@ -57,9 +58,9 @@
  * the upstream table come in bursts and must be applied within 2 s. Member rows
  * may be later, because members exchange most of their state directly.
  */
-const CONFIG_FOLLOW = { waitMs: 2_000, coalesceMs: 0 };
-const UPSTREAM_FOLLOW = { waitMs: 2_000, coalesceMs: 150 };
-const MEMBER_FOLLOW = { waitMs: 8_000, coalesceMs: 100 };
+const CONFIG_FOLLOW = { waitMs: 1_000, coalesceMs: 0 };
+const UPSTREAM_FOLLOW = { waitMs: 1_000, coalesceMs: 150 };
+const MEMBER_FOLLOW = { waitMs: 1_000, coalesceMs: 100 };
 
 /** Passes digests of other nodes to the hub. */
 class HubHandler extends peers.FleetHandler {
@@ -82,10 +83,12 @@
   readonly #lifecycle = new core.Lifecycle();
   readonly #supervisor: core.Supervisor;
   readonly #hub: ExchangeHub;
+  readonly #followTasks: readonly FollowTask[];
   readonly #lease: orders.OrderLease;
   readonly #selector: EntryUpstreamSelector;
   readonly #callerListener: CallerListener;
-  #isMemberRowWritten = false;
+  /** Generation of the store in which the member row was written. */
+  #rowGeneration: number | undefined;
 
   constructor(
     settings: fleet.EntrySettings,
@@ -95,7 +98,9 @@
     this.state = new EntryState(settings, logger);
     this.#dependencies = dependencies;
     this.#supervisor = new core.Supervisor("entry", logger);
-    this.#hub = new ExchangeHub(this.state);
+    this.#followTasks = this.#createFollowTasks();
+    const tables = this.#followTasks;
+    this.#hub = new ExchangeHub(this.state, new TableNewsExchange(tables));
     this.#lease = new orders.OrderLease(dependencies.store, {
       key: `${LEASE_TABLE}/holder`,
       self: settings.nodeName,
@@ -117,7 +122,6 @@
   /** Starts the listeners, then the tasks. */
   async start(): Promise<void> {
     const { settings, logger } = this.state;
-    const storeHealth = new StoreHealth(logger);
     const hub = this.#hub;
     const clients = new peers.FleetClients(logger);
     this.#lifecycle.addCleanup(() => clients.close());
@@ -131,7 +135,7 @@
       await this.#callerListener.listen(settings.listen.callers),
     );
     this.#lifecycle.addCleanup(() => this.#supervisor.stop());
-    this.#startTasks(storeHealth, hub, clients);
+    this.#startTasks(hub, clients);
     logger.info("started", {
       node: settings.nodeName,
       incarnation: this.state.incarnation,
@@ -182,23 +186,55 @@
     return this.#lifecycle.close();
   }
 
-  #startTasks(
-    storeHealth: StoreHealth,
-    hub: ExchangeHub,
-    clients: peers.FleetClients,
-  ): void {
+  /** Creates the tasks that keep the copies of the store's tables. */
+  #createFollowTasks(): FollowTask[] {
     const { state } = this;
-    const { source, store, control } = this.#dependencies;
-    const lease = this.#lease;
+    const { source, store } = this.#dependencies;
+    const storeHealth = new StoreHealth(state.logger);
     const upstreamListener = new UpstreamListener(
       state,
       source,
       storeHealth,
       this.#lifecycle,
     );
-    const configListener = new ConfigListener(state, source, upstreamListener);
-    const memberListener = new MemberListener(state);
-    const ordersTask = new OrdersTask(state, hub, lease, control);
+    upstreamListener.onChange = () => this.#selector.selectForQueued();
+    const tables: [replica.TableReplicaOptions, FollowOptions][] = [
+      [{
+        name: source.configTable,
+        listener: new ConfigListener(state, source, upstreamListener),
+      }, CONFIG_FOLLOW],
+      [{
+        name: source.upstreamTable,
+        listener: upstreamListener,
+        significantPart: (value) => source.significantUpstreamPart(value),
+      }, UPSTREAM_FOLLOW],
+      [
+        { name: NODE_TABLE, listener: new MemberListener(state) },
+        MEMBER_FOLLOW,
+      ],
+    ];
+    const rank = () =>
+      replica.rankReader(state.settings.nodeName, state.members.alive());
+    return tables.map(([options, followOptions]) =>
+      new FollowTask(
+        store,
+        new replica.TableReplica(options),
+        storeHealth,
+        followOptions,
+        rank,
+      )
+    );
+  }
+
+  #startTasks(hub: ExchangeHub, clients: peers.FleetClients): void {
+    const { state } = this;
+    const lease = this.#lease;
+    const ordersTask = new OrdersTask(
+      state,
+      hub,
+      lease,
+      this.#dependencies.control,
+    );
     const exchange = new ExchangeTask(
       state,
       hub,
@@ -206,27 +242,22 @@
       clients,
       this.#selector,
     );
-    hub.renewal = () => lease.renewal;
-    hub.engineStates = () => ordersTask.engineStates();
-    hub.onQueued = () => ordersTask.wakeSignal.wake();
+    hub.connect({
+      engineStates: () => ordersTask.engineStates(),
+      lastRenewal: () => lease.lastRenewal,
+      onQueued: () => {
+        if (lease.isHeld) ordersTask.wakeSignal.wake();
+        else exchange.noteQueuedBelow();
+      },
+    });
     this.#selector.onQueued = () => {
       exchange.wakeSignal.wake();
       if (lease.isHeld) ordersTask.wakeSignal.wake();
     };
-    upstreamListener.onChange = () => this.#selector.selectForQueued();
     const follow = this.#supervisor.child("follow");
-    const followed: [string, TableListener, FollowOptions][] = [
-      [source.configTable, configListener, CONFIG_FOLLOW],
-      [source.upstreamTable, upstreamListener, UPSTREAM_FOLLOW],
-      [NODE_TABLE, memberListener, MEMBER_FOLLOW],
-    ];
-    for (const [table, listener, options] of followed) {
-      follow.start(
-        new FollowTask(store, table, listener, storeHealth, options),
-      );
-    }
+    for (const task of this.#followTasks) follow.start(task);
     this.#supervisor.start(
-      new MemberRowTask((signal) => this.#ensureMemberRow(signal)),
+      new MemberRowTask((signal) => this.#keepMemberRow(signal)),
     );
     this.#supervisor.start(exchange);
     this.#supervisor.start(lease);
@@ -234,14 +265,17 @@
   }
 
   /**
-   * Retries writing this node's member row until the store has committed it.
+   * Writes this node's member row, and again after each restore of the store,
+   * whose copy may lack it. Retries until the store has committed it.
    */
-  async #ensureMemberRow(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !this.#isMemberRowWritten) {
-      await this.#writeMemberRow(false);
-      if (!this.#isMemberRowWritten) {
-        await core.sleep(core.jitterMs(MEMBER_ROW_RETRY_MS), signal);
+  async #keepMemberRow(signal: AbortSignal): Promise<void> {
+    const { store } = this.#dependencies;
+    while (!signal.aborted) {
+      const isWritten = this.#rowGeneration === store.generation;
+      if (!isWritten && !this.state.isStopping) {
+        await this.#writeMemberRow(false);
       }
+      await core.sleep(core.jitterMs(MEMBER_ROW_RETRY_MS), signal);
     }
   }
 
@@ -267,7 +301,7 @@
       logger.warn("member_row_not_written", { isLeaving, detail });
       return;
     }
-    this.#isMemberRowWritten = true;
+    this.#rowGeneration = this.#dependencies.store.generation;
   }
 
   /** Starts the readiness, directory and metrics endpoints. */
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -6,6 +6,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as placement from "../placement/mod.ts";
+import type { EngineOrderState } from "./entry_engine_states.ts";
 import type { ExchangeHub } from "./entry_exchange.ts";
 import type { EntryState } from "./entry_state.ts";
 import {
@@ -32,14 +33,6 @@
 const PEAK_WORK_WINDOW_MS = 4_000;
 const MS_PER_S = 1_000;
 
-/** What an engine holds, as the lease holder knows it. */
-export interface EngineOrderState {
-  readonly record: fleet.UpstreamRecord;
-  readonly inventory: orders.EngineInventory;
-  /** When the last order was sent, in ms of the monotonic clock. */
-  readonly lastOrderAtMs: number | undefined;
-}
-
 /** An engine to which this node sends orders. */
 interface ManagedEngine {
   readonly sender: orders.OrderSender;
--- a/packages/fleet/fleet_source.ts
+++ b/packages/fleet/fleet_source.ts
@@ -18,4 +18,11 @@
     key: string,
     value: core.JsonValue,
   ): Result<UpstreamRecord, string>;
+  /**
+   * The part of an upstream's row whose changes matter; a row in which only the
+   * rest differs is a heartbeat.
+   */
+  significantUpstreamPart(value: core.JsonValue): core.JsonValue {
+    return value;
+  }
 }
--- a/packages/orders/mod.ts
+++ b/packages/orders/mod.ts
@@ -2,7 +2,11 @@
 export { EngineInventory, isUsable } from "./orders_inventory.ts";
 export type { ModelPhase, TrackedModel } from "./orders_inventory.ts";
 export { OrderLease } from "./orders_lease.ts";
-export type { LeaseRow, OrderLeaseOptions } from "./orders_lease.ts";
+export type {
+  LeaseRenewal,
+  LeaseRow,
+  OrderLeaseOptions,
+} from "./orders_lease.ts";
 export { OrderSender } from "./orders_sender.ts";
 export type {
   OrderRequest,
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -6,7 +6,7 @@
  */
 import * as purify from "purify-ts";
 import * as core from "../core/mod.ts";
-import type * as store from "../store/mod.ts";
+import * as store from "../store/mod.ts";
 
 /** Interval between renewals. */
 const RENEW_INTERVAL_MS = 500;
@@ -24,7 +24,10 @@
 const RENEW_RETRY_MS = 50;
 /** Interval at which other nodes check whether the holder has renewed. */
 const POLL_INTERVAL_MS = 50;
-/** Interval between reads of the row while the holder announces no renewals. */
+/**
+ * Interval between reads of the row while the holder announces no renewals; it
+ * grows with the rank, as a large fleet would make many reads.
+ */
 const READ_INTERVAL_MS = 300;
 /** Time for which an announced renewal makes reading the row unnecessary. */
 const RENEWAL_FRESH_MS = 400;
@@ -36,16 +39,26 @@
   readonly incarnation: string;
   /** Set when the holder has released the lease. */
   readonly isFree: boolean;
+  /**
+   * Generation of the store in which the row was written. In a later one, the
+   * row is from an old copy, and another node may have held the lease since.
+   */
+  readonly generation: number;
 }
 
 const LeaseRowCodec = purify.Codec.interface({
   holder: purify.string,
   incarnation: purify.string,
   isFree: purify.boolean,
+  generation: purify.optional(purify.number),
 });
 
 function toLeaseRow(row: purify.GetType<typeof LeaseRowCodec>): LeaseRow {
-  return { ...row, holder: core.brandId<core.InstanceId>(row.holder) };
+  return {
+    ...row,
+    holder: core.brandId<core.InstanceId>(row.holder),
+    generation: row.generation ?? 0,
+  };
 }
 
 /** Options of a lease. */
@@ -68,14 +81,37 @@
   readonly followers: () => number;
 }
 
+/** A renewal of the lease, as announced by its holder. */
+export interface LeaseRenewal {
+  readonly holder: core.InstanceId;
+  readonly generation: number;
+  readonly version: number;
+  /** Time since the renewal was sent. */
+  readonly ageMs: number;
+}
+
 /** The row as last read, written or announced. */
 interface ObservedRow {
   readonly row: LeaseRow | undefined;
+  /** Generation of the store to which the version belongs. */
+  readonly generation: number;
   readonly version: number;
   /** When it was renewed, or first seen here, on the monotonic clock. */
   readonly atMs: number;
 }
 
+/** Whether a row was written in the given generation of the store. */
+function isOfGeneration(
+  row: LeaseRow | undefined,
+  generation: number,
+): row is LeaseRow {
+  return row !== undefined && row.generation === generation;
+}
+
+function toOrdinal({ generation, version }: ObservedRow): number {
+  return store.toOrdinal(generation, version);
+}
+
 /** Acquires, renews and releases the order lease. */
 export class OrderLease extends core.Task {
   override readonly name = "order-lease";
@@ -128,20 +164,34 @@
     return this.#ordersAllowedFromMs;
   }
 
-  /** The row's version and the age of its renewal, while the lease is held. */
-  get renewal(): { version: number; ageMs: number } | undefined {
-    if (!this.isHeld || !this.#observed) return undefined;
-    const ageMs = core.monotonicMs() - this.#renewedAtMs;
-    return { version: this.#observed.version, ageMs };
+  /** The last renewal that this node knows of, its own or an announced one. */
+  get lastRenewal(): LeaseRenewal | undefined {
+    const { holder } = this;
+    if (!this.#observed || holder === undefined) return undefined;
+    const { generation, version, atMs } = this.#observed;
+    if (this.#fencingToken !== undefined && !this.isHeld) return undefined;
+    const renewedAtMs = this.isHeld ? this.#renewedAtMs : atMs;
+    return {
+      holder,
+      generation,
+      version,
+      ageMs: core.monotonicMs() - renewedAtMs,
+    };
   }
 
-  /** Records a renewal that the holder itself announced. */
-  noteRenewal(holder: core.InstanceId, version: number, ageMs: number): void {
+  /** Records a renewal that the holder announced. */
+  noteRenewal({ holder, generation, version, ageMs }: LeaseRenewal): void {
     if (this.#fencingToken !== undefined) return;
-    if (this.#observed && version < this.#observed.version) return;
-    const row = { holder, incarnation: "", isFree: false };
-    this.#observed = { row, version, atMs: core.monotonicMs() - ageMs };
-    this.#renewalNotedAtMs = core.monotonicMs();
+    if (generation < this.#store.generation) return;
+    const ordinal = store.toOrdinal(generation, version);
+    if (this.#observed && ordinal < toOrdinal(this.#observed)) return;
+    const row = { holder, incarnation: "", isFree: false, generation };
+    const atMs = core.monotonicMs() - ageMs;
+    this.#observed = { row, generation, version, atMs };
+    // An old renewal that nodes pass on says nothing about the next one.
+    if (ageMs < RENEW_INTERVAL_MS + RENEWAL_FRESH_MS) {
+      this.#renewalNotedAtMs = core.monotonicMs();
+    }
   }
 
   /**
@@ -195,8 +245,9 @@
 
   /** Reads the row if the holder announces nothing; acquires it if expired. */
   async #poll(): Promise<boolean> {
-    const { isEligible, key } = this.#options;
+    const { isEligible, key, rank } = this.#options;
     if (this.#isReleasing || !isEligible()) return true;
+    this.#dropOutdatedRow();
     const nowMs = core.monotonicMs();
     const isFresh = this.#observed &&
       nowMs - this.#observed.atMs < VALID_FOR_MS;
@@ -205,7 +256,7 @@
     }
     if (nowMs < this.#acquireFromMs) return true;
     if (this.#mayAcquire()) await this.#acquire();
-    else if (nowMs - this.#readAtMs >= READ_INTERVAL_MS) {
+    else if (nowMs - this.#readAtMs >= READ_INTERVAL_MS * (1 + rank())) {
       this.#readAtMs = nowMs;
       const rows = await this.#store.read({ keys: [key] });
       if (rows.isOk()) this.#observeRows(rows.value);
@@ -213,11 +264,25 @@
     return true;
   }
 
+  /** Forgets a row of an earlier generation of the store. */
+  #dropOutdatedRow(): void {
+    const { generation } = this.#store;
+    if (!this.#observed || this.#observed.generation >= generation) return;
+    this.#logger.warn("lease_row_outdated", {
+      before: this.#observed.generation,
+      now: generation,
+      holder: this.holder,
+    });
+    this.#observed = undefined;
+    this.#readAtMs = -Infinity;
+  }
+
   /** Records a row that was read; a known version keeps its first time. */
   #observeRows(rows: readonly store.StoredRow[]): void {
     const current = rows.find(({ key }) => key === this.#options.key);
     const version = current?.version ?? 0;
-    if (this.#observed && version <= this.#observed.version) return;
+    const ordinal = store.toOrdinal(this.#store.generation, version);
+    if (this.#observed && ordinal <= toOrdinal(this.#observed)) return;
     const row = core.decodeValue(current?.value ?? null, LeaseRowCodec);
     if (current && row.isErr()) {
       this.#logger.error("lease_unreadable", { version, reason: row.error });
@@ -226,10 +291,19 @@
   }
 
   #observe(row: LeaseRow | undefined, version: number): void {
-    this.#observed = { row, version, atMs: core.monotonicMs() };
+    const { generation } = this.#store;
+    const atMs = core.monotonicMs();
+    this.#observed = { row, generation, version, atMs };
+  }
+
+  /** Whether the store was restored since this node acquired the lease. */
+  get #wasRestored(): boolean {
+    return this.#observed?.generation !== this.#store.generation;
   }
 
   #isValid(): boolean {
+    // The restored copy may lack the lease, so that another node takes it.
+    if (this.#wasRestored) return false;
     const elapsedMs = core.monotonicMs() - this.#renewedAtMs;
     const wallMs = Date.now() - this.#renewedAtWallMs;
     // The monotonic clock does not count time in which the node is suspended.
@@ -255,11 +329,15 @@
     const { isEligible, rank } = this.#options;
     if (this.#isReleasing || !this.#observed || !isEligible()) return false;
     const { row, atMs } = this.#observed;
-    if (row?.holder === this.#options.self) return true;
     const waitMs = rank() * CANDIDATE_STAGGER_MS;
     const ageMs = core.monotonicMs() - atMs;
-    if (!row || row.isFree) return ageMs >= waitMs;
-    return ageMs >= VALID_FOR_MS + waitMs;
+    if (!row && this.#observed.generation === 0) return ageMs >= waitMs;
+    // Without a row of this generation, another node may hold the lease still.
+    if (!isOfGeneration(row, this.#observed.generation)) {
+      return ageMs >= VALID_FOR_MS + waitMs;
+    }
+    if (row.holder === this.#options.self) return true;
+    return ageMs >= (row.isFree ? waitMs : VALID_FOR_MS + waitMs);
   }
 
   async #acquire(): Promise<void> {
@@ -275,7 +353,7 @@
       return this.#observeConflict(outcome.value.rows);
     }
     const { version } = outcome.value;
-    this.#fencingToken = version;
+    this.#fencingToken = store.toOrdinal(this.#store.generation, version);
     this.#renewedAtMs = sentAtMs;
     this.#renewedAtWallMs = sentAtWallMs;
     this.#followersAtRenewal = this.#options.followers();
@@ -293,18 +371,23 @@
   #earliestOrderAtMs(previous: ObservedRow): number {
     const { leaseMs, enginesCheckFences } = this.#options;
     if (enginesCheckFences) return 0;
+    const { row, generation, atMs } = previous;
+    // The first row of a store that was never restored has no predecessor.
+    if (!row && generation === 0) return 0;
+    if (!isOfGeneration(row, generation)) return atMs + VALID_FOR_MS + leaseMs;
     // Orders of this node before a restart count as its own.
-    if (!previous.row || previous.row.holder === this.#options.self) return 0;
-    if (previous.row.isFree) return previous.atMs + leaseMs;
-    return previous.atMs + VALID_FOR_MS + leaseMs;
+    if (row.holder === this.#options.self) return 0;
+    return atMs + (row.isFree ? 0 : VALID_FOR_MS) + leaseMs;
   }
 
   async #renew(): Promise<boolean> {
     const sentAtMs = core.monotonicMs();
     const sentAtWallMs = Date.now();
+    if (this.#wasRestored) return this.#loseToRestore();
     const version = this.#observed!.version;
     const outcome = await this.#write(version, false);
     if (this.#fencingToken === undefined) return true;
+    if (this.#wasRestored) return this.#loseToRestore();
     if (outcome.isErr()) {
       if (!this.#isValid()) this.#lose(outcome.error.detail);
       return false;
@@ -330,6 +413,12 @@
     if (!isOwn && this.#fencingToken !== undefined) this.#lose("taken over");
   }
 
+  #loseToRestore(): false {
+    this.#lose("the store was restored from an older copy");
+    this.#dropOutdatedRow();
+    return false;
+  }
+
   #lose(reason: string): void {
     this.#fencingToken = undefined;
     this.#logger.warn("orders_lost", { reason, holder: this.holder });
@@ -337,7 +426,8 @@
 
   #ownRow(isFree: boolean): LeaseRow {
     const { self, incarnation } = this.#options;
-    return { holder: self, incarnation, isFree };
+    const { generation } = this.#store;
+    return { holder: self, incarnation, isFree, generation };
   }
 
   #write(version: number, isFree: boolean) {
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -14,6 +14,18 @@
   row: store.StoredRow | undefined;
   readonly cutOff = new Set<string>();
   losesReplies = false;
+  #generation = 0;
+
+  override get generation(): number {
+    return this.#generation;
+  }
+
+  /** Comes back from an older copy, in which the row had this state. */
+  restore(copy: store.StoredRow | undefined): void {
+    this.#generation++;
+    this.row = copy;
+    this.version = copy?.version ?? 0;
+  }
 
   override read(): Promise<
     Result<readonly store.StoredRow[], store.StoreFailure>
@@ -176,8 +188,8 @@
       const self = core.brandId<core.InstanceId>("a");
       // The holder keeps announcing its old renewal.
       const announcing = setInterval(() => {
-        const { renewal } = holder;
-        if (renewal) standby.noteRenewal(self, renewal.version, renewal.ageMs);
+        const renewal = holder.lastRenewal;
+        if (renewal?.holder === self) standby.noteRenewal(renewal);
       }, 20);
       await waitUntil(() => standby.isHeld);
       clearInterval(announcing);
@@ -250,7 +262,7 @@
   };
   await withLeases([standby], async () => {
     for (let count = 0; count < 10; count++) {
-      standby.noteRenewal(holder, 1, 0);
+      standby.noteRenewal({ holder, generation: 0, version: 1, ageMs: 0 });
       await core.sleep(50);
     }
     t.is(standby.holder, holder);
@@ -290,9 +302,96 @@
       Date.now = () => wallNow() + 5_000;
       t.is(lease.fencingToken, undefined);
       await waitUntil(() => lease.fencingToken !== undefined);
-      t.is(table.row?.version, lease.renewal?.version);
+      t.is(table.row?.version, lease.lastRenewal?.version);
     });
   } finally {
     Date.now = wallNow;
   }
 });
+
+/** Counts the moments at which two leases may send orders at the same time. */
+async function countOverlaps(
+  leases: readonly orders.OrderLease[],
+  untilMs: number,
+): Promise<number> {
+  const endsAtMs = core.monotonicMs() + untilMs;
+  let overlaps = 0;
+  while (core.monotonicMs() < endsAtMs) {
+    const tokens = leases.filter(({ fencingToken }) => fencingToken);
+    if (tokens.length > 1) overlaps++;
+    await core.sleep(5);
+  }
+  return overlaps;
+}
+
+test("fencing tokens rise across restores of the store, also repeated ones", async (t) => {
+  const table = new MemoryTable();
+  const leases = [makeLease(table, "a", true), makeLease(table, "b", true)];
+  await withLeases(leases, async () => {
+    const tokens: number[] = [];
+    for (let restores = 0; restores < 3; restores++) {
+      await waitUntil(() => leases.some(({ isHeld }) => isHeld));
+      await core.sleep(700);
+      const holder = leases.find(({ isHeld }) => isHeld)!;
+      tokens.push(holder.fencingToken!);
+      // Versions are given out again from an empty table.
+      table.restore(undefined);
+      t.is(holder.fencingToken, undefined, "still held after a restore");
+    }
+    for (const [index, token] of tokens.entries()) {
+      t.true(index === 0 || token > tokens[index - 1]!, tokens.join(" "));
+    }
+  });
+});
+
+test("a holder whose row a restore has lost does not go on beside the next one", async (t) => {
+  const table = new MemoryTable();
+  const first = makeLease(table, "a");
+  const second = makeLease(table, "b");
+  await withLeases([first, second], async () => {
+    await waitUntil(() => first.isHeld || second.isHeld);
+    const before = first.isHeld ? "a" : "b";
+    const other = before === "a" ? "b" : "a";
+    // The copy shows that the other node held the lease at that time.
+    table.restore({
+      key: KEY,
+      version: 1,
+      value: { holder: other, incarnation: `${other}-1`, isFree: false },
+    });
+    const restoredAtMs = core.monotonicMs();
+    t.is(await countOverlaps([first, second], 1_200), 0);
+    t.false(first.isHeld || second.isHeld, "taken while it may still be held");
+    await waitUntil(() => first.isHeld || second.isHeld);
+    const next = first.isHeld ? first : second;
+    t.true(next.ordersAllowedFromMs >= restoredAtMs + 1_500 + LEASE_MS);
+  });
+});
+
+test("a renewal that arrives after a restore does not renew the lease", async (t) => {
+  const table = new MemoryTable();
+  const lease = makeLease(table, "a");
+  await withLeases([lease], async () => {
+    await waitUntil(() => lease.isHeld);
+    const fencingToken = lease.fencingToken!;
+    // The row is restored at the very version that the holder expects.
+    table.restore({ ...table.row! });
+    t.is(lease.fencingToken, undefined);
+    await waitUntil(() => lease.fencingToken !== undefined);
+    t.true(lease.fencingToken! > fencingToken);
+  });
+});
+
+test("a restarted node does not trust its own row in a restored copy", async (t) => {
+  const table = new MemoryTable();
+  table.restore({
+    key: KEY,
+    version: 7,
+    value: { holder: "a", incarnation: "a-0", isFree: false, generation: 0 },
+  });
+  const lease = makeLease(table, "a");
+  const startedAtMs = core.monotonicMs();
+  await withLeases([lease], async () => {
+    await waitUntil(() => lease.isHeld);
+    t.true(core.monotonicMs() - startedAtMs >= 1_500);
+  });
+});
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -30,15 +30,20 @@
   ResolveClaimRequest,
 } from "./gen/peers_pb.ts";
 export {
+  EngineStateSchema,
   EngineUseSchema,
   FleetViewSchema,
+  MemberStateSchema,
   NodeDigestSchema,
+  TableNewsSchema,
 } from "./gen/fleet_pb.ts";
 export type {
   EngineState,
   EngineUse,
   FleetView,
+  MemberState,
   NodeDigest,
+  TableNews,
 } from "./gen/fleet_pb.ts";
 export {
   FleetClients,
--- a/packages/store/mod.ts
+++ b/packages/store/mod.ts
@@ -5,6 +5,7 @@
   TableChanges,
   TableSnapshot,
 } from "./store_change_feed.ts";
+export { GenerationTracker, toOrdinal } from "./store_generation.ts";
 export { HttpTableService, TableService } from "./store_table_service.ts";
 export type { TableServiceCounters } from "./store_table_service.ts";
 export {
--- a/packages/store/store_change_feed.ts
+++ b/packages/store/store_change_feed.ts
@@ -9,6 +9,8 @@
   readonly rows: readonly StoredRow[];
   /** Version after which to follow changes. */
   readonly version: number;
+  /** Generation of the table service to which the versions belong. */
+  readonly generation: number;
 }
 
 /** The current state of a changed row. */
--- a/packages/store/store_table_service.ts
+++ b/packages/store/store_table_service.ts
@@ -14,6 +14,14 @@
 
 /** Transactional rows; the only point of consensus between instances. */
 export abstract class TableService {
+  /**
+   * Generation to which versions belong: grows when the service is restored
+   * from an older copy. Services that are never restored stay at 0.
+   */
+  get generation(): number {
+    return 0;
+  }
+
   /** Reads rows from one consistent snapshot, which may be stale. */
   abstract read(
     request: ReadRequest,
