Send nothing for a caller that left while the process was held up

Ruled out: the connection pool (an attempt that was cancelled before it was written is not sent), the deadline (the caller's time in the kernel's queue is not known to the node).

Change: before each send the event loop polls once more, and the request ends if its caller has left.

--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -36,6 +36,23 @@
   });
 }
 
+/**
+ * Waits until the event loop has polled once more, so that what the kernel has
+ * received by now, such as a closed connection, has been handled.
+ *
+ * @example
+ * ```ts
+ * await core.nextPoll();
+ * if (signal.aborted) return;
+ * ```
+ */
+export function nextPoll(): Promise<void> {
+  // The first callback runs before the next poll, the second one after it.
+  return new Promise((resolve) => {
+    setImmediate(() => setImmediate(resolve));
+  });
+}
+
 /**
  * A wait that another task can end early. A wake-up with nobody waiting is kept
  * for the next wait, so that none is lost; several count as one.
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -66,7 +66,14 @@
 } from "./ids.ts";
 export { Lifecycle, mergeCleanups } from "./lifecycle.ts";
 export type { Cleanup } from "./lifecycle.ts";
-export { Deadline, jitterMs, monotonicMs, sleep, WakeSignal } from "./clock.ts";
+export {
+  Deadline,
+  jitterMs,
+  monotonicMs,
+  nextPoll,
+  sleep,
+  WakeSignal,
+} from "./clock.ts";
 export { Logger, renderEvent, writeToStandardOutput } from "./log.ts";
 export type { LogFields, LogOutput, LogValue } from "./log.ts";
 export { Supervisor, Task } from "./supervisor.ts";
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -177,6 +177,12 @@
       this.#waitedMs += core.monotonicMs() - selectionStartedAtMs;
       if (this.#signal.aborted) return this.#finishAborted();
       if (assignment.isErr()) return this.#reject(assignment.error);
+      // A process that was held up may not have noticed that the caller left.
+      await core.nextPoll();
+      if (this.#signal.aborted) {
+        assignment.value.onEnd("cancelled");
+        return this.#finishAborted();
+      }
       const result = await this.#send(assignment.value);
       if (result.kind === "done") return this.#logEnd("done", result.status);
       if (this.#signal.aborted) return this.#finishAborted();
