Bound every answer, head and body in bytes and time; distrust foreign refusals

Cause: bytes that are no answer may come without end. Whole bodies and single events were buffered until the deadline, informational responses counted as nothing, store and report bodies had no limit in bytes, a caller's body no limit in time, an unwanted body was read for ever, and headers were timed out only at Node's check each 30 s. Beside it: a refusal that carries the id of another request (a second copy, late, on a connection in use again) counted as proof that this request had not run.

Ruled out by test, unchanged: header lines, trailers, garbage and bytes after the answer (limits of the HTTP client), peers' answers and digests.

Change: limits for whole bodies, events, informational responses, bodies of store and report calls, messages between nodes; 408 when a caller's body is not read in time; discarded bodies end. A refusal counts only without an id or with the request's own. The last id of a stream with CRLF is found.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -23,6 +23,9 @@
 /** Largest header section; stays above the limit of the configuration. */
 const HEADER_BYTES_MAX = 65_536;
 
+/** Interval at which connections with incomplete headers are timed out. */
+const HEADER_CHECK_INTERVAL_MS = 1_000;
+
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
 /**
@@ -72,7 +75,11 @@
     this.#dialect = dialect;
     this.#selector = selector;
     this.#server = createServer(
-      { maxHeaderSize: HEADER_BYTES_MAX, requestTimeout: 0 },
+      {
+        maxHeaderSize: HEADER_BYTES_MAX,
+        requestTimeout: 0,
+        connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
+      },
       (request, response) => this.#handle(request, response),
     );
   }
@@ -149,7 +156,10 @@
     }
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
-    const body = await this.#readBody(request, reply, config.bodyBytesMax);
+    const body = await this.#readBody(request, reply, {
+      bytesMax: config.bodyBytesMax,
+      timeoutMs: maxDurationMs,
+    });
     if (!body) return;
     this.#state.retryBudget(service).recordRequest(receivedAtMs);
     await this.#run(
@@ -218,13 +228,15 @@
   async #readBody(
     request: IncomingMessage,
     reply: relay.CallerResponse,
-    bytesMax: number,
+    limits: { readonly bytesMax: number; readonly timeoutMs: number },
   ) {
     try {
-      return await relay.readBody(request, bytesMax);
+      return await relay.readBody(request, limits.bytesMax, limits.timeoutMs);
     } catch (thrown) {
       if (thrown instanceof relay.BodyTooLargeError) {
         this.#reject(request, reply, 413, "request body too large");
+      } else if (thrown instanceof relay.BodyTimeoutError) {
+        this.#reject(request, reply, 408, "request body not read in time");
       } else {
         const reason = core.messageOf(thrown);
         this.#state.logger.info("request_body_incomplete", { reason });
@@ -243,8 +255,7 @@
     const retryAfterMs = status === 503
       ? UNAVAILABLE_RETRY_AFTER_MS
       : undefined;
-    // Reads and discards the body: a connection reset could lose the response.
-    request.resume();
+    if (!request.complete) relay.discardBody(request);
     reply.start(status, {
       ...this.#dialect.writeRejection(retryAfterMs),
       "content-length": "0",
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -22,6 +22,9 @@
  */
 const EXCHANGE_TIMEOUT_MS = 350;
 
+/** Largest message that a node accepts from another one. */
+const MESSAGE_BYTES_MAX = 4 * 1024 * 1024;
+
 /** Answers a digest of another node with the hub's view of the fleet. */
 export abstract class FleetHandler {
   abstract exchange(digest: NodeDigest): FleetView;
@@ -49,6 +52,7 @@
       });
     },
     acceptCompression: [],
+    readMaxBytes: MESSAGE_BYTES_MAX,
   }));
   return await transport.startServer(server, host, port);
 }
@@ -95,6 +99,7 @@
           httpVersion: "1.1",
           nodeOptions: { agent: this.#agent },
           acceptCompression: [],
+          readMaxBytes: MESSAGE_BYTES_MAX,
           defaultTimeoutMs: EXCHANGE_TIMEOUT_MS,
         }),
       );
--- /dev/null
+++ b/packages/peers/tests/unit/peers_fleet_test.ts
@@ -0,0 +1,79 @@
+import { create } from "@bufbuild/protobuf";
+import test from "ava";
+import { once } from "node:events";
+import { request } from "node:http";
+import { type AddressInfo, createServer } from "node:net";
+import * as core from "../../../core/mod.ts";
+import * as peers from "../../mod.ts";
+
+const silentLogger = new core.Logger({}, () => {});
+
+class EchoHandler extends peers.FleetHandler {
+  override exchange(): peers.FleetView {
+    return create(peers.FleetViewSchema, { enginesTag: "answered" });
+  }
+}
+
+test("a peer whose answer never ends is given up", async (t) => {
+  let closed = 0;
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("close", () => closed++);
+    socket.write("HTTP/1.1 200 OK\r\ncontent-type: application/proto\r\n");
+    const write = () => {
+      if (socket.destroyed) return;
+      if (socket.write("x-more: y\r\n")) setImmediate(write);
+      else socket.once("drain", write);
+    };
+    write();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const clients = new peers.FleetClients(silentLogger);
+  const startedAtMs = performance.now();
+  const { port } = server.address() as AddressInfo;
+  const view = await clients.exchange(
+    `127.0.0.1:${port}`,
+    create(peers.NodeDigestSchema, { node: "a" }),
+  );
+  t.is(view, undefined);
+  t.true(performance.now() - startedAtMs < 1_000);
+  await core.sleep(100);
+  t.is(closed, 1);
+  clients.close();
+  server.close();
+});
+
+test("a digest that never ends is rejected, and others are answered", async (t) => {
+  const port = 20_000 + Math.floor(Math.random() * 20_000);
+  const stop = await peers.startFleetListener(
+    new EchoHandler(),
+    "127.0.0.1",
+    port,
+  );
+  const endless = request({
+    host: "127.0.0.1",
+    port,
+    method: "POST",
+    path: "/carawaywind.fleet.v1.FleetService/Exchange",
+    headers: { "content-type": "application/proto" },
+  });
+  endless.on("error", () => {});
+  const ended = Promise.race([
+    once(endless, "response"),
+    once(endless, "close"),
+  ]);
+  const writing = setInterval(() => endless.write("x".repeat(500_000)), 5);
+  const clients = new peers.FleetClients(silentLogger);
+  const view = await clients.exchange(
+    `127.0.0.1:${port}`,
+    create(peers.NodeDigestSchema, { node: "a" }),
+  );
+  t.is(view?.enginesTag, "answered");
+  await ended;
+  t.pass();
+  clearInterval(writing);
+  endless.destroy();
+  clients.close();
+  await stop();
+});
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -8,7 +8,12 @@
   AttemptHead,
   BodyEvent,
 } from "./relay_attempt.ts";
-export { BodyTooLargeError, readBody } from "./relay_body.ts";
+export {
+  BodyTimeoutError,
+  BodyTooLargeError,
+  discardBody,
+  readBody,
+} from "./relay_body.ts";
 export { EventStreamBuffer } from "./relay_events.ts";
 export { UpstreamPools } from "./relay_pools.ts";
 export { RelayTask, UpstreamSelector } from "./relay_task.ts";
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -32,6 +32,8 @@
  * Bytes buffered for a slow caller before reading from the upstream is paused.
  */
 const BUFFERED_BYTES_MAX = 256 * 1024;
+/** Informational (1xx) responses accepted before the final one. */
+const INFORMATIONAL_MAX = 32;
 
 /** An in-flight attempt and the response received so far. */
 export class Attempt {
@@ -45,6 +47,7 @@
   #bufferedBytes = 0;
   #isCloseDelimited = false;
   #hasDataThisTurn = false;
+  #informationalCount = 0;
   readonly #bodyEvents: BodyEvent[] = [];
   #wakeReader: (() => void) | undefined;
 
@@ -91,7 +94,7 @@
     },
     onResponseStart: (_controller, status, headers) => {
       // 1xx informational responses precede the final response.
-      if (status < 200) return;
+      if (status < 200) return this.#countInformational();
       this.#isCloseDelimited = headers["content-length"] === undefined &&
         headers["transfer-encoding"] === undefined;
       this.#settleHead(ok({ status, headers }));
@@ -114,6 +117,11 @@
     onResponseError: (_controller, error) => this.#fail(error),
   };
 
+  #countInformational(): void {
+    if (++this.#informationalCount <= INFORMATIONAL_MAX) return;
+    this.cancel("too many informational responses");
+  }
+
   /**
    * Records that data arrived in this turn of the event loop, to tell a reset
    * from an orderly close of a close-delimited body. An orderly close is
--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -2,6 +2,7 @@
 import { Buffer } from "node:buffer";
 
 const NEWLINE = 0x0a;
+const EVENT_END = /\r?\n\r?\n/;
 const ID_LINE = /^id: ?(.*)$/m;
 
 /**
@@ -50,7 +51,7 @@
 
   #recordLastId(complete: Buffer): void {
     const text = complete.toString("utf8");
-    for (const event of text.split("\n\n").reverse()) {
+    for (const event of text.split(EVENT_END).reverse()) {
       const id = ID_LINE.exec(event)?.[1];
       if (id === undefined) continue;
       this.#lastEventId = id.trim();
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -117,6 +117,10 @@
 const STREAM_NO_DATA_TIMEOUT_MIN_MS = 1_200;
 /** Gaps averaged into one sample, as chunks sometimes arrive in bursts. */
 const GAP_SAMPLE_COUNT = 8;
+/** Largest body that is relayed as a whole. */
+const WHOLE_BODY_BYTES_MAX = 16 * 1024 * 1024;
+/** Largest event of a stream. */
+const EVENT_BYTES_MAX = 1024 * 1024;
 /** Retry-After for requests that ended without having run on an upstream. */
 const REJECTED_RETRY_AFTER_MS = 500;
 
@@ -309,10 +313,9 @@
       head.status,
       head.headers,
     );
-    if (
-      upstreamResponse.requestId !== this.#request.caller.requestId &&
-      !upstreamResponse.isNotRun
-    ) {
+    const { requestId, isNotRun } = upstreamResponse;
+    const isAnonymousRefusal = isNotRun && requestId === undefined;
+    if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       attempt.cancel("response has a different request id");
       assignment.onEnd("failed");
       this.#runCount++;
@@ -364,6 +367,7 @@
     headers: Record<string, string | string[]>,
   ): Promise<AttemptResult> {
     const chunks: Buffer[] = [];
+    let bytes = 0;
     for (;;) {
       const event = await this.#awaitOrCancel(
         attempt,
@@ -375,6 +379,10 @@
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
       if (event.kind === "end") break;
+      bytes += event.data.length;
+      if (bytes > WHOLE_BODY_BYTES_MAX) {
+        return this.#failOversized(assignment, attempt, "body is too large");
+      }
       chunks.push(event.data);
     }
     const nowMs = core.monotonicMs();
@@ -435,6 +443,10 @@
       const data = splitsEvents
         ? this.#eventBuffer.append(event.data)
         : event.data;
+      if (this.#eventBuffer.pendingBytes > EVENT_BYTES_MAX) {
+        this.#eventBuffer.discardPending();
+        return this.#failOversized(assignment, attempt, "event is too large");
+      }
       if (data.length === 0) continue;
       if (!this.#response.hasStarted) {
         this.#response.start(status, headers, event.atMs);
@@ -455,6 +467,17 @@
     return { kind: "done", status };
   }
 
+  /** Gives up a response that exceeds a limit; its connection is closed. */
+  #failOversized(
+    assignment: UpstreamAssignment,
+    attempt: Attempt,
+    detail: string,
+  ): AttemptResult {
+    attempt.cancel(detail);
+    assignment.onEnd("failed");
+    return { kind: "mayHaveRun", detail };
+  }
+
   /** Rejects a request that has not run; fails it if it may have run. */
   #reject({ reason, retryAfterMs }: Rejection): void {
     if (this.#runCount > 0) return this.#fail(STATUS_BAD_GATEWAY, reason);
--- /dev/null
+++ b/packages/transport/tests/unit/transport_endless_test.ts
@@ -0,0 +1,72 @@
+import test from "ava";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import * as undici from "undici";
+import * as transport from "../../mod.ts";
+
+/** Serves responses that start as given and go on until they are closed. */
+async function withEndlessServer(
+  start: string,
+  more: string,
+  run: (origin: string, open: ReadonlySet<Socket>) => Promise<void>,
+): Promise<void> {
+  const open = new Set<Socket>();
+  const server = createServer((socket) => {
+    open.add(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => open.delete(socket));
+    socket.once("data", () => {
+      socket.write(start);
+      const write = () => {
+        if (socket.destroyed) return;
+        if (socket.write(more)) setImmediate(write);
+        else socket.once("drain", write);
+      };
+      write();
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  try {
+    await run(`http://127.0.0.1:${port}`, open);
+  } finally {
+    server.close();
+    for (const socket of open) socket.destroy();
+  }
+}
+
+const cases: [name: string, start: string, more: string][] = [
+  ["a head", "HTTP/1.1 200 OK\r\n", "x-more: y\r\n"],
+  [
+    "a body",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    `fff0\r\n${"x".repeat(0xfff0)}\r\n`,
+  ],
+  [
+    "a body in single bytes",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "1\r\nx\r\n",
+  ],
+];
+
+for (const [name, start, more] of cases) {
+  test.serial(`an exchange ends when ${name} does not`, async (t) => {
+    await withEndlessServer(start, more, async (origin, open) => {
+      const agent = new undici.Agent();
+      const startedAtMs = performance.now();
+      const result = await transport.send(agent, {
+        origin,
+        path: "/",
+        method: "GET",
+        timeoutMs: 1_000,
+      });
+      t.true(result.isErr());
+      t.is(result._unsafeUnwrapErr().sent, "maybe");
+      t.true(performance.now() - startedAtMs < 2_000);
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      t.is(open.size, 0, "the connection is still open");
+      await agent.destroy();
+    });
+  });
+}
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -1,4 +1,5 @@
 /** Sends HTTP requests once, without retries. */
+import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
@@ -12,6 +13,9 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/** Largest response body, unless a request sets another limit. */
+const BODY_BYTES_MAX = 8 * 1024 * 1024;
+
 /** Why a request has no response, and whether it may have been received. */
 export interface TransportFailure {
   readonly sent: "no" | "maybe";
@@ -35,6 +39,8 @@
    * Time limit for the whole exchange, from connecting to the end of the body.
    */
   readonly timeoutMs: number;
+  /** Largest response body; a larger one fails the exchange. */
+  readonly bodyBytesMax?: number;
   /** Aborts the exchange before the time limit. */
   readonly signal?: AbortSignal;
   /**
@@ -108,6 +114,21 @@
   return signal ? AbortSignal.any([signal, timeLimit]) : timeLimit;
 }
 
+/** Reads a body to its end; leaving the loop closes the connection. */
+async function readText(
+  body: AsyncIterable<Uint8Array>,
+  bytesMax: number,
+): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += chunk.length;
+    if (bytes > bytesMax) throw new Error(`body exceeds ${bytesMax} bytes`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
 /**
  * Sends one request and reads the whole response.
  *
@@ -134,7 +155,10 @@
       signal: timeoutSignal(request.timeoutMs, request.signal),
       reset: request.closeConnection ?? false,
     });
-    const bodyText = await response.body.text();
+    const bodyText = await readText(
+      response.body,
+      request.bodyBytesMax ?? BODY_BYTES_MAX,
+    );
     const headers = flattenHeaders(response.headers);
     return ok({ status: response.statusCode, headers, bodyText });
   } catch (thrown) {
