--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -12,6 +12,11 @@
 const RENEW_INTERVAL_MS = 500;
 /** Time for which a renewal is valid, from when it was sent. */
 const VALID_FOR_MS = 1_500;
+/**
+ * Longest time between two rounds of this task, which is less than a renewal
+ * takes to time out; after more the process was held up.
+ */
+const ROUND_MAX_MS = 1_500;
 /** Difference of monotonic and wall time that shows a suspended process. */
 const CLOCK_DIFFERENCE_MAX_MS = 250;
 /** Time for which a holder may continue without the store; outages end sooner. */
@@ -128,6 +133,7 @@
   #readAtMs = -Infinity;
   #acquireFromMs = -Infinity;
   #followersAtRenewal = 0;
+  #roundAtMs = -Infinity;
 
   constructor(
     table: store.TableService,
@@ -228,6 +234,10 @@
 
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      if (this.#fencingToken !== undefined && !this.#isValid()) {
+        this.#lose("the lease expired, or the process was held up");
+      }
+      this.#roundAtMs = core.monotonicMs();
       const isHolder = this.#fencingToken !== undefined;
       const hasSucceeded = !isHolder
         ? await this.#poll()
@@ -309,6 +319,10 @@
     // The monotonic clock does not count time in which the node is suspended.
     const wasSuspended = Math.abs(wallMs - elapsedMs) > CLOCK_DIFFERENCE_MAX_MS;
     if (wasSuspended) return false;
+    // What other nodes sent in the meantime arrives at once after a hold-up, and
+    // must not look as if they had followed all the while.
+    const sinceRoundMs = core.monotonicMs() - this.#roundAtMs;
+    if (elapsedMs >= VALID_FOR_MS && sinceRoundMs >= ROUND_MAX_MS) return false;
     return elapsedMs < VALID_FOR_MS || this.#mayContinueWithoutStore(elapsedMs);
   }
 
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -177,6 +177,23 @@
   });
 });
 
+test.serial("a holder that was held up sends nothing, though calls of followers wait", async (t) => {
+  const table = new MemoryTable();
+  // The followers' calls of the meantime are read first when it goes on.
+  const lease = makeLease(table, "a", true, () => 3);
+  await withLeases([lease], async () => {
+    await waitUntil(() => lease.isHeld);
+    await core.sleep(600);
+    table.cutOff.add("a");
+    const token = lease.fencingToken;
+    await core.sleep(2_000);
+    t.is(lease.fencingToken, token, "continues without the store");
+    const heldUpUntilMs = core.monotonicMs() + 2_000;
+    while (core.monotonicMs() < heldUpUntilMs);
+    t.is(lease.fencingToken, undefined);
+  });
+});
+
 test("a node that reaches the store takes over from a holder that does not", async (t) => {
   const table = new MemoryTable();
   const holder = makeLease(table, "a", true, () => 1);
