Give a ring of nodes no load to pass round; wake the planner only at the holder

Cause: two nodes that take each other for the parent passed the load that they had from the other on to it; a new unit test saw 39 requests where 6 were in flight, growing with each exchange. Change: a view says its level below the root; a node without a path to a root passes on its own load and that of its children alone.

Beside it, processor time of a node at rest: the orders task of nodes without the lease woke 20 times a second to find nothing, the lease 20 times. They wake once and ten times now; the lease wakes the planner when it is acquired.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -32,6 +32,11 @@
 const SUMS_TTL_MS = 15;
 /** Interval at which a child is sent the states of all members. */
 const MEMBERS_INTERVAL_MS = 300;
+/**
+ * Levels of the tree below the root. A node at a deeper one has no path to a
+ * root, since nodes that disagree on it form a ring.
+ */
+const LEVELS_MAX = 2;
 /** After this, the parent's load and engine states are no longer passed on. */
 const PARENT_VIEW_TTL_MS = 1_500;
 
@@ -75,6 +80,7 @@
   #parentEngineStates: TaggedEngineStates | undefined;
   #parentUses: readonly peers.EngineUse[] = [];
   #parentViewAtMs = -Infinity;
+  #level = 0;
 
   constructor(state: EntryState, news: TableNewsExchange) {
     this.#state = state;
@@ -127,6 +133,7 @@
         ? ageEngineStates(engineStates, nowMs)
         : [],
       tables: this.#news.forChild(digest.tables, nowMs),
+      level: this.#level,
     });
   }
 
@@ -158,7 +165,8 @@
     view: peers.FleetView,
     nowMs: number,
   ): TaggedEngineStates | undefined {
-    this.#parentUses = view.uses;
+    this.#level = Math.min(view.level, LEVELS_MAX) + 1;
+    this.#parentUses = this.#level <= LEVELS_MAX ? view.uses : [];
     this.#parentViewAtMs = nowMs;
     this.#news.applyFromParent(view.tables, nowMs);
     if (!view.hasOrders) {
@@ -264,6 +272,7 @@
   becomeRoot(): void {
     this.#parentViewAtMs = -Infinity;
     this.#parentEngineStates = undefined;
+    this.#level = 0;
   }
 
   #childStates(nowMs: number): peers.MemberState[] {
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -254,6 +254,7 @@
       exchange.wakeSignal.wake();
       if (lease.isHeld) ordersTask.wakeSignal.wake();
     };
+    lease.onAcquired = () => ordersTask.wakeSignal.wake();
     const follow = this.#supervisor.child("follow");
     for (const task of this.#followTasks) follow.start(task);
     this.#supervisor.start(
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -17,6 +17,8 @@
 
 /** Interval between planning cycles. */
 const PLAN_INTERVAL_MS = 50;
+/** Interval at which a node that does not hold the lease checks for it. */
+const STANDBY_INTERVAL_MS = 1_000;
 /**
  * Expected load time of an adapter; the engines' data sheets say up to 19 ms.
  */
@@ -96,9 +98,11 @@
 
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.#lease.isHeld) this.#tick(core.monotonicMs());
+      const { isHeld } = this.#lease;
+      if (isHeld) this.#tick(core.monotonicMs());
       else this.#reset();
-      await this.wakeSignal.wait(PLAN_INTERVAL_MS, signal);
+      const pauseMs = isHeld ? PLAN_INTERVAL_MS : STANDBY_INTERVAL_MS;
+      await this.wakeSignal.wait(pauseMs, signal);
     }
   }
 
--- /dev/null
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -0,0 +1,248 @@
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import type * as fleet from "../../../fleet/mod.ts";
+import * as orders from "../../../orders/mod.ts";
+import * as replica from "../../../replica/mod.ts";
+import type * as store from "../../../store/mod.ts";
+import { ExchangeHub } from "../../entry_exchange.ts";
+import { EntryState } from "../../entry_state.ts";
+import { TableNewsExchange } from "../../entry_table_news.ts";
+
+const silentLogger = new core.Logger({}, () => {});
+const upstreamId = core.brandId<core.UpstreamId>("u-1");
+const model = core.brandId<core.ModelName>("m");
+
+const record: fleet.UpstreamRecord = {
+  id: upstreamId,
+  startedAtMs: 1,
+  service: core.brandId<core.ServiceName>("s"),
+  address: "127.0.0.1:1",
+  failureDomain: "d",
+  slots: 16,
+  isLeaving: false,
+  models: [],
+  modelsInMemory: [],
+  modelsOnDisk: [],
+};
+
+class NoListener extends replica.TableListener {
+  override applySnapshot(): void {}
+  override applyChange(): void {}
+}
+
+/** One node of the tree, without network. */
+class TestNode {
+  readonly state: EntryState;
+  readonly hub: ExchangeHub;
+  readonly copy = new replica.TableReplica({
+    name: "t",
+    listener: new NoListener(),
+  });
+  readsRequested = 0;
+
+  constructor(readonly name: string) {
+    const address = { host: "127.0.0.1", port: 1 };
+    this.state = new EntryState({
+      nodeName: core.brandId<core.InstanceId>(name),
+      failureDomain: "d",
+      listen: {
+        callers: address,
+        readiness: address,
+        directory: address,
+        peers: address,
+        metrics: address,
+      },
+      storeOrigin: "",
+      graceMs: 1,
+      directoryTtlMs: 1,
+      retryBudget: { ratio: 1, windowMs: 1, slack: 1 },
+      orders: { leaseMs: 1, enginesCheckFences: true },
+    }, silentLogger);
+    this.state.upstreams.upsert(record, 1_000);
+    const news = new TableNewsExchange([{
+      copy: this.copy,
+      requestRead: () => {
+        this.readsRequested++;
+      },
+    }]);
+    this.hub = new ExchangeHub(this.state, news);
+  }
+
+  get upstream() {
+    return this.state.upstreams.get(upstreamId)!;
+  }
+
+  /** Starts requests that stay in flight. */
+  startRequests(count: number): void {
+    for (let n = 0; n < count; n++) {
+      this.upstream.trackRequest({
+        modelKey: model,
+        model,
+        reservedTokens: 10,
+        outputTokensMax: 10,
+        prefillMs: 5,
+        sentAtMs: core.monotonicMs(),
+        hasOutput: false,
+      });
+    }
+  }
+
+  exchangeWith(parent: TestNode) {
+    const nowMs = core.monotonicMs();
+    const digest = this.hub.digestForParent(parent.name, nowMs);
+    const view = parent.hub.exchange(digest);
+    const states = this.hub.applyParentView(view, nowMs);
+    this.hub.applyLoad(nowMs);
+    return { digest, view, states };
+  }
+}
+
+/** Outlasts the time for which a node uses its sums again. */
+const waitForSums = () => core.sleep(25);
+
+async function exchangeRounds(
+  links: readonly (readonly [TestNode, TestNode])[],
+  rounds = 3,
+): Promise<void> {
+  for (let round = 0; round < rounds; round++) {
+    for (const [child, parent] of links) {
+      child.exchangeWith(parent);
+      await waitForSums();
+    }
+  }
+}
+
+test("every node sees the load of all others once, over two levels", async (t) => {
+  const root = new TestNode("root");
+  const leaders = [new TestNode("leader-a"), new TestNode("leader-b")];
+  const leaves = [0, 1, 2, 3].map((n) => new TestNode(`leaf-${n}`));
+  const nodes = [root, ...leaders, ...leaves];
+  for (const [index, node] of nodes.entries()) node.startRequests(index + 1);
+  const links = [
+    [leaves[0]!, leaders[0]!],
+    [leaves[1]!, leaders[0]!],
+    [leaves[2]!, leaders[1]!],
+    [leaves[3]!, leaders[1]!],
+    [leaders[0]!, root],
+    [leaders[1]!, root],
+  ] as const;
+  await exchangeRounds(links);
+  root.hub.applyLoad(core.monotonicMs());
+  const total = 1 + 2 + 3 + 4 + 5 + 6 + 7;
+  for (const node of nodes) t.is(node.upstream.inFlight, total, node.name);
+  t.is(root.hub.followers(), 6);
+  const sums = root.hub.digests(core.monotonicMs())
+    .flatMap(({ uses }) => uses.flatMap(({ models }) => models));
+  t.is(sums.reduce((sum, { inFlight }) => sum + inFlight, 0), total);
+});
+
+test("nodes that take each other for the parent count nothing twice", async (t) => {
+  const a = new TestNode("a");
+  const b = new TestNode("b");
+  const leaf = new TestNode("leaf");
+  a.startRequests(2);
+  b.startRequests(3);
+  leaf.startRequests(1);
+  const links = [[leaf, a], [a, b], [b, a]] as const;
+  await exchangeRounds(links, 6);
+  for (const node of [a, b, leaf]) {
+    t.true(node.upstream.inFlight <= 12, `${node.upstream.inFlight}`);
+  }
+  const before = a.upstream.inFlight;
+  await exchangeRounds(links, 6);
+  t.true(a.upstream.inFlight <= before, "the load grows by exchanging it");
+});
+
+test("engine states are passed on once, and again when they change", async (t) => {
+  const root = new TestNode("root");
+  const leader = new TestNode("leader");
+  const leaf = new TestNode("leaf");
+  const inventory = new orders.EngineInventory({
+    ...record,
+    models: [{ model, adapters: ["a1"] }],
+  });
+  root.hub.connect({
+    engineStates: () => [{ record, inventory, lastOrderAtMs: undefined }],
+    lastRenewal: () => ({
+      holder: root.state.settings.nodeName,
+      generation: 2,
+      version: 7,
+      ageMs: 10,
+    }),
+    onQueued: () => {},
+  });
+  const first = leader.exchangeWith(root);
+  t.is(first.states?.engines.length, 1);
+  t.like(first.view, {
+    leaseHolder: "root",
+    leaseGeneration: 2,
+    leaseVersion: 7,
+  });
+  t.is(leaf.exchangeWith(leader).states?.engines[0]?.models[0]?.model, model);
+  t.is(leader.exchangeWith(root).view.engines.length, 0);
+  t.is(leaf.exchangeWith(leader).view.engines.length, 0);
+  inventory.models.get(model)!.adapters.set("a2", 0);
+  await waitForSums();
+  const changed = leader.exchangeWith(root).states;
+  t.deepEqual(changed?.engines[0]?.models[0]?.adapters, ["a1", "a2"]);
+  t.truthy(leaf.exchangeWith(leader).states);
+});
+
+test("the states of members are sent to a child at intervals", (t) => {
+  const root = new TestNode("root");
+  const leaf = new TestNode("leaf");
+  t.is(leaf.exchangeWith(root).view.members.length, 1);
+  t.is(leaf.exchangeWith(root).view.members.length, 0);
+});
+
+function rows(version: number, ...keys: string[]): store.TableSnapshot {
+  return {
+    generation: 1,
+    version,
+    rows: keys.map((key) => ({ key, version, value: key })),
+  };
+}
+
+test("changes of a table reach every node from whichever one reads them", (t) => {
+  const root = new TestNode("root");
+  const leader = new TestNode("leader");
+  const [reader, leaf] = [new TestNode("reader"), new TestNode("leaf")];
+  const nodes = [root, leader, reader, leaf];
+  for (const node of nodes) node.copy.applySnapshot(rows(1, "x"));
+  reader.copy.applyChanges({ generation: 1, version: 1 }, 2, [
+    { key: "y", version: 2, value: "y" },
+  ]);
+  reader.copy.confirm(reader.copy.cursor, core.monotonicMs());
+  for (let round = 0; round < 2; round++) {
+    reader.exchangeWith(leader);
+    leader.exchangeWith(root);
+    leaf.exchangeWith(leader);
+  }
+  for (const node of nodes) {
+    t.is(node.copy.cursor?.version, 2, node.name);
+    t.is(node.readsRequested, 0);
+    t.true(core.monotonicMs() - node.copy.confirmedAtMs < 1_000, node.name);
+  }
+});
+
+test("a table that is too large for a message is read from the store", (t) => {
+  const root = new TestNode("root");
+  const leaf = new TestNode("leaf");
+  leaf.copy.applySnapshot(rows(1));
+  root.copy.applySnapshot({
+    generation: 1,
+    version: 2,
+    rows: [{ key: "x", version: 2, value: "x".repeat(100_000) }],
+  });
+  leaf.exchangeWith(root);
+  t.is(leaf.readsRequested, 1);
+  t.is(leaf.copy.cursor?.version, 1);
+});
+
+test("a node that has read nothing gets its tables from its parent", (t) => {
+  const root = new TestNode("root");
+  const fresh = new TestNode("fresh");
+  root.copy.applySnapshot(rows(3, "x", "y"));
+  fresh.exchangeWith(root);
+  t.is(fresh.copy.cursor?.version, 3);
+});
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -28,7 +28,7 @@
 /** Pause before a failed renewal is retried. */
 const RENEW_RETRY_MS = 50;
 /** Interval at which other nodes check whether the holder has renewed. */
-const POLL_INTERVAL_MS = 50;
+const POLL_INTERVAL_MS = 100;
 /**
  * Interval between reads of the row while the holder announces no renewals; it
  * grows with the rank, as a large fleet would make many reads.
@@ -146,6 +146,9 @@
     this.#logger = logger;
   }
 
+  /** Called when this node has acquired the lease. */
+  onAcquired: () => void = () => {};
+
   /** The lease holder according to the row last observed. */
   get holder(): core.InstanceId | undefined {
     const row = this.#observed?.row;
@@ -379,6 +382,7 @@
       beforeAgeMs: Math.round(sentAtMs - previous.atMs),
       waitMs: Math.max(0, Math.round(this.#ordersAllowedFromMs - sentAtMs)),
     });
+    this.onAcquired();
   }
 
   /** Time from which all orders of the previous holder are `leaseMs` old. */
