Send requests to a replica from the time at which its load is expected to end

Cause: only the lease holder turned a loading replica into a usable one by time; other nodes waited for its next states, which take up to 200 ms over two levels of the tree. Change: they know the expected time and go by it. New unit test. Not measured by itself.

--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -36,7 +36,10 @@
   readonly isUsable: boolean;
   /** Adapters loaded for it. */
   readonly adapters: ReadonlySet<string>;
-  /** When a load is expected to end, on the monotonic clock. */
+  /**
+   * When a load is expected to end, on the monotonic clock. From then on
+   * requests may be sent, although no node has reported the replica as usable.
+   */
   readonly readyAtMs?: number;
 }
 
@@ -205,7 +208,7 @@
     nowMs: number,
   ): boolean {
     const replica = this.#replicas.get(model);
-    if (!replica?.isUsable) return false;
+    if (!replica || !isReplicaUsable(replica, nowMs)) return false;
     if (adapter !== undefined && !replica.adapters.has(adapter)) return false;
     const modelKey = adapter === undefined ? model : `${model}/${adapter}`;
     return (this.#skippedUntilMs.get(modelKey) ?? 0) <= nowMs;
@@ -226,6 +229,13 @@
   }
 }
 
+function isReplicaUsable(
+  { isUsable, readyAtMs }: ModelReplica,
+  nowMs: number,
+): boolean {
+  return isUsable || (readyAtMs !== undefined && readyAtMs <= nowMs);
+}
+
 /** All upstreams on the platform's list, by id and by service. */
 export class UpstreamRegistry {
   readonly #upstreams = new Map<core.UpstreamId, UpstreamState>();
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -327,3 +327,15 @@
   );
   t.true(later < atOnce - 800);
 });
+
+test("a loading replica takes requests from its expected time, a draining one never", (t) => {
+  const engine = makeEngine("e", { models: [] });
+  const adapters = new Set<string>();
+  engine.setReplicas(
+    new Map([[model, { isUsable: false, adapters, readyAtMs: 500 }]]),
+  );
+  t.is(choose([engine], {}, 499), undefined);
+  t.truthy(choose([engine], {}, 500));
+  engine.setReplicas(new Map([[model, { isUsable: false, adapters }]]));
+  t.is(choose([engine], {}, 10_000), undefined);
+});
--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -82,7 +82,10 @@
       {
         isUsable: model.isUsable,
         adapters: new Set(model.adapters),
-        ...(model.isUsable ? {} : { readyAtMs: nowMs + model.readyInMs }),
+        // Without a time it is not being loaded, but drained or unloaded.
+        ...(model.isUsable || model.readyInMs === 0
+          ? {}
+          : { readyAtMs: nowMs + model.readyInMs }),
       },
     ]);
     engine.setReplicas(new Map(replicas));
