Do not take callers before the members have been read

Cause, by reading: a node that has read the configuration and the upstreams but not the members is alone in its own eyes: it spends the whole retry budget, and its directory names nobody else. Change: it is ready, and takes requests, once all three tables are read.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -131,13 +131,13 @@
   ): Promise<void> {
     const receivedAtMs = core.monotonicMs();
     const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
-    const { config, table, hasReadUpstreams } = this.#state;
-    if (!config || !table || !hasReadUpstreams) {
+    const { config, table, hasReadUpstreams, hasReadMembers } = this.#state;
+    if (!config || !table || !hasReadUpstreams || !hasReadMembers) {
       return this.#reject(
         request,
         reply,
         503,
-        "configuration or upstream table not read yet",
+        "configuration, upstream or member table not read yet",
       );
     }
     this.#server.keepAliveTimeout = config.idleTimeoutMs;
--- a/packages/entry/entry_listeners.ts
+++ b/packages/entry/entry_listeners.ts
@@ -187,6 +187,7 @@
 
   override applySnapshot({ rows, version }: store.TableSnapshot): void {
     for (const row of rows) this.applyChange(row);
+    this.#state.hasReadMembers = true;
     this.#state.logger.info("members_read", { rows: rows.length, version });
   }
 
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -33,6 +33,11 @@
   table: routes.RouteTable | undefined;
   /** Whether the upstream table has been read at least once. */
   hasReadUpstreams = false;
+  /**
+   * Whether the member rows have been read at least once. Before, this node
+   * would take itself for the only one, with the whole retry budget.
+   */
+  hasReadMembers = false;
   isStopping = false;
   /** Callers' requests in flight. */
   requestsInFlight = 0;
@@ -45,10 +50,10 @@
     this.members = new Members(settings.nodeName);
   }
 
-  /** Whether this node accepts callers: tables read, and not stopping. */
+  /** Whether this node accepts callers: all tables read, and not stopping. */
   get isReady(): boolean {
     return this.table !== undefined && this.hasReadUpstreams &&
-      !this.isStopping;
+      this.hasReadMembers && !this.isStopping;
   }
 
   /**
