Apply known engine states to engines that are listed anew; wait longer for changes

Change: states are applied with each view. The unit test says that an unchanged state is still known.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -158,8 +158,8 @@
   }
 
   /**
-   * Stores the parent's view, for this node's children. Returns its engine
-   * states if they differ from the last ones.
+   * Stores the parent's view, for this node's children. Returns the lease
+   * holder's engine states, if the parent has them.
    */
   applyParentView(
     view: peers.FleetView,
@@ -173,12 +173,13 @@
       this.#parentEngineStates = undefined;
       return undefined;
     }
-    if (this.#parentEngineStates?.tag === view.enginesTag) return undefined;
-    this.#parentEngineStates = {
-      tag: view.enginesTag,
-      engines: view.engines,
-      atMs: nowMs,
-    };
+    if (this.#parentEngineStates?.tag !== view.enginesTag) {
+      this.#parentEngineStates = {
+        tag: view.enginesTag,
+        engines: view.engines,
+        atMs: nowMs,
+      };
+    }
     return this.#parentEngineStates;
   }
 
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -140,7 +140,7 @@
       const member = core.brandId<core.InstanceId>(node);
       members.recordContact(member, ageMs, accepts);
     }
-    const changed = this.#hub.applyParentView(view, nowMs);
+    const states = this.#hub.applyParentView(view, nowMs);
     this.#hub.applyLoad(nowMs);
     if (view.leaseHolder !== "") {
       this.#lease.noteRenewal({
@@ -150,9 +150,10 @@
         ageMs: view.leaseAgeMs,
       });
     }
-    if (!view.hasOrders) return this.#fallBack(nowMs);
+    if (!states) return this.#fallBack(nowMs);
     this.#engineStatesAtMs = nowMs;
-    if (changed) applyEngineStates(this.#state, changed.engines, nowMs);
+    // Also unchanged ones: an engine may have been listed anew in the meantime.
+    applyEngineStates(this.#state, states.engines, states.atMs);
   }
 
   /** Returns the lease holder, or else the first live node by name. */
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -101,7 +101,10 @@
     if (replica.isReader(rank)) {
       return await this.#readChanges(cursor, this.#options.waitMs);
     }
-    const { afterMs, intervalMs } = replica.staleReadTimes(rank);
+    const { afterMs, intervalMs } = replica.staleReadTimes(
+      rank,
+      this.#options.waitMs,
+    );
     const dueAtMs = Math.max(
       this.copy.confirmedAtMs + afterMs,
       this.#readAtMs + intervalMs,
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -58,9 +58,9 @@
  * the upstream table come in bursts and must be applied within 2 s. Member rows
  * may be later, because members exchange most of their state directly.
  */
-const CONFIG_FOLLOW = { waitMs: 1_000, coalesceMs: 0 };
-const UPSTREAM_FOLLOW = { waitMs: 1_000, coalesceMs: 150 };
-const MEMBER_FOLLOW = { waitMs: 1_000, coalesceMs: 100 };
+const CONFIG_FOLLOW = { waitMs: 2_000, coalesceMs: 0 };
+const UPSTREAM_FOLLOW = { waitMs: 1_000, coalesceMs: 300 };
+const MEMBER_FOLLOW = { waitMs: 8_000, coalesceMs: 100 };
 
 /** Passes digests of other nodes to the hub. */
 class HubHandler extends peers.FleetHandler {
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -185,7 +185,11 @@
   await waitForSums();
   const changed = leader.exchangeWith(root).states;
   t.deepEqual(changed?.engines[0]?.models[0]?.adapters, ["a1", "a2"]);
-  t.truthy(leaf.exchangeWith(leader).states);
+  t.is(leaf.exchangeWith(leader).view.engines.length, 1);
+  // An unchanged state is known still, for an engine that is listed anew.
+  const again = leaf.exchangeWith(leader);
+  t.is(again.view.engines.length, 0);
+  t.is(again.states?.engines.length, 1);
 });
 
 test("the states of members are sent to a child at intervals", (t) => {
--- a/packages/replica/replica_readers.ts
+++ b/packages/replica/replica_readers.ts
@@ -9,10 +9,8 @@
 const READERS = 3;
 /** Up to this number of nodes, each follows the store by itself. */
 const ALL_READ_UP_TO = 6;
-/**
- * Age at which a copy counts as stale, longer than a reader waits for a change.
- */
-const STALE_MS = 1_500;
+/** Time after the longest wait of a reader at which a copy counts as stale. */
+const STALE_MARGIN_MS = 500;
 /** Interval between reads of a stale copy by the first node that is no reader. */
 const STALE_READ_INTERVAL_MS = 500;
 /** Nodes that together read a stale copy at that interval. */
@@ -59,16 +57,19 @@
  * ms. The intervals grow with the rank, so that a store that is away gets few
  * calls from a large fleet, while the first nodes replace lost readers soon.
  *
+ * @param waitMs longest time for which a reader waits for a change.
  * @example
  * ```ts
- * const { afterMs, intervalMs } = replica.staleReadTimes({ rank: 7, nodes: 78 });
+ * const rank = { rank: 7, nodes: 78 };
+ * const { afterMs, intervalMs } = replica.staleReadTimes(rank, 1_000);
  * ```
  */
 export function staleReadTimes(
   { rank }: ReaderRank,
+  waitMs: number,
 ): { afterMs: number; intervalMs: number } {
   const position = Math.max(0, rank - READERS);
   const intervalMs = STALE_READ_INTERVAL_MS *
     (1 + position / STALE_READERS_PER_INTERVAL);
-  return { afterMs: STALE_MS, intervalMs };
+  return { afterMs: waitMs + STALE_MARGIN_MS, intervalMs };
 }
--- a/packages/replica/tests/unit/replica_test.ts
+++ b/packages/replica/tests/unit/replica_test.ts
@@ -238,9 +238,9 @@
   for (const node of alive) {
     const rank = replica.rankReader(node, alive);
     if (replica.isReader(rank)) continue;
-    callsPerS += 1_000 / replica.staleReadTimes(rank).intervalMs;
+    callsPerS += 1_000 / replica.staleReadTimes(rank, 1_000).intervalMs;
   }
   t.true(callsPerS < 30, `${callsPerS} calls/s`);
-  const first = replica.staleReadTimes({ rank: 3, nodes: 78 });
+  const first = replica.staleReadTimes({ rank: 3, nodes: 78 }, 1_000);
   t.true(first.afterMs + first.intervalMs <= 2_000);
 });
