Wait as long as a route's callers do; queue estimates from the whole fleet

Change: dispatch_waiting, without network: patience by route, the queue of all nodes for a model (summed with the exchange), Retry-After from the end of a load or the queue's length, 1 s where neither is known.

--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -22,3 +22,10 @@
 export { chooseEngine } from "./dispatch_choice.ts";
 export type { EngineChoice, RequestNeeds } from "./dispatch_choice.ts";
 export { chooseInstance } from "./dispatch_services.ts";
+export {
+  estimateQueueWaitMs,
+  queueUntilMs,
+  retryAfterMs,
+  streamPatienceMs,
+} from "./dispatch_waiting.ts";
+export type { QueueView } from "./dispatch_waiting.ts";
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -127,6 +127,16 @@
   return [...sums.values()];
 }
 
+/** Sums the queued requests of digests by model and adapter. */
+export function sumQueues(
+  digests: Iterable<peers.NodeDigest>,
+): peers.FleetView["queues"] {
+  return sumDemand(digests).filter(({ waiting }) => waiting > 0)
+    .map(({ model, adapter, waiting }) =>
+      create(peers.QueueLengthSchema, { model, adapter, waiting })
+    );
+}
+
 /** Applies the other nodes' load to all upstreams; unlisted ones have none. */
 export function applyPeerLoad(
   state: EntryState,
--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -114,9 +114,7 @@
       model,
       isUsable: replica.isUsable,
       adapters: [...replica.adapters],
-      readyInMs: Number.isFinite(replica.readyAtMs)
-        ? Math.max(0, Math.round(replica.readyAtMs - nowMs))
-        : 0,
+      readyInMs: Math.max(0, Math.round((replica.readyAtMs ?? 0) - nowMs)),
     })),
   });
 }
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -11,6 +11,7 @@
   applyPeerLoad,
   makeDigest,
   sumDemand,
+  sumQueues,
   sumUses,
   type UsesById,
   usesWithout,
@@ -50,6 +51,7 @@
 interface LoadSums {
   readonly uses: UsesById;
   readonly digests: ReadonlyMap<string, peers.NodeDigest>;
+  readonly queues: peers.FleetView["queues"];
   readonly atMs: number;
 }
 
@@ -79,6 +81,7 @@
   #ownEngineStates: TaggedEngineStates | undefined;
   #parentEngineStates: TaggedEngineStates | undefined;
   #parentUses: readonly peers.EngineUse[] = [];
+  #parentQueues: peers.FleetView["queues"] | undefined;
   #parentViewAtMs = -Infinity;
   #level = 0;
 
@@ -134,6 +137,7 @@
         : [],
       tables: this.#news.forChild(digest.tables, nowMs),
       level: this.#level,
+      queues: this.#currentSums(nowMs).queues,
     });
   }
 
@@ -166,7 +170,9 @@
     nowMs: number,
   ): TaggedEngineStates | undefined {
     this.#level = Math.min(view.level, LEVELS_MAX) + 1;
-    this.#parentUses = this.#level <= LEVELS_MAX ? view.uses : [];
+    const hasRoot = this.#level <= LEVELS_MAX;
+    this.#parentUses = hasRoot ? view.uses : [];
+    this.#parentQueues = hasRoot ? view.queues : undefined;
     this.#parentViewAtMs = nowMs;
     this.#news.applyFromParent(view.tables, nowMs);
     if (!view.hasOrders) {
@@ -227,6 +233,13 @@
   applyLoad(nowMs: number): void {
     const self = this.#state.settings.nodeName;
     applyPeerLoad(this.#state, this.#usesOfOthers(self, nowMs), nowMs);
+    const { queues } = this.#currentSums(nowMs);
+    this.#state.fleetQueues = new Map(
+      queues.map(({ model, adapter, waiting }) => [
+        adapter === "" ? model : `${model}/${adapter}`,
+        waiting,
+      ]),
+    );
   }
 
   #freshChildren(nowMs: number): Child[] {
@@ -261,8 +274,11 @@
     const digests = isRoot ? this.digests(nowMs) : this.#ownDigests(nowMs);
     const uses = sumUses(digests);
     if (!isRoot) addUses(uses, this.#parentUses);
+    const queues = (isRoot ? undefined : this.#parentQueues) ??
+      sumQueues(digests);
     this.#sums = {
       uses,
+      queues,
       digests: new Map(digests.map((digest) => [digest.node, digest])),
       atMs: nowMs,
     };
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -6,21 +6,17 @@
 import * as relay from "../relay/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 
-/**
- * Longest wait in the queue; callers abort a stream without data after 2.4 s.
- */
-const QUEUE_WAIT_MAX_MS = 2_100;
-/**
- * Time kept free before the deadline, so that a first event can still arrive.
- */
-const FIRST_EVENT_MARGIN_MS = 300;
 /** Retry-After when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
-/** Retry-After when the backlog is too long: another replica loads in 2 s. */
-const BACKLOG_RETRY_AFTER_MS = 2_000;
 /** Share of an engine's time that one decoding request takes. */
 const DECODE_ENGINE_SHARE = 1 / 32;
 
+/** The wait behind other requests, and the end of the next load if any. */
+interface QueueState {
+  readonly waitMs: number;
+  readonly readyAtMs: number | undefined;
+}
+
 type SelectionResult = Result<relay.UpstreamAssignment, relay.Rejection>;
 
 /** Chooses upstreams by the state of this node. */
@@ -87,25 +83,32 @@
     return stepTimes.prefillMs(model, caller.promptTokens) + decodeMs;
   }
 
-  /**
-   * Estimates the time until the requests queued before this one have started,
-   * assuming that all nodes have equal backlogs, in ms.
-   */
-  #estimateQueueWaitMs(
+  /** Describes the queue that a new request for a model would join. */
+  #viewQueue(
     request: relay.RelayedRequest,
     model: core.ModelName,
-    modelKey: string,
-  ): number {
-    const { upstreams, queue, members } = this.#state;
+    workMs: number,
+  ): QueueState {
+    const { upstreams, queue, fleetQueues } = this.#state;
+    const { adapter } = request.caller;
+    const modelKey = toModelKey(model, adapter);
     const nowMs = core.monotonicMs();
     let replicas = 0;
+    let readyAtMs: number | undefined;
     for (const engine of upstreams.ofService(request.service)) {
-      if (engine.canRun(model, request.caller.adapter, nowMs)) replicas++;
+      if (engine.canRun(model, adapter, nowMs)) replicas++;
+      const loadedAtMs = engine.replicas.get(model)?.readyAtMs;
+      if (loadedAtMs === undefined || loadedAtMs <= nowMs) continue;
+      readyAtMs = Math.min(readyAtMs ?? loadedAtMs, loadedAtMs);
     }
-    // Without a replica the wait is for a load, whatever the backlog.
-    if (replicas === 0) return 0;
-    const localWorkMs = queue.queuedWorkMs(modelKey, request.route.priority);
-    return localWorkMs * members.alive().length / replicas;
+    const waitMs = dispatch.estimateQueueWaitMs({
+      localAheadMs: queue.queuedWorkMs(modelKey, request.route.priority),
+      localTotalMs: queue.queuedWorkMs(modelKey, Infinity),
+      fleetWaiting: fleetQueues.get(modelKey) ?? 0,
+      workMs,
+      replicas,
+    });
+    return { waitMs, readyAtMs };
   }
 
   #selectInstance(
@@ -243,21 +246,24 @@
     const { queue, demand } = this.#state;
     const { caller, route, receivedAtMs, deadlineAtMs } = request;
     const nowMs = core.monotonicMs();
-    const waitUntilMs = Math.min(
-      receivedAtMs + QUEUE_WAIT_MAX_MS,
-      deadlineAtMs - FIRST_EVENT_MARGIN_MS,
-    );
-    if (waitUntilMs <= nowMs) {
-      return Promise.resolve(
-        reject("no engine in time", BACKLOG_RETRY_AFTER_MS),
-      );
-    }
+    const waitUntilMs = dispatch
+      .queueUntilMs(route, receivedAtMs, deadlineAtMs);
     const modelKey = toModelKey(model, caller.adapter);
     const workMs = this.#estimateWorkMs(caller, model);
-    const queueWaitMs = this.#estimateQueueWaitMs(request, model, modelKey);
-    if (nowMs + queueWaitMs > waitUntilMs) {
-      const reason = `queue is ${Math.round(queueWaitMs)} ms long`;
-      return Promise.resolve(reject(reason, BACKLOG_RETRY_AFTER_MS));
+    const rejectWithReturn = (reason: string) => {
+      const { waitMs, readyAtMs } = this.#viewQueue(request, model, workMs);
+      const readyInMs = readyAtMs === undefined
+        ? undefined
+        : readyAtMs - core.monotonicMs();
+      return reject(reason, dispatch.retryAfterMs(waitMs, readyInMs));
+    };
+    if (waitUntilMs <= nowMs) {
+      return Promise.resolve(rejectWithReturn("no engine in time"));
+    }
+    const { waitMs } = this.#viewQueue(request, model, workMs);
+    if (nowMs + waitMs > waitUntilMs) {
+      const reason = `queue is ${Math.round(waitMs)} ms long`;
+      return Promise.resolve(rejectWithReturn(reason));
     }
     const stopTracking = demand.trackQueued(model, caller.adapter, nowMs);
     this.onQueued();
@@ -283,7 +289,7 @@
         },
       });
       const timer = setTimeout(
-        () => settle(reject("no engine in time", BACKLOG_RETRY_AFTER_MS)),
+        () => settle(rejectWithReturn("no engine in time")),
         waitUntilMs - nowMs,
       );
       signal.addEventListener("abort", onAbort, { once: true });
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -29,6 +29,8 @@
     core.ServiceName,
     dispatch.SharedRetryBudget
   >();
+  /** Queued requests of all nodes, by `model` or `model/adapter`. */
+  fleetQueues: ReadonlyMap<string, number> = new Map();
   config: fleet.FleetConfig | undefined;
   table: routes.RouteTable | undefined;
   /** Whether the upstream table has been read at least once. */
--- a/packages/orders/orders_inventory.ts
+++ b/packages/orders/orders_inventory.ts
@@ -23,8 +23,8 @@
   readonly isUsable: boolean;
   /** Adapters that are loaded. */
   readonly adapters: ReadonlySet<string>;
-  /** When a load is expected to end, on the monotonic clock. */
-  readonly readyAtMs: number;
+  /** When its load is expected to end, on the monotonic clock. */
+  readonly readyAtMs?: number;
 }
 
 /**
@@ -99,7 +99,7 @@
           [...model.adapters].filter(([, readyAtMs]) => readyAtMs <= nowMs)
             .map(([adapter]) => adapter),
         ),
-        readyAtMs: model.readyAtMs,
+        ...(model.phase === "loading" ? { readyAtMs: model.readyAtMs } : {}),
       }]),
     );
   }
--- a/packages/orders/tests/unit/orders_inventory_test.ts
+++ b/packages/orders/tests/unit/orders_inventory_test.ts
@@ -156,3 +156,16 @@
   t.is(inventory.orderCount, 10);
   t.is(inventory.models.get(model("b"))?.phase, "ready");
 });
+
+test("only a replica that is being loaded has an expected time", (t) => {
+  const inventory = new orders.EngineInventory(makeRecord());
+  inventory.applyReport(makeReport(0, ["a"]));
+  inventory.applyAccepted(makeOrder("load", "b", 0), 1_000, 500);
+  inventory.models.get(model("a"))!.phase = "draining";
+  const availability = inventory.availability(600);
+  t.like(availability.get(model("b")), { isUsable: false, readyAtMs: 1_500 });
+  t.deepEqual(availability.get(model("a")), {
+    isUsable: false,
+    adapters: new Set(),
+  });
+});
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -35,6 +35,7 @@
   FleetViewSchema,
   MemberStateSchema,
   NodeDigestSchema,
+  QueueLengthSchema,
   TableNewsSchema,
 } from "./gen/fleet_pb.ts";
 export type {
