--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -11,6 +11,15 @@
 const ATTEMPTS_MAX = 3;
 /** Pause after an order for which the engine was unavailable. */
 const UNAVAILABLE_PAUSE_MS = 300;
+/**
+ * Replies after which an order is not sent again at once; one from another
+ * engine shows a restart that the upstream table does not show yet.
+ */
+const PAUSING_REPLIES: ReadonlySet<fleet.OrderReply> = new Set([
+  "unavailable",
+  "unreachable",
+  "otherEngine",
+]);
 /** Interval between probes of an engine that may be unavailable. */
 const PROBE_INTERVAL_MS = 500;
 /** Time after an order from which every report must include it. */
@@ -216,7 +225,7 @@
         continue;
       }
       onContact(reply !== "unreachable");
-      if (reply === "unavailable" || reply === "unreachable") {
+      if (PAUSING_REPLIES.has(reply)) {
         this.#pausedUntilMs = nowMs + UNAVAILABLE_PAUSE_MS;
       }
       const isAlreadyUnloaded = reply === "alreadySo" &&
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -207,3 +207,13 @@
   t.is(sender.inventory.orderCount, 0);
   t.true(await sender.send({ kind: "load", model }, 10));
 });
+
+test("an engine that has restarted under the same address is not asked again at once", async (t) => {
+  const control = new ScriptedControl();
+  const { sender } = makeSender(control);
+  await sender.reconcile();
+  control.replies.push("otherEngine");
+  t.false(await sender.send({ kind: "load", model }, 100));
+  t.true(sender.isBlocked(core.monotonicMs()));
+  t.false(sender.isBlocked(core.monotonicMs() + 1_000));
+});
