Tell callers of an unloaded model to return after 2 s again

Callers return once: after 2.1 s in the queue and 1 s away they waited again before the load, which ends some 4 s after the first request (log of: an evicted model's requests end, 2 s; unload; load, 1.4 s).

--- a/packages/dispatch/dispatch_waiting.ts
+++ b/packages/dispatch/dispatch_waiting.ts
@@ -14,8 +14,11 @@
 /** Bounds of the time after which a rejected caller returns. */
 const RETRY_AFTER_MIN_MS = 200;
 const RETRY_AFTER_MAX_MS = 2_000;
-/** Time from a request for an unloaded model until it is usually loaded. */
-const USUAL_LOAD_MS = 1_000;
+/**
+ * Time after a queued request's patience in which its model is usually loaded:
+ * requests of an evicted model end, which takes seconds, before the load.
+ */
+const USUAL_LOAD_MS = 2_000;
 
 /**
  * Time without an event after which callers abandon a stream of a route.
