Count models that were never requested as idle only since traffic began

A model without a request counted as idle for ever.

Change: such a model counts as requested when traffic began, as far as the planner has seen it, so its expected rate falls with the time observed.

--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -63,7 +63,7 @@
   readonly #lease: orders.OrderLease;
   readonly #control: fleet.EngineControl;
   readonly #managed = new Map<core.UpstreamId, ManagedEngine>();
-  readonly #lastRequestedAtMs = new Map<core.ModelName, number>();
+  readonly #recency = new placement.RequestRecency();
   readonly #unservedSinceMs = new Map<core.ModelName, number>();
   readonly #peakWork = new Map<
     core.ModelName,
@@ -115,9 +115,7 @@
     this.#limiter ??= new orders.LoadRateLimiter(nowMs);
     this.#syncEngines();
     const totals = sumDigests(this.#hub.digests(nowMs));
-    for (const model of totals.modelDemand.keys()) {
-      this.#lastRequestedAtMs.set(model, nowMs);
-    }
+    this.#recency.record(totals.modelDemand.keys(), nowMs);
     for (const { sender } of this.#managed.values()) {
       const isSuspect = this.#state.upstreams.get(sender.record.id)
         ?.isSuspect(nowMs) ?? false;
@@ -195,8 +193,7 @@
       sizesMb: new Map(
         [...spec.models].map(([model, { weightsMb }]) => [model, weightsMb]),
       ),
-      idleMs: (model) =>
-        nowMs - (this.#lastRequestedAtMs.get(model) ?? -Infinity),
+      idleMs: (model) => this.#recency.idleMs(model, nowMs),
       unservedMs: (model) =>
         nowMs - (this.#unservedSinceMs.get(model) ?? nowMs),
       storeLoadsAvailable: this.#availableStoreLoads(spec, nowMs),
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -28,3 +28,4 @@
   ReplicaEngine,
   ReplicaView,
 } from "./placement_replicas.ts";
+export { RequestRecency } from "./placement_recency.ts";
