Call the copies of the store's tables mirrors

A newcomer meets replicas of models in placement, dispatch and orders; copies of tables had the same word. Package, classes and files are renamed; no behaviour changes.

--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -3,7 +3,7 @@
  * fleet only a few nodes do; the others receive the changes from them.
  */
 import * as core from "../core/mod.ts";
-import * as replica from "../replica/mod.ts";
+import * as mirror from "../mirror/mod.ts";
 import type * as store from "../store/mod.ts";
 
 /** Options for following a table. */
@@ -49,11 +49,11 @@
 /** Keeps one table's copy up to date from the store. */
 export class FollowTask extends core.Task {
   override readonly name: string;
-  readonly copy: replica.TableReplica;
+  readonly copy: mirror.TableMirror;
   readonly #store: store.ChangeFeedTableService;
   readonly #storeHealth: StoreHealth;
   readonly #options: FollowOptions;
-  readonly #rank: () => replica.ReaderRank;
+  readonly #rank: () => mirror.ReaderRank;
   readonly #wakeSignal = new core.WakeSignal();
   #isReadRequested = false;
   #failures = 0;
@@ -62,10 +62,10 @@
   /** @param rank this node's position among those that may read the store. */
   constructor(
     store: store.ChangeFeedTableService,
-    copy: replica.TableReplica,
+    copy: mirror.TableMirror,
     storeHealth: StoreHealth,
     options: FollowOptions,
-    rank: () => replica.ReaderRank,
+    rank: () => mirror.ReaderRank,
   ) {
     super();
     this.name = `follow-${copy.name}`;
@@ -98,10 +98,10 @@
       return await this.#readSnapshot();
     }
     const rank = this.#rank();
-    if (replica.isReader(rank)) {
+    if (mirror.isReader(rank)) {
       return await this.#readChanges(cursor, this.#options.waitMs);
     }
-    const { afterMs, intervalMs } = replica.staleReadTimes(
+    const { afterMs, intervalMs } = mirror.staleReadTimes(
       rank,
       this.#options.waitMs,
     );
@@ -128,7 +128,7 @@
     return 0;
   }
 
-  async #readChanges(cursor: replica.Cursor, waitMs: number): Promise<number> {
+  async #readChanges(cursor: mirror.Cursor, waitMs: number): Promise<number> {
     this.#readAtMs = core.monotonicMs();
     const result = await this.#store
       .follow(this.copy.name, cursor.version, waitMs);
--- a/packages/entry/entry_listeners.ts
+++ b/packages/entry/entry_listeners.ts
@@ -1,7 +1,7 @@
 /** Listeners that apply rows of the store to the node's state. */
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import * as replica from "../replica/mod.ts";
+import * as mirror from "../mirror/mod.ts";
 import type * as store from "../store/mod.ts";
 import type { StoreHealth } from "./entry_follow_task.ts";
 import { MEMBER_PREFIX, MemberRowCodec } from "./entry_members.ts";
@@ -16,7 +16,7 @@
 const DEPARTED_MAX = 1_000;
 
 /** Applies the operator's configuration. */
-export class ConfigListener extends replica.TableListener {
+export class ConfigListener extends mirror.TableListener {
   readonly #state: EntryState;
   readonly #source: fleet.FleetSource;
   readonly #upstreamListener: UpstreamListener;
@@ -50,7 +50,7 @@
 }
 
 /** Applies the upstream table. */
-export class UpstreamListener extends replica.TableListener {
+export class UpstreamListener extends mirror.TableListener {
   readonly #state: EntryState;
   readonly #source: fleet.FleetSource;
   readonly #storeHealth: StoreHealth;
@@ -177,7 +177,7 @@
 }
 
 /** Applies the member rows of the entry nodes. */
-export class MemberListener extends replica.TableListener {
+export class MemberListener extends mirror.TableListener {
   readonly #state: EntryState;
 
   constructor(state: EntryState) {
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -4,7 +4,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
-import * as replica from "../replica/mod.ts";
+import * as mirror from "../mirror/mod.ts";
 import type * as store from "../store/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { ExchangeHub } from "./entry_exchange.ts";
@@ -198,7 +198,7 @@
       this.#lifecycle,
     );
     upstreamListener.onChange = () => this.#selector.selectForQueued();
-    const tables: [replica.TableReplicaOptions, FollowOptions][] = [
+    const tables: [mirror.TableMirrorOptions, FollowOptions][] = [
       [{
         name: source.configTable,
         listener: new ConfigListener(state, source, upstreamListener),
@@ -214,11 +214,11 @@
       ],
     ];
     const rank = () =>
-      replica.rankReader(state.settings.nodeName, state.members.alive());
+      mirror.rankReader(state.settings.nodeName, state.members.alive());
     return tables.map(([options, followOptions]) =>
       new FollowTask(
         store,
-        new replica.TableReplica(options),
+        new mirror.TableMirror(options),
         storeHealth,
         followOptions,
         rank,
--- a/packages/entry/entry_table_news.ts
+++ b/packages/entry/entry_table_news.ts
@@ -1,7 +1,7 @@
 /** Passes changes of the store's tables between nodes. */
 import { create } from "@bufbuild/protobuf";
 import * as peers from "../peers/mod.ts";
-import * as replica from "../replica/mod.ts";
+import * as mirror from "../mirror/mod.ts";
 
 /**
  * Size of the changes of one table in a message. A node that lacks more reads
@@ -11,7 +11,7 @@
 
 /** A table whose changes are passed on. */
 export interface SharedTable {
-  readonly copy: replica.TableReplica;
+  readonly copy: mirror.TableMirror;
   /** Makes this node read the table from the store. */
   requestRead(): void;
 }
@@ -19,7 +19,7 @@
 /** The tables of this node, and what it knows of its parent's copies. */
 export class TableNewsExchange {
   readonly #tables: readonly SharedTable[];
-  readonly #parentCursors = new Map<string, replica.Cursor>();
+  readonly #parentCursors = new Map<string, mirror.Cursor>();
   #parent: string | undefined;
 
   constructor(tables: readonly SharedTable[]) {
@@ -33,7 +33,7 @@
     return this.#tables.flatMap(({ copy }) => {
       const known = this.#parentCursors.get(copy.name);
       const isAhead = known !== undefined &&
-        replica.compareCursors(copy.cursor, known) > 0;
+        mirror.compareCursors(copy.cursor, known) > 0;
       return makeNews(copy, isAhead ? known : copy.cursor, nowMs);
     });
   }
@@ -81,15 +81,15 @@
 
 function toCursor(
   position: { generation: number; version: number } | undefined,
-): replica.Cursor | undefined {
+): mirror.Cursor | undefined {
   if (!position) return undefined;
   const { generation, version } = position;
   return { generation, version };
 }
 
 function makeNews(
-  copy: replica.TableReplica,
-  theirs: replica.Cursor | undefined,
+  copy: mirror.TableMirror,
+  theirs: mirror.Cursor | undefined,
   nowMs: number,
 ): peers.TableNews[] {
   if (!copy.cursor) return [];
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -2,7 +2,7 @@
 import * as core from "../../../core/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
 import * as orders from "../../../orders/mod.ts";
-import * as replica from "../../../replica/mod.ts";
+import * as mirror from "../../../mirror/mod.ts";
 import type * as store from "../../../store/mod.ts";
 import { ExchangeHub } from "../../entry_exchange.ts";
 import { EntryState } from "../../entry_state.ts";
@@ -25,7 +25,7 @@
   modelsOnDisk: [],
 };
 
-class NoListener extends replica.TableListener {
+class NoListener extends mirror.TableListener {
   override applySnapshot(): void {}
   override applyChange(): void {}
 }
@@ -34,7 +34,7 @@
 class TestNode {
   readonly state: EntryState;
   readonly hub: ExchangeHub;
-  readonly copy = new replica.TableReplica({
+  readonly copy = new mirror.TableMirror({
     name: "t",
     listener: new NoListener(),
   });
--- a/packages/replica/replica_cursor.ts
+++ b/packages/mirror/mirror_cursor.ts
@@ -16,7 +16,7 @@
  * @returns a negative number, 0 or a positive number.
  * @example
  * ```ts
- * if (replica.compareCursors(theirs, ours) < 0) sendChanges();
+ * if (mirror.compareCursors(theirs, ours) < 0) sendChanges();
  * ```
  */
 export function compareCursors(
--- a/packages/replica/replica_readers.ts
+++ b/packages/mirror/mirror_readers.ts
@@ -28,7 +28,7 @@
  *
  * @example
  * ```ts
- * const { rank } = replica.rankReader(self, members.alive());
+ * const { rank } = mirror.rankReader(self, members.alive());
  * ```
  */
 export function rankReader(
@@ -44,7 +44,7 @@
  *
  * @example
  * ```ts
- * replica.isReader({ rank: 40, nodes: 78 }); // false
+ * mirror.isReader({ rank: 40, nodes: 78 }); // false
  * ```
  */
 export function isReader({ rank, nodes }: ReaderRank): boolean {
@@ -61,7 +61,7 @@
  * @example
  * ```ts
  * const rank = { rank: 7, nodes: 78 };
- * const { afterMs, intervalMs } = replica.staleReadTimes(rank, 1_000);
+ * const { afterMs, intervalMs } = mirror.staleReadTimes(rank, 1_000);
  * ```
  */
 export function staleReadTimes(
--- a/packages/replica/replica_table.ts
+++ b/packages/mirror/mirror_table.ts
@@ -4,7 +4,7 @@
  */
 import * as core from "../core/mod.ts";
 import type * as store from "../store/mod.ts";
-import { compareCursors, type Cursor } from "./replica_cursor.ts";
+import { compareCursors, type Cursor } from "./mirror_cursor.ts";
 
 /** Receives the rows and changes of a table. */
 export abstract class TableListener {
@@ -48,7 +48,7 @@
 }
 
 /** Options of a copy. */
-export interface TableReplicaOptions {
+export interface TableMirrorOptions {
   readonly name: string;
   readonly listener: TableListener;
   /**
@@ -60,7 +60,7 @@
 }
 
 /** A copy of one table. */
-export class TableReplica {
+export class TableMirror {
   readonly name: string;
   readonly #listener: TableListener;
   readonly #significantPart: (value: core.JsonValue) => core.JsonValue;
@@ -71,7 +71,7 @@
   #deltasFromVersion = 0;
   #confirmedAtMs = -Infinity;
 
-  constructor(options: TableReplicaOptions) {
+  constructor(options: TableMirrorOptions) {
     this.name = options.name;
     this.#listener = options.listener;
     this.#significantPart = options.significantPart ?? ((value) => value);
--- a/packages/replica/tests/unit/replica_test.ts
+++ b/packages/mirror/tests/unit/mirror_test.ts
@@ -2,10 +2,10 @@
 import * as fc from "fast-check";
 import * as core from "../../../core/mod.ts";
 import type * as store from "../../../store/mod.ts";
-import * as replica from "../../mod.ts";
+import * as mirror from "../../mod.ts";
 
 /** Keeps the rows as a listener sees them. */
-class Recorder extends replica.TableListener {
+class Recorder extends mirror.TableListener {
   readonly rows = new Map<string, core.JsonValue>();
   changes = 0;
 
@@ -27,7 +27,7 @@
   significantPart?: (value: core.JsonValue) => core.JsonValue,
 ) {
   const listener = new Recorder();
-  const copy = new replica.TableReplica({
+  const copy = new mirror.TableMirror({
     name: "t",
     listener,
     ...(significantPart ? { significantPart } : {}),
@@ -48,7 +48,7 @@
   return { generation, version, rows: stored };
 }
 
-function transfer(from: replica.TableReplica, to: replica.TableReplica) {
+function transfer(from: mirror.TableMirror, to: mirror.TableMirror) {
   const delta = from.deltaSince(to.cursor, BYTES_MAX);
   if (delta === undefined || delta === "tooLarge") return delta;
   return to.merge(delta);
@@ -224,23 +224,23 @@
   for (const count of [7, 30, 78, 390]) {
     const alive = names(count);
     const readers = alive.filter((node) =>
-      replica.isReader(replica.rankReader(node, alive))
+      mirror.isReader(mirror.rankReader(node, alive))
     );
     t.is(readers.length, 3, `${count} nodes`);
   }
   const few = names(4);
-  t.true(few.every((node) => replica.isReader(replica.rankReader(node, few))));
+  t.true(few.every((node) => mirror.isReader(mirror.rankReader(node, few))));
 });
 
 test("while the store is away, few nodes call it, and the first ones soon", (t) => {
   const alive = names(78);
   let callsPerS = 0;
   for (const node of alive) {
-    const rank = replica.rankReader(node, alive);
-    if (replica.isReader(rank)) continue;
-    callsPerS += 1_000 / replica.staleReadTimes(rank, 1_000).intervalMs;
+    const rank = mirror.rankReader(node, alive);
+    if (mirror.isReader(rank)) continue;
+    callsPerS += 1_000 / mirror.staleReadTimes(rank, 1_000).intervalMs;
   }
   t.true(callsPerS < 30, `${callsPerS} calls/s`);
-  const first = replica.staleReadTimes({ rank: 3, nodes: 78 }, 1_000);
+  const first = mirror.staleReadTimes({ rank: 3, nodes: 78 }, 1_000);
   t.true(first.afterMs + first.intervalMs <= 2_000);
 });
