--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -31,8 +31,6 @@
 const ADAPTER_RESIDENCE_MIN_MS = 500;
 /** Time after which memory freed for one model may be used for any other. */
 const RESERVATION_TTL_MS = 2_000;
-/** Peak work counts for this long, because demand comes in waves. */
-const PEAK_WORK_WINDOW_MS = 4_000;
 const MS_PER_S = 1_000;
 
 /** An engine to which this node sends orders. */
@@ -65,10 +63,7 @@
   readonly #managed = new Map<core.UpstreamId, ManagedEngine>();
   readonly #recency = new placement.RequestRecency();
   readonly #unservedSinceMs = new Map<core.ModelName, number>();
-  readonly #peakWork = new Map<
-    core.ModelName,
-    { workMsPerS: number; atMs: number }
-  >();
+  readonly #peakWork = new placement.PeakWork();
   /** Limits loads from the weight store; set only on the lease holder. */
   #limiter: orders.LoadRateLimiter | undefined;
   readonly wakeSignal = new core.WakeSignal();
@@ -189,7 +184,7 @@
       engines: states.flatMap((state) =>
         this.#toReplicaEngine(state, spec, totals, nowMs)
       ),
-      demand: this.#withPeakWork(totals.modelDemand, nowMs),
+      demand: this.#peakWork.apply(totals.modelDemand, nowMs),
       sizesMb: new Map(
         [...spec.models].map(([model, { weightsMb }]) => [model, weightsMb]),
       ),
@@ -310,30 +305,6 @@
     );
   }
 
-  /**
-   * Returns the demand with each model's recent peak of work in place of its
-   * current work, so that a short lull causes no eviction.
-   */
-  #withPeakWork(
-    demand: ReadonlyMap<core.ModelName, placement.ModelDemand>,
-    nowMs: number,
-  ): Map<core.ModelName, placement.ModelDemand> {
-    for (const [model, { workMsPerS }] of demand) {
-      const peak = this.#peakWork.get(model);
-      const isExpired = peak && nowMs - peak.atMs > PEAK_WORK_WINDOW_MS;
-      if (!peak || isExpired || workMsPerS >= peak.workMsPerS) {
-        this.#peakWork.set(model, { workMsPerS, atMs: nowMs });
-      }
-    }
-    return new Map(
-      [...demand].map(([model, modelDemand]) => [model, {
-        ...modelDemand,
-        workMsPerS: this.#peakWork.get(model)?.workMsPerS ??
-          modelDemand.workMsPerS,
-      }]),
-    );
-  }
-
   /** Orders unloads of drained models, or of those that drain for too long. */
   #unloadDrained(
     states: readonly dispatch.UpstreamState[],
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -29,3 +29,4 @@
   ReplicaView,
 } from "./placement_replicas.ts";
 export { RequestRecency } from "./placement_recency.ts";
+export { PeakWork } from "./placement_peak_work.ts";
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -16,12 +16,13 @@
 } from "./relay_body.ts";
 export { EventStreamBuffer } from "./relay_events.ts";
 export { UpstreamPools } from "./relay_pools.ts";
-export { RelayTask, UpstreamSelector } from "./relay_task.ts";
+export { RelayTask } from "./relay_task.ts";
+export type { RelayOutcome } from "./relay_task.ts";
+export { UpstreamSelector } from "./relay_types.ts";
 export type {
   Rejection,
   RelayDependencies,
   RelayedRequest,
-  RelayOutcome,
   UpstreamAssignment,
-} from "./relay_task.ts";
+} from "./relay_types.ts";
 export { CallerResponse } from "./relay_response.ts";
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -3,11 +3,7 @@
  * that is safe, and writes the response to the caller.
  */
 import { Buffer } from "node:buffer";
-import type { Result } from "neverthrow";
-import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
-import type * as dispatch from "../dispatch/mod.ts";
-import type * as fleet from "../fleet/mod.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -15,82 +11,12 @@
   startAttempt,
 } from "./relay_attempt.ts";
 import { EventStreamBuffer } from "./relay_events.ts";
-
-/** A request as received, with the route that it matched. */
-export interface RelayedRequest {
-  readonly caller: fleet.CallerRequest;
-  readonly route: fleet.RouteSpec;
-  readonly service: core.ServiceName;
-  readonly method: string;
-  readonly path: string;
-  readonly body: Buffer;
-  readonly receivedAtMs: number;
-  /**
-   * The earlier of the caller's deadline and the route's timeout, monotonic ms.
-   */
-  readonly deadlineAtMs: number;
-}
-
-/**
- * An upstream selected for one attempt, and callbacks that report the progress
- * of the attempt to the selector. `onEnd` is called exactly once.
- */
-export interface UpstreamAssignment {
-  readonly upstream: fleet.UpstreamRecord;
-  readonly dispatcher: Dispatcher;
-  /** Inputs of the selection, added to the request's log entry. */
-  readonly logFields: core.LogFields;
-  /** The first event of a stream, or a complete body, has arrived. */
-  onFirstEvent(nowMs: number): void;
-  /** The response head, or a chunk of a stream, has arrived. */
-  onBytesReceived(nowMs: number): void;
-  /**
-   * The upstream stated that it did not run the request.
-   *
-   * @param lacksModel whether it stated that it does not hold the model.
-   */
-  onNotRun(lacksModel: boolean, nowMs: number): void;
-  /** A stream ended complete, with this number of chunks, taken as events. */
-  onStreamLength(events: number): void;
-  /** Mean time between some consecutive chunks of a stream. */
-  onEventGap(gapMs: number): void;
-  /** The attempt has ended. */
-  onEnd(outcome: dispatch.UpstreamOutcome | "shed" | "cancelled"): void;
-}
-
-/** Why a request is rejected, and when the caller should retry. */
-export interface Rejection {
-  readonly reason: string;
-  readonly retryAfterMs: number;
-}
-
-/** Selects upstreams for requests and accounts for retries. */
-export abstract class UpstreamSelector {
-  /**
-   * Selects an upstream. If none can take the request now, queues it until one
-   * can, unless the wait would be too long.
-   *
-   * @param failed upstreams on which an attempt has failed; avoided if
-   * possible.
-   * @param signal aborts the wait in the queue.
-   */
-  abstract select(
-    request: RelayedRequest,
-    failed: ReadonlySet<core.UpstreamId>,
-    signal: AbortSignal,
-  ): Promise<Result<UpstreamAssignment, Rejection>>;
-
-  /**
-   * Takes one retry from the service's retry budget; false if it is exhausted.
-   */
-  abstract trySpendRetry(service: core.ServiceName): boolean;
-}
-
-export interface RelayDependencies {
-  readonly dialect: fleet.HttpDialect;
-  readonly selector: UpstreamSelector;
-  readonly logger: core.Logger;
-}
+import type {
+  Rejection,
+  RelayDependencies,
+  RelayedRequest,
+  UpstreamAssignment,
+} from "./relay_types.ts";
 
 /** How a request ended, as seen by its caller. */
 export type RelayOutcome = "done" | "refused" | "failed" | "callerLeft";
