Speak the exchange's unary call directly; wake leaves less often

Cause: on loopback, 30 nodes at rest, a leaf took 55 ms of processor time a second and a leader 200, nearly all of it exchanges: the connect library's client and server take 2.7 ms a call for both sides (1,500 calls one after the other), 3.4 ms at 20 a second. Beside it, a leaf woke 12 times a second to look at the age of its mirrors, and 10 times to look at the lease.

Ruled out: the codecs (47 us for a view of 55 engines), the planner (0.1 to 0.4 ms a round at 55 to 600 engines).

Mirrors are looked at once a second, the lease by rank, groups exchange each 150 ms.

--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -24,7 +24,7 @@
  */
 const ROOT_INTERVALS: ExchangeIntervals = { idleMs: 50, queuedMs: 25 };
 /** Interval of a node in a group; a leader has up to 20 of them. */
-const GROUP_INTERVALS: ExchangeIntervals = { idleMs: 100, queuedMs: 50 };
+const GROUP_INTERVALS: ExchangeIntervals = { idleMs: 150, queuedMs: 50 };
 /** An unresponsive parent is not chosen again for this long. */
 const PARENT_AVOIDANCE_MS = 600;
 /** After this, the upstream table replaces the lease holder's engine states. */
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -19,8 +19,8 @@
 /** Pauses after failures, jittered so that nodes do not retry in step. */
 const RETRY_DELAY_MIN_MS = 200;
 const RETRY_DELAY_MAX_MS = 600;
-/** Interval at which a node that is no reader checks the age of its copy. */
-const CHECK_INTERVAL_MS = 250;
+/** Interval at which a node checks whether it has become a reader. */
+const CHECK_INTERVAL_MS = 1_000;
 
 /** Availability of the store, as seen by all tasks that follow a table. */
 export class StoreHealth {
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -27,8 +27,12 @@
 const CANDIDATE_STAGGER_MS = 150;
 /** Pause before a failed renewal is retried. */
 const RENEW_RETRY_MS = 50;
-/** Interval at which other nodes check whether the holder has renewed. */
+/**
+ * Interval at which the first candidate checks whether the holder has renewed;
+ * it grows with the rank up to a multiple, as the later ones need not hurry.
+ */
 const POLL_INTERVAL_MS = 100;
+const POLL_INTERVAL_FACTOR_MAX = 5;
 /**
  * Interval between reads of the row while the holder announces no renewals; it
  * grows with the rank, as a large fleet would make many reads.
@@ -248,7 +252,7 @@
         ? await this.#writeRelease()
         : await this.#renew();
       const pauseMs = this.#fencingToken === undefined
-        ? POLL_INTERVAL_MS
+        ? this.#pollIntervalMs()
         : hasSucceeded || this.#isReleasing
         ? RENEW_INTERVAL_MS
         : RENEW_RETRY_MS;
@@ -256,6 +260,11 @@
     }
   }
 
+  #pollIntervalMs(): number {
+    const factor = Math.min(1 + this.#options.rank(), POLL_INTERVAL_FACTOR_MAX);
+    return POLL_INTERVAL_MS * factor;
+  }
+
   /** Reads the row if the holder announces nothing; acquires it if expired. */
   async #poll(): Promise<boolean> {
     const { isEligible, key, rank } = this.#options;
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -1,19 +1,26 @@
 /**
  * Client and listener for the exchange of digests between entry nodes, over
- * Connect on HTTP/1.1.
+ * the Connect protocol on HTTP/1.1. Exchanges are most of what a node does
+ * while no request comes, so both sides speak that protocol's unary call
+ * directly; other calls and clients are served by the connect library.
  */
-import { type Client, createClient } from "@connectrpc/connect";
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { Buffer } from "node:buffer";
 import {
-  connectNodeAdapter,
-  createConnectTransport,
-} from "@connectrpc/connect-node";
-import { Agent, createServer } from "node:http";
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import * as undici from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
 import {
   FleetService,
   type FleetView,
+  FleetViewSchema,
   type NodeDigest,
+  NodeDigestSchema,
 } from "./gen/fleet_pb.ts";
 
 /**
@@ -21,9 +28,17 @@
  * milliseconds.
  */
 const EXCHANGE_TIMEOUT_MS = 350;
-
 /** Largest message that a node accepts from another one. */
 const MESSAGE_BYTES_MAX = 4 * 1024 * 1024;
+/** Time in which a node has to send a whole digest. */
+const DIGEST_TIMEOUT_MS = 5_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+/** Connections to one peer; a call may follow on one that timed out. */
+const CONNECTIONS_PER_PEER = 2;
+
+const EXCHANGE_PATH =
+  `/${FleetService.typeName}/${FleetService.method.exchange.name}`;
+const MESSAGE_TYPE = "application/proto";
 
 /** Answers a digest of another node with the hub's view of the fleet. */
 export abstract class FleetHandler {
@@ -45,7 +60,7 @@
   host: string,
   port: number,
 ): Promise<core.Cleanup> {
-  const server = createServer(connectNodeAdapter({
+  const handleOther = connectNodeAdapter({
     routes: (router) => {
       router.service(FleetService, {
         exchange: (digest) => handler.exchange(digest),
@@ -53,14 +68,54 @@
     },
     acceptCompression: [],
     readMaxBytes: MESSAGE_BYTES_MAX,
-  }));
+  });
+  const server = createServer({
+    requestTimeout: DIGEST_TIMEOUT_MS,
+    headersTimeout: DIGEST_TIMEOUT_MS,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+  }, (request, response) => {
+    const isExchange = request.method === "POST" &&
+      request.url === EXCHANGE_PATH &&
+      request.headers["content-type"] === MESSAGE_TYPE;
+    if (isExchange) answerExchange(handler, request, response);
+    else handleOther(request, response);
+  });
   return await transport.startServer(server, host, port);
 }
 
+/** Reads a digest and answers it; a message that is too large is cut off. */
+function answerExchange(
+  handler: FleetHandler,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  request.on("error", () => response.destroy());
+  request.on("data", (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MESSAGE_BYTES_MAX) request.destroy();
+    else chunks.push(chunk);
+  });
+  request.on("end", () => {
+    try {
+      const digest = fromBinary(NodeDigestSchema, Buffer.concat(chunks));
+      const view = toBinary(FleetViewSchema, handler.exchange(digest));
+      response.writeHead(200, {
+        "content-type": MESSAGE_TYPE,
+        "content-length": view.length,
+      }).end(view);
+    } catch (thrown) {
+      const message = core.messageOf(thrown);
+      response.writeHead(400, { "content-type": "application/json" })
+        .end(JSON.stringify({ code: "invalid_argument", message }));
+    }
+  });
+}
+
 /** Clients for other entry nodes, cached by address. */
 export class FleetClients {
-  readonly #agent = new Agent({ keepAlive: true, maxFreeSockets: 2 });
-  readonly #clients = new Map<string, Client<typeof FleetService>>();
+  readonly #pools = new Map<string, undici.Pool>();
   readonly #logger: core.Logger;
 
   constructor(logger: core.Logger) {
@@ -75,36 +130,57 @@
     address: string,
     digest: NodeDigest,
   ): Promise<FleetView | undefined> {
+    const aborter = new AbortController();
+    const timer = setTimeout(
+      () => aborter.abort(new Error("no answer in time")),
+      EXCHANGE_TIMEOUT_MS,
+    );
     try {
-      return await this.#client(address).exchange(digest);
+      const { statusCode, body } = await this.#pool(address).request({
+        path: EXCHANGE_PATH,
+        method: "POST",
+        headers: {
+          "content-type": MESSAGE_TYPE,
+          "connect-protocol-version": "1",
+        },
+        body: toBinary(NodeDigestSchema, digest),
+        signal: aborter.signal,
+      });
+      const bytes = new Uint8Array(await body.arrayBuffer());
+      if (statusCode === 200) return fromBinary(FleetViewSchema, bytes);
+      this.#logFailure(address, `status ${statusCode}`);
     } catch (thrown) {
-      const reason = core.messageOf(thrown);
-      this.#logger.warn("exchange_failed", { address, reason });
-      return undefined;
+      this.#logFailure(address, core.messageOf(thrown));
+    } finally {
+      clearTimeout(timer);
     }
+    return undefined;
   }
 
   /** Closes every connection. */
-  close(): void {
-    this.#agent.destroy();
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
-  #client(address: string): Client<typeof FleetService> {
-    let client = this.#clients.get(address);
-    if (!client) {
-      client = createClient(
-        FleetService,
-        createConnectTransport({
-          baseUrl: `http://${address}`,
-          httpVersion: "1.1",
-          nodeOptions: { agent: this.#agent },
-          acceptCompression: [],
-          readMaxBytes: MESSAGE_BYTES_MAX,
-          defaultTimeoutMs: EXCHANGE_TIMEOUT_MS,
-        }),
-      );
-      this.#clients.set(address, client);
+  #logFailure(address: string, reason: string): void {
+    this.#logger.warn("exchange_failed", { address, reason });
+  }
+
+  #pool(address: string): undici.Pool {
+    let pool = this.#pools.get(address);
+    if (!pool) {
+      pool = new undici.Pool(`http://${address}`, {
+        connections: CONNECTIONS_PER_PEER,
+        pipelining: 1,
+        connect: { timeout: EXCHANGE_TIMEOUT_MS },
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        maxResponseSize: MESSAGE_BYTES_MAX,
+      });
+      this.#pools.set(address, pool);
     }
-    return client;
+    return pool;
   }
 }
--- a/packages/peers/tests/unit/peers_fleet_test.ts
+++ b/packages/peers/tests/unit/peers_fleet_test.ts
@@ -1,9 +1,12 @@
 import { create } from "@bufbuild/protobuf";
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import test from "ava";
 import { once } from "node:events";
 import { request } from "node:http";
 import { type AddressInfo, createServer } from "node:net";
 import * as core from "../../../core/mod.ts";
+import { FleetService } from "../../gen/fleet_pb.ts";
 import * as peers from "../../mod.ts";
 
 const silentLogger = new core.Logger({}, () => {});
@@ -15,10 +18,11 @@
 }
 
 test("a peer whose answer never ends is given up", async (t) => {
-  let closed = 0;
+  let open = 0;
   const server = createServer((socket) => {
+    open++;
     socket.on("error", () => {});
-    socket.on("close", () => closed++);
+    socket.on("close", () => open--);
     socket.write("HTTP/1.1 200 OK\r\ncontent-type: application/proto\r\n");
     const write = () => {
       if (socket.destroyed) return;
@@ -39,11 +43,49 @@
   t.is(view, undefined);
   t.true(performance.now() - startedAtMs < 1_000);
   await core.sleep(100);
-  t.is(closed, 1);
-  clients.close();
+  t.is(open, 0, "a connection is still open");
+  await clients.close();
   server.close();
 });
 
+test("clients of the connect library and malformed messages are answered", async (t) => {
+  const port = 20_000 + Math.floor(Math.random() * 20_000);
+  const origin = `http://127.0.0.1:${port}`;
+  const stop = await peers.startFleetListener(
+    new EchoHandler(),
+    "127.0.0.1",
+    port,
+  );
+  for (const useBinaryFormat of [true, false]) {
+    const client = createClient(
+      FleetService,
+      createConnectTransport({
+        baseUrl: origin,
+        httpVersion: "1.1",
+        useBinaryFormat,
+      }),
+    );
+    const view = await client.exchange({ node: "a" });
+    t.is(view.enginesTag, "answered");
+  }
+  const malformed = await fetch(
+    `${origin}/carawaywind.fleet.v1.FleetService/Exchange`,
+    {
+      method: "POST",
+      headers: { "content-type": "application/proto" },
+      body: new Uint8Array([0xff, 0xff, 0xff]),
+    },
+  );
+  t.is(malformed.status, 400);
+  t.is((await malformed.json() as { code: string }).code, "invalid_argument");
+  const clients = new peers.FleetClients(silentLogger);
+  const digest = create(peers.NodeDigestSchema, { node: "a" });
+  const view = await clients.exchange(`127.0.0.1:${port}`, digest);
+  t.is(view?.enginesTag, "answered");
+  await clients.close();
+  await stop();
+});
+
 test("a digest that never ends is rejected, and others are answered", async (t) => {
   const port = 20_000 + Math.floor(Math.random() * 20_000);
   const stop = await peers.startFleetListener(
@@ -59,10 +101,9 @@
     headers: { "content-type": "application/proto" },
   });
   endless.on("error", () => {});
-  const ended = Promise.race([
-    once(endless, "response"),
-    once(endless, "close"),
-  ]);
+  const ended = new Promise((resolve) => {
+    endless.on("response", resolve).on("close", resolve);
+  });
   const writing = setInterval(() => endless.write("x".repeat(500_000)), 5);
   const clients = new peers.FleetClients(silentLogger);
   const view = await clients.exchange(
@@ -74,6 +115,6 @@
   t.pass();
   clearInterval(writing);
   endless.destroy();
-  clients.close();
+  await clients.close();
   await stop();
 });
