Test who follows the store: readers, the rest, lost readers, a store that is away

The bounds that the few readers have to keep, without network: a node that is no reader makes no call while its copy is confirmed, reads within 2 s when the readers are lost, and calls a store that is away at most three times in 4 s.

--- /dev/null
+++ b/packages/entry/tests/unit/entry_follow_test.ts
@@ -0,0 +1,123 @@
+import test from "ava";
+import { err, ok, type Result } from "neverthrow";
+import * as core from "../../../core/mod.ts";
+import * as mirror from "../../../mirror/mod.ts";
+import * as store from "../../../store/mod.ts";
+import { FollowTask, StoreHealth } from "../../entry_follow_task.ts";
+
+const silentLogger = new core.Logger({}, () => {});
+const WAIT_MS = 300;
+
+/** A store with one row, which counts its calls and can be away. */
+class CountingStore extends store.ChangeFeedTableService {
+  calls = 0;
+  isAway = false;
+  version = 1;
+
+  override readTable(): Promise<
+    Result<store.TableSnapshot, store.StoreFailure>
+  > {
+    this.calls++;
+    if (this.isAway) return Promise.resolve(this.#away());
+    const row = { key: "x", version: this.version, value: this.version };
+    const { version } = this;
+    return Promise.resolve(ok({ rows: [row], version, generation: 0 }));
+  }
+
+  override async follow(
+    _table: string,
+    afterVersion: number,
+    waitMs: number,
+  ): Promise<Result<store.TableChanges, store.StoreFailure>> {
+    this.calls++;
+    if (this.isAway) return this.#away();
+    const { version } = this;
+    const changes = version > afterVersion
+      ? [{ key: "x", version, value: version }]
+      : [];
+    if (changes.length === 0) await core.sleep(waitMs);
+    return ok({ outcome: "changes", changes, version });
+  }
+
+  override read(): never {
+    throw new Error("not used");
+  }
+
+  override transact(): never {
+    throw new Error("not used");
+  }
+
+  #away() {
+    return err({ effect: "none" as const, reached: false, detail: "away" });
+  }
+}
+
+class NoListener extends mirror.TableListener {
+  override applySnapshot(): void {}
+  override applyChange(): void {}
+}
+
+async function withTask(
+  rank: mirror.ReaderRank,
+  run: (copy: mirror.TableMirror, service: CountingStore) => Promise<void>,
+): Promise<void> {
+  const service = new CountingStore();
+  const copy = new mirror.TableMirror({
+    name: "t",
+    listener: new NoListener(),
+  });
+  const task = new FollowTask(
+    service,
+    copy,
+    new StoreHealth(silentLogger),
+    { waitMs: WAIT_MS, coalesceMs: 0 },
+    () => rank,
+  );
+  const stop = new AbortController();
+  const running = task.run(stop.signal);
+  try {
+    await run(copy, service);
+  } finally {
+    stop.abort();
+    await running;
+  }
+}
+
+test("a reader follows the store", async (t) => {
+  await withTask({ rank: 0, nodes: 78 }, async (copy, service) => {
+    await core.sleep(100);
+    service.version = 2;
+    await core.sleep(WAIT_MS + 200);
+    t.is(copy.cursor?.version, 2);
+  });
+});
+
+test("a node that is no reader leaves the store alone while its copy is confirmed", async (t) => {
+  await withTask({ rank: 40, nodes: 78 }, async (copy, service) => {
+    await core.sleep(100);
+    for (let n = 0; n < 20; n++) {
+      copy.confirm(copy.cursor, core.monotonicMs());
+      await core.sleep(100);
+    }
+    t.is(service.calls, 1, "the first read alone");
+  });
+});
+
+test("when the readers are lost, the next node reads within two seconds", async (t) => {
+  await withTask({ rank: 3, nodes: 78 }, async (copy, service) => {
+    await core.sleep(100);
+    service.version = 2;
+    const lostAtMs = core.monotonicMs();
+    while (copy.cursor?.version !== 2) await core.sleep(20);
+    t.true(core.monotonicMs() - lostAtMs < 2_000);
+  });
+});
+
+test("a store that is away gets few calls from a node that is no reader", async (t) => {
+  await withTask({ rank: 40, nodes: 78 }, async (_copy, service) => {
+    await core.sleep(100);
+    service.isAway = true;
+    await core.sleep(4_000);
+    t.true(service.calls <= 3, `${service.calls} calls`);
+  });
+});
