Exchange less often in groups while requests queue

Change: 100 ms for leaves and 50 ms for leaders. A first queued request is still reported at once, and the end of a load is known in advance.

--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -19,12 +19,17 @@
 }
 
 /**
- * Interval of a node that exchanges with the root, in which the other nodes
+ * Intervals where all nodes exchange with the root, in which the other nodes
  * send about one request to an engine.
  */
-const ROOT_INTERVALS: ExchangeIntervals = { idleMs: 50, queuedMs: 25 };
-/** Interval of a node in a group; a leader has up to 20 of them. */
-const GROUP_INTERVALS: ExchangeIntervals = { idleMs: 150, queuedMs: 50 };
+const FLAT_INTERVALS: ExchangeIntervals = { idleMs: 50, queuedMs: 25 };
+/** Intervals of a group leader, which exchanges for up to 20 nodes. */
+const LEADER_INTERVALS: ExchangeIntervals = { idleMs: 50, queuedMs: 50 };
+/**
+ * Intervals of a node in a group. A request that is queued is reported at once,
+ * and the end of a load is known in advance.
+ */
+const LEAF_INTERVALS: ExchangeIntervals = { idleMs: 150, queuedMs: 100 };
 /** An unresponsive parent is not chosen again for this long. */
 const PARENT_AVOIDANCE_MS = 600;
 /** After this, the upstream table replaces the lease holder's engine states. */
@@ -71,9 +76,7 @@
       this.#hasQueuedBelow = false;
       await this.#exchange(place);
       this.#selector.selectForQueued();
-      const { idleMs, queuedMs } = isInGroup(place, this.#lease.holder)
-        ? GROUP_INTERVALS
-        : ROOT_INTERVALS;
+      const { idleMs, queuedMs } = intervalsFor(place, this.#lease.holder);
       if (hasQueued) await core.sleep(queuedMs, signal);
       else await this.wakeSignal.wait(idleMs, signal);
     }
@@ -187,10 +190,12 @@
   }
 }
 
-/** Whether a node exchanges with a group leader in place of the root. */
-function isInGroup(
+/** Intervals by place in the tree; a leaf may exchange with the root itself. */
+function intervalsFor(
   { role, parent }: TreePlace,
   holder: core.InstanceId | undefined,
-): boolean {
-  return role === "leaf" && parent !== holder;
+): ExchangeIntervals {
+  if (role === "leader") return LEADER_INTERVALS;
+  const isInGroup = role === "leaf" && parent !== holder;
+  return isInGroup ? LEAF_INTERVALS : FLAT_INTERVALS;
 }
