Put a constant of the table news where a reader looks for it

Found in the last read of the change: the limit of a confirmed age stood below its use at the end of the file, and two imports out of order. No behaviour changes; the tests of the exchange passed.

--- a/packages/entry/entry_table_news.ts
+++ b/packages/entry/entry_table_news.ts
@@ -1,13 +1,15 @@
 /** Passes changes of the store's tables between nodes. */
 import { create } from "@bufbuild/protobuf";
-import * as peers from "../peers/mod.ts";
 import * as mirror from "../mirror/mod.ts";
+import * as peers from "../peers/mod.ts";
 
 /**
  * Size of the changes of one table in a message. A node that lacks more reads
  * the store, as links between nodes are slower.
  */
 const CHANGES_BYTES_MAX = 32_768;
+/** Upper limit of the age in a message; a copy of this age is stale. */
+const CONFIRMED_AGE_MAX_MS = 600_000;
 
 /** A table whose changes are passed on. */
 export interface SharedTable {
@@ -112,6 +114,3 @@
     }),
   })];
 }
-
-/** Upper limit of the age in a message; a copy of this age is stale. */
-const CONFIRMED_AGE_MAX_MS = 600_000;
