--- a/packages/ledger/tests/unit/ledger_test.ts
+++ b/packages/ledger/tests/unit/ledger_test.ts
@@ -9,6 +9,8 @@
 import { Agent } from "undici";
 import * as ledger from "../../mod.ts";
 
+/** Generous for a busy machine: no test here expects a call to time out. */
+const CONTROL_TIMEOUT_MS = 10_000;
 const ORDER_DELAY_MAX_MS = 60;
 const UPSTREAM_ID = core.brandId<core.UpstreamId>("engine-1");
 const logger = new core.Logger({}, () => {}, -999);
@@ -81,7 +83,7 @@
       dispatcher: this.#agent,
       controlDispatcher: this.#agent,
       origin: this.fake.origin,
-      controlTimeoutMs: 300,
+      controlTimeoutMs: CONTROL_TIMEOUT_MS,
       dropped: { foreign: 0, duplicate: 0 },
     });
   }
--- a/packages/proofs/tests/unit/drain_test.ts
+++ b/packages/proofs/tests/unit/drain_test.ts
@@ -111,7 +111,7 @@
     t.is(rejection?.body.code, core.INSTANCE_LEAVING.code);
     t.is(rejection?.body.ran, "no");
     const result = await longStream;
-    t.true(result.isComplete);
+    t.true(result.isComplete, JSON.stringify({ ...result, text: "" }));
     t.is(result.text, testing.expectedText(call));
     t.is(await entry?.exited(), 0);
   } finally {
@@ -242,7 +242,11 @@
         })
       ),
     );
-    t.deepEqual(responses.map(({ status }) => status), [200, 200]);
+    t.deepEqual(
+      responses.map(({ status }) => status),
+      [200, 200],
+      JSON.stringify(responses.map(({ body }) => body)),
+    );
   } finally {
     await cluster.stop();
   }
--- a/packages/proofs/tests/unit/edits_test.ts
+++ b/packages/proofs/tests/unit/edits_test.ts
@@ -122,7 +122,13 @@
 const rows = [testing.makeRow("llama"), testing.makeRow("mistral")];
 
 test("concurrent edits: different rows all succeed, the same row only one", (t) =>
-  withCluster(t, { entries: 3, rows }, async (cluster) => {
+  withCluster(t, {
+    entries: 3,
+    rows,
+    // The store runs in this process: on a busy machine it exceeds a short
+    // timeout, and the edit is rejected with STORE_UNAVAILABLE.
+    settings: { platform: { timeoutMs: 10_000 } },
+  }, async (cluster) => {
     const [first, second] = cluster.entries;
     const others = await Promise.all(
       Array.from({ length: 6 }, (_, n) =>
@@ -130,7 +136,11 @@
           rows: [testing.makeRow(`other-${n}`)],
         })),
     );
-    t.deepEqual(others.map(({ status }) => status), Array(6).fill(200));
+    t.deepEqual(
+      others.map(({ status }) => status),
+      Array(6).fill(200),
+      JSON.stringify(others.map(({ body }) => body)),
+    );
     const current = await fetchRow(first, "llama");
     const expectRowRevision = current?.revision ?? -1;
     const results = await Promise.all([
--- a/packages/upstream/tests/unit/upstream_test.ts
+++ b/packages/upstream/tests/unit/upstream_test.ts
@@ -6,6 +6,10 @@
 
 const ARTIFACT = core.brandId<core.ArtifactId>("llama@1");
 const dispatcher = new Agent();
+/** Limit of calls that end on their own; generous for a busy machine. */
+const CALL_TIMEOUT_MS = 10_000;
+/** Limit of calls that end only by their limit. */
+const SILENT_CALL_TIMEOUT_MS = 300;
 
 test.after.always(() => dispatcher.destroy());
 
@@ -14,7 +18,7 @@
     dispatcher,
     controlDispatcher: dispatcher,
     origin,
-    controlTimeoutMs: 200,
+    controlTimeoutMs: CALL_TIMEOUT_MS,
     dropped: { foreign: 0, duplicate: 0 },
   });
 }
@@ -31,8 +35,8 @@
       max_tokens: 4,
     }),
     priority: 5,
-    deadlineMs: 1_000,
-    signal: AbortSignal.timeout(1_000),
+    deadlineMs: CALL_TIMEOUT_MS,
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     ...change,
   };
 }
@@ -79,13 +83,17 @@
   { fault: "foreignAnswer", expected: "foreign", ran: "unknown" },
 ];
 
+function timeoutFor(expected: upstream.AttemptFault): number {
+  return expected === "late" ? SILENT_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
+}
+
 for (const { fault, expected, ran } of engineFaults) {
   test(`engine: ${fault} is ${expected}, ran ${ran}`, (t) =>
     withEngine(async (engine, fake) => {
       fake.faults.inject({ name: fault, count: 1 });
-      const result = await engine.complete(makeAttempt({
-        signal: AbortSignal.timeout(300),
-      }));
+      const result = await engine.complete(
+        makeAttempt({ signal: AbortSignal.timeout(timeoutFor(expected)) }),
+      );
       const failure = result._unsafeUnwrapErr();
       t.is(failure.fault, expected, failure.detail);
       t.is(failure.ran, ran);
@@ -167,7 +175,7 @@
   }
 }
 
-function makeCall(): upstream.ServiceAttempt {
+function makeCall(timeoutMs: number): upstream.ServiceAttempt {
   return {
     attemptId: core.randomId<core.AttemptId>("at"),
     callerId: core.brandId<core.CallerId>("kiosk"),
@@ -175,8 +183,8 @@
     contentType: "application/json",
     bodyText: "{}",
     key: core.brandId<core.IdempotencyKey>("k1"),
-    deadlineMs: 300,
-    signal: AbortSignal.timeout(300),
+    deadlineMs: timeoutMs,
+    signal: AbortSignal.timeout(timeoutMs),
   };
 }
 
@@ -199,7 +207,8 @@
   test(`service: ${fault} is ${expected}, ran ${ran}`, (t) =>
     withService(async (service, fake) => {
       fake.faults.inject({ name: fault, count: 1 });
-      const failure = (await service.call(makeCall()))._unsafeUnwrapErr();
+      const result = await service.call(makeCall(timeoutFor(expected)));
+      const failure = result._unsafeUnwrapErr();
       t.like(failure, { fault: expected, ran });
       t.is(fake.runs.get("kiosk/k1") ?? 0, runs);
     }));
