--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -240,6 +240,12 @@
 export class UpstreamRegistry {
   readonly #upstreams = new Map<core.UpstreamId, UpstreamState>();
   readonly #byService = new Map<core.ServiceName, Set<UpstreamState>>();
+  #listings = 0;
+
+  /** Times that an upstream was listed with fresh state; rises with each. */
+  get listings(): number {
+    return this.#listings;
+  }
 
   /**
    * Adds an upstream or updates its record. A new incarnation, address or
@@ -259,6 +265,7 @@
     if (known) this.remove(record.id);
     const upstream = new UpstreamState(record, kvCacheTokens);
     this.#upstreams.set(record.id, upstream);
+    this.#listings++;
     let group = this.#byService.get(record.service);
     if (!group) this.#byService.set(record.service, group = new Set());
     group.add(upstream);
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -5,7 +5,10 @@
 import * as core from "../core/mod.ts";
 import type * as orders from "../orders/mod.ts";
 import type * as peers from "../peers/mod.ts";
-import { applyEngineStates } from "./entry_engine_states.ts";
+import {
+  applyEngineStates,
+  type TaggedEngineStates,
+} from "./entry_engine_states.ts";
 import type { ExchangeHub } from "./entry_exchange.ts";
 import type { EntryUpstreamSelector } from "./entry_selector.ts";
 import type { EntryState } from "./entry_state.ts";
@@ -35,6 +38,9 @@
 /** After this, the upstream table replaces the lease holder's engine states. */
 const ENGINE_STATES_TTL_MS = 3_000;
 
+/** Unchanged states are applied again after this, should any be overwritten. */
+const ENGINE_STATES_REAPPLY_MS = 1_000;
+
 /** Keeps this node's view of other nodes' load and of engines up to date. */
 export class ExchangeTask extends core.Task {
   override readonly name = "exchange";
@@ -47,6 +53,14 @@
   #place: TreePlace | undefined;
   #engineStatesAtMs = -Infinity;
   #hasQueuedBelow = false;
+  /** The engine states in use, and the listings that they were applied to. */
+  #applied:
+    | {
+      readonly states: TaggedEngineStates;
+      readonly listings: number;
+      readonly atMs: number;
+    }
+    | undefined;
   readonly wakeSignal = new core.WakeSignal();
 
   constructor(
@@ -155,8 +169,21 @@
     }
     if (!states) return this.#fallBack(nowMs);
     this.#engineStatesAtMs = nowMs;
-    // Also unchanged ones: an engine may have been listed anew in the meantime.
+    const { listings } = this.#state.upstreams;
+    if (this.#isApplied(states, listings, nowMs)) return;
     applyEngineStates(this.#state, states.engines, states.atMs);
+    this.#applied = { states, listings, atMs: nowMs };
+  }
+
+  /** Whether the states are in use for all engines that are listed now. */
+  #isApplied(
+    states: TaggedEngineStates,
+    listings: number,
+    nowMs: number,
+  ): boolean {
+    const applied = this.#applied;
+    return applied?.states === states && applied.listings === listings &&
+      nowMs - applied.atMs < ENGINE_STATES_REAPPLY_MS;
   }
 
   /** Returns the lease holder, or else the first live node by name. */
@@ -187,6 +214,7 @@
     for (const each of this.#state.upstreams.all()) each.expirePeerLoad(nowMs);
     if (nowMs - this.#engineStatesAtMs < ENGINE_STATES_TTL_MS) return;
     for (const each of this.#state.upstreams.all()) each.setListedReplicas();
+    this.#applied = undefined;
   }
 }
 
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -11,6 +11,7 @@
   startAttempt,
 } from "./relay_attempt.ts";
 import { EventStreamBuffer } from "./relay_events.ts";
+import { WaitWatch } from "./relay_wait_watch.ts";
 import type {
   Rejection,
   RelayDependencies,
@@ -30,6 +31,15 @@
   | { readonly kind: "notRun"; readonly detail: string }
   | { readonly kind: "mayHaveRun"; readonly detail: string };
 
+/** A response whose head was accepted, and whose body is still to be read. */
+interface ReceivedResponse {
+  readonly attempt: Attempt;
+  readonly watch: WaitWatch;
+  readonly status: number;
+  /** Headers to return to the caller. */
+  readonly headers: Record<string, string | string[]>;
+}
+
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -161,34 +171,22 @@
   }
 
   /**
-   * Waits for data from an upstream. If none arrives in time, cancels the
-   * attempt, provided that the request may run again and the retry budget
-   * allows it; otherwise keeps waiting.
-   *
-   * @param result the head or the next body event of the attempt.
-   * @param runCount runs of the request, including this attempt.
+   * Watches the waits for data from an upstream. If none arrives in time,
+   * cancels the attempt, provided that the request may run again and the retry
+   * budget allows it; otherwise the wait goes on.
    */
-  async #awaitOrCancel<T>(
-    attempt: Attempt,
-    result: Promise<T>,
-    runCount: number,
-  ): Promise<T> {
+  #watchAttempt(attempt: Attempt): WaitWatch {
     const { route, service } = this.#request;
-    if (!this.#canRunAgain(runCount) || this.#isRetryTaken) return await result;
-    const isStream = route.kind === "stream";
-    const noDataTimeoutMs = isStream
+    const runCount = this.#runCount + 1;
+    const noDataTimeoutMs = route.kind === "stream"
       ? Math.max(route.latencyTargetMs, STREAM_NO_DATA_TIMEOUT_MIN_MS)
       : route.latencyTargetMs;
-    const timer = setTimeout(() => {
+    return new WaitWatch(noDataTimeoutMs, () => {
+      if (!this.#canRunAgain(runCount) || this.#isRetryTaken) return;
       if (!this.#dependencies.selector.trySpendRetry(service)) return;
       this.#isRetryTaken = true;
       attempt.cancel("no data from the upstream in time");
-    }, noDataTimeoutMs);
-    try {
-      return await result;
-    } finally {
-      clearTimeout(timer);
-    }
+    });
   }
 
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
@@ -212,11 +210,21 @@
       body: body.length > 0 ? body : null,
     });
     this.#attempt = attempt;
-    const head = await this.#awaitOrCancel(
-      attempt,
-      attempt.head,
-      this.#runCount + 1,
-    );
+    const watch = this.#watchAttempt(attempt);
+    try {
+      return await this.#receive(assignment, attempt, watch);
+    } finally {
+      watch.stop();
+    }
+  }
+
+  /** Waits for the response and relays it. */
+  async #receive(
+    assignment: UpstreamAssignment,
+    attempt: Attempt,
+    watch: WaitWatch,
+  ): Promise<AttemptResult> {
+    const head = await watch.during(attempt.head);
     if (head.isErr()) {
       const { sent, detail } = head.error;
       if (this.#signal.aborted) assignment.onEnd("cancelled");
@@ -226,13 +234,14 @@
       return { kind: "mayHaveRun", detail };
     }
     assignment.onBytesReceived(core.monotonicMs());
-    return await this.#handleResponse(assignment, attempt, head.value);
+    return await this.#handleResponse(assignment, attempt, watch, head.value);
   }
 
   /** Decides by its head whether a response is relayed, and relays it. */
   async #handleResponse(
     assignment: UpstreamAssignment,
     attempt: Attempt,
+    watch: WaitWatch,
     head: AttemptHead,
   ): Promise<AttemptResult> {
     const upstreamResponse = this.#dependencies.dialect.readResponse(
@@ -280,26 +289,21 @@
       };
     }
     const headers = upstreamResponse.returnedHeaders;
+    const received = { attempt, watch, status: head.status, headers };
     return isSuccess && this.#request.route.kind === "stream"
-      ? await this.#relayEvents(assignment, attempt, head.status, headers)
-      : await this.#relayWholeBody(assignment, attempt, head.status, headers);
+      ? await this.#relayEvents(assignment, received)
+      : await this.#relayWholeBody(assignment, received);
   }
 
   /** Relays a body once it is complete; a truncated one is never relayed. */
   async #relayWholeBody(
     assignment: UpstreamAssignment,
-    attempt: Attempt,
-    status: number,
-    headers: Record<string, string | string[]>,
+    { attempt, watch, status, headers }: ReceivedResponse,
   ): Promise<AttemptResult> {
     const chunks: Buffer[] = [];
     let bytes = 0;
     for (;;) {
-      const event = await this.#awaitOrCancel(
-        attempt,
-        attempt.next(),
-        this.#runCount,
-      );
+      const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
         assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
         return { kind: "mayHaveRun", detail: event.failure.detail };
@@ -329,9 +333,7 @@
    */
   async #relayEvents(
     assignment: UpstreamAssignment,
-    attempt: Attempt,
-    status: number,
-    headers: Record<string, string | string[]>,
+    { attempt, watch, status, headers }: ReceivedResponse,
   ): Promise<AttemptResult> {
     const splitsEvents = this.#request.route.isResumable;
     let lastChunkAtMs: number | undefined;
@@ -339,11 +341,7 @@
     let gapCount = 0;
     let gapsStartedAtMs = 0;
     for (;;) {
-      const event = await this.#awaitOrCancel(
-        attempt,
-        attempt.next(),
-        this.#runCount,
-      );
+      const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
         assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
         this.#eventBuffer.discardPending();
