Keep the ledger true after orders that were not sent

Ruled out: forgetting unsent ids by age, as a late write could still record one; they go once the row has a version that such a write cannot replace.

--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -188,7 +188,7 @@
       store: new ledger.LedgerStore(this.store, {
         slotsMax: validSettings.placement.loadsAtOnceMax,
         slotExpiryMs: validSettings.placement.orderMaxMs,
-      }),
+      }, this.logger),
       honoursFencing: validSettings.engines.honourFencing,
       orderDelayMaxMs: validSettings.engines.orderDelayMaxMs,
       logger: this.logger,
--- a/packages/ledger/ledger_controller.ts
+++ b/packages/ledger/ledger_controller.ts
@@ -15,7 +15,6 @@
 import type { LedgerStore, LedgerWrite } from "./ledger_store.ts";
 import type {
   LedgerArtifact,
-  LedgerEntry,
   LedgerRow,
   LedgerTransmission,
   VersionedLedgerRow,
@@ -47,6 +46,12 @@
   transmission: core.TransmissionId,
 ) => Result<LedgerRow, LedgerRowError>;
 
+interface UnsentTransmission {
+  readonly upstreamId: core.UpstreamId;
+  /** Version of the row that its write replaces. */
+  readonly version: number;
+}
+
 interface LedgerSession {
   readonly stored: VersionedLedgerRow;
   readonly reconciled: LedgerRow;
@@ -60,14 +65,22 @@
 export class LedgerController {
   readonly #options: LedgerControllerOptions;
   /** Transmissions that may be recorded, but are known never to be sent. */
-  readonly #unsent = new Set<core.TransmissionId>();
-  /** Monotonic time at which this instance first saw an entry as `cooling`. */
-  readonly #coolingSinceMs = new Map<string, number>();
+  readonly #unsent = new Map<core.TransmissionId, UnsentTransmission>();
+  /**
+   * Monotonic time at which this instance first saw an entry as `cooling`, by
+   * engine and then by incarnation and artifact.
+   */
+  readonly #coolingSinceMs = new Map<core.UpstreamId, Map<string, number>>();
 
   constructor(options: LedgerControllerOptions) {
     this.#options = options;
   }
 
+  /** Number of transmissions that are remembered as never sent. */
+  get unsentCount(): number {
+    return this.#unsent.size;
+  }
+
   /**
    * Records and sends a load.
    *
@@ -143,7 +156,8 @@
   /**
    * Updates the ledger row from the engine's current report.
    *
-   * @returns the updated row, or `conflict` if its write is not confirmed.
+   * @returns the updated row; `conflict` if another instance has changed it
+   * meanwhile, and `store-down` if its write is not confirmed.
    */
   async reconcile(
     upstreamId: core.UpstreamId,
@@ -162,7 +176,8 @@
       row: reconciled,
       releaseSlots: resolvedLoadIds(stored.row, reconciled),
     });
-    return written.kind === "committed" ? ok(reconciled) : err("conflict");
+    if (written.kind === "committed") return ok(reconciled);
+    return err(written.kind === "conflict" ? "conflict" : "store-down");
   }
 
   async #sendOrder(
@@ -196,7 +211,8 @@
         fencing: fencingToken.value,
       });
       if (sent.isErr() && sent.error.sent === "no") {
-        this.#unsent.add(transmissionId);
+        const { version } = stored;
+        this.#unsent.set(transmissionId, { upstreamId, version });
         return err("not-sent");
       }
       this.#options.logger.info("order_sent", {
@@ -229,7 +245,10 @@
       case "unknown":
         // The write may still have taken effect, but its order is never sent:
         // a later reconciliation removes the transmission from the row.
-        this.#unsent.add(transmissionId);
+        this.#unsent.set(transmissionId, {
+          upstreamId: write.upstreamId,
+          version: write.version,
+        });
         return err(written.kind === "conflict" ? "conflict" : "store-down");
     }
   }
@@ -246,6 +265,7 @@
     const { report } = session.value;
     const current = stored.value ??
       { version: 0, row: rowFromReport(report) };
+    this.#forgetUnsent(upstreamId, current);
     return ok({
       stored: current,
       reconciled: this.#reconcileRow(upstreamId, current.row, report),
@@ -258,34 +278,54 @@
     stored: LedgerRow,
     report: upstream.EngineReport,
   ): LedgerRow {
-    let row = stored;
-    for (const entry of stored.entries) {
-      for (const { transmissionId } of entry.transmissions) {
-        if (!this.#unsent.has(transmissionId)) continue;
-        row = removeUnsent(row, transmissionId);
-      }
-    }
-    return reconcile(row, report, {
+    const recorded = transmissionIds(stored);
+    const row = recorded.filter((id) => this.#unsent.has(id))
+      .reduce(removeUnsent, stored);
+    const reconciled = reconcile(row, report, {
       honoursFencing: this.#options.honoursFencing,
-      isCooldownOver: (entry) => this.#isCooldownOver(upstreamId, row, entry),
+      isCooldownOver: ({ artifactId }) =>
+        this.#isCooldownOver(upstreamId, coolingKey(row, artifactId)),
     });
+    this.#forgetCooldowns(upstreamId, reconciled);
+    return reconciled;
   }
 
-  #isCooldownOver(
+  /**
+   * Forgets unsent transmissions that are not in the row and cannot get into it
+   * any more, as their write replaces an older version.
+   */
+  #forgetUnsent(
     upstreamId: core.UpstreamId,
-    row: LedgerRow,
-    entry: LedgerEntry,
-  ): boolean {
+    { version, row }: VersionedLedgerRow,
+  ): void {
+    const recorded = new Set(transmissionIds(row));
+    for (const [id, unsent] of this.#unsent) {
+      if (unsent.upstreamId !== upstreamId || recorded.has(id)) continue;
+      if (version > unsent.version) this.#unsent.delete(id);
+    }
+  }
+
+  #isCooldownOver(upstreamId: core.UpstreamId, key: string): boolean {
     const nowMs = core.monotonicMs();
-    const key = `${upstreamId}|${row.incarnation}|${entry.artifactId}`;
-    const sinceMs = this.#coolingSinceMs.get(key);
-    if (sinceMs === undefined) {
-      this.#coolingSinceMs.set(key, nowMs);
-      return false;
+    const cooldowns = this.#coolingSinceMs.get(upstreamId) ?? new Map();
+    this.#coolingSinceMs.set(upstreamId, cooldowns);
+    const sinceMs = cooldowns.get(key) ?? nowMs;
+    cooldowns.set(key, sinceMs);
+    return nowMs - sinceMs >= this.#options.orderDelayMaxMs;
+  }
+
+  /** Forgets when entries began to cool that are not cooling any more. */
+  #forgetCooldowns(upstreamId: core.UpstreamId, row: LedgerRow): void {
+    const cooldowns = this.#coolingSinceMs.get(upstreamId);
+    if (!cooldowns) return;
+    const cooling = new Set(
+      row.entries.filter(({ state }) => state === "cooling")
+        .map(({ artifactId }) => coolingKey(row, artifactId)),
+    );
+    for (const key of cooldowns.keys()) {
+      if (!cooling.has(key)) cooldowns.delete(key);
     }
-    if (nowMs - sinceMs < this.#options.orderDelayMaxMs) return false;
-    this.#coolingSinceMs.delete(key);
-    return true;
+    if (cooldowns.size === 0) this.#coolingSinceMs.delete(upstreamId);
   }
 
   #transmission(
@@ -296,6 +336,18 @@
   }
 }
 
+function coolingKey(row: LedgerRow, artifactId: core.ArtifactId): string {
+  return `${row.incarnation}|${artifactId}`;
+}
+
+/** All transmissions that a row waits for. */
+function transmissionIds(row: LedgerRow): core.TransmissionId[] {
+  const ids = row.entries.flatMap(({ transmissions }) =>
+    transmissions.map(({ transmissionId }) => transmissionId)
+  );
+  return row.roleChange ? [...ids, row.roleChange.transmissionId] : ids;
+}
+
 function resolvedLoadIds(
   before: LedgerRow,
   after: LedgerRow,
--- a/packages/ledger/ledger_row.ts
+++ b/packages/ledger/ledger_row.ts
@@ -148,9 +148,10 @@
 }
 
 /**
- * Removes a transmission that is known never to have been sent. An unsent load
- * removes its whole entry; an entry without other transmissions becomes
- * `resident` again after an unsent unload.
+ * Removes a transmission that is known never to have been sent. A load without
+ * other transmissions loses its entry, and an unload without others makes its
+ * entry `resident` again. Other transmissions may still reach the engine, so
+ * they keep the entry and its bytes.
  *
  * @example
  * ```ts
@@ -165,10 +166,10 @@
     const unsent = entry.transmissions
       .find((sent) => sent.transmissionId === transmissionId);
     if (!unsent) return [entry];
-    if (unsent.kind === "load") return [];
     const transmissions = entry.transmissions.filter((sent) => sent !== unsent);
-    const state = transmissions.length > 0 ? entry.state : "resident";
-    return [{ ...entry, state, transmissions } as LedgerEntry];
+    if (transmissions.length > 0) return [{ ...entry, transmissions }];
+    if (unsent.kind === "load") return [];
+    return [{ ...entry, state: "resident" as const, transmissions }];
   });
   const { roleChange, ...rest } = row;
   const keepsRoleChange = roleChange &&
--- a/packages/ledger/ledger_store.ts
+++ b/packages/ledger/ledger_store.ts
@@ -94,10 +94,16 @@
 export class LedgerStore {
   readonly #service: store.TableService;
   readonly #slotOptions: LoadSlotOptions;
+  readonly #logger: core.Logger;
 
-  constructor(service: store.TableService, slotOptions: LoadSlotOptions) {
+  constructor(
+    service: store.TableService,
+    slotOptions: LoadSlotOptions,
+    logger: core.Logger,
+  ) {
     this.#service = service;
     this.#slotOptions = slotOptions;
+    this.#logger = logger;
   }
 
   /** Reads the row of an engine; undefined if there is none. */
@@ -174,8 +180,16 @@
     const row = rows.value[0];
     if (row === undefined) return { version: 0, holders: [] };
     const decoded = core.decodeValue(row.value, SlotsCodec);
-    const holders = decoded.match((slots) => slots.holders, () => []);
-    return { version: row.version, holders };
+    if (decoded.isErr()) {
+      // Free slots would let all instances load at once.
+      this.#logger.error("load_slots_unreadable", {
+        key: SLOTS_KEY,
+        version: row.version,
+        reason: decoded.error,
+      });
+      return undefined;
+    }
+    return { version: row.version, holders: decoded.value.holders };
   }
 }
 
