Send nothing after its time when the process was held up while connecting

Cause: a process that pauses between the start of a connection and its end finds the connection open when it goes on, and the event loop handles that before its timers: the request is written although its time limit, or its caller's deadline, has passed. An order goes out so after the lease, which engines without fencing carry out; a request so after its caller's deadline. Ruled out: a shorter timeout, which is a timer too; waiting one more poll before the dispatch, as the wait is inside the HTTP client. Change: limitStart checks the time in the turn in which undici writes the request; transport.send applies it to all exchanges, and attempts of the relay take the caller's deadline. Both report 'not sent', which is certain. Not covered: a caller that leaves during such a pause before its deadline.

--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -39,6 +39,7 @@
 export class Attempt {
   /** Resolves to the response head, or to the failure if none arrived. */
   readonly head: Promise<Result<AttemptHead, AttemptFailure>>;
+  readonly #startBeforeMs: number;
   #settleHead!: (head: Result<AttemptHead, AttemptFailure>) => void;
   #controller: Dispatcher.DispatchController | undefined;
   #isSent = false;
@@ -51,7 +52,9 @@
   readonly #bodyEvents: BodyEvent[] = [];
   #wakeReader: (() => void) | undefined;
 
-  constructor() {
+  /** @param startBeforeMs time of the monotonic clock from which not to send. */
+  constructor(startBeforeMs: number) {
+    this.#startBeforeMs = startBeforeMs;
     this.head = new Promise((resolve) => {
       this.#settleHead = resolve;
     });
@@ -89,6 +92,10 @@
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
       this.#controller = controller;
+      // A process that was held up comes here before its timers run.
+      if (core.monotonicMs() >= this.#startBeforeMs) {
+        this.cancel("deadline passed before the request was sent");
+      }
       if (this.#cancelError) controller.abort(this.#cancelError);
       else this.#isSent = true;
     },
@@ -171,9 +178,11 @@
     readonly method: string;
     readonly headers: Record<string, string | string[]>;
     readonly body: Buffer | null;
+    /** Time of the monotonic clock from which the request is not sent. */
+    readonly startBeforeMs?: number;
   },
 ): Attempt {
-  const attempt = new Attempt();
+  const attempt = new Attempt(request.startBeforeMs ?? Infinity);
   try {
     dispatcher.dispatch({
       path: request.path,
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -209,6 +209,7 @@
         ...(lastEventId === undefined ? {} : { lastEventId }),
       }),
       body: body.length > 0 ? body : null,
+      startBeforeMs: deadlineAtMs,
     });
     this.#attempt = attempt;
     const watch = this.#watchAttempt(attempt);
--- a/packages/relay/tests/unit/relay_attempt_test.ts
+++ b/packages/relay/tests/unit/relay_attempt_test.ts
@@ -156,3 +156,33 @@
     );
   }
 });
+
+test("a request is not sent once its deadline has passed, also by a process that was held up", async (t) => {
+  let received = 0;
+  const respond = (socket: Socket) => {
+    received++;
+    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+  };
+  await withUpstream(respond, async (upstream) => {
+    const pool = new relay.UpstreamPools().get(upstream, 10, 1);
+    const startBeforeMs = core.monotonicMs() + 300;
+    // The kernel completes the connection while the process is held up.
+    const attempt = await new Promise<ReturnType<typeof relay.startAttempt>>(
+      (resolve) =>
+        setTimeout(() => {
+          resolve(relay.startAttempt(pool, {
+            path: "/",
+            method: "GET",
+            headers: {},
+            body: null,
+            startBeforeMs,
+          }));
+          while (core.monotonicMs() < startBeforeMs + 300);
+        }, 10),
+    );
+    const head = await attempt.head;
+    t.is(head._unsafeUnwrapErr().sent, "no");
+    await core.sleep(100);
+    t.is(received, 0);
+  });
+});
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -3,14 +3,16 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
+import { limitStart } from "./transport_start_limit.ts";
 
-/** Connect errors; only these prove that no byte of a request was sent. */
+/** Errors that prove that no byte of a request was sent. */
 const NOT_SENT_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
   "ENETUNREACH",
   "EADDRNOTAVAIL",
   "UND_ERR_CONNECT_TIMEOUT",
+  "STARTED_TOO_LATE",
 ]);
 
 /** Largest response body, unless a request sets another limit. */
@@ -37,6 +39,7 @@
   readonly bodyText?: string;
   /**
    * Time limit for the whole exchange, from connecting to the end of the body.
+   * A request is not sent after it, also by a process that was held up.
    */
   readonly timeoutMs: number;
   /** Largest response body; a larger one fails the exchange. */
@@ -146,7 +149,8 @@
   request: TransportRequest,
 ): Promise<Result<TransportResponse, TransportFailure>> {
   try {
-    const response = await dispatcher.request({
+    const startBeforeMs = core.monotonicMs() + request.timeoutMs;
+    const response = await limitStart(dispatcher, startBeforeMs).request({
       origin: request.origin,
       path: request.path,
       method: request.method,
