Keep overdue loads in passed-on states, pause where history stays gone

Change: a time that has passed stays at 1 ms; from the second loss in a row on the follower waits as after a failure.

--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -55,7 +55,10 @@
         : { lastOrderAgeMs: engine.lastOrderAgeMs + ageMs }),
       models: engine.models.map((model) => ({
         ...model,
-        readyInMs: Math.max(0, model.readyInMs - ageMs),
+        // 0 means that it is not being loaded.
+        readyInMs: model.readyInMs === 0
+          ? 0
+          : Math.max(1, model.readyInMs - ageMs),
       })),
     })
   );
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -57,6 +57,8 @@
   readonly #wakeSignal = new core.WakeSignal();
   #isReadRequested = false;
   #failures = 0;
+  /** Times in a row that the store lacked the history after a snapshot. */
+  #historyLosses = 0;
   #readAtMs = -Infinity;
 
   /** @param rank this node's position among those that may read the store. */
@@ -136,8 +138,11 @@
     this.#recordSuccess();
     if (result.value.outcome === "historyGone") {
       this.#isReadRequested = true;
-      return 0;
+      return this.#historyLosses++ === 0
+        ? 0
+        : core.jitterMs(RETRY_DELAY_MAX_MS);
     }
+    this.#historyLosses = 0;
     const { changes, version } = result.value;
     const outcome = this.copy.applyChanges(
       cursor,
--- a/packages/entry/tests/unit/entry_follow_test.ts
+++ b/packages/entry/tests/unit/entry_follow_test.ts
@@ -12,6 +12,7 @@
 class CountingStore extends store.ChangeFeedTableService {
   calls = 0;
   isAway = false;
+  hasHistory = true;
   version = 1;
 
   override readTable(): Promise<
@@ -31,6 +32,7 @@
   ): Promise<Result<store.TableChanges, store.StoreFailure>> {
     this.calls++;
     if (this.isAway) return this.#away();
+    if (!this.hasHistory) return ok({ outcome: "historyGone" });
     const { version } = this;
     const changes = version > afterVersion
       ? [{ key: "x", version, value: version }]
@@ -121,3 +123,21 @@
     t.true(service.calls <= 3, `${service.calls} calls`);
   });
 });
+
+test("a store that lacks its history again and again is not read without a pause", async (t) => {
+  await withTask({ rank: 0, nodes: 78 }, async (copy, service) => {
+    await core.sleep(50);
+    service.hasHistory = false;
+    service.version = 2;
+    await core.sleep(2 * WAIT_MS);
+    t.is(copy.cursor?.version, 2);
+    const before = service.calls;
+    await core.sleep(1_000);
+    const calls = service.calls - before;
+    t.true(calls <= 12, String(calls));
+    service.hasHistory = true;
+    service.version = 3;
+    await core.sleep(1_200);
+    t.is(copy.cursor?.version, 3);
+  });
+});
