--- /dev/null
+++ b/packages/relay/relay_response_body.ts
@@ -0,0 +1,168 @@
+/** Relays the body of an upstream's response to the caller. */
+import { Buffer } from "node:buffer";
+import * as core from "../core/mod.ts";
+import type { Attempt } from "./relay_attempt.ts";
+import { EventStreamBuffer } from "./relay_events.ts";
+import type { CallerResponse } from "./relay_response.ts";
+import type { UpstreamAssignment } from "./relay_types.ts";
+import type { WaitWatch } from "./relay_wait_watch.ts";
+
+/**
+ * How one attempt ended. A request that was not run may be sent again whatever
+ * its kind.
+ */
+export type AttemptResult =
+  | { readonly kind: "done"; readonly status: number }
+  | { readonly kind: "notRun"; readonly detail: string }
+  | { readonly kind: "mayHaveRun"; readonly detail: string };
+
+/** A response whose head was accepted, and whose body is still to be read. */
+export interface ReceivedResponse {
+  readonly attempt: Attempt;
+  readonly watch: WaitWatch;
+  readonly status: number;
+  /** Headers to return to the caller. */
+  readonly headers: Record<string, string | string[]>;
+}
+
+/** Gaps averaged into one sample, as chunks sometimes arrive in bursts. */
+const GAP_SAMPLE_COUNT = 8;
+/** Largest body that is relayed as a whole. */
+const WHOLE_BODY_BYTES_MAX = 16 * 1024 * 1024;
+/** Largest event of a stream. */
+const EVENT_BYTES_MAX = 1024 * 1024;
+
+/** Writes the bodies of one request's attempts to its caller. */
+export class BodyRelay {
+  readonly #response: CallerResponse;
+  /** Whether only complete events are relayed, so that it can be resumed. */
+  readonly #splitsEvents: boolean;
+  readonly #signal: AbortSignal;
+  readonly #eventBuffer = new EventStreamBuffer();
+  /** Longest time between the arrivals of two chunks, for the log. */
+  gapMaxMs = 0;
+  /** Longest time from a chunk's arrival until it was read, for the log. */
+  lagMaxMs = 0;
+
+  /** @param signal aborted when the caller disconnects or its time is over. */
+  constructor(
+    response: CallerResponse,
+    splitsEvents: boolean,
+    signal: AbortSignal,
+  ) {
+    this.#response = response;
+    this.#splitsEvents = splitsEvents;
+    this.#signal = signal;
+  }
+
+  /** Id of the last event relayed, after which a stream is resumed. */
+  get lastEventId(): string | undefined {
+    return this.#eventBuffer.lastEventId;
+  }
+
+  /** Relays a body once it is complete; a truncated one is never relayed. */
+  async relayWhole(
+    assignment: UpstreamAssignment,
+    { attempt, watch, status, headers }: ReceivedResponse,
+  ): Promise<AttemptResult> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for (;;) {
+      const event = await watch.during(attempt.next());
+      if (event.kind === "broken") {
+        assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
+        return { kind: "mayHaveRun", detail: event.failure.detail };
+      }
+      if (event.kind === "end") break;
+      bytes += event.data.length;
+      if (bytes > WHOLE_BODY_BYTES_MAX) {
+        return this.#failOversized(assignment, attempt, "body is too large");
+      }
+      chunks.push(event.data);
+    }
+    const nowMs = core.monotonicMs();
+    if (status < 300) assignment.onFirstEvent(nowMs);
+    assignment.onEnd(status < 500 ? "served" : "failed");
+    const body = Buffer.concat(chunks);
+    this.#response.start(status, {
+      ...headers,
+      "content-length": String(body.length),
+    }, nowMs);
+    this.#response.end(body);
+    return { kind: "done", status };
+  }
+
+  /**
+   * Relays a stream as it arrives. Only complete events of a resumable stream
+   * are relayed, so that another upstream can resume after the last of them.
+   */
+  async relayEvents(
+    assignment: UpstreamAssignment,
+    { attempt, watch, status, headers }: ReceivedResponse,
+  ): Promise<AttemptResult> {
+    let lastChunkAtMs: number | undefined;
+    let chunkCount = 0;
+    let gapCount = 0;
+    let gapsStartedAtMs = 0;
+    for (;;) {
+      const event = await watch.during(attempt.next());
+      if (event.kind === "broken") {
+        assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
+        this.#eventBuffer.discardPending();
+        return { kind: "mayHaveRun", detail: event.failure.detail };
+      }
+      if (event.kind === "end") break;
+      assignment.onBytesReceived(event.atMs);
+      const lagMs = core.monotonicMs() - event.atMs;
+      this.lagMaxMs = Math.max(this.lagMaxMs, lagMs);
+      if (lastChunkAtMs === undefined) {
+        assignment.onFirstEvent(event.atMs);
+        gapsStartedAtMs = event.atMs;
+      } else {
+        this.gapMaxMs = Math.max(this.gapMaxMs, event.atMs - lastChunkAtMs);
+        if (++gapCount === GAP_SAMPLE_COUNT) {
+          assignment.onEventGap((event.atMs - gapsStartedAtMs) / gapCount);
+          gapCount = 0;
+          gapsStartedAtMs = event.atMs;
+        }
+      }
+      lastChunkAtMs = event.atMs;
+      chunkCount++;
+      const data = this.#splitsEvents
+        ? this.#eventBuffer.append(event.data)
+        : event.data;
+      if (this.#eventBuffer.pendingBytes > EVENT_BYTES_MAX) {
+        this.#eventBuffer.discardPending();
+        return this.#failOversized(assignment, attempt, "event is too large");
+      }
+      if (data.length === 0) continue;
+      if (!this.#response.hasStarted) {
+        this.#response.start(status, headers, event.atMs);
+      }
+      await this.#response.write(data);
+    }
+    if (this.#splitsEvents && this.#eventBuffer.pendingBytes > 0) {
+      assignment.onEnd("failed");
+      this.#eventBuffer.discardPending();
+      return { kind: "mayHaveRun", detail: "stream ended inside an event" };
+    }
+    assignment.onEnd("served");
+    assignment.onStreamLength(chunkCount);
+    if (!this.#response.hasStarted) {
+      this.#response.start(status, headers, core.monotonicMs());
+    }
+    this.#response.end();
+    return { kind: "done", status };
+  }
+
+  /** Gives up a response that exceeds a limit; its connection is closed. */
+  #failOversized(
+    assignment: UpstreamAssignment,
+    attempt: Attempt,
+    detail: string,
+  ): AttemptResult {
+    attempt.cancel(detail);
+    assignment.onEnd("failed");
+    return { kind: "mayHaveRun", detail };
+  }
+}
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -2,7 +2,6 @@
  * Relays one request: selects an upstream, sends the request, retries it where
  * that is safe, and writes the response to the caller.
  */
-import { Buffer } from "node:buffer";
 import * as core from "../core/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import type { CallerResponse } from "./relay_response.ts";
@@ -11,7 +10,7 @@
   type AttemptHead,
   startAttempt,
 } from "./relay_attempt.ts";
-import { EventStreamBuffer } from "./relay_events.ts";
+import { type AttemptResult, BodyRelay } from "./relay_response_body.ts";
 import { WaitWatch } from "./relay_wait_watch.ts";
 import type {
   Rejection,
@@ -23,24 +22,6 @@
 /** How a request ended, as seen by its caller. */
 export type RelayOutcome = "done" | "refused" | "failed" | "callerLeft";
 
-/**
- * How one attempt ended. A request that was not run may be sent again whatever
- * its kind.
- */
-type AttemptResult =
-  | { readonly kind: "done"; readonly status: number }
-  | { readonly kind: "notRun"; readonly detail: string }
-  | { readonly kind: "mayHaveRun"; readonly detail: string };
-
-/** A response whose head was accepted, and whose body is still to be read. */
-interface ReceivedResponse {
-  readonly attempt: Attempt;
-  readonly watch: WaitWatch;
-  readonly status: number;
-  /** Headers to return to the caller. */
-  readonly headers: Record<string, string | string[]>;
-}
-
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -52,12 +33,6 @@
 /** Minimum time without data after which a stream moves to another upstream. */
 const STREAM_NO_DATA_TIMEOUT_MIN_MS = fleet.STREAM_PATIENCE_MIN_MS -
   STREAM_RESUME_TIME_MS;
-/** Gaps averaged into one sample, as chunks sometimes arrive in bursts. */
-const GAP_SAMPLE_COUNT = 8;
-/** Largest body that is relayed as a whole. */
-const WHOLE_BODY_BYTES_MAX = 16 * 1024 * 1024;
-/** Largest event of a stream. */
-const EVENT_BYTES_MAX = 1024 * 1024;
 /** Retry-After for requests that ended without having run on an upstream. */
 const REJECTED_RETRY_AFTER_MS = 500;
 
@@ -67,7 +42,7 @@
   readonly #dependencies: RelayDependencies;
   readonly #signal: AbortSignal;
   readonly #failedUpstreams = new Set<core.UpstreamId>();
-  readonly #eventBuffer = new EventStreamBuffer();
+  readonly #bodyRelay: BodyRelay;
   #attempt: Attempt | undefined;
   #runCount = 0;
   #sendCount = 0;
@@ -77,10 +52,6 @@
   #waitedMs = 0;
   /** Whether a retry for the next run is already taken from the retry budget. */
   #isRetryTaken = false;
-  /** Longest time between the arrivals of two chunks, for the log. */
-  #gapMaxMs = 0;
-  /** Longest time from a chunk's arrival until it was read, for the log. */
-  #lagMaxMs = 0;
 
   /**
    * @param signal aborted when the caller disconnects or the deadline passes.
@@ -95,6 +66,8 @@
     this.#response = response;
     this.#dependencies = dependencies;
     this.#signal = signal;
+    const { isResumable } = request.route;
+    this.#bodyRelay = new BodyRelay(response, isResumable, signal);
   }
 
   /** Runs the request to its end. The response is always ended or aborted. */
@@ -194,7 +167,7 @@
     const { dialect } = this.#dependencies;
     const { caller, route, deadlineAtMs, method, path, body } = this.#request;
     const { upstream } = assignment;
-    const { lastEventId } = this.#eventBuffer;
+    const { lastEventId } = this.#bodyRelay;
     this.#upstream = upstream.id;
     this.#selectionFields = assignment.logFields;
     this.#sendCount++;
@@ -293,115 +266,8 @@
     const headers = upstreamResponse.returnedHeaders;
     const received = { attempt, watch, status: head.status, headers };
     return isSuccess && this.#request.route.kind === "stream"
-      ? await this.#relayEvents(assignment, received)
-      : await this.#relayWholeBody(assignment, received);
-  }
-
-  /** Relays a body once it is complete; a truncated one is never relayed. */
-  async #relayWholeBody(
-    assignment: UpstreamAssignment,
-    { attempt, watch, status, headers }: ReceivedResponse,
-  ): Promise<AttemptResult> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for (;;) {
-      const event = await watch.during(attempt.next());
-      if (event.kind === "broken") {
-        assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
-        return { kind: "mayHaveRun", detail: event.failure.detail };
-      }
-      if (event.kind === "end") break;
-      bytes += event.data.length;
-      if (bytes > WHOLE_BODY_BYTES_MAX) {
-        return this.#failOversized(assignment, attempt, "body is too large");
-      }
-      chunks.push(event.data);
-    }
-    const nowMs = core.monotonicMs();
-    if (status < 300) assignment.onFirstEvent(nowMs);
-    assignment.onEnd(status < 500 ? "served" : "failed");
-    const body = Buffer.concat(chunks);
-    this.#response.start(status, {
-      ...headers,
-      "content-length": String(body.length),
-    }, nowMs);
-    this.#response.end(body);
-    return { kind: "done", status };
-  }
-
-  /**
-   * Relays a stream as it arrives. Only complete events of a resumable stream
-   * are relayed, so that another upstream can resume after the last of them.
-   */
-  async #relayEvents(
-    assignment: UpstreamAssignment,
-    { attempt, watch, status, headers }: ReceivedResponse,
-  ): Promise<AttemptResult> {
-    const splitsEvents = this.#request.route.isResumable;
-    let lastChunkAtMs: number | undefined;
-    let chunkCount = 0;
-    let gapCount = 0;
-    let gapsStartedAtMs = 0;
-    for (;;) {
-      const event = await watch.during(attempt.next());
-      if (event.kind === "broken") {
-        assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
-        this.#eventBuffer.discardPending();
-        return { kind: "mayHaveRun", detail: event.failure.detail };
-      }
-      if (event.kind === "end") break;
-      assignment.onBytesReceived(event.atMs);
-      const lagMs = core.monotonicMs() - event.atMs;
-      this.#lagMaxMs = Math.max(this.#lagMaxMs, lagMs);
-      if (lastChunkAtMs === undefined) {
-        assignment.onFirstEvent(event.atMs);
-        gapsStartedAtMs = event.atMs;
-      } else {
-        this.#gapMaxMs = Math.max(this.#gapMaxMs, event.atMs - lastChunkAtMs);
-        if (++gapCount === GAP_SAMPLE_COUNT) {
-          assignment.onEventGap((event.atMs - gapsStartedAtMs) / gapCount);
-          gapCount = 0;
-          gapsStartedAtMs = event.atMs;
-        }
-      }
-      lastChunkAtMs = event.atMs;
-      chunkCount++;
-      const data = splitsEvents
-        ? this.#eventBuffer.append(event.data)
-        : event.data;
-      if (this.#eventBuffer.pendingBytes > EVENT_BYTES_MAX) {
-        this.#eventBuffer.discardPending();
-        return this.#failOversized(assignment, attempt, "event is too large");
-      }
-      if (data.length === 0) continue;
-      if (!this.#response.hasStarted) {
-        this.#response.start(status, headers, event.atMs);
-      }
-      await this.#response.write(data);
-    }
-    if (splitsEvents && this.#eventBuffer.pendingBytes > 0) {
-      assignment.onEnd("failed");
-      this.#eventBuffer.discardPending();
-      return { kind: "mayHaveRun", detail: "stream ended inside an event" };
-    }
-    assignment.onEnd("served");
-    assignment.onStreamLength(chunkCount);
-    if (!this.#response.hasStarted) {
-      this.#response.start(status, headers, core.monotonicMs());
-    }
-    this.#response.end();
-    return { kind: "done", status };
-  }
-
-  /** Gives up a response that exceeds a limit; its connection is closed. */
-  #failOversized(
-    assignment: UpstreamAssignment,
-    attempt: Attempt,
-    detail: string,
-  ): AttemptResult {
-    attempt.cancel(detail);
-    assignment.onEnd("failed");
-    return { kind: "mayHaveRun", detail };
+      ? await this.#bodyRelay.relayEvents(assignment, received)
+      : await this.#bodyRelay.relayWhole(assignment, received);
   }
 
   /** Rejects a request that has not run; fails it if it may have run. */
@@ -460,8 +326,8 @@
       firstMs: firstByteAtMs === undefined
         ? undefined
         : Math.round(firstByteAtMs - receivedAtMs),
-      gapMaxMs: Math.round(this.#gapMaxMs),
-      lagMaxMs: Math.round(this.#lagMaxMs),
+      gapMaxMs: Math.round(this.#bodyRelay.gapMaxMs),
+      lagMaxMs: Math.round(this.#bodyRelay.lagMaxMs),
       waitedMs: Math.round(this.#waitedMs),
       totalMs: Math.round(nowMs - receivedAtMs),
       ...this.#selectionFields,
