--- a/packages/dispatch/dispatch_choice.ts
+++ b/packages/dispatch/dispatch_choice.ts
@@ -1,6 +1,7 @@
 /** Selects the engine that runs one request to a model. */
 import type * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import { toModelKey } from "./dispatch_model_key.ts";
 import type { UpstreamState } from "./dispatch_registry.ts";
 import {
   estimateFirstEventMs,
@@ -71,7 +72,7 @@
 ): EngineChoice | undefined {
   const { stepTimes, spec, nowMs, excluded } = context;
   const { model, adapter, promptParts } = needs;
-  const modelKey = adapter === undefined ? model : `${model}/${adapter}`;
+  const modelKey = toModelKey(model, adapter);
   const neededTokens = needs.promptTokens + needs.outputTokensMax;
   let best: EngineChoice | undefined;
   let bestCost = Infinity;
--- a/packages/dispatch/dispatch_demand.ts
+++ b/packages/dispatch/dispatch_demand.ts
@@ -1,5 +1,6 @@
 /** Measures the recent demand of this node's callers for each model. */
 import type * as core from "../core/mod.ts";
+import { toModelKey } from "./dispatch_model_key.ts";
 
 /** Demand for one model, or for one adapter of it. */
 export interface DemandEntry {
@@ -84,7 +85,7 @@
     adapter: string | undefined,
     nowMs: number,
   ): Meter {
-    const key = adapter === undefined ? model : `${model}/${adapter}`;
+    const key = toModelKey(model, adapter);
     let meter = this.#meters.get(key);
     if (!meter) {
       const empty = { ratePerS: 0, workMsPerS: 0, waiting: 0, atMs: nowMs };
--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -2,6 +2,7 @@
 import type * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import { UpstreamHealth } from "./dispatch_health.ts";
+import { toModelKey } from "./dispatch_model_key.ts";
 import { PrefixCacheTracker } from "./dispatch_prefixes.ts";
 
 /** A request that this node has sent to an upstream and that has not ended. */
@@ -210,7 +211,7 @@
     const replica = this.#replicas.get(model);
     if (!replica || !isReplicaUsable(replica, nowMs)) return false;
     if (adapter !== undefined && !replica.adapters.has(adapter)) return false;
-    const modelKey = adapter === undefined ? model : `${model}/${adapter}`;
+    const modelKey = toModelKey(model, adapter);
     return (this.#skippedUntilMs.get(modelKey) ?? 0) <= nowMs;
   }
 
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -15,6 +15,7 @@
 } from "./dispatch_estimate.ts";
 export { UpstreamHealth } from "./dispatch_health.ts";
 export type { UpstreamOutcome } from "./dispatch_health.ts";
+export { toModelKey } from "./dispatch_model_key.ts";
 export { PrefixCacheTracker } from "./dispatch_prefixes.ts";
 export { RequestQueue } from "./dispatch_queue.ts";
 export type { QueuedRequest } from "./dispatch_queue.ts";
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -113,7 +113,7 @@
   const sums = new Map<string, peers.NodeDigest["demand"][number]>();
   for (const { demand } of digests) {
     for (const entry of demand) {
-      const key = `${entry.model}/${entry.adapter}`;
+      const key = dispatch.toModelKey(entry.model, entry.adapter);
       const sum = sums.get(key);
       if (!sum) {
         sums.set(key, { ...entry });
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -4,6 +4,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import * as core from "../core/mod.ts";
+import * as dispatch from "../dispatch/mod.ts";
 import type * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import {
@@ -236,7 +237,7 @@
     const { queues } = this.#currentSums(nowMs);
     this.#state.fleetQueues = new Map(
       queues.map(({ model, adapter, waiting }) => [
-        adapter === "" ? model : `${model}/${adapter}`,
+        dispatch.toModelKey(model, adapter),
         waiting,
       ]),
     );
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -2,7 +2,7 @@
  * Plans and sends load and unload orders while this node is the lease holder.
  */
 import * as core from "../core/mod.ts";
-import type * as dispatch from "../dispatch/mod.ts";
+import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as placement from "../placement/mod.ts";
@@ -361,9 +361,10 @@
             model,
             adapter,
             isEvictable: nowMs - readyAtMs > ADAPTER_RESIDENCE_MIN_MS,
-            inFlight: inFlight?.get(`${model}/${adapter}`)?.count ?? 0,
-            ratePerS:
-              totals.adapterDemand.get(`${model}/${adapter}`)?.ratePerS ?? 0,
+            inFlight:
+              inFlight?.get(dispatch.toModelKey(model, adapter))?.count ?? 0,
+            ratePerS: totals.adapterDemand
+              .get(dispatch.toModelKey(model, adapter))?.ratePerS ?? 0,
           }))
         ),
         inFlight: state.inFlight,
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -91,7 +91,7 @@
   ): QueueState {
     const { upstreams, queue, fleetQueues } = this.#state;
     const { adapter } = request.caller;
-    const modelKey = toModelKey(model, adapter);
+    const modelKey = dispatch.toModelKey(model, adapter);
     const nowMs = core.monotonicMs();
     let replicas = 0;
     let readyAtMs: number | undefined;
@@ -159,7 +159,7 @@
       excluded,
     });
     if (!choice) return undefined;
-    const modelKey = toModelKey(model, adapter);
+    const modelKey = dispatch.toModelKey(model, adapter);
     choice.engine.prefixCache.recordPrompt(modelKey, promptParts);
     return ok(this.#assign(
       choice.engine,
@@ -248,7 +248,7 @@
     const nowMs = core.monotonicMs();
     const waitUntilMs = dispatch
       .queueUntilMs(route, receivedAtMs, deadlineAtMs);
-    const modelKey = toModelKey(model, caller.adapter);
+    const modelKey = dispatch.toModelKey(model, caller.adapter);
     const workMs = this.#estimateWorkMs(caller, model);
     const rejectWithReturn = (reason: string) => {
       const { waitMs, readyAtMs } = this.#viewQueue(request, model, workMs);
@@ -297,13 +297,6 @@
   }
 }
 
-function toModelKey(
-  model: core.ModelName,
-  adapter: string | undefined,
-): string {
-  return adapter === undefined ? model : `${model}/${adapter}`;
-}
-
 function reject(
   reason: string,
   retryAfterMs = NO_UPSTREAM_RETRY_AFTER_MS,
--- a/packages/entry/entry_totals.ts
+++ b/packages/entry/entry_totals.ts
@@ -2,6 +2,7 @@
  * Sums the digests of all nodes to the fleet's demand and in-flight requests.
  */
 import * as core from "../core/mod.ts";
+import * as dispatch from "../dispatch/mod.ts";
 import type * as peers from "../peers/mod.ts";
 import type * as placement from "../placement/mod.ts";
 
@@ -54,7 +55,7 @@
       let loads = totals.inFlight.get(upstreamId);
       if (!loads) totals.inFlight.set(upstreamId, loads = new Map());
       for (const { model, adapter, inFlight, drainMs } of models) {
-        const modelKey = adapter === "" ? model : `${model}/${adapter}`;
+        const modelKey = dispatch.toModelKey(model, adapter);
         const known = loads.get(modelKey) ?? NONE_IN_FLIGHT;
         loads.set(modelKey, addInFlight(known, { count: inFlight, drainMs }));
       }
@@ -76,7 +77,7 @@
     workMsPerS: (sum?.workMsPerS ?? 0) + workMsPerS,
   });
   if (adapter === "") return;
-  const key = `${model}/${adapter}`;
+  const key = dispatch.toModelKey(model, adapter);
   const known = totals.adapterDemand.get(key);
   totals.adapterDemand.set(key, {
     model,
