Let requests wait for a place on a full engine of the own interface

Ruled out: a larger retry budget, which would let real failures be repeated more often too; sending everything and letting engines queue, where the order is theirs and their limit is not known. Places are reserved until the attempt is sent. A request that cannot be served in time is rejected at once with the time until a place is likely. Engines that reject with a free slot count as before. Found on the way, in the trial: waking the queue before the rejection was recorded let requests be rejected in turn until their limit was used up.

--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -15,6 +15,7 @@
 } from "./gateway_completion_request.ts";
 import { ColdStartWaiter } from "./gateway_cold_start.ts";
 import { toFailure } from "./gateway_failure.ts";
+import { PlaceQueue } from "./gateway_place_queue.ts";
 import { StreamRelay } from "./gateway_relay.ts";
 import type {
   GatewayContext,
@@ -28,10 +29,18 @@
 /** How long an engine is avoided after it refused a request. */
 const REFUSED_AVOIDANCE_MS = 100;
 const LIMIT_RETRY_AFTER_MS = 500;
+/** Rejections by full engines after which a request counts them as failures. */
+const FULL_REJECTIONS_MAX = 20;
 
 /** State of one completion across its attempts. */
 interface AttemptProgress {
   attempts: number;
+  /** Rejections by engines that were full. */
+  fullRejections: number;
+  /** Other requests on the engine when the last attempt was sent to it. */
+  inFlightAtSend: number;
+  /** Whether the next attempt counts in the engine's requests already. */
+  hasReservedPlace: boolean;
   /** Whether an engine ran, or may have run, the request. */
   ran: core.Ran;
   lastFailure: core.Failure;
@@ -43,9 +52,11 @@
   readonly #dependencies: GatewayDependencies;
   readonly #reader: CompletionReader;
   readonly #coldStart: ColdStartWaiter;
+  readonly #places = new PlaceQueue();
 
   constructor(dependencies: GatewayDependencies) {
     this.#dependencies = dependencies;
+    dependencies.fleet.registerListener(() => this.#places.wake());
     this.#reader = new CompletionReader(dependencies);
     this.#coldStart = new ColdStartWaiter(dependencies);
   }
@@ -109,6 +120,9 @@
   ): Promise<Result<Response, core.Failure>> {
     const progress: AttemptProgress = {
       attempts: 0,
+      fullRejections: 0,
+      inFlightAtSend: 0,
+      hasReservedPlace: false,
       ran: "no",
       lastFailure: core.refuse(core.NO_UPSTREAM, "no engine is live"),
       triedIds: new Set(),
@@ -118,14 +132,16 @@
     ) {
       const view = await this.#selectEngine(completion, progress);
       if (view.isErr()) return err(withRan(view.error, progress.ran));
+      if (!progress.hasReservedPlace) view.value.localInFlight++;
+      progress.hasReservedPlace = false;
+      progress.inFlightAtSend = view.value.inFlight - 1;
       const response = await this.#attempt(completion, view.value, relay);
+      const finalFailure = response.isErr()
+        ? this.#handleFailure(completion, view.value, response.error, progress)
+        : undefined;
+      // Only now it is known whether the engine is full.
+      this.#places.wake();
       if (response.isOk()) return ok(response.value);
-      const finalFailure = this.#handleFailure(
-        completion,
-        view.value,
-        response.error,
-        progress,
-      );
       if (finalFailure) return err(withRan(finalFailure, progress.ran));
     }
     const detail = completion.disconnectSignal.aborted
@@ -158,12 +174,75 @@
       return err(progress.lastFailure);
     }
     if (untried.length === 0) return await this.#waitForLoad(completion);
+    const open = this.#withPlace(untried);
+    const mustQueue = open.length === 0 || progress.fullRejections > 0 ||
+      this.#places.workAheadMs(artifactId, completion.row.priority) > 0;
+    if (mustQueue) {
+      return await this.#waitForPlace(completion, progress, untried);
+    }
     const request = this.#toRoutedRequest(completion);
-    const view = policy.choose(untried, request);
+    const view = policy.choose(open, request);
     if (!view) return err(progress.lastFailure);
     return this.#checkDeadline(completion, view, request, untried);
   }
 
+  #withPlace(views: readonly routing.EngineView[]): routing.EngineView[] {
+    const nowMs = core.monotonicMs();
+    return views.filter((view) => view.hasPlace(nowMs));
+  }
+
+  /** Queues a request until an engine has a place, if that can be in time. */
+  async #waitForPlace(
+    completion: CompletionRequest,
+    progress: AttemptProgress,
+    holders: readonly routing.EngineView[],
+  ): Promise<Result<routing.EngineView, core.Failure>> {
+    const { artifactId, deadline, disconnectSignal, row } = completion;
+    const idleMs = this.#estimateIdleResponseMs(completion);
+    const slots = holders
+      .reduce((sum, { load }) => sum + (load?.slots ?? 1), 0);
+    const inFlight = holders.reduce((sum, view) => sum + view.inFlight, 0);
+    const workMs = Math.max(1, idleMs / Math.max(1, slots));
+    const aheadMs = this.#places.workAheadMs(artifactId, row.priority) +
+      Math.max(0, inFlight - slots) * workMs;
+    const lateByMs = aheadMs + idleMs - deadline.remainingMs();
+    const reject = () =>
+      err(core.refuse(
+        core.DEADLINE_UNREACHABLE,
+        `engines are full, a place takes about ${Math.ceil(aheadMs)} ms`,
+        Math.max(LIMIT_RETRY_AFTER_MS, aheadMs),
+      ));
+    if (lateByMs > 0) return reject();
+    const nowMs = core.monotonicMs();
+    const view = await this.#places.wait(
+      {
+        artifactId,
+        priority: row.priority,
+        arrivedAtMs: nowMs,
+        waitUntilMs: nowMs + deadline.remainingMs() - idleMs,
+        workMs,
+      },
+      () => this.#takePlace(completion, progress),
+      disconnectSignal,
+    );
+    return view ? ok(view) : reject();
+  }
+
+  /** Reserves a place for the attempt that follows. */
+  #takePlace(
+    completion: CompletionRequest,
+    progress: AttemptProgress,
+  ): routing.EngineView | undefined {
+    const { fleet, policy } = this.#dependencies;
+    const open = this.#withPlace(fleet.usableEngines())
+      .filter((view) => view.holds(completion.artifactId));
+    const view = policy.choose(open, this.#toRoutedRequest(completion));
+    if (!view) return undefined;
+    view.localInFlight++;
+    progress.hasReservedPlace = true;
+    return view;
+  }
+
   async #waitForLoad(
     completion: CompletionRequest,
   ): Promise<Result<routing.EngineView, core.Failure>> {
@@ -237,6 +316,7 @@
     };
   }
 
+  /** Sends a request to an engine on which it counts as in flight already. */
   async #attempt(
     completion: CompletionRequest,
     view: routing.EngineView,
@@ -259,7 +339,6 @@
     };
     const engine = clients.engine(view);
     const startedAtMs = core.monotonicMs();
-    view.localInFlight++;
     try {
       const response = completion.isStreaming
         ? await this.#stream(engine, attempt, relay)
@@ -343,6 +422,7 @@
       view.avoidUntilMs = nowMs + UNREACHABLE_AVOIDANCE_MS;
     }
     if (failure.fault === "refused") {
+      if (this.#mustWaitForPlace(view, progress)) return undefined;
       view.avoidUntilMs = nowMs + REFUSED_AVOIDANCE_MS;
     }
     if (failure.fault === "rejected" || failure.fault === "late") {
@@ -364,6 +444,23 @@
     return undefined;
   }
 
+  /**
+   * Whether the engine rejected a request because it was full: the request then
+   * waits for a place, which is no failure of the engine.
+   */
+  #mustWaitForPlace(
+    view: routing.EngineView,
+    progress: AttemptProgress,
+  ): boolean {
+    if (progress.fullRejections >= FULL_REJECTIONS_MAX) return false;
+    const { inFlightAtSend } = progress;
+    if (!view.recordFull(inFlightAtSend, core.monotonicMs())) return false;
+    progress.fullRejections++;
+    progress.attempts--;
+    progress.triedIds.delete(view.upstreamId);
+    return true;
+  }
+
   #failureResponse(context: GatewayContext, failure: core.Failure): Response {
     const counter = failure.ran === "no" ? "refusals" : "failures";
     this.#dependencies.metrics.increment(counter);
--- a/packages/routing/routing_fleet.ts
+++ b/packages/routing/routing_fleet.ts
@@ -21,6 +21,14 @@
   readonly silent: boolean;
 }
 
+/**
+ * Requests sent to an engine for each of its slots. Those beyond one keep its
+ * slots busy; more of them would wait there instead of here, by priority.
+ */
+const REQUESTS_PER_SLOT_MAX = 4;
+/** Time in which the number of requests that a full engine may hold doubles. */
+const PLACES_DOUBLE_AFTER_MS = 2_000;
+
 /** State of one engine: list entry, last report and local requests. */
 export class EngineView {
   listed: store.ListedInstance;
@@ -39,6 +47,8 @@
   leavingIncarnation: core.Incarnation | undefined;
   /** Whether this instance receives the reports from the engine itself. */
   isWatched = false;
+  /** Requests on the engine when it last rejected one for lack of a place. */
+  #full: { readonly inFlight: number; readonly atMs: number } | undefined;
 
   constructor(listed: store.ListedInstance) {
     this.listed = listed;
@@ -67,6 +77,34 @@
     return Math.max(reported + localChange, this.localInFlight);
   }
 
+  /**
+   * Records that the engine rejected a request for lack of a place, after which
+   * it counts as full for a while at its present number of requests.
+   *
+   * @param inFlightAtSend requests on the engine when the request was sent.
+   * @returns false if it had a free slot then, so that it rejected for another
+   * reason.
+   */
+  recordFull(inFlightAtSend: number, nowMs: number): boolean {
+    const slots = this.load?.slots ?? 1;
+    if (inFlightAtSend < slots) return false;
+    this.#full = { inFlight: Math.max(slots, this.inFlight), atMs: nowMs };
+    return true;
+  }
+
+  /**
+   * Whether the engine should get another request now. After it rejected one
+   * for lack of a place, the number that it is expected to hold grows as long as
+   * it rejects no other.
+   */
+  hasPlace(nowMs: number): boolean {
+    if (this.load === undefined) return true;
+    if (this.inFlight >= this.load.slots * REQUESTS_PER_SLOT_MAX) return false;
+    if (this.#full === undefined) return true;
+    const growth = 1 + (nowMs - this.#full.atMs) / PLACES_DOUBLE_AFTER_MS;
+    return this.inFlight < Math.floor(this.#full.inFlight * growth);
+  }
+
   /** Applies the load that the engine reported along with a response. */
   applyResponseLoad(load: upstream.ResponseLoad): void {
     if (this.load === undefined) return;
