Keep time limits that Node.js 20 loses in a garbage collection

Cause: 'a response past its deadline is cancelled upstream' failed once (a stream of 400 tokens at 20 ms ended whole, although its deadline was 700 ms). Change: timeoutSignal links a timer and the other signal itself; completions use it (transport.send did already, with the same fault).

--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -7,15 +7,18 @@
 import { err, ok, type Result } from "neverthrow";
 import * as core from "../core/mod.ts";
 import * as routing from "../routing/mod.ts";
+import * as transport from "../transport/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
 import { problemResponse } from "./gateway_request.ts";
 import {
   CompletionReader,
   type CompletionRequest,
 } from "./gateway_completion_request.ts";
-import { ColdStartWaiter } from "./gateway_cold_start.ts";
+import {
+  type AttemptProgress,
+  EngineSelector,
+} from "./gateway_engine_selector.ts";
 import { toFailure } from "./gateway_failure.ts";
-import { PlaceQueue } from "./gateway_place_queue.ts";
 import { StreamRelay } from "./gateway_relay.ts";
 import type {
   GatewayContext,
@@ -32,33 +35,16 @@
 /** Rejections by full engines after which a request counts them as failures. */
 const FULL_REJECTIONS_MAX = 20;
 
-/** State of one completion across its attempts. */
-interface AttemptProgress {
-  attempts: number;
-  /** Rejections by engines that were full. */
-  fullRejections: number;
-  /** Other requests on the engine when the last attempt was sent to it. */
-  inFlightAtSend: number;
-  /** Whether the next attempt counts in the engine's requests already. */
-  hasReservedPlace: boolean;
-  /** Whether an engine ran, or may have run, the request. */
-  ran: core.Ran;
-  lastFailure: core.Failure;
-  readonly triedIds: Set<core.UpstreamId>;
-}
-
 /** Serves `POST /v1/chat/completions`. */
 export class CompletionHandler {
   readonly #dependencies: GatewayDependencies;
   readonly #reader: CompletionReader;
-  readonly #coldStart: ColdStartWaiter;
-  readonly #places = new PlaceQueue();
+  readonly #selector: EngineSelector;
 
   constructor(dependencies: GatewayDependencies) {
     this.#dependencies = dependencies;
-    dependencies.fleet.registerListener(() => this.#places.wake());
     this.#reader = new CompletionReader(dependencies);
-    this.#coldStart = new ColdStartWaiter(dependencies);
+    this.#selector = new EngineSelector(dependencies);
   }
 
   /** Handles one request. */
@@ -119,6 +105,7 @@
     relay: StreamRelay,
   ): Promise<Result<Response, core.Failure>> {
     const progress: AttemptProgress = {
+      arrivedAtMs: core.monotonicMs(),
       attempts: 0,
       fullRejections: 0,
       inFlightAtSend: 0,
@@ -130,7 +117,7 @@
     while (
       !completion.deadline.isOver() && !completion.disconnectSignal.aborted
     ) {
-      const view = await this.#selectEngine(completion, progress);
+      const view = await this.#selector.select(completion, progress);
       if (view.isErr()) return err(withRan(view.error, progress.ran));
       if (!progress.hasReservedPlace) view.value.localInFlight++;
       progress.hasReservedPlace = false;
@@ -140,7 +127,7 @@
         ? this.#handleFailure(completion, view.value, response.error, progress)
         : undefined;
       // Only now it is known whether the engine is full.
-      this.#places.wake();
+      this.#selector.wake();
       if (response.isOk()) return ok(response.value);
       if (finalFailure) return err(withRan(finalFailure, progress.ran));
     }
@@ -153,169 +140,6 @@
     return err(core.fail(code, detail, progress.ran));
   }
 
-  /**
-   * Selects an untried engine that holds the artifact, or waits for a load if
-   * no engine holds it. Once all holders were tried, returns the last failure.
-   */
-  async #selectEngine(
-    completion: CompletionRequest,
-    progress: AttemptProgress,
-  ): Promise<Result<routing.EngineView, core.Failure>> {
-    const { fleet, policy } = this.#dependencies;
-    const { artifactId } = completion;
-    const holders = fleet.usableEngines().filter((view) =>
-      view.holds(artifactId)
-    );
-    const untried = holders
-      .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
-    if (
-      untried.length === 0 && progress.triedIds.size > 0 && holders.length > 0
-    ) {
-      return err(progress.lastFailure);
-    }
-    if (untried.length === 0) return await this.#waitForLoad(completion);
-    const open = this.#withPlace(untried);
-    const mustQueue = open.length === 0 || progress.fullRejections > 0 ||
-      this.#places.workAheadMs(artifactId, completion.row.priority) > 0;
-    if (mustQueue) {
-      return await this.#waitForPlace(completion, progress, untried);
-    }
-    const request = this.#toRoutedRequest(completion);
-    const view = policy.choose(open, request);
-    if (!view) return err(progress.lastFailure);
-    return this.#checkDeadline(completion, view, request, untried);
-  }
-
-  #withPlace(views: readonly routing.EngineView[]): routing.EngineView[] {
-    const nowMs = core.monotonicMs();
-    return views.filter((view) => view.hasPlace(nowMs));
-  }
-
-  /** Queues a request until an engine has a place, if that can be in time. */
-  async #waitForPlace(
-    completion: CompletionRequest,
-    progress: AttemptProgress,
-    holders: readonly routing.EngineView[],
-  ): Promise<Result<routing.EngineView, core.Failure>> {
-    const { artifactId, deadline, disconnectSignal, row } = completion;
-    const idleMs = this.#estimateIdleResponseMs(completion);
-    const slots = holders
-      .reduce((sum, { load }) => sum + (load?.slots ?? 1), 0);
-    const inFlight = holders.reduce((sum, view) => sum + view.inFlight, 0);
-    const workMs = Math.max(1, idleMs / Math.max(1, slots));
-    const aheadMs = this.#places.workAheadMs(artifactId, row.priority) +
-      Math.max(0, inFlight - slots) * workMs;
-    const lateByMs = aheadMs + idleMs - deadline.remainingMs();
-    const reject = () =>
-      err(core.refuse(
-        core.DEADLINE_UNREACHABLE,
-        `engines are full, a place takes about ${Math.ceil(aheadMs)} ms`,
-        Math.max(LIMIT_RETRY_AFTER_MS, aheadMs),
-      ));
-    if (lateByMs > 0) return reject();
-    const nowMs = core.monotonicMs();
-    const view = await this.#places.wait(
-      {
-        artifactId,
-        priority: row.priority,
-        arrivedAtMs: nowMs,
-        waitUntilMs: nowMs + deadline.remainingMs() - idleMs,
-        workMs,
-      },
-      () => this.#takePlace(completion, progress),
-      disconnectSignal,
-    );
-    return view ? ok(view) : reject();
-  }
-
-  /** Reserves a place for the attempt that follows. */
-  #takePlace(
-    completion: CompletionRequest,
-    progress: AttemptProgress,
-  ): routing.EngineView | undefined {
-    const { fleet, policy } = this.#dependencies;
-    const open = this.#withPlace(fleet.usableEngines())
-      .filter((view) => view.holds(completion.artifactId));
-    const view = policy.choose(open, this.#toRoutedRequest(completion));
-    if (!view) return undefined;
-    view.localInFlight++;
-    progress.hasReservedPlace = true;
-    return view;
-  }
-
-  async #waitForLoad(
-    completion: CompletionRequest,
-  ): Promise<Result<routing.EngineView, core.Failure>> {
-    const waited = await this.#coldStart.waitForLoad(
-      completion.row,
-      completion.deadline,
-      this.#estimateIdleResponseMs(completion),
-      completion.disconnectSignal,
-    );
-    if (waited.isErr()) return err(waited.error);
-    const { fleet, policy } = this.#dependencies;
-    const holders = fleet.usableEngines()
-      .filter((view) => view.holds(completion.artifactId));
-    const view = policy.choose(holders, this.#toRoutedRequest(completion));
-    if (view) return ok(view);
-    return err(core.refuse(core.NO_UPSTREAM, "no engine is live"));
-  }
-
-  /** Estimates the response time of the fastest engine if it were idle. */
-  #estimateIdleResponseMs({ tokensMax }: CompletionRequest): number {
-    const loads = this.#dependencies.fleet.usableEngines().flatMap(({ load }) =>
-      load ?? []
-    );
-    if (loads.length === 0) return 0;
-    return Math.min(
-      ...loads.map(({ firstTokenMs, tokenMs }) =>
-        firstTokenMs + tokenMs * tokensMax
-      ),
-    );
-  }
-
-  /**
-   * Rejects the request if no untried engine is expected to complete it before
-   * its deadline.
-   */
-  #checkDeadline(
-    completion: CompletionRequest,
-    view: routing.EngineView,
-    request: routing.RoutedRequest,
-    untried: readonly routing.EngineView[],
-  ): Result<routing.EngineView, core.Failure> {
-    const { completionInMs } = routing.estimateCompletion(
-      view,
-      request,
-    );
-    const remainingMs = completion.deadline.remainingMs();
-    if (completionInMs <= remainingMs) return ok(view);
-    const earliestMs = Math.min(
-      ...untried.map((other) =>
-        routing.estimateCompletion(other, request).completionInMs
-      ),
-    );
-    if (earliestMs <= remainingMs) return ok(view);
-    return err(
-      core.refuse(
-        core.DEADLINE_UNREACHABLE,
-        `an answer takes about ${Math.ceil(earliestMs)} ms, ` +
-          `${Math.floor(remainingMs)} ms are left`,
-        earliestMs - remainingMs,
-      ),
-    );
-  }
-
-  #toRoutedRequest(completion: CompletionRequest): routing.RoutedRequest {
-    return {
-      artifactId: completion.artifactId,
-      tokensMax: completion.tokensMax,
-      prefixHash: completion.prefixHash,
-      priority: completion.row.priority,
-      remainingMs: completion.deadline.remainingMs(),
-    };
-  }
-
   /** Sends a request to an engine on which it counts as in flight already. */
   async #attempt(
     completion: CompletionRequest,
@@ -330,10 +154,7 @@
       bodyText: completion.bodyText,
       priority: completion.row.priority,
       deadlineMs: remainingMs,
-      signal: AbortSignal.any([
-        completion.disconnectSignal,
-        AbortSignal.timeout(Math.max(1, Math.ceil(remainingMs))),
-      ]),
+      signal: transport.timeoutSignal(remainingMs, completion.disconnectSignal),
       onLoad: (load) => view.applyResponseLoad(load),
       ...(relay.hasStarted ? { resume: relay.position } : {}),
     };
@@ -452,6 +273,7 @@
     view: routing.EngineView,
     progress: AttemptProgress,
   ): boolean {
+    if (progress.ran !== "no") return false;
     if (progress.fullRejections >= FULL_REJECTIONS_MAX) return false;
     const { inFlightAtSend } = progress;
     if (!view.recordFull(inFlightAtSend, core.monotonicMs())) return false;
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -103,6 +103,8 @@
 
 /**
  * Returns a signal that aborts after a time-out or with the given signal.
+ * `AbortSignal.any` does not do here: Node.js 20 collects an
+ * `AbortSignal.timeout` that nothing else holds, which then never aborts.
  *
  * @example
  * ```ts
@@ -113,8 +115,23 @@
   timeoutMs: number,
   signal?: AbortSignal,
 ): AbortSignal {
-  const timeLimit = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
-  return signal ? AbortSignal.any([signal, timeLimit]) : timeLimit;
+  const limitMs = Math.max(1, Math.ceil(timeoutMs));
+  if (signal === undefined) return AbortSignal.timeout(limitMs);
+  const controller = new AbortController();
+  const finish = (reason: unknown) => {
+    clearTimeout(timer);
+    signal.removeEventListener("abort", onAbort);
+    controller.abort(reason);
+  };
+  const onAbort = () => finish(signal.reason);
+  const timer = setTimeout(() => {
+    const message = "The operation was aborted due to timeout";
+    finish(new DOMException(message, "TimeoutError"));
+  }, limitMs);
+  timer.unref();
+  if (signal.aborted) onAbort();
+  else signal.addEventListener("abort", onAbort, { once: true });
+  return controller.signal;
 }
 
 /** Reads a body to its end; leaving the loop closes the connection. */
