Move engine selection to a class of its own; requests wait only while a holder is left

The selector waits for a load or a place, and goes back to selecting when no engine is left that holds the artifact. What has run elsewhere goes first, and is not sent to full engines again and again.

--- /dev/null
+++ b/packages/gateway/gateway_engine_selector.ts
@@ -0,0 +1,226 @@
+/**
+ * Selects the engine for a completion, or waits for a load or for a place on
+ * an engine.
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as core from "../core/mod.ts";
+import * as routing from "../routing/mod.ts";
+import type { CompletionRequest } from "./gateway_completion_request.ts";
+import { ColdStartWaiter } from "./gateway_cold_start.ts";
+import { PlaceQueue } from "./gateway_place_queue.ts";
+import type { GatewayDependencies } from "./gateway_types.ts";
+
+/** Shortest time after which a request without a place may return. */
+const PLACE_RETRY_AFTER_MIN_MS = 500;
+
+/** State of one completion across its attempts. */
+export interface AttemptProgress {
+  /** Time of the monotonic clock at which the request arrived. */
+  readonly arrivedAtMs: number;
+  attempts: number;
+  /** Rejections by engines that were full. */
+  fullRejections: number;
+  /** Other requests on the engine when the last attempt was sent to it. */
+  inFlightAtSend: number;
+  /** Whether the next attempt counts in the engine's requests already. */
+  hasReservedPlace: boolean;
+  /** Whether an engine ran, or may have run, the request. */
+  ran: core.Ran;
+  lastFailure: core.Failure;
+  readonly triedIds: Set<core.UpstreamId>;
+}
+
+/** Selects engines for one instance's completions. */
+export class EngineSelector {
+  readonly #dependencies: GatewayDependencies;
+  readonly #coldStart: ColdStartWaiter;
+  readonly #places = new PlaceQueue();
+
+  constructor(dependencies: GatewayDependencies) {
+    this.#dependencies = dependencies;
+    this.#coldStart = new ColdStartWaiter(dependencies);
+    dependencies.fleet.registerListener(() => this.wake());
+  }
+
+  /** Tries to find places for waiting requests, as one may have become free. */
+  wake(): void {
+    this.#places.wake();
+  }
+
+  /**
+   * Selects an untried engine that holds the artifact, or waits for a load if
+   * no engine holds it. Once all holders were tried, returns the last failure.
+   */
+  async select(
+    completion: CompletionRequest,
+    progress: AttemptProgress,
+  ): Promise<Result<routing.EngineView, core.Failure>> {
+    const { fleet, policy } = this.#dependencies;
+    const { artifactId } = completion;
+    const holders = fleet.usableEngines().filter((view) =>
+      view.holds(artifactId)
+    );
+    const untried = holders
+      .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
+    if (
+      untried.length === 0 && progress.triedIds.size > 0 && holders.length > 0
+    ) {
+      return err(progress.lastFailure);
+    }
+    if (untried.length === 0) return await this.#waitForLoad(completion);
+    const open = this.#withPlace(untried);
+    const hasOpen = open.length > 0;
+    // What has begun elsewhere goes first; its caller may have part of it.
+    const isFirst = progress.ran !== "no" ||
+      hasOpen && progress.fullRejections === 0 &&
+        this.#places.workAheadMs(artifactId, completion.row.priority) === 0;
+    if (!isFirst) {
+      return await this.#waitForPlace(completion, progress, untried);
+    }
+    const request = this.#toRoutedRequest(completion);
+    const view = policy.choose(hasOpen ? open : untried, request);
+    if (!view) return err(progress.lastFailure);
+    return this.#checkDeadline(completion, view, request, untried);
+  }
+
+  #withPlace(views: readonly routing.EngineView[]): routing.EngineView[] {
+    const nowMs = core.monotonicMs();
+    return views.filter((view) => view.hasPlace(nowMs));
+  }
+
+  /** Queues a request until an engine has a place, if that can be in time. */
+  async #waitForPlace(
+    completion: CompletionRequest,
+    progress: AttemptProgress,
+    holders: readonly routing.EngineView[],
+  ): Promise<Result<routing.EngineView, core.Failure>> {
+    const { artifactId, deadline, disconnectSignal, row } = completion;
+    const idleMs = this.#estimateIdleResponseMs(completion);
+    const slots = holders
+      .reduce((sum, { load }) => sum + (load?.slots ?? 1), 0);
+    const inFlight = holders.reduce((sum, view) => sum + view.inFlight, 0);
+    const workMs = Math.max(1, idleMs / Math.max(1, slots));
+    const aheadMs = this.#places.workAheadMs(artifactId, row.priority) +
+      Math.max(0, inFlight - slots) * workMs;
+    const lateByMs = aheadMs + idleMs - deadline.remainingMs();
+    const reject = () =>
+      err(core.refuse(
+        core.DEADLINE_UNREACHABLE,
+        `engines are full, a place takes about ${Math.ceil(aheadMs)} ms`,
+        Math.max(PLACE_RETRY_AFTER_MIN_MS, aheadMs),
+      ));
+    if (lateByMs > 0) return reject();
+    const nowMs = core.monotonicMs();
+    const place = await this.#places.wait(
+      {
+        artifactId,
+        priority: row.priority,
+        arrivedAtMs: progress.arrivedAtMs,
+        waitUntilMs: nowMs + deadline.remainingMs() - idleMs,
+        workMs,
+      },
+      () => this.#takePlace(completion, progress),
+      disconnectSignal,
+    );
+    if (place === undefined) return reject();
+    return place === "noHolder"
+      ? await this.select(completion, progress)
+      : ok(place);
+  }
+
+  /**
+   * Reserves a place for the attempt that follows.
+   *
+   * @returns `noHolder` if no engine is left that holds the artifact.
+   */
+  #takePlace(
+    completion: CompletionRequest,
+    progress: AttemptProgress,
+  ): routing.EngineView | "noHolder" | undefined {
+    const { fleet, policy } = this.#dependencies;
+    const holders = fleet.usableEngines().filter((view) =>
+      view.holds(completion.artifactId) &&
+      !progress.triedIds.has(view.upstreamId)
+    );
+    if (holders.length === 0) return "noHolder";
+    const open = this.#withPlace(holders);
+    const view = policy.choose(open, this.#toRoutedRequest(completion));
+    if (!view) return undefined;
+    view.localInFlight++;
+    progress.hasReservedPlace = true;
+    return view;
+  }
+
+  async #waitForLoad(
+    completion: CompletionRequest,
+  ): Promise<Result<routing.EngineView, core.Failure>> {
+    const waited = await this.#coldStart.waitForLoad(
+      completion.row,
+      completion.deadline,
+      this.#estimateIdleResponseMs(completion),
+      completion.disconnectSignal,
+    );
+    if (waited.isErr()) return err(waited.error);
+    const { fleet, policy } = this.#dependencies;
+    const holders = fleet.usableEngines()
+      .filter((view) => view.holds(completion.artifactId));
+    const view = policy.choose(holders, this.#toRoutedRequest(completion));
+    if (view) return ok(view);
+    return err(core.refuse(core.NO_UPSTREAM, "no engine is live"));
+  }
+
+  /** Estimates the response time of the fastest engine if it were idle. */
+  #estimateIdleResponseMs({ tokensMax }: CompletionRequest): number {
+    const loads = this.#dependencies.fleet.usableEngines().flatMap(({ load }) =>
+      load ?? []
+    );
+    if (loads.length === 0) return 0;
+    return Math.min(
+      ...loads.map(({ firstTokenMs, tokenMs }) =>
+        firstTokenMs + tokenMs * tokensMax
+      ),
+    );
+  }
+
+  /**
+   * Rejects the request if no untried engine is expected to complete it before
+   * its deadline.
+   */
+  #checkDeadline(
+    completion: CompletionRequest,
+    view: routing.EngineView,
+    request: routing.RoutedRequest,
+    untried: readonly routing.EngineView[],
+  ): Result<routing.EngineView, core.Failure> {
+    const { completionInMs } = routing.estimateCompletion(
+      view,
+      request,
+    );
+    const remainingMs = completion.deadline.remainingMs();
+    if (completionInMs <= remainingMs) return ok(view);
+    const earliestMs = Math.min(
+      ...untried.map((other) =>
+        routing.estimateCompletion(other, request).completionInMs
+      ),
+    );
+    if (earliestMs <= remainingMs) return ok(view);
+    return err(
+      core.refuse(
+        core.DEADLINE_UNREACHABLE,
+        `an answer takes about ${Math.ceil(earliestMs)} ms, ` +
+          `${Math.floor(remainingMs)} ms are left`,
+        earliestMs - remainingMs,
+      ),
+    );
+  }
+
+  #toRoutedRequest(completion: CompletionRequest): routing.RoutedRequest {
+    return {
+      artifactId: completion.artifactId,
+      tokensMax: completion.tokensMax,
+      prefixHash: completion.prefixHash,
+      priority: completion.row.priority,
+      remainingMs: completion.deadline.remainingMs(),
+    };
+  }
+}
