--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -12,4 +12,5 @@
   TransportRequest,
   TransportResponse,
 } from "./transport_request.ts";
+export { limitStart } from "./transport_start_limit.ts";
 export { SocketMeter } from "./transport_meter.ts";
