Let both queues wait by one piece of code, and derive what was kept as state

Found by reading the whole diff again; behaviour is meant to stay as it is. - The wait for an engine stood twice, in PlaceQueue and in the selector of the platform's path (timer, abort, dequeue, settle): RequestQueue.wait serves both. A caller that has left already is not queued until its time is over. - Selection counts a request on its engine in all three ways out, so that no flag says whether it is counted; a rejection by a full engine is recognized before the attempt is counted as failed, in place of taking that back. - The engines that hold an artifact, the key of a model and adapter, and the rounding of a time limit stood in several places each. - Tests: seven literals of the same upstream, three hold-ups of the event loop, three sleeps and two listeners are one fixture each; no assertion changed.

--- a/packages/dispatch/dispatch_model_key.ts
+++ b/packages/dispatch/dispatch_model_key.ts
@@ -1,5 +1,3 @@
-import type * as core from "../core/mod.ts";
-
 /**
  * Key of what a request runs on: a model, or an adapter of it. Queues, backoffs
  * and demand are kept by it.
@@ -11,7 +9,7 @@
  * ```
  */
 export function toModelKey(
-  model: core.ModelName | string,
+  model: string,
   adapter: string | undefined,
 ): string {
   return adapter ? `${model}/${adapter}` : model;
--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -1,4 +1,5 @@
 /** Queue of the requests that wait for an engine. */
+import * as core from "../core/mod.ts";
 
 /** One queued request. */
 export interface QueuedRequest {
@@ -15,6 +16,18 @@
   readonly trySelect: () => boolean;
 }
 
+/** How a request waits in the queue, and what ends its wait. */
+export interface QueueWait<T> {
+  /** Selects what the request waits for; undefined if it has to wait on. */
+  readonly trySelect: () => T | undefined;
+  /** End of the wait, on the monotonic clock. */
+  readonly waitUntilMs: number;
+  /** Ends the wait early. */
+  readonly signal: AbortSignal;
+  /** The result if the wait ends; called while the request is still queued. */
+  readonly giveUp: () => T;
+}
+
 /**
  * Orders requests by priority, then those that can still meet their latency
  * target before those that cannot, then by arrival, so that no request starves
@@ -45,6 +58,42 @@
     };
   }
 
+  /**
+   * Queues a request until something is selected for it, or its wait ends.
+   *
+   * @example
+   * ```ts
+   * const selected = await queue.wait(request, {
+   *   trySelect, waitUntilMs, signal, giveUp: () => rejection,
+   * });
+   * ```
+   */
+  wait<T>(
+    request: Omit<QueuedRequest, "trySelect">,
+    { trySelect, waitUntilMs, signal, giveUp }: QueueWait<T>,
+  ): Promise<T> {
+    return new Promise((resolve) => {
+      const settle = (result: T) => {
+        clearTimeout(timer);
+        signal.removeEventListener("abort", onEnd);
+        dequeue();
+        resolve(result);
+      };
+      const onEnd = () => settle(giveUp());
+      const dequeue = this.add({
+        ...request,
+        trySelect: () => {
+          const selected = trySelect();
+          if (selected !== undefined) settle(selected);
+          return selected !== undefined;
+        },
+      });
+      const timer = setTimeout(onEnd, waitUntilMs - core.monotonicMs());
+      signal.addEventListener("abort", onEnd, { once: true });
+      if (signal.aborted) onEnd();
+    });
+  }
+
   /** Tries once to select an engine for each queued request, in order. */
   trySelectAll(nowMs: number): void {
     if (this.#queued.size === 0) return;
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -18,7 +18,7 @@
 export { toModelKey } from "./dispatch_model_key.ts";
 export { PrefixCacheTracker } from "./dispatch_prefixes.ts";
 export { RequestQueue } from "./dispatch_queue.ts";
-export type { QueuedRequest } from "./dispatch_queue.ts";
+export type { QueuedRequest, QueueWait } from "./dispatch_queue.ts";
 export { SharedRetryBudget } from "./dispatch_retry_budget.ts";
 export { chooseEngine } from "./dispatch_choice.ts";
 export type { EngineChoice, RequestNeeds } from "./dispatch_choice.ts";
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import * as core from "../../../core/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import * as dispatch from "../../mod.ts";
 
 const model = core.brandId<core.ModelName>("m");
@@ -16,19 +17,13 @@
 };
 
 function makeEngine(id: string, part: Partial<fleet.UpstreamRecord> = {}) {
-  return new dispatch.UpstreamState({
+  const record = testing.makeUpstreamRecord({
     id: core.brandId<core.UpstreamId>(id),
-    startedAtMs: 1,
-    service: core.brandId<core.ServiceName>("s"),
-    address: "127.0.0.1:1",
-    failureDomain: "z",
     slots: 4,
-    isLeaving: false,
     models: [{ model, adapters: ["a1"] }],
-    modelsInMemory: [],
-    modelsOnDisk: [],
     ...part,
-  }, 10_000);
+  });
+  return new dispatch.UpstreamState(record, 10_000);
 }
 
 function makeRequest(prefillMs: number): dispatch.InFlightRequest {
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -357,15 +357,16 @@
         freeMb: spec.weightMemoryMb - inventory.usedMb(spec),
         models: new Set(ready.map(([model]) => model)),
         adapters: ready.flatMap(([model, { adapters }]) =>
-          [...adapters].map(([adapter, readyAtMs]) => ({
-            model,
-            adapter,
-            isEvictable: nowMs - readyAtMs > ADAPTER_RESIDENCE_MIN_MS,
-            inFlight:
-              inFlight?.get(dispatch.toModelKey(model, adapter))?.count ?? 0,
-            ratePerS: totals.adapterDemand
-              .get(dispatch.toModelKey(model, adapter))?.ratePerS ?? 0,
-          }))
+          [...adapters].map(([adapter, readyAtMs]) => {
+            const key = dispatch.toModelKey(model, adapter);
+            return {
+              model,
+              adapter,
+              isEvictable: nowMs - readyAtMs > ADAPTER_RESIDENCE_MIN_MS,
+              inFlight: inFlight?.get(key)?.count ?? 0,
+              ratePerS: totals.adapterDemand.get(key)?.ratePerS ?? 0,
+            };
+          })
         ),
         inFlight: state.inFlight,
       }];
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -237,7 +237,7 @@
     };
   }
 
-  #waitInQueue(
+  async #waitInQueue(
     request: relay.RelayedRequest,
     model: core.ModelName,
     trySelect: () => SelectionResult | undefined,
@@ -258,42 +258,32 @@
       return reject(reason, dispatch.retryAfterMs(waitMs, readyInMs));
     };
     if (waitUntilMs <= nowMs) {
-      return Promise.resolve(rejectWithReturn("no engine in time"));
+      return rejectWithReturn("no engine in time");
     }
     const { waitMs } = this.#viewQueue(request, model, workMs);
     if (nowMs + waitMs > waitUntilMs) {
       const reason = `queue is ${Math.round(waitMs)} ms long`;
-      return Promise.resolve(rejectWithReturn(reason));
+      return rejectWithReturn(reason);
     }
     const stopTracking = demand.trackQueued(model, caller.adapter, nowMs);
     this.onQueued();
-    return new Promise((resolve) => {
-      const settle = (selected: SelectionResult) => {
-        clearTimeout(timer);
-        signal.removeEventListener("abort", onAbort);
-        dequeue();
-        stopTracking();
-        resolve(selected);
-      };
-      const onAbort = () => settle(reject("request ended while queued"));
-      const dequeue = queue.add({
-        priority: route.priority,
-        arrivedAtMs: receivedAtMs,
-        targetAtMs: receivedAtMs + route.latencyTargetMs,
-        modelKey,
-        workMs,
-        trySelect: () => {
-          const selected = trySelect();
-          if (selected) settle(selected);
-          return selected !== undefined;
-        },
-      });
-      const timer = setTimeout(
-        () => settle(rejectWithReturn("no engine in time")),
-        waitUntilMs - nowMs,
-      );
-      signal.addEventListener("abort", onAbort, { once: true });
+    const selected = await queue.wait({
+      priority: route.priority,
+      arrivedAtMs: receivedAtMs,
+      targetAtMs: receivedAtMs + route.latencyTargetMs,
+      modelKey,
+      workMs,
+    }, {
+      trySelect,
+      waitUntilMs,
+      signal,
+      giveUp: () =>
+        signal.aborted
+          ? reject("request ended while queued")
+          : rejectWithReturn("no engine in time"),
     });
+    stopTracking();
+    return selected;
   }
 }
 
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -1,34 +1,23 @@
 import test from "ava";
 import * as core from "../../../core/mod.ts";
-import type * as fleet from "../../../fleet/mod.ts";
 import * as orders from "../../../orders/mod.ts";
 import * as mirror from "../../../mirror/mod.ts";
 import type * as store from "../../../store/mod.ts";
 import { ExchangeHub } from "../../entry_exchange.ts";
 import { EntryState } from "../../entry_state.ts";
+import * as testing from "../../../testing/mod.ts";
 import { TableNewsExchange } from "../../entry_table_news.ts";
+import { NoListener } from "../no_listener.ts";
 
 const silentLogger = new core.Logger({}, () => {});
 const upstreamId = core.brandId<core.UpstreamId>("u-1");
 const model = core.brandId<core.ModelName>("m");
 
-const record: fleet.UpstreamRecord = {
+const record = testing.makeUpstreamRecord({
   id: upstreamId,
-  startedAtMs: 1,
-  service: core.brandId<core.ServiceName>("s"),
-  address: "127.0.0.1:1",
   failureDomain: "d",
   slots: 16,
-  isLeaving: false,
-  models: [],
-  modelsInMemory: [],
-  modelsOnDisk: [],
-};
-
-class NoListener extends mirror.TableListener {
-  override applySnapshot(): void {}
-  override applyChange(): void {}
-}
+});
 
 /** One node of the tree, without network. */
 class TestNode {
--- a/packages/entry/tests/unit/entry_follow_test.ts
+++ b/packages/entry/tests/unit/entry_follow_test.ts
@@ -4,6 +4,7 @@
 import * as mirror from "../../../mirror/mod.ts";
 import * as store from "../../../store/mod.ts";
 import { FollowTask, StoreHealth } from "../../entry_follow_task.ts";
+import { NoListener } from "../no_listener.ts";
 
 const silentLogger = new core.Logger({}, () => {});
 const WAIT_MS = 300;
@@ -54,11 +55,6 @@
   }
 }
 
-class NoListener extends mirror.TableListener {
-  override applySnapshot(): void {}
-  override applyChange(): void {}
-}
-
 async function withTask(
   rank: mirror.ReaderRank,
   run: (copy: mirror.TableMirror, service: CountingStore) => Promise<void>,
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -35,6 +35,14 @@
 /** Rejections by full engines after which a request counts them as failures. */
 const FULL_REJECTIONS_MAX = 20;
 
+/** An attempt that failed, on an engine with other requests. */
+interface FailedAttempt {
+  readonly view: routing.EngineView;
+  /** Other requests on the engine when the attempt was sent to it. */
+  readonly othersInFlight: number;
+  readonly failure: upstream.AttemptFailure;
+}
+
 /** Serves `POST /v1/chat/completions`. */
 export class CompletionHandler {
   readonly #dependencies: GatewayDependencies;
@@ -108,8 +116,6 @@
       arrivedAtMs: core.monotonicMs(),
       attempts: 0,
       fullRejections: 0,
-      inFlightAtSend: 0,
-      hasReservedPlace: false,
       ran: "no",
       lastFailure: core.refuse(core.NO_UPSTREAM, "no engine is live"),
       triedIds: new Set(),
@@ -119,12 +125,14 @@
     ) {
       const view = await this.#selector.select(completion, progress);
       if (view.isErr()) return err(withRan(view.error, progress.ran));
-      if (!progress.hasReservedPlace) view.value.localInFlight++;
-      progress.hasReservedPlace = false;
-      progress.inFlightAtSend = view.value.inFlight - 1;
+      const othersInFlight = view.value.inFlight - 1;
       const response = await this.#attempt(completion, view.value, relay);
       const finalFailure = response.isErr()
-        ? this.#handleFailure(completion, view.value, response.error, progress)
+        ? this.#handleFailure(completion, progress, {
+          view: view.value,
+          othersInFlight,
+          failure: response.error,
+        })
         : undefined;
       // Only now it is known whether the engine is full.
       this.#selector.wake();
@@ -230,20 +238,20 @@
    */
   #handleFailure(
     completion: CompletionRequest,
-    view: routing.EngineView,
-    failure: upstream.AttemptFailure,
     progress: AttemptProgress,
+    failed: FailedAttempt,
   ): core.Failure | undefined {
+    const { view, failure } = failed;
+    progress.lastFailure = toFailure(failure);
+    if (this.#mustWaitForPlace(progress, failed)) return undefined;
     progress.attempts++;
     progress.triedIds.add(view.upstreamId);
     if (failure.ran !== "no") progress.ran = "unknown";
-    progress.lastFailure = toFailure(failure);
     const nowMs = core.monotonicMs();
     if (failure.fault === "unreachable") {
       view.avoidUntilMs = nowMs + UNREACHABLE_AVOIDANCE_MS;
     }
     if (failure.fault === "refused") {
-      if (this.#mustWaitForPlace(view, progress)) return undefined;
       view.avoidUntilMs = nowMs + REFUSED_AVOIDANCE_MS;
     }
     if (failure.fault === "rejected" || failure.fault === "late") {
@@ -270,16 +278,13 @@
    * waits for a place, which is no failure of the engine.
    */
   #mustWaitForPlace(
-    view: routing.EngineView,
     progress: AttemptProgress,
+    { view, othersInFlight, failure }: FailedAttempt,
   ): boolean {
-    if (progress.ran !== "no") return false;
+    if (failure.fault !== "refused" || progress.ran !== "no") return false;
     if (progress.fullRejections >= FULL_REJECTIONS_MAX) return false;
-    const { inFlightAtSend } = progress;
-    if (!view.recordFull(inFlightAtSend, core.monotonicMs())) return false;
+    if (!view.recordFull(othersInFlight, core.monotonicMs())) return false;
     progress.fullRejections++;
-    progress.attempts--;
-    progress.triedIds.delete(view.upstreamId);
     return true;
   }
 
--- a/packages/gateway/gateway_engine_selector.ts
+++ b/packages/gateway/gateway_engine_selector.ts
@@ -20,10 +20,6 @@
   attempts: number;
   /** Rejections by engines that were full. */
   fullRejections: number;
-  /** Other requests on the engine when the last attempt was sent to it. */
-  inFlightAtSend: number;
-  /** Whether the next attempt counts in the engine's requests already. */
-  hasReservedPlace: boolean;
   /** Whether an engine ran, or may have run, the request. */
   ran: core.Ran;
   lastFailure: core.Failure;
@@ -50,16 +46,15 @@
   /**
    * Selects an untried engine that holds the artifact, or waits for a load if
    * no engine holds it. Once all holders were tried, returns the last failure.
+   * The request counts in the requests of the selected engine from then on.
    */
   async select(
     completion: CompletionRequest,
     progress: AttemptProgress,
   ): Promise<Result<routing.EngineView, core.Failure>> {
-    const { fleet, policy } = this.#dependencies;
+    const { policy } = this.#dependencies;
     const { artifactId } = completion;
-    const holders = fleet.usableEngines().filter((view) =>
-      view.holds(artifactId)
-    );
+    const holders = this.#holders(artifactId);
     const untried = holders
       .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
     if (
@@ -80,7 +75,12 @@
     const request = this.#toRoutedRequest(completion);
     const view = policy.choose(hasOpen ? open : untried, request);
     if (!view) return err(progress.lastFailure);
-    return this.#checkDeadline(completion, view, request, untried);
+    return this.#checkDeadline(completion, view, request, untried).map(reserve);
+  }
+
+  #holders(artifactId: core.ArtifactId): routing.EngineView[] {
+    return this.#dependencies.fleet.usableEngines()
+      .filter((view) => view.holds(artifactId));
   }
 
   #withPlace(views: readonly routing.EngineView[]): routing.EngineView[] {
@@ -102,14 +102,13 @@
     const workMs = Math.max(1, idleMs / Math.max(1, slots));
     const aheadMs = this.#places.workAheadMs(artifactId, row.priority) +
       Math.max(0, inFlight - slots) * workMs;
-    const lateByMs = aheadMs + idleMs - deadline.remainingMs();
     const reject = () =>
       err(core.refuse(
         core.DEADLINE_UNREACHABLE,
         `engines are full, a place takes about ${Math.ceil(aheadMs)} ms`,
         Math.max(PLACE_RETRY_AFTER_MIN_MS, aheadMs),
       ));
-    if (lateByMs > 0) return reject();
+    if (aheadMs + idleMs > deadline.remainingMs()) return reject();
     const nowMs = core.monotonicMs();
     const place = await this.#places.wait(
       {
@@ -137,18 +136,12 @@
     completion: CompletionRequest,
     progress: AttemptProgress,
   ): routing.EngineView | "noHolder" | undefined {
-    const { fleet, policy } = this.#dependencies;
-    const holders = fleet.usableEngines().filter((view) =>
-      view.holds(completion.artifactId) &&
-      !progress.triedIds.has(view.upstreamId)
-    );
-    if (holders.length === 0) return "noHolder";
-    const open = this.#withPlace(holders);
-    const view = policy.choose(open, this.#toRoutedRequest(completion));
-    if (!view) return undefined;
-    view.localInFlight++;
-    progress.hasReservedPlace = true;
-    return view;
+    const untried = this.#holders(completion.artifactId)
+      .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
+    if (untried.length === 0) return "noHolder";
+    const view = this.#dependencies.policy
+      .choose(this.#withPlace(untried), this.#toRoutedRequest(completion));
+    return view && reserve(view);
   }
 
   async #waitForLoad(
@@ -161,11 +154,11 @@
       completion.disconnectSignal,
     );
     if (waited.isErr()) return err(waited.error);
-    const { fleet, policy } = this.#dependencies;
-    const holders = fleet.usableEngines()
-      .filter((view) => view.holds(completion.artifactId));
-    const view = policy.choose(holders, this.#toRoutedRequest(completion));
-    if (view) return ok(view);
+    const view = this.#dependencies.policy.choose(
+      this.#holders(completion.artifactId),
+      this.#toRoutedRequest(completion),
+    );
+    if (view) return ok(reserve(view));
     return err(core.refuse(core.NO_UPSTREAM, "no engine is live"));
   }
 
@@ -224,3 +217,9 @@
     };
   }
 }
+
+/** Counts a request on an engine, until the attempt that follows ends. */
+function reserve(view: routing.EngineView): routing.EngineView {
+  view.localInFlight++;
+  return view;
+}
--- a/packages/gateway/gateway_place_queue.ts
+++ b/packages/gateway/gateway_place_queue.ts
@@ -53,30 +53,14 @@
     signal: AbortSignal,
   ): Promise<T | undefined> {
     const { artifactId, priority, arrivedAtMs, waitUntilMs, workMs } = request;
-    return new Promise((resolve) => {
-      const settle = (place: T | undefined) => {
-        clearTimeout(timer);
-        signal.removeEventListener("abort", giveUp);
-        dequeue();
-        resolve(place);
-      };
-      const giveUp = () => settle(undefined);
-      const dequeue = this.#queue.add({
-        priority: -priority,
-        arrivedAtMs,
-        targetAtMs: waitUntilMs,
-        modelKey: artifactId,
-        workMs,
-        trySelect: () => {
-          const place = tryTake();
-          if (place !== undefined) settle(place);
-          return place !== undefined;
-        },
-      });
-      const timer = setTimeout(giveUp, waitUntilMs - core.monotonicMs());
-      signal.addEventListener("abort", giveUp, { once: true });
-      if (signal.aborted) giveUp();
-      else this.wake();
-    });
+    const place = this.#queue.wait<T | undefined>({
+      priority: -priority,
+      arrivedAtMs,
+      targetAtMs: waitUntilMs,
+      modelKey: artifactId,
+      workMs,
+    }, { trySelect: tryTake, waitUntilMs, signal, giveUp: () => undefined });
+    this.wake();
+    return place;
   }
 }
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -8,6 +8,7 @@
 import type * as claims from "../claims/mod.ts";
 import * as core from "../core/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import * as transport from "../transport/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
 import { toFailure } from "./gateway_failure.ts";
 import {
@@ -181,7 +182,7 @@
       contentType: call.contentType,
       bodyText: call.bodyText,
       deadlineMs: timeoutMs,
-      signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs))),
+      signal: transport.timeoutSignal(timeoutMs),
       ...(call.key === undefined ? {} : { key: call.key }),
     };
     const response = await clients.service(listed).call(attempt);
--- a/packages/orders/tests/unit/orders_inventory_test.ts
+++ b/packages/orders/tests/unit/orders_inventory_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import * as core from "../../../core/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import * as orders from "../../mod.ts";
 
 const model = (name: string) => core.brandId<core.ModelName>(name);
@@ -25,19 +26,13 @@
 };
 
 function makeRecord(part: Partial<fleet.UpstreamRecord> = {}) {
-  return {
+  return testing.makeUpstreamRecord({
     id: core.brandId<core.UpstreamId>("e1"),
-    startedAtMs: 1,
     service: core.brandId<core.ServiceName>("llm"),
-    address: "127.0.0.1:1",
-    failureDomain: "z",
     slots: 8,
-    isLeaving: false,
     models: [{ model: model("a"), adapters: [] }],
-    modelsInMemory: [],
-    modelsOnDisk: [],
     ...part,
-  };
+  });
 }
 
 function makeReport(
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -2,6 +2,7 @@
 import { ok, type Result } from "neverthrow";
 import * as core from "../../../core/mod.ts";
 import * as fleet from "../../../fleet/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import * as orders from "../../mod.ts";
 
 const model = core.brandId<core.ModelName>("m");
@@ -44,18 +45,7 @@
   }
 }
 
-const record: fleet.UpstreamRecord = {
-  id: core.brandId<core.UpstreamId>("e"),
-  startedAtMs: 1,
-  service: core.brandId<core.ServiceName>("s"),
-  address: "127.0.0.1:1",
-  failureDomain: "z",
-  slots: 1,
-  isLeaving: false,
-  models: [],
-  modelsInMemory: [],
-  modelsOnDisk: [],
-};
+const record = testing.makeUpstreamRecord();
 
 function makeSender(
   control: ScriptedControl,
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -10,6 +10,7 @@
 import * as core from "../../core/mod.ts";
 import type * as dispatch from "../../dispatch/mod.ts";
 import * as fleet from "../../fleet/mod.ts";
+import * as testing from "../../testing/mod.ts";
 import * as relay from "../mod.ts";
 
 export const silentLogger = new core.Logger({}, () => {});
@@ -133,18 +134,10 @@
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", () => resolve())
     );
-    upstreams.push({
+    upstreams.push(testing.makeUpstreamRecord({
       id: core.brandId<core.UpstreamId>(`u${n}`),
-      startedAtMs: 1,
-      service: core.brandId<core.ServiceName>("s"),
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-      failureDomain: "z",
-      slots: 1,
-      isLeaving: false,
-      models: [],
-      modelsInMemory: [],
-      modelsOnDisk: [],
-    });
+    }));
   }
   const pools = new relay.UpstreamPools();
   const selector = new ListedSelector(upstreams, pools, options.budget ?? 10);
--- a/packages/relay/tests/unit/relay_attempt_test.ts
+++ b/packages/relay/tests/unit/relay_attempt_test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import * as core from "../../../core/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import * as relay from "../../mod.ts";
 
 /** Runs `body` against an upstream that answers with raw bytes. */
@@ -21,18 +22,9 @@
   );
   const { port } = server.address() as AddressInfo;
   try {
-    await body({
-      id: core.brandId<core.UpstreamId>("u1"),
-      startedAtMs: 1,
-      service: core.brandId<core.ServiceName>("s"),
-      address: `127.0.0.1:${port}`,
-      failureDomain: "z",
-      slots: 1,
-      isLeaving: false,
-      models: [],
-      modelsInMemory: [],
-      modelsOnDisk: [],
-    });
+    await body(
+      testing.makeUpstreamRecord({ address: `127.0.0.1:${port}` }),
+    );
   } finally {
     for (const socket of sockets) socket.destroy();
     server.close();
@@ -167,18 +159,16 @@
     const pool = new relay.UpstreamPools().get(upstream, 10, 1);
     const startBeforeMs = core.monotonicMs() + 300;
     // The kernel completes the connection while the process is held up.
-    const attempt = await new Promise<ReturnType<typeof relay.startAttempt>>(
-      (resolve) =>
-        setTimeout(() => {
-          resolve(relay.startAttempt(pool, {
-            path: "/",
-            method: "GET",
-            headers: {},
-            body: null,
-            startBeforeMs,
-          }));
-          while (core.monotonicMs() < startBeforeMs + 300);
-        }, 10),
+    const attempt = await testing.startThenHoldUp(
+      () =>
+        relay.startAttempt(pool, {
+          path: "/",
+          method: "GET",
+          headers: {},
+          body: null,
+          startBeforeMs,
+        }),
+      600,
     );
     const head = await attempt.head;
     t.is(head._unsafeUnwrapErr().sent, "no");
--- a/packages/relay/tests/unit/relay_wait_watch_test.ts
+++ b/packages/relay/tests/unit/relay_wait_watch_test.ts
@@ -1,15 +1,14 @@
 import test from "ava";
 import process from "node:process";
+import * as core from "../../../core/mod.ts";
 import { WaitWatch } from "../../relay_wait_watch.ts";
 
-const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 test("a wait that lasts too long is reported once", async (t) => {
   let timeouts = 0;
   const watch = new WaitWatch(30, () => timeouts++);
-  await watch.during(sleep(150));
+  await watch.during(core.sleep(150));
   t.is(timeouts, 1);
-  await watch.during(sleep(150));
+  await watch.during(core.sleep(150));
   t.is(timeouts, 2);
   watch.stop();
 });
@@ -17,7 +16,7 @@
 test("a stream of many events is not reported, however long it lasts", async (t) => {
   let timeouts = 0;
   const watch = new WaitWatch(2_000, () => timeouts++);
-  for (let n = 0; n < 150; n++) await watch.during(sleep(15));
+  for (let n = 0; n < 150; n++) await watch.during(core.sleep(15));
   watch.stop();
   t.is(timeouts, 0);
 });
@@ -26,9 +25,9 @@
   let timeouts = 0;
   const watch = new WaitWatch(200, () => timeouts++);
   await watch.during(Promise.resolve());
-  await sleep(400);
+  await core.sleep(400);
   t.is(timeouts, 0);
-  await watch.during(sleep(10));
+  await watch.during(core.sleep(10));
   watch.stop();
   t.is(timeouts, 0);
 });
@@ -54,6 +53,6 @@
   const watch = new WaitWatch(20, () => t.fail());
   await t.throwsAsync(watch.during(Promise.reject(new Error("cut"))));
   watch.stop();
-  await sleep(60);
+  await core.sleep(60);
   t.pass();
 });
--- a/packages/testing/mod.ts
+++ b/packages/testing/mod.ts
@@ -12,6 +12,7 @@
   ServiceCall,
   StreamResult,
 } from "./testing_caller.ts";
+export { makeUpstreamRecord, startThenHoldUp } from "./testing_fixtures.ts";
 export { StartedProcess, startProcess } from "./testing_process.ts";
 export {
   CALLER_TOKENS,
--- a/packages/transport/tests/unit/transport_late_start_test.ts
+++ b/packages/transport/tests/unit/transport_late_start_test.ts
@@ -4,16 +4,10 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
+import * as core from "../../../core/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import * as transport from "../../mod.ts";
 
-/** Keeps the event loop busy, as a pause of the process does. */
-function holdUp(ms: number): void {
-  const untilMs = Date.now() + ms;
-  while (Date.now() < untilMs);
-}
-
-const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 test("a request is not sent once its time limit has passed", async (t) => {
   let received = 0;
   const server = createServer((request, response) => {
@@ -32,13 +26,11 @@
     timeoutMs: 300,
   };
   // The kernel completes the connection while the process is held up.
-  const late = await new Promise((resolve) => {
-    setTimeout(() => {
-      resolve(transport.send(dispatcher, request));
-      holdUp(600);
-    }, 10);
-  }) as Awaited<ReturnType<typeof transport.send>>;
-  await sleep(100);
+  const late = await testing.startThenHoldUp(
+    () => transport.send(dispatcher, request),
+    600,
+  );
+  await core.sleep(100);
   t.is(received, 0);
   t.true(late.isErr());
   const next = await transport
--- a/packages/transport/tests/unit/transport_timeout_signal_test.ts
+++ b/packages/transport/tests/unit/transport_timeout_signal_test.ts
@@ -1,13 +1,12 @@
 import test from "ava";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
+import * as core from "../../../core/mod.ts";
 import * as transport from "../../mod.ts";
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
 
-const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
-
 /** Counts how many of 100 signals abort, though nothing holds them. */
 async function countAborts(
   makeSignal: () => AbortSignal,
@@ -18,11 +17,11 @@
     makeSignal().addEventListener("abort", () => aborts++, { once: true });
   }
   for (let n = 0; n < 4; n++) {
-    await sleep(20);
+    await core.sleep(20);
     collectGarbage();
   }
   act();
-  await sleep(400);
+  await core.sleep(400);
   return aborts;
 }
 
