Log how an upstream's body was framed and whether it stopped inside an event

Change: framing=length|chunks|close and insideEvent=true|false on request_end; how bodies are relayed is unchanged.

--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -7,6 +7,7 @@
   AttemptFailure,
   AttemptHead,
   BodyEvent,
+  BodyFraming,
 } from "./relay_attempt.ts";
 export {
   BodyTimeoutError,
@@ -14,7 +15,7 @@
   discardBody,
   readBody,
 } from "./relay_body.ts";
-export { EventStreamBuffer } from "./relay_events.ts";
+export { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 export { UpstreamPools } from "./relay_pools.ts";
 export { RelayTask } from "./relay_task.ts";
 export type { RelayOutcome } from "./relay_task.ts";
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -13,10 +13,14 @@
   readonly detail: string;
 }
 
+/** What marks the end of a response body: RFC 9112, section 6.3. */
+export type BodyFraming = "length" | "chunks" | "close";
+
 /** Status and headers of an upstream's response. */
 export interface AttemptHead {
   readonly status: number;
   readonly headers: Record<string, string | string[] | undefined>;
+  readonly framing: BodyFraming;
 }
 
 /**
@@ -102,9 +106,9 @@
     onResponseStart: (_controller, status, headers) => {
       // 1xx informational responses precede the final response.
       if (status < 200) return this.#countInformational();
-      this.#isCloseDelimited = headers["content-length"] === undefined &&
-        headers["transfer-encoding"] === undefined;
-      this.#settleHead(ok({ status, headers }));
+      const framing = framingOf(headers);
+      this.#isCloseDelimited = framing === "close";
+      this.#settleHead(ok({ status, headers, framing }));
     },
     onResponseData: (controller, data) => {
       this.#bufferedBytes += data.length;
@@ -161,6 +165,11 @@
   }
 }
 
+function framingOf(headers: AttemptHead["headers"]): BodyFraming {
+  if (headers["transfer-encoding"] !== undefined) return "chunks";
+  return headers["content-length"] === undefined ? "close" : "length";
+}
+
 /**
  * Sends a request once. Failures, including a request that the HTTP client
  * rejects, are reported through the returned attempt.
--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -60,6 +60,38 @@
   }
 }
 
+/** Last bytes of a stream in which a blank line is recognised. */
+const TAIL_BYTES = 4;
+/** A blank line at the end: two line ends, each CRLF, LF or CR. */
+const BLANK_LINE_AT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)$/;
+
+/**
+ * Tells whether the bytes of a stream so far end at the end of an event, for
+ * streams that are relayed without being split into events.
+ */
+export class EventBoundaryTracker {
+  #tail = "";
+
+  /**
+   * Accepts the next bytes of the stream.
+   *
+   * @example
+   * ```ts
+   * tracker.accept(Buffer.from("id: 1\ndata: a\n"));
+   * tracker.isInsideEvent; // true, the blank line is missing
+   * ```
+   */
+  accept(data: Buffer): void {
+    const latest = data.subarray(-TAIL_BYTES).toString("latin1");
+    this.#tail = (this.#tail + latest).slice(-TAIL_BYTES);
+  }
+
+  /** Whether an event has begun whose final blank line has not arrived. */
+  get isInsideEvent(): boolean {
+    return this.#tail !== "" && !BLANK_LINE_AT_END.test(this.#tail);
+  }
+}
+
 /**
  * Offset after the last blank line, which ends an event; 0 if there is none.
  */
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -2,7 +2,7 @@
 import { Buffer } from "node:buffer";
 import * as core from "../core/mod.ts";
 import type { Attempt } from "./relay_attempt.ts";
-import { EventStreamBuffer } from "./relay_events.ts";
+import { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import type { UpstreamAssignment } from "./relay_types.ts";
 import type { WaitWatch } from "./relay_wait_watch.ts";
@@ -39,6 +39,8 @@
   readonly #splitsEvents: boolean;
   readonly #signal: AbortSignal;
   readonly #eventBuffer = new EventStreamBuffer();
+  /** Whether the last stream ended inside an event, for the log. */
+  endedInsideEvent: boolean | undefined;
   /** Longest time between the arrivals of two chunks, for the log. */
   gapMaxMs = 0;
   /** Longest time from a chunk's arrival until it was read, for the log. */
@@ -104,14 +106,17 @@
     let chunkCount = 0;
     let gapCount = 0;
     let gapsStartedAtMs = 0;
+    const boundary = new EventBoundaryTracker();
     for (;;) {
       const event = await watch.during(attempt.next());
+      this.endedInsideEvent = boundary.isInsideEvent;
       if (event.kind === "broken") {
         assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
         this.#eventBuffer.discardPending();
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
       if (event.kind === "end") break;
+      boundary.accept(event.data);
       assignment.onBytesReceived(event.atMs);
       const lagMs = core.monotonicMs() - event.atMs;
       this.lagMaxMs = Math.max(this.lagMaxMs, lagMs);
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -8,6 +8,7 @@
 import {
   type Attempt,
   type AttemptHead,
+  type BodyFraming,
   startAttempt,
 } from "./relay_attempt.ts";
 import { type AttemptResult, BodyRelay } from "./relay_response_body.ts";
@@ -48,6 +49,7 @@
   #sendCount = 0;
   #upstream: core.UpstreamId | undefined;
   #selectionFields: core.LogFields = {};
+  #framing: BodyFraming | undefined;
   #outcome: RelayOutcome = "failed";
   #waitedMs = 0;
   /** Whether a retry for the next run is already taken from the retry budget. */
@@ -208,6 +210,7 @@
       this.#runCount++;
       return { kind: "mayHaveRun", detail };
     }
+    this.#framing = head.value.framing;
     assignment.onBytesReceived(core.monotonicMs());
     return await this.#handleResponse(assignment, attempt, watch, head.value);
   }
@@ -323,6 +326,8 @@
       upstream: this.#upstream,
       sendings: this.#sendCount,
       runs: this.#runCount,
+      framing: this.#framing,
+      insideEvent: this.#bodyRelay.endedInsideEvent,
       firstMs: firstByteAtMs === undefined
         ? undefined
         : Math.round(firstByteAtMs - receivedAtMs),
