--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -217,3 +217,20 @@
   t.deepEqual(idsOf(result.body), [1, 2, 3]);
   t.true(result.isComplete);
 });
+
+// Guards against a stream that its engine broke off inside an event, with an
+// orderly close and no framing of its own, reaching the caller as complete.
+test("a stream that cannot be resumed and ends inside an event never looks complete", async (t) => {
+  const result = await relayTo([
+    (_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, signedHeaders);
+      response.write(`${events(1, 2)}id: 3\nda`);
+      setTimeout(() => response.end(), 30);
+    },
+  ], { kind: "stream" });
+  t.is(result.status, 200);
+  t.deepEqual(idsOf(result.body), [1, 2]);
+  t.false(result.isComplete);
+  t.deepEqual(result.outcomes, ["failed"]);
+});
