Take a stream that ends inside an event as broken off, also one that is not resumed

Cause: an answer with neither length nor chunks ends with its connection, and the relay took an orderly close as the end of a stream; only for resumable streams, which are split into events, did it look whether the last event was whole. Ruled out by trials with raw upstreams: chunks or lengths that are cut are never taken as an end. Change: every event stream must end at the end of an event, else the attempt may have run and the response is aborted. A response that names another media type is judged by its framing alone. Limit: a stream without framing that is closed in order exactly between two events cannot be told from a whole one.

--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -21,6 +21,8 @@
   readonly attempt: Attempt;
   readonly watch: WaitWatch;
   readonly status: number;
+  /** Media type of the body, if the upstream names one. */
+  readonly contentType: string | undefined;
   /** Headers to return to the caller. */
   readonly headers: Record<string, string | string[]>;
 }
@@ -97,11 +99,15 @@
   /**
    * Relays a stream as it arrives. Only complete events of a resumable stream
    * are relayed, so that another upstream can resume after the last of them.
+   * A stream that ends inside an event was broken off, also where its connection
+   * was closed in order and nothing else marks the end.
    */
   async relayEvents(
     assignment: UpstreamAssignment,
-    { attempt, watch, status, headers }: ReceivedResponse,
+    { attempt, watch, status, contentType, headers }: ReceivedResponse,
   ): Promise<AttemptResult> {
+    const hasEvents = isEventStream(contentType);
+    const splitsEvents = hasEvents && this.#splitsEvents;
     let lastChunkAtMs: number | undefined;
     let chunkCount = 0;
     let gapCount = 0;
@@ -133,7 +139,7 @@
       }
       lastChunkAtMs = event.atMs;
       chunkCount++;
-      const data = this.#splitsEvents
+      const data = splitsEvents
         ? this.#eventBuffer.append(event.data)
         : event.data;
       if (this.#eventBuffer.pendingBytes > EVENT_BYTES_MAX) {
@@ -146,7 +152,7 @@
       }
       await this.#response.write(data);
     }
-    if (this.#splitsEvents && this.#eventBuffer.pendingBytes > 0) {
+    if (this.endedInsideEvent && hasEvents) {
       assignment.onEnd("failed");
       this.#eventBuffer.discardPending();
       return { kind: "mayHaveRun", detail: "stream ended inside an event" };
@@ -171,3 +177,9 @@
     return { kind: "mayHaveRun", detail };
   }
 }
+
+/** Whether a body consists of server-sent events; assumed where unnamed. */
+function isEventStream(contentType: string | undefined): boolean {
+  return contentType === undefined ||
+    /^\s*text\/event-stream\s*(;|$)/i.test(contentType);
+}
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -267,7 +267,14 @@
       };
     }
     const headers = upstreamResponse.returnedHeaders;
-    const received = { attempt, watch, status: head.status, headers };
+    const contentType = head.headers["content-type"];
+    const received = {
+      attempt,
+      watch,
+      status: head.status,
+      contentType: contentType === undefined ? undefined : String(contentType),
+      headers,
+    };
     return isSuccess && this.#request.route.kind === "stream"
       ? await this.#bodyRelay.relayEvents(assignment, received)
       : await this.#bodyRelay.relayWhole(assignment, received);
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -234,3 +234,29 @@
   t.false(result.isComplete);
   t.deepEqual(result.outcomes, ["failed"]);
 });
+
+test("a stream without framing that ends at the end of an event is complete", async (t) => {
+  const result = await relayTo([
+    (_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, signedHeaders).end(events(1, 3));
+    },
+  ], { kind: "stream" });
+  t.deepEqual(idsOf(result.body), [1, 2, 3]);
+  t.true(result.isComplete);
+  t.deepEqual(result.outcomes, ["served"]);
+});
+
+test("a response of another media type on a stream route ends as its framing says", async (t) => {
+  for (const isResumable of [false, true]) {
+    const result = await relayTo([
+      (_request, response) =>
+        response.writeHead(200, {
+          ...signedHeaders,
+          "content-type": "application/json",
+        }).end('{"whole":true}'),
+    ], { kind: "stream", isResumable });
+    t.true(result.body.includes('{"whole":true}'));
+    t.true(result.isComplete);
+  }
+});
