Read bodies without framing at their connection's speed, whatever their reader's

Found while trying every end of an answer: if the reader of such a body is slow, so that undici pauses it, and its connection ends meanwhile, undici throws an assertion outside of any request. Callers saw nothing until their deadline; a process without a handler for uncaught exceptions (the own interface's) ended. Change: one guard in the transport package ignores pauses of bodies without framing and breaks them off above a limit; the relay's pools, completions of the own interface and every transport.send use it. Without the guard the new test ends its process (1 uncaught exception); with it relay, transport, upstream, store and platform tests pass.

--- a/packages/instance/upstreams/upstreams_clients.ts
+++ b/packages/instance/upstreams/upstreams_clients.ts
@@ -3,7 +3,7 @@
 import * as gateway from "../../gateway/mod.ts";
 import type * as store from "../../store/mod.ts";
 import type * as routing from "../../routing/mod.ts";
-import type * as transport from "../../transport/mod.ts";
+import * as transport from "../../transport/mod.ts";
 import * as upstream from "../../upstream/mod.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -11,6 +11,8 @@
 const KEEP_ALIVE_MS = 3_000;
 /** Longest time without response headers or between two chunks of a body. */
 const BODY_TIMEOUT_MS = 300_000;
+/** Largest completion with neither a length nor chunks. */
+const UNFRAMED_BYTES_MAX = 8 * 1024 * 1024;
 
 /** Creates HTTP clients and owns their connection pools. */
 export class HttpUpstreamClients extends gateway.UpstreamClients {
@@ -25,6 +27,8 @@
     connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: BODY_TIMEOUT_MS,
   });
+  readonly #dispatcher = transport
+    .guardUnframedBodies(this.#agent, UNFRAMED_BYTES_MAX);
   /** Separate pool, so that reports do not queue behind callers' requests. */
   readonly #controlAgent: Agent;
   readonly #engines = new Map<string, upstream.Engine>();
@@ -44,7 +48,7 @@
     const known = this.#engines.get(origin);
     if (known) return known;
     const engine = new upstream.HttpEngine({
-      dispatcher: this.#agent,
+      dispatcher: this.#dispatcher,
       controlDispatcher: this.#controlAgent,
       origin,
       controlTimeoutMs: this.#controlTimeoutMs,
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -7,7 +7,6 @@
   AttemptFailure,
   AttemptHead,
   BodyEvent,
-  BodyFraming,
 } from "./relay_attempt.ts";
 export {
   BodyTimeoutError,
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -14,14 +14,11 @@
   readonly detail: string;
 }
 
-/** What marks the end of a response body: RFC 9112, section 6.3. */
-export type BodyFraming = "length" | "chunks" | "close";
-
 /** Status and headers of an upstream's response. */
 export interface AttemptHead {
   readonly status: number;
   readonly headers: Record<string, string | string[] | undefined>;
-  readonly framing: BodyFraming;
+  readonly framing: transport.BodyFraming;
 }
 
 /**
@@ -106,7 +103,7 @@
     onResponseStart: (_controller, status, headers) => {
       // 1xx informational responses precede the final response.
       if (status < 200) return this.#countInformational();
-      const framing = framingOf(headers);
+      const framing = transport.framingOf(headers);
       this.#resetDetector.onHead(framing === "close");
       this.#settleHead(ok({ status, headers, framing }));
     },
@@ -149,11 +146,6 @@
   }
 }
 
-function framingOf(headers: AttemptHead["headers"]): BodyFraming {
-  if (headers["transfer-encoding"] !== undefined) return "chunks";
-  return headers["content-length"] === undefined ? "close" : "length";
-}
-
 /**
  * Sends a request once. Failures, including a request that the HTTP client
  * rejects, are reported through the returned attempt.
--- a/packages/relay/relay_pools.ts
+++ b/packages/relay/relay_pools.ts
@@ -1,6 +1,7 @@
 /** Connection pools to upstreams, one for each incarnation. */
 import * as undici from "undici";
 import type * as fleet from "../fleet/mod.ts";
+import * as transport from "../transport/mod.ts";
 
 /** Connect timeout; failure domains are a millisecond apart. */
 const CONNECT_TIMEOUT_MS = 600;
@@ -14,6 +15,14 @@
 /** Share of an upstream's connection limit that all nodes together may use. */
 const CONNECTIONS_SHARE = 0.8;
 const CONNECTIONS_MIN = 4;
+/** Largest body with neither a length nor chunks. */
+const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
+
+interface PoolEntry {
+  readonly pool: undici.Pool;
+  /** The pool, with what every request to it needs. */
+  readonly dispatcher: undici.Dispatcher;
+}
 
 /**
  * Opens connections and changes the error code of resets, because undici treats
@@ -33,7 +42,7 @@
 
 /** Opens pools on demand and closes those of removed upstreams. */
 export class UpstreamPools {
-  readonly #pools = new Map<string, undici.Pool>();
+  readonly #pools = new Map<string, PoolEntry>();
 
   /**
    * Returns the pool of one incarnation of an upstream, opening it if needed.
@@ -46,13 +55,13 @@
     upstream: fleet.UpstreamRecord,
     connectionsMax: number,
     nodes: number,
-  ): undici.Pool {
+  ): undici.Dispatcher {
     const key = poolKey(upstream);
-    let pool = this.#pools.get(key);
-    if (!pool) {
+    let entry = this.#pools.get(key);
+    if (!entry) {
       const nodeShare = CONNECTIONS_SHARE * connectionsMax /
         Math.max(1, nodes);
-      pool = new undici.Pool(`http://${upstream.address}`, {
+      const pool = new undici.Pool(`http://${upstream.address}`, {
         connections: Math.max(CONNECTIONS_MIN, Math.floor(nodeShare)),
         // Without pipelining undici never resends a request by itself.
         pipelining: 1,
@@ -62,25 +71,28 @@
         keepAliveTimeout: IDLE_TIMEOUT_DEFAULT_MS,
         keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
       });
-      this.#pools.set(key, pool);
+      const dispatcher = transport
+        .guardUnframedBodies(pool, UNFRAMED_BYTES_MAX);
+      entry = { pool, dispatcher };
+      this.#pools.set(key, entry);
     }
-    return pool;
+    return entry.dispatcher;
   }
 
   /** Closes the pool of a removed upstream once its in-flight requests end. */
   drain(upstream: fleet.UpstreamRecord): void {
     const key = poolKey(upstream);
-    const pool = this.#pools.get(key);
+    const entry = this.#pools.get(key);
     this.#pools.delete(key);
     // close() waits for in-flight requests; nothing depends on its completion.
-    pool?.close().catch(() => {});
+    entry?.pool.close().catch(() => {});
   }
 
   /** Destroys all connections, including those with in-flight requests. */
   async close(): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 }
 
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -4,11 +4,11 @@
  */
 import * as core from "../core/mod.ts";
 import * as fleet from "../fleet/mod.ts";
+import type * as transport from "../transport/mod.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
   type AttemptHead,
-  type BodyFraming,
   startAttempt,
 } from "./relay_attempt.ts";
 import { type AttemptResult, BodyRelay } from "./relay_response_body.ts";
@@ -49,7 +49,7 @@
   #sendCount = 0;
   #upstream: core.UpstreamId | undefined;
   #selectionFields: core.LogFields = {};
-  #framing: BodyFraming | undefined;
+  #framing: transport.BodyFraming | undefined;
   #outcome: RelayOutcome = "failed";
   #waitedMs = 0;
   /** Whether a retry for the next run is already taken from the retry budget. */
--- a/packages/relay/tests/unit/relay_attempt_test.ts
+++ b/packages/relay/tests/unit/relay_attempt_test.ts
@@ -31,8 +31,10 @@
   }
 }
 
+/** @param readAfterMs pause before the body is read. */
 async function sendOnce(
   upstream: fleet.UpstreamRecord,
+  readAfterMs = 0,
 ): Promise<{ status?: number; end: string; sent?: string; body: string }> {
   const pools = new relay.UpstreamPools();
   const attempt = relay.startAttempt(pools.get(upstream, 10, 1), {
@@ -46,6 +48,7 @@
     if (head.isErr()) {
       return { end: "none", sent: head.error.sent, body: "" };
     }
+    if (readAfterMs > 0) await core.sleep(readAfterMs);
     let body = "";
     for (;;) {
       const event = await attempt.next();
@@ -167,6 +170,23 @@
   }
 });
 
+// Guards against a large answer without framing whose slow reader made the
+// relay pause it: its end threw outside of any request.
+test("a body without a length that is read late is whole", async (t) => {
+  const body = "x".repeat(600 * 1024);
+  await withUpstream(
+    (socket) => socket.end(`HTTP/1.1 200 OK\r\n\r\n${body}`),
+    async (upstream) => {
+      const received = await Promise.race([
+        sendOnce(upstream, 60),
+        core.sleep(3_000).then(() => undefined),
+      ]);
+      t.is(received?.end, "end");
+      t.is(received?.body.length, body.length);
+    },
+  );
+});
+
 test("a request is not sent once its deadline has passed, also by a process that was held up", async (t) => {
   let received = 0;
   const respond = (socket: Socket) => {
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -15,3 +15,9 @@
 export { RESET_DETAIL, ResetDetector } from "./transport_reset.ts";
 export { limitStart } from "./transport_start_limit.ts";
 export { SocketMeter } from "./transport_meter.ts";
+export {
+  framingOf,
+  guardUnframedBodies,
+  UnframedBodyTooLargeError,
+} from "./transport_unframed.ts";
+export type { BodyFraming } from "./transport_unframed.ts";
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -4,6 +4,7 @@
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import { limitStart } from "./transport_start_limit.ts";
+import { guardUnframedBodies } from "./transport_unframed.ts";
 
 /** Errors that prove that no byte of a request was sent. */
 const NOT_SENT_CODES = new Set([
@@ -167,7 +168,9 @@
 ): Promise<Result<TransportResponse, TransportFailure>> {
   try {
     const startBeforeMs = core.monotonicMs() + request.timeoutMs;
-    const response = await limitStart(dispatcher, startBeforeMs).request({
+    const bytesMax = request.bodyBytesMax ?? BODY_BYTES_MAX;
+    const limited = limitStart(dispatcher, startBeforeMs);
+    const response = await guardUnframedBodies(limited, bytesMax).request({
       origin: request.origin,
       path: request.path,
       method: request.method,
@@ -176,10 +179,7 @@
       signal: timeoutSignal(request.timeoutMs, request.signal),
       reset: request.closeConnection ?? false,
     });
-    const bodyText = await readText(
-      response.body,
-      request.bodyBytesMax ?? BODY_BYTES_MAX,
-    );
+    const bodyText = await readText(response.body, bytesMax);
     const headers = flattenHeaders(response.headers);
     return ok({ status: response.statusCode, headers, bodyText });
   } catch (thrown) {
--- /dev/null
+++ b/packages/transport/transport_unframed.ts
@@ -0,0 +1,155 @@
+/**
+ * Reads response bodies with neither a length nor chunks, which end with their
+ * connection.
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+
+/** What marks the end of a response body: RFC 9112, section 6.3. */
+export type BodyFraming = "length" | "chunks" | "close";
+
+/**
+ * Returns what marks the end of a response's body.
+ *
+ * @example
+ * ```ts
+ * transport.framingOf({ "content-length": "12" }); // "length"
+ * ```
+ */
+export function framingOf(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): BodyFraming {
+  if (headers["transfer-encoding"] !== undefined) return "chunks";
+  return headers["content-length"] === undefined ? "close" : "length";
+}
+
+/** A body without framing exceeds the limit up to which it is buffered. */
+export class UnframedBodyTooLargeError extends Error {
+  override readonly name = "UnframedBodyTooLargeError";
+
+  constructor(bytesMax: number) {
+    super(`body without length or chunks exceeds ${bytesMax} bytes`);
+  }
+}
+
+/** Passes everything on except pauses of a body without framing. */
+class PauseGuard implements Dispatcher.DispatchController {
+  readonly #inner: Dispatcher.DispatchController;
+  mayPause = true;
+
+  constructor(inner: Dispatcher.DispatchController) {
+    this.#inner = inner;
+  }
+
+  get aborted(): boolean {
+    return this.#inner.aborted;
+  }
+
+  get paused(): boolean {
+    return this.#inner.paused;
+  }
+
+  get reason(): Error | null {
+    return this.#inner.reason;
+  }
+
+  get rawHeaders() {
+    return this.#inner.rawHeaders ?? null;
+  }
+
+  get rawTrailers() {
+    return this.#inner.rawTrailers ?? null;
+  }
+
+  abort(reason: Error): void {
+    this.#inner.abort(reason);
+  }
+
+  pause(): void {
+    if (this.mayPause) this.#inner.pause();
+  }
+
+  resume(): void {
+    this.#inner.resume();
+  }
+}
+
+class UnframedBodyHandler implements Dispatcher.DispatchHandler {
+  readonly #handler: Dispatcher.DispatchHandler;
+  readonly #bytesMax: number;
+  #controller!: PauseGuard;
+  #isUnframed = false;
+  #bytes = 0;
+
+  constructor(handler: Dispatcher.DispatchHandler, bytesMax: number) {
+    this.#handler = handler;
+    this.#bytesMax = bytesMax;
+  }
+
+  onRequestStart(
+    controller: Dispatcher.DispatchController,
+    context: unknown,
+  ): void {
+    this.#controller = new PauseGuard(controller);
+    this.#handler.onRequestStart?.(this.#controller, context);
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+    statusMessage?: string,
+  ): void {
+    this.#isUnframed = status >= 200 && framingOf(headers) === "close";
+    this.#controller.mayPause = !this.#isUnframed;
+    this.#handler
+      .onResponseStart?.(this.#controller, status, headers, statusMessage);
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#bytes += chunk.length;
+    if (this.#isUnframed && this.#bytes > this.#bytesMax) {
+      return this.#controller
+        .abort(new UnframedBodyTooLargeError(this.#bytesMax));
+    }
+    this.#handler.onResponseData?.(this.#controller, chunk);
+  }
+
+  onResponseEnd(
+    _controller: Dispatcher.DispatchController,
+    trailers: IncomingHttpHeaders,
+  ): void {
+    this.#handler.onResponseEnd?.(this.#controller, trailers);
+  }
+
+  onResponseError(
+    controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    this.#handler.onResponseError?.(this.#controller ?? controller, error);
+  }
+}
+
+/**
+ * Returns a dispatcher that reads bodies without framing at the speed of their
+ * connection, whatever their reader's. If such a body is paused when its
+ * connection ends, undici throws outside of any request.
+ *
+ * @param bytesMax largest body without framing; it may be buffered as a whole.
+ * @example
+ * ```ts
+ * const guarded = transport.guardUnframedBodies(new Agent(), 8_388_608);
+ * ```
+ */
+export function guardUnframedBodies(
+  dispatcher: Dispatcher,
+  bytesMax: number,
+): Dispatcher {
+  return dispatcher.compose((dispatch) => (options, handler) =>
+    dispatch(options, new UnframedBodyHandler(handler, bytesMax))
+  );
+}
