Take resets of answers without framing as breaks on the own interface, too

Cause: undici takes ECONNRESET as the end of such a body; only the relay's connections changed the error code, and only the relay looked for resets that libuv reports as an end.

--- a/packages/instance/upstreams/upstreams_clients.ts
+++ b/packages/instance/upstreams/upstreams_clients.ts
@@ -18,13 +18,13 @@
 export class HttpUpstreamClients extends gateway.UpstreamClients {
   readonly dropped: upstream.DroppedResponses = { foreign: 0, duplicate: 0 };
   readonly #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: transport.connector(CONNECT_TIMEOUT_MS),
     keepAliveTimeout: KEEP_ALIVE_MS,
     bodyTimeout: BODY_TIMEOUT_MS,
     headersTimeout: BODY_TIMEOUT_MS,
   });
   readonly #serviceAgent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: transport.connector(CONNECT_TIMEOUT_MS),
     headersTimeout: BODY_TIMEOUT_MS,
   });
   readonly #dispatcher = transport
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -48,7 +48,6 @@
   #isFinished = false;
   #cancelError: Error | undefined;
   #bufferedBytes = 0;
-  readonly #resetDetector = new transport.ResetDetector();
   #informationalCount = 0;
   readonly #bodyEvents: BodyEvent[] = [];
   #wakeReader: (() => void) | undefined;
@@ -104,19 +103,14 @@
       // 1xx informational responses precede the final response.
       if (status < 200) return this.#countInformational();
       const framing = transport.framingOf(headers);
-      this.#resetDetector.onHead(framing === "close");
       this.#settleHead(ok({ status, headers, framing }));
     },
     onResponseData: (controller, data) => {
       this.#bufferedBytes += data.length;
       if (this.#bufferedBytes > BUFFERED_BYTES_MAX) controller.pause();
-      this.#resetDetector.onBytes();
       this.#push({ kind: "data", data, atMs: core.monotonicMs() });
     },
     onResponseEnd: () => {
-      if (this.#resetDetector.isEndReset) {
-        return this.#fail(new Error(transport.RESET_DETAIL));
-      }
       this.#isFinished = true;
       this.#push({ kind: "end" });
     },
--- a/packages/relay/relay_pools.ts
+++ b/packages/relay/relay_pools.ts
@@ -24,21 +24,7 @@
   readonly dispatcher: undici.Dispatcher;
 }
 
-/**
- * Opens connections and changes the error code of resets, because undici treats
- * ECONNRESET as the regular end of a response without a length.
- */
-const connect: undici.buildConnector.connector = (options, callback) => {
-  openConnection(options, (...result) => {
-    const [, socket] = result;
-    socket?.on("error", (error: NodeJS.ErrnoException) => {
-      if (error.code === "ECONNRESET") error.code = "UPSTREAM_RESET";
-    });
-    callback(...result);
-  });
-};
-
-const openConnection = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+const connect = transport.connector(CONNECT_TIMEOUT_MS);
 
 /** Opens pools on demand and closes those of removed upstreams. */
 export class UpstreamPools {
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -12,7 +12,7 @@
   TransportRequest,
   TransportResponse,
 } from "./transport_request.ts";
-export { RESET_DETAIL, ResetDetector } from "./transport_reset.ts";
+export { connector, ResetError } from "./transport_reset.ts";
 export { limitStart } from "./transport_start_limit.ts";
 export { SocketMeter } from "./transport_meter.ts";
 export {
--- a/packages/transport/transport_meter.ts
+++ b/packages/transport/transport_meter.ts
@@ -1,6 +1,7 @@
 /** Counts the bytes transferred by sockets, including closed ones. */
 import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import type { buildConnector } from "undici";
+import { connector as resetAwareConnector } from "./transport_reset.ts";
 
 /** Sums the bytes read and written by all tracked sockets. */
 export class SocketMeter {
@@ -32,7 +33,7 @@
    * ```
    */
   connector(timeoutMs: number): buildConnector.connector {
-    const connect = buildConnector({ timeout: timeoutMs });
+    const connect = resetAwareConnector(timeoutMs);
     return (options, callback) => {
       connect(options, (...result: Parameters<buildConnector.Callback>) => {
         const [, socket] = result;
--- a/packages/transport/transport_reset.ts
+++ b/packages/transport/transport_reset.ts
@@ -4,6 +4,40 @@
  * body is incomplete.
  */
 
+import * as undici from "undici";
+
+/**
+ * Returns a connector that changes the error code of resets, because undici
+ * treats ECONNRESET as the regular end of a body without framing.
+ *
+ * @param timeoutMs limit for opening a connection.
+ * @example
+ * ```ts
+ * const agent = new Agent({ connect: transport.connector(1_000) });
+ * ```
+ */
+export function connector(timeoutMs: number): undici.buildConnector.connector {
+  const openConnection = undici.buildConnector({ timeout: timeoutMs });
+  return (options, callback) => {
+    openConnection(options, (...result) => {
+      const [, socket] = result;
+      socket?.on("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === "ECONNRESET") error.code = "UPSTREAM_RESET";
+      });
+      callback(...result);
+    });
+  };
+}
+
+/** The connection of a body without framing was reset. */
+export class ResetError extends Error {
+  override readonly name = "ResetError";
+
+  constructor() {
+    super("connection reset directly after the last bytes");
+  }
+}
+
 /**
  * Notices that a connection was reset directly after the last bytes of a
  * close-delimited body. An orderly close is reported in a later turn of the
@@ -34,13 +68,10 @@
    *
    * @example
    * ```ts
-   * if (detector.isEndReset) fail(transport.RESET_DETAIL);
+   * if (detector.isEndReset) fail(new ResetError());
    * ```
    */
   get isEndReset(): boolean {
     return this.#hasBytesThisTurn;
   }
 }
-
-/** Detail of a failure that `ResetDetector` noticed. */
-export const RESET_DETAIL = "connection reset directly after the last bytes";
--- a/packages/transport/transport_unframed.ts
+++ b/packages/transport/transport_unframed.ts
@@ -5,6 +5,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { ResetDetector, ResetError } from "./transport_reset.ts";
 
 /** What marks the end of a response body: RFC 9112, section 6.3. */
 export type BodyFraming = "length" | "chunks" | "close";
@@ -79,6 +80,7 @@
   readonly #handler: Dispatcher.DispatchHandler;
   readonly #bytesMax: number;
   #controller!: PauseGuard;
+  readonly #resetDetector = new ResetDetector();
   #isUnframed = false;
   #bytes = 0;
 
@@ -103,6 +105,7 @@
   ): void {
     this.#isUnframed = status >= 200 && framingOf(headers) === "close";
     this.#controller.mayPause = !this.#isUnframed;
+    this.#resetDetector.onHead(this.#isUnframed);
     this.#handler
       .onResponseStart?.(this.#controller, status, headers, statusMessage);
   }
@@ -111,6 +114,7 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.#resetDetector.onBytes();
     this.#bytes += chunk.length;
     if (this.#isUnframed && this.#bytes > this.#bytesMax) {
       return this.#controller
@@ -123,6 +127,10 @@
     _controller: Dispatcher.DispatchController,
     trailers: IncomingHttpHeaders,
   ): void {
+    if (this.#resetDetector.isEndReset) {
+      const error = new ResetError();
+      return this.#handler.onResponseError?.(this.#controller, error);
+    }
     this.#handler.onResponseEnd?.(this.#controller, trailers);
   }
 
@@ -135,9 +143,10 @@
 }
 
 /**
- * Returns a dispatcher that reads bodies without framing at the speed of their
- * connection, whatever their reader's. If such a body is paused when its
- * connection ends, undici throws outside of any request.
+ * Returns a dispatcher for responses that may have bodies without framing. Such
+ * a body fails if its connection is reset, provided that the connection is from
+ * `connector`. It is read at the speed of its connection, whatever its reader's:
+ * if it is paused when the connection ends, undici throws outside of any request.
  *
  * @param bytesMax largest body without framing; it may be buffered as a whole.
  * @example
--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -1,7 +1,7 @@
 /** Client of model engines: completions, status reports and orders. */
 import { err, ok, type Result } from "neverthrow";
 import { array, boolean, Codec, enumeration, number, string } from "purify-ts";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { type buildConnector, Client, type Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { readEvents } from "./upstream_stream.ts";
@@ -312,7 +312,7 @@
 
 /** Returns a connector that opens one connection and fails to open another. */
 function connectOnce(timeoutMs: number): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs });
+  const connect = transport.connector(timeoutMs);
   let isUsed = false;
   return (options, callback) => {
     if (isUsed) {
