Tell chunks from other transfer codings, which mark no end of a body

Change: only a final coding of chunked frames a body. The new case failed before (end in place of broken); all tests of relay and transport pass.

--- a/packages/relay/tests/unit/relay_attempt_test.ts
+++ b/packages/relay/tests/unit/relay_attempt_test.ts
@@ -115,6 +115,16 @@
       ),
     expected: { status: 200, end: "broken", body: "" },
   },
+  {
+    // Guards against a transfer coding that marks no end being taken for chunks.
+    name: "a body with a transfer coding but no chunks is broken by a reset",
+    respond: (socket) =>
+      socket.write(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nshort",
+        () => socket.resetAndDestroy(),
+      ),
+    expected: { status: 200, end: "broken", body: "short" },
+  },
   {
     name: "a body without a length that is closed after the head is empty",
     respond: (socket) => socket.end("HTTP/1.1 200 OK\r\n\r\n"),
--- a/packages/transport/transport_unframed.ts
+++ b/packages/transport/transport_unframed.ts
@@ -21,7 +21,10 @@
 export function framingOf(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): BodyFraming {
-  if (headers["transfer-encoding"] !== undefined) return "chunks";
+  const codings = headers["transfer-encoding"];
+  if (codings !== undefined) {
+    return /(^|,)\s*chunked\s*$/i.test(String(codings)) ? "chunks" : "close";
+  }
   return headers["content-length"] === undefined ? "close" : "length";
 }
 
