Take an event stream without framing that ends before its first event as broken off

Change: without framing, a stream has to bring an event before its end counts; streams with a length or chunks may be empty. 'a stream without framing that ends before its first event never looks complete' failed before (outcome served); all tests of the relay pass.

--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -1,6 +1,7 @@
 /** Relays the body of an upstream's response to the caller. */
 import { Buffer } from "node:buffer";
 import * as core from "../core/mod.ts";
+import type * as transport from "../transport/mod.ts";
 import type { Attempt } from "./relay_attempt.ts";
 import { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 import type { CallerResponse } from "./relay_response.ts";
@@ -21,6 +22,7 @@
   readonly attempt: Attempt;
   readonly watch: WaitWatch;
   readonly status: number;
+  readonly framing: transport.BodyFraming;
   /** Media type of the body, if the upstream names one. */
   readonly contentType: string | undefined;
   /** Headers to return to the caller. */
@@ -104,7 +106,7 @@
    */
   async relayEvents(
     assignment: UpstreamAssignment,
-    { attempt, watch, status, contentType, headers }: ReceivedResponse,
+    { attempt, watch, status, framing, contentType, headers }: ReceivedResponse,
   ): Promise<AttemptResult> {
     const hasEvents = isEventStream(contentType);
     const splitsEvents = hasEvents && this.#splitsEvents;
@@ -152,10 +154,15 @@
       }
       await this.#response.write(data);
     }
-    if (this.endedInsideEvent && hasEvents) {
+    // Without framing, a head alone may be all that an engine could send.
+    const isCutBeforeEvents = chunkCount === 0 && framing === "close";
+    if (hasEvents && (this.endedInsideEvent || isCutBeforeEvents)) {
       assignment.onEnd("failed");
       this.#eventBuffer.discardPending();
-      return { kind: "mayHaveRun", detail: "stream ended inside an event" };
+      const detail = isCutBeforeEvents
+        ? "stream ended before its first event"
+        : "stream ended inside an event";
+      return { kind: "mayHaveRun", detail };
     }
     assignment.onEnd("served");
     assignment.onStreamLength(chunkCount);
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -272,6 +272,7 @@
       attempt,
       watch,
       status: head.status,
+      framing: head.framing,
       contentType: contentType === undefined ? undefined : String(contentType),
       headers,
     };
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -260,3 +260,28 @@
     t.true(result.isComplete);
   }
 });
+
+// Guards against an engine that broke off right after its response's head, with
+// an orderly close and no framing, reaching the caller as a complete stream.
+test("a stream without framing that ends before its first event never looks complete", async (t) => {
+  const result = await relayTo([
+    (_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, signedHeaders).end();
+    },
+  ], { kind: "stream" });
+  t.false(result.isComplete && result.status === 200);
+  t.deepEqual(result.outcomes, ["failed"]);
+});
+
+test("a framed stream without events is complete", async (t) => {
+  const result = await relayTo([
+    (_request, response) => {
+      response.writeHead(200, signedHeaders);
+      response.flushHeaders();
+      response.end();
+    },
+  ], { kind: "stream" });
+  t.is(result.status, 200);
+  t.true(result.isComplete);
+});
