Reset the connection of an aborted response that nothing else frames

An aborted one was closed in order and so looked whole. Change: such a response is aborted with a reset; with a length or chunks the close stays, as a reset could drop events that are on their way. 'an aborted response that only the connection frames ends with a reset' failed before (closed); both tests of the file pass.

--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -9,6 +9,8 @@
   readonly #response: ServerResponse;
   readonly #mayKeepAlive: () => boolean;
   #firstByteAtMs: number | undefined;
+  /** Whether the body's length or chunks tell the caller that it is whole. */
+  #isFramed = true;
 
   /** @param mayKeepAlive whether the connection may be reused afterwards. */
   constructor(response: ServerResponse, mayKeepAlive: () => boolean) {
@@ -41,6 +43,8 @@
     nowMs: number,
   ): void {
     this.#firstByteAtMs = nowMs;
+    this.#isFramed = headers["content-length"] !== undefined ||
+      this.#response.req.httpVersion !== "1.0";
     if (!this.#mayKeepAlive()) this.#response.setHeader("connection", "close");
     this.#response.writeHead(status, headers);
   }
@@ -67,8 +71,12 @@
     if (this.isWritable) this.#response.end(data);
   }
 
-  /** Destroys the connection, so that the response cannot look complete. */
+  /**
+   * Destroys the connection, so that the response cannot look complete. An
+   * orderly close would complete a body that only the connection frames.
+   */
   abort(): void {
+    if (!this.#isFramed) this.#response.socket?.resetAndDestroy();
     this.#response.destroy();
   }
 }
