Split resumable streams at every line end that event streams may have

Change: the splitter uses the same blank-line rule as the boundary check, and what is left at a complete end is passed on.

--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -1,8 +1,10 @@
 /** Splits a server-sent event stream at event boundaries. */
 import { Buffer } from "node:buffer";
 
-const NEWLINE = 0x0a;
-const EVENT_END = /\r?\n\r?\n/;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+/** A blank line: two line ends, each CRLF, LF or CR. */
+const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/;
 const ID_LINE = /^id: ?(.*)$/m;
 
 /**
@@ -44,6 +46,13 @@
     return complete;
   }
 
+  /** Returns and removes the bytes after the last complete event. */
+  takePending(): Buffer {
+    const pending = this.#pending;
+    this.discardPending();
+    return pending;
+  }
+
   /** Discards an incomplete event, which a resumed stream sends again whole. */
   discardPending(): void {
     this.#pending = Buffer.alloc(0);
@@ -62,8 +71,7 @@
 
 /** Last bytes of a stream in which a blank line is recognised. */
 const TAIL_BYTES = 4;
-/** A blank line at the end: two line ends, each CRLF, LF or CR. */
-const BLANK_LINE_AT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)$/;
+const EVENT_END_AT_END = new RegExp(`${EVENT_END.source}$`);
 
 /**
  * Tells whether the bytes of a stream so far end at the end of an event, for
@@ -88,7 +96,7 @@
 
   /** Whether an event has begun whose final blank line has not arrived. */
   get isInsideEvent(): boolean {
-    return this.#tail !== "" && !BLANK_LINE_AT_END.test(this.#tail);
+    return this.#tail !== "" && !EVENT_END_AT_END.test(this.#tail);
   }
 }
 
@@ -96,11 +104,11 @@
  * Offset after the last blank line, which ends an event; 0 if there is none.
  */
 function endOfLastEvent(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] !== NEWLINE) continue;
-    if (bytes[index - 1] === NEWLINE) return index + 1;
-    const isCrLf = bytes[index - 1] === 0x0d && bytes[index - 2] === NEWLINE;
-    if (isCrLf) return index + 1;
+  for (let end = bytes.length; end > 1; end--) {
+    const last = bytes[end - 1];
+    if (last !== LINE_FEED && last !== CARRIAGE_RETURN) continue;
+    const tail = bytes.toString("latin1", Math.max(0, end - TAIL_BYTES), end);
+    if (EVENT_END_AT_END.test(tail)) return end;
   }
   return 0;
 }
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -166,10 +166,12 @@
     }
     assignment.onEnd("served");
     assignment.onStreamLength(chunkCount);
+    // The line feed of a CRLF can arrive after the event has been passed on.
+    const rest = this.#eventBuffer.takePending();
     if (!this.#response.hasStarted) {
       this.#response.start(status, headers, core.monotonicMs());
     }
-    this.#response.end();
+    this.#response.end(rest);
     return { kind: "done", status };
   }
 
--- a/packages/relay/tests/unit/relay_events_test.ts
+++ b/packages/relay/tests/unit/relay_events_test.ts
@@ -29,3 +29,30 @@
 test("a stream without any bytes is not inside an event", (t) => {
   t.false(isInsideEventAfter([]));
 });
+
+for (const lineEnd of ["\n", "\r\n", "\r"]) {
+  const name = JSON.stringify(lineEnd);
+  const event = (id: number) =>
+    `id: ${id}${lineEnd}data: a${lineEnd}${lineEnd}`;
+
+  test(`a stream is split after its events, lines end with ${name}`, (t) => {
+    const buffer = new relay.EventStreamBuffer();
+    const complete = buffer
+      .append(Buffer.from(`${event(1)}${event(2)}id: 3${lineEnd}`));
+    t.is(complete.toString(), event(1) + event(2));
+    t.is(buffer.lastEventId, "2");
+    buffer.discardPending();
+    t.is(buffer.pendingBytes, 0);
+  });
+
+  test(`no byte of a stream is lost byte by byte, lines end with ${name}`, (t) => {
+    const buffer = new relay.EventStreamBuffer();
+    let passedOn = "";
+    for (const byte of event(1) + event(2)) {
+      passedOn += buffer.append(Buffer.from(byte)).toString();
+    }
+    passedOn += buffer.takePending().toString();
+    t.is(passedOn, event(1) + event(2));
+    t.is(buffer.lastEventId, "2");
+  });
+}
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -285,3 +285,21 @@
   t.is(result.status, 200);
   t.true(result.isComplete);
 });
+
+// Guards against a stream of another line end being held back, then lost.
+test("a resumable stream is relayed whole, whatever its line ends", async (t) => {
+  for (const lineEnd of ["\n", "\r\n", "\r"]) {
+    const whole = events(1, 3).replaceAll("\n", lineEnd);
+    const result = await relayTo([
+      (_request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, signedHeaders);
+        response.write(whole.slice(0, -1));
+        setTimeout(() => response.end(whole.slice(-1)), 20);
+      },
+    ], { kind: "stream", isResumable: true });
+    t.true(result.isComplete);
+    const relayed = result.body.replaceAll(/(?:^|\r\n)[0-9a-f]+\r\n/g, "");
+    t.is(relayed.replace(/\r\n$/, ""), whole, JSON.stringify(lineEnd));
+  }
+});
