--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -34,6 +34,9 @@
 /** Minimum time without data after which a stream moves to another upstream. */
 const STREAM_NO_DATA_TIMEOUT_MIN_MS = fleet.STREAM_PATIENCE_MIN_MS -
   STREAM_RESUME_TIME_MS;
+/** Parts of a prompt, and characters of each, in the log. */
+const LOGGED_PARTS_MAX = 4;
+const LOGGED_PART_LENGTH = 16;
 /** Retry-After for requests that ended without having run on an upstream. */
 const REJECTED_RETRY_AFTER_MS = 500;
 
@@ -318,6 +321,14 @@
     });
   }
 
+  /** The ids of the prompt's shared parts, shortened to bound the line. */
+  #loggedParts(): string | undefined {
+    const shared = this.#request.caller.promptParts.slice(0, -1);
+    if (shared.length === 0) return undefined;
+    return shared.slice(0, LOGGED_PARTS_MAX)
+      .map(({ id }) => id.slice(0, LOGGED_PART_LENGTH)).join(",");
+  }
+
   #logEnd(outcome: RelayOutcome, status: number, reason?: string): void {
     const { caller, route, receivedAtMs } = this.#request;
     this.#outcome = outcome;
@@ -331,6 +342,7 @@
       reason,
       model: caller.model,
       adapter: caller.adapter,
+      parts: this.#loggedParts(),
       upstream: this.#upstream,
       sendings: this.#sendCount,
       runs: this.#runCount,
