--- a/packages/core/ids.ts
+++ b/packages/core/ids.ts
@@ -19,6 +19,10 @@
 export type EditId = Branded<"EditId">;
 export type Nonce = Branded<"Nonce">;
 export type IdempotencyKey = Branded<"IdempotencyKey">;
+/** Names a prompt part in tables and messages, whatever callers call it. */
+export type PromptPartKey = Branded<"PromptPartKey">;
+/** One incarnation of an upstream: its id and start. */
+export type UpstreamRunKey = Branded<"UpstreamRunKey">;
 
 const RANDOM_ID_BYTES = 12;
 
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -58,11 +58,13 @@
   ModelName,
   Nonce,
   OperatorId,
+  PromptPartKey,
   RequestId,
   RowName,
   ServiceName,
   TransmissionId,
   UpstreamId,
+  UpstreamRunKey,
 } from "./ids.ts";
 export { Lifecycle, mergeCleanups } from "./lifecycle.ts";
 export type { Cleanup } from "./lifecycle.ts";
