Quarantine prompt parts under which engine after engine ends

Cause: a crash counted against the engine alone; nothing related it to what the engine was running, and no node knew what others had seen. Ruled out as the main cause: resends by the node (2 of 213 failed requests ran twice; the test has none). Change, a new package: a request that is cut off before it has lived on for 1 s is a candidate; once its engine's incarnation is known to have ended (refused connections, or off the list) the candidate parts are evidence. Evidence and survivals of all nodes are merged over the exchange. A part with three crashes after which no request with it survived at any node (six if one survived shortly before) is held by every node: such requests are rejected at once with 503 and Retry-After, which is true, as they are not sent. Crashes explained by a held part count against no other; engines lost at the same moment count once. Rows in the store tell nodes that start later; a node that is new or was held up waits, at most 400 ms, for an exchange before it sends prompts with shared parts. Test (three nodes, six engines): before 35 requests with the part reach engines, 12 of them later than 3 s after the fifth crash, 71 of 97 sound ones served; after 7, 0, and 98 of 98.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -24,6 +24,7 @@
   type TaggedEngineStates,
 } from "./entry_engine_states.ts";
 import type { EntryState } from "./entry_state.ts";
+import { QuarantineExchange } from "./entry_quarantine.ts";
 import type { TableNewsExchange } from "./entry_table_news.ts";
 
 /** A digest older than this is dropped. */
@@ -72,6 +73,7 @@
 export class ExchangeHub {
   readonly #state: EntryState;
   readonly #news: TableNewsExchange;
+  readonly #quarantine: QuarantineExchange;
   readonly #children = new Map<string, Child>();
   #sources: ExchangeHubSources = {
     engineStates: () => undefined,
@@ -89,6 +91,7 @@
   constructor(state: EntryState, news: TableNewsExchange) {
     this.#state = state;
     this.#news = news;
+    this.#quarantine = new QuarantineExchange(state.quarantine);
   }
 
   /** Connects the hub to the parts that it reports on. */
@@ -118,6 +121,7 @@
       );
     }
     this.#news.apply(digest.tables, nowMs);
+    this.#quarantine.apply(digest.quarantine, nowMs);
     if (digest.demand.some(({ waiting }) => waiting > 0)) {
       this.#sources.onQueued();
     }
@@ -137,6 +141,7 @@
         ? ageEngineStates(engineStates, nowMs)
         : [],
       tables: this.#news.forChild(digest.tables, nowMs),
+      ...this.#quarantine.forChild(digest.quarantineTag, nowMs),
       level: this.#level,
       queues: this.#currentSums(nowMs).queues,
     });
@@ -159,6 +164,7 @@
       children: this.#childStates(nowMs),
       enginesTag: this.#parentEngineStates?.tag ?? "",
       tables: this.#news.forParent(parent, nowMs),
+      ...this.#quarantine.forParent(parent, nowMs),
     });
   }
 
@@ -176,6 +182,7 @@
     this.#parentQueues = hasRoot ? view.queues : undefined;
     this.#parentViewAtMs = nowMs;
     this.#news.applyFromParent(view.tables, nowMs);
+    this.#quarantine.applyFromParent(view, nowMs);
     if (!view.hasOrders) {
       this.#parentEngineStates = undefined;
       return undefined;
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -88,7 +88,16 @@
       const place = this.#findPlace(core.monotonicMs());
       const hasQueued = this.#state.queue.size > 0 || this.#hasQueuedBelow;
       this.#hasQueuedBelow = false;
+      const { hasReadMembers } = this.#state;
       await this.#exchange(place);
+      // Before it knows the members, or as a root that nobody follows, a node
+      // has learned nothing.
+      const isRoot = place.role === "root" &&
+        this.#state.members.alive().length > 1;
+      const hasLearned = !isRoot || this.#hub.followers() > 0;
+      if (hasReadMembers && hasLearned) {
+        this.#state.exchangedAtMs = core.monotonicMs();
+      }
       this.#selector.selectForQueued();
       const { idleMs, queuedMs } = intervalsFor(place, this.#lease.holder);
       if (hasQueued) await core.sleep(queuedMs, signal);
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -27,6 +27,11 @@
   NODE_TABLE,
 } from "./entry_members.ts";
 import { OrdersTask } from "./entry_orders_task.ts";
+import {
+  CombinedListener,
+  QuarantineListener,
+  QuarantineRowsTask,
+} from "./entry_quarantine.ts";
 import { EntryUpstreamSelector } from "./entry_selector.ts";
 import { EntryState } from "./entry_state.ts";
 import { TableNewsExchange } from "./entry_table_news.ts";
@@ -209,7 +214,13 @@
         significantPart: (value) => source.significantUpstreamPart(value),
       }, UPSTREAM_FOLLOW],
       [
-        { name: NODE_TABLE, listener: new MemberListener(state) },
+        {
+          name: NODE_TABLE,
+          listener: new CombinedListener([
+            new QuarantineListener(state.quarantine),
+            new MemberListener(state),
+          ]),
+        },
         MEMBER_FOLLOW,
       ],
     ];
@@ -263,6 +274,9 @@
     this.#supervisor.start(exchange);
     this.#supervisor.start(lease);
     this.#supervisor.start(ordersTask);
+    this.#supervisor.start(
+      new QuarantineRowsTask(state, this.#dependencies.store),
+    );
   }
 
   /**
@@ -367,6 +381,7 @@
       requests_waiting: queue.size,
       members_alive: members.alive().length,
       orders_held: this.#lease.isHeld ? 1 : 0,
+      prompt_parts_held: this.state.quarantine.size,
     };
   }
 }
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -3,11 +3,24 @@
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Retry-After when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
+/** Time with output after which a request has not ended its engine. */
+const SURVIVAL_MS = 1_000;
+/**
+ * Age of the last exchange from which this node, which may be new or was held
+ * up, waits for the next one before it sends prompts with shared parts.
+ */
+const EXCHANGE_STALE_MS = 1_000;
+/** Longest wait for that exchange. */
+const EXCHANGE_WAIT_MS = 400;
+const EXCHANGE_POLL_MS = 10;
+/** Retry-After of a request with a quarantined prompt part. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000;
 /** Share of an engine's time that one decoding request takes. */
 const DECODE_ENGINE_SHARE = 1 / 32;
 
@@ -50,13 +63,17 @@
     if (!service.engine || model === undefined) {
       return this.#selectInstance(request, service, failed);
     }
-    const nowMs = core.monotonicMs();
+    const parts = quarantine.sharedPartKeys(request.caller.promptParts);
+    if (parts.length > 0) await this.#awaitExchange(signal);
+    const trySelect = () =>
+      this.#rejectQuarantined(parts) ??
+        this.#selectEngine(request, service, service.engine!, model, failed);
+    const rejected = this.#rejectQuarantined(parts);
+    if (rejected) return rejected;
     if (!this.#counted.has(request)) {
       this.#counted.add(request);
-      this.#recordDemand(request, model, nowMs);
+      this.#recordDemand(request, model, core.monotonicMs());
     }
-    const trySelect = () =>
-      this.#selectEngine(request, service, service.engine!, model, failed);
     return trySelect() ??
       await this.#waitInQueue(request, model, trySelect, signal);
   }
@@ -66,6 +83,27 @@
     this.#state.queue.trySelectAll(core.monotonicMs());
   }
 
+  /** Rejects a request that would end the engine to which it is sent. */
+  #rejectQuarantined(
+    parts: readonly core.PromptPartKey[],
+  ): SelectionResult | undefined {
+    const part = this.#state.quarantine.find(parts, core.monotonicMs());
+    if (part === undefined) return undefined;
+    const reason = `prompt part ${part} is quarantined`;
+    return reject(reason, QUARANTINE_RETRY_AFTER_MS);
+  }
+
+  /** Waits for an exchange with other nodes if the last one is too old. */
+  async #awaitExchange(signal: AbortSignal): Promise<void> {
+    const untilMs = core.monotonicMs() + EXCHANGE_WAIT_MS;
+    for (;;) {
+      const nowMs = core.monotonicMs();
+      const isFresh = nowMs - this.#state.exchangedAtMs < EXCHANGE_STALE_MS;
+      if (isFresh || nowMs >= untilMs || signal.aborted) return;
+      await core.sleep(EXCHANGE_POLL_MS, signal);
+    }
+  }
+
   #recordDemand(
     { caller }: relay.RelayedRequest,
     model: core.ModelName,
@@ -122,14 +160,20 @@
     const instance = dispatch.chooseInstance(instances, excluded, nowMs) ??
       dispatch.chooseInstance(instances, new Set(), nowMs);
     if (!instance) return reject("no upstream of the service is known");
-    return ok(this.#assign(instance, service, {
-      modelKey: "",
-      reservedTokens: 0,
-      outputTokensMax: 0,
-      prefillMs: 0,
-      sentAtMs: nowMs,
-      hasOutput: false,
-    }, 0));
+    return ok(this.#assign(
+      instance,
+      service,
+      {
+        modelKey: "",
+        reservedTokens: 0,
+        outputTokensMax: 0,
+        prefillMs: 0,
+        sentAtMs: nowMs,
+        hasOutput: false,
+      },
+      [],
+      0,
+    ));
   }
 
   #selectEngine(
@@ -173,6 +217,7 @@
         sentAtMs: nowMs,
         hasOutput: false,
       },
+      quarantine.sharedPartKeys(promptParts),
       choice.firstEventMs,
       spec.tokensPerEvent,
     ));
@@ -195,12 +240,18 @@
     upstream: dispatch.UpstreamState,
     service: fleet.ServiceSpec,
     request: dispatch.InFlightRequest,
+    parts: readonly core.PromptPartKey[],
     estimatedMs: number,
     tokensPerEvent = 1,
   ): relay.UpstreamAssignment {
     const { pools, members, stepTimes, outputLengths } = this.#state;
     const { model } = request;
     const untrack = upstream.trackRequest(request);
+    const fate = new PromptFate(
+      this.#state.quarantine,
+      quarantine.toRunKey(upstream.record),
+      parts,
+    );
     return {
       upstream: upstream.record,
       logFields: {
@@ -214,10 +265,14 @@
       dispatcher: pools
         .get(upstream.record, service.connectionsMax, members.count()),
       onFirstEvent: (nowMs) => {
+        fate.recordOutput(nowMs);
         upstream.recordFirstEvent(request, estimatedMs, nowMs);
         this.selectForQueued();
       },
-      onBytesReceived: (nowMs) => upstream.health.recordBytesReceived(nowMs),
+      onBytesReceived: (nowMs) => {
+        fate.recordBytes(nowMs);
+        upstream.health.recordBytesReceived(nowMs);
+      },
       onNotRun: (lacksModel, nowMs) =>
         upstream.recordRejection(request.modelKey, lacksModel, nowMs),
       onStreamLength: (events) =>
@@ -227,8 +282,10 @@
           stepTimes.recordEventGap(model, gapMs, tokensPerEvent);
         }
       },
+      onFailure: (cause) => fate.recordFailure(cause, core.monotonicMs()),
       onEnd: (outcome) => {
         untrack();
+        if (outcome === "served") fate.recordSurvival(core.monotonicMs());
         if (outcome !== "shed" && outcome !== "cancelled") {
           upstream.health.recordOutcome(outcome, core.monotonicMs());
         }
@@ -287,6 +344,46 @@
   }
 }
 
+/** What became of one attempt's prompt, as evidence for the quarantine. */
+class PromptFate {
+  readonly #quarantine: quarantine.PromptQuarantine;
+  readonly #run: core.UpstreamRunKey;
+  readonly #parts: readonly core.PromptPartKey[];
+  #outputAtMs: number | undefined;
+  #hasSurvived = false;
+
+  constructor(
+    promptQuarantine: quarantine.PromptQuarantine,
+    run: core.UpstreamRunKey,
+    parts: readonly core.PromptPartKey[],
+  ) {
+    this.#quarantine = promptQuarantine;
+    this.#run = run;
+    this.#parts = parts;
+  }
+
+  recordOutput(nowMs: number): void {
+    this.#outputAtMs ??= nowMs;
+  }
+
+  /** Bytes of the response arrived, some time after its first event or not. */
+  recordBytes(nowMs: number): void {
+    if (this.#hasSurvived || this.#outputAtMs === undefined) return;
+    if (nowMs - this.#outputAtMs >= SURVIVAL_MS) this.recordSurvival(nowMs);
+  }
+
+  recordSurvival(nowMs: number): void {
+    this.#hasSurvived = true;
+    this.#quarantine.recordSurvival(this.#parts, nowMs);
+  }
+
+  recordFailure(cause: relay.AttemptFailure["cause"], nowMs: number): void {
+    if (cause === "refused") this.#quarantine.recordEnded(this.#run, nowMs);
+    if (cause !== "broken" || this.#hasSurvived) return;
+    this.#quarantine.recordBroken(this.#run, this.#parts, nowMs);
+  }
+}
+
 function reject(
   reason: string,
   retryAfterMs = NO_UPSTREAM_RETRY_AFTER_MS,
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -3,6 +3,7 @@
 import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as metrics from "../metrics/mod.ts";
+import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import { Members } from "./entry_members.ts";
@@ -25,6 +26,7 @@
   readonly members: Members;
   readonly metrics = new metrics.MetricsRecorder();
   readonly logger: core.Logger;
+  readonly quarantine: quarantine.PromptQuarantine;
   readonly retryBudgets = new Map<
     core.ServiceName,
     dispatch.SharedRetryBudget
@@ -41,6 +43,11 @@
    */
   hasReadMembers = false;
   isStopping = false;
+  /**
+   * End of the last exchange with other nodes that could tell this one what has
+   * happened meanwhile, on the monotonic clock.
+   */
+  exchangedAtMs = -Infinity;
   /** Callers' requests in flight. */
   requestsInFlight = 0;
 
@@ -50,6 +57,7 @@
     this.startedAtMs = Date.now();
     this.incarnation = core.randomId<core.Incarnation>("in");
     this.members = new Members(settings.nodeName);
+    this.quarantine = new quarantine.PromptQuarantine(logger);
   }
 
   /** Whether this node accepts callers: all tables read, and not stopping. */
@@ -99,7 +107,10 @@
     const upstream = this.upstreams.upsert(record, kvCacheTokens);
     if (upstream === existing) {
       if (!existing.record.isLeaving || existing.isLeavingLogged) return;
-    } else if (existing) this.pools.drain(existing.record);
+    } else if (existing) {
+      this.pools.drain(existing.record);
+      this.#noteEnded(existing.record);
+    }
     upstream.isLeavingLogged = record.isLeaving;
     this.logger.info("upstream_seen", {
       upstream: record.id,
@@ -116,9 +127,15 @@
     if (!upstream) return;
     this.upstreams.remove(id);
     this.pools.drain(upstream.record);
+    this.#noteEnded(upstream.record);
     this.logger.info("upstream_gone", { upstream: id, reason });
   }
 
+  #noteEnded(record: fleet.UpstreamRecord): void {
+    const run = quarantine.toRunKey(record);
+    this.quarantine.recordEnded(run, core.monotonicMs());
+  }
+
   /** Returns this node's share of a service's retry budget. */
   retryBudget(service: core.ServiceName): dispatch.SharedRetryBudget {
     let budget = this.retryBudgets.get(service);
--- a/packages/entry/tests/crashing_fleet.ts
+++ b/packages/entry/tests/crashing_fleet.ts
@@ -305,6 +305,7 @@
     while (!this.isClosed) {
       const [root, ...others] = this.nodes;
       const nowMs = core.monotonicMs();
+      root!.state.exchangedAtMs = nowMs;
       root!.hub.becomeRoot();
       root!.hub.applyLoad(nowMs);
       for (const node of others) {
@@ -313,6 +314,7 @@
         const view = root!.hub.exchange(digest);
         node.hub.applyParentView(view, nowMs);
         node.hub.applyLoad(nowMs);
+        node.state.exchangedAtMs = nowMs;
       }
       await core.sleep(50);
     }
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -35,6 +35,7 @@
   FleetViewSchema,
   MemberStateSchema,
   NodeDigestSchema,
+  QuarantineNewsSchema,
   QueueLengthSchema,
   TableNewsSchema,
 } from "./gen/fleet_pb.ts";
@@ -44,6 +45,7 @@
   FleetView,
   MemberState,
   NodeDigest,
+  QuarantineNews,
   TableNews,
 } from "./gen/fleet_pb.ts";
 export {
--- /dev/null
+++ b/packages/quarantine/quarantine.ts
@@ -0,0 +1,242 @@
+/** Quarantine of prompt parts that end each upstream which answers them. */
+import * as core from "../core/mod.ts";
+import { CrashEvidence, type ReportedEvidence } from "./quarantine_evidence.ts";
+import { PartSurvivals } from "./quarantine_survivals.ts";
+import { CrashWitness, type WitnessedCrash } from "./quarantine_witness.ts";
+
+/** A quarantined part in messages between nodes. */
+export interface ReportedHold {
+  readonly part: string;
+  /** Time since the part was quarantined. */
+  readonly heldAgeMs: number;
+}
+
+/** What a node tells the others. */
+export interface QuarantineReport {
+  readonly evidence: readonly ReportedEvidence[];
+  readonly holds: readonly ReportedHold[];
+}
+
+/** How a node learned that a part is quarantined. */
+export type HoldSource = "evidence" | "peer" | "store";
+
+interface Hold {
+  heldAtMs: number;
+  /** Whether the store has a row for it. */
+  isRecorded: boolean;
+}
+
+/** Interval at which the evidence is judged, however many requests come. */
+const DECIDE_INTERVAL_MS = 20;
+/** Quarantined parts that are kept. */
+const HOLDS_MAX = 512;
+/** Parts that a log line names. */
+const LOGGED_PARTS_MAX = 8;
+
+/**
+ * Decides which prompt parts are quarantined. Each node decides for itself and
+ * adopts the decisions of the others; no request with such a part is sent.
+ *
+ * Times are of the monotonic clock, in ms.
+ */
+export class PromptQuarantine {
+  readonly #logger: core.Logger;
+  readonly #witness = new CrashWitness();
+  readonly #survivals = new PartSurvivals();
+  readonly #evidence = new CrashEvidence();
+  readonly #holds = new Map<core.PromptPartKey, Hold>();
+  /** When parts were released; older decisions and crashes do not count. */
+  readonly #releasedAtMs = new Map<core.PromptPartKey, number>();
+
+  #decidedAtMs = -Infinity;
+
+  constructor(logger: core.Logger) {
+    this.#logger = logger;
+  }
+
+  /** Number of quarantined parts. */
+  get size(): number {
+    return this.#holds.size;
+  }
+
+  /**
+   * Returns the first quarantined one of a prompt's parts.
+   *
+   * @example
+   * ```ts
+   * const parts = quarantine.sharedPartKeys(caller.promptParts);
+   * if (state.quarantine.find(parts, nowMs)) reject();
+   * ```
+   */
+  find(
+    parts: readonly core.PromptPartKey[],
+    nowMs: number,
+  ): core.PromptPartKey | undefined {
+    this.decide(nowMs);
+    if (this.#holds.size === 0) return undefined;
+    return parts.find((part) => this.#holds.has(part));
+  }
+
+  /** Records that a request with these parts had output and lived on. */
+  recordSurvival(parts: readonly core.PromptPartKey[], nowMs: number): void {
+    for (const part of parts) {
+      this.#survivals.record(part, nowMs);
+      this.#evidence.addSurvival(part, nowMs);
+    }
+  }
+
+  /** Records that a request was cut off before it had output. */
+  recordBroken(
+    run: core.UpstreamRunKey,
+    parts: readonly core.PromptPartKey[],
+    nowMs: number,
+  ): void {
+    if (parts.length === 0) return;
+    this.#addCrash(this.#witness.recordBroken(run, parts, nowMs), nowMs);
+  }
+
+  /** Records that an incarnation of an upstream has ended. */
+  recordEnded(run: core.UpstreamRunKey, nowMs: number): void {
+    this.#addCrash(this.#witness.recordEnded(run, nowMs), nowMs);
+  }
+
+  /** Quarantines the parts to which the evidence points by now. */
+  decide(nowMs: number): void {
+    if (this.#evidence.size === 0) return;
+    if (nowMs - this.#decidedAtMs < DECIDE_INTERVAL_MS) return;
+    this.#decidedAtMs = nowMs;
+    for (;;) {
+      const held = new Set(this.#holds.keys());
+      const culprit = this.#evidence.findCulprit(held, nowMs);
+      if (!culprit) return;
+      this.#hold(culprit.part, nowMs, "evidence", culprit.crashes);
+    }
+  }
+
+  /** Tag that is equal on nodes which know the same. */
+  tag(nowMs: number): string {
+    if (this.#evidence.size === 0 && this.#holds.size === 0) return "";
+    const held = [...this.#holds.keys()].sort().join(" ");
+    const signature = `${this.#evidence.signature(nowMs)}\n${held}`;
+    return core.hash32(signature).toString(36);
+  }
+
+  /** Returns all that this node knows. */
+  report(nowMs: number): QuarantineReport {
+    return {
+      evidence: this.#evidence.report(nowMs),
+      holds: [...this.#holds].map(([part, { heldAtMs }]) => ({
+        part,
+        heldAgeMs: Math.max(0, Math.round(nowMs - heldAtMs)),
+      })),
+    };
+  }
+
+  /** Adopts what another node knows. */
+  merge({ evidence, holds }: QuarantineReport, nowMs: number): void {
+    for (const { part: text, crashes, survivedAgeMs } of evidence) {
+      const part = core.brandId<core.PromptPartKey>(text);
+      const survivedAtMs = nowMs - (survivedAgeMs ?? Infinity);
+      for (const { run, ageMs } of crashes) {
+        this.#addPartCrash(
+          part,
+          core.brandId<core.UpstreamRunKey>(run),
+          nowMs - ageMs,
+          survivedAtMs,
+          nowMs,
+        );
+      }
+    }
+    for (const { part: text, heldAgeMs } of holds) {
+      const part = core.brandId<core.PromptPartKey>(text);
+      const heldAtMs = nowMs - heldAgeMs;
+      if (heldAtMs <= this.#releaseTimeMs(part)) continue;
+      this.#hold(part, heldAtMs, "peer");
+    }
+  }
+
+  /** Applies the store's row of a quarantined part. */
+  applyRow(part: core.PromptPartKey, nowMs: number): void {
+    this.#hold(part, nowMs, "store");
+    const hold = this.#holds.get(part);
+    if (hold) hold.isRecorded = true;
+  }
+
+  /** Notes that the store was restored from a copy, which may lack rows. */
+  noteRestored(): void {
+    for (const hold of this.#holds.values()) hold.isRecorded = false;
+  }
+
+  /** Releases a part whose row was deleted. */
+  release(part: core.PromptPartKey, nowMs: number): void {
+    this.#releasedAtMs.delete(part);
+    this.#releasedAtMs.set(part, nowMs);
+    const [oldest] = this.#releasedAtMs.keys();
+    if (this.#releasedAtMs.size > HOLDS_MAX && oldest !== undefined) {
+      this.#releasedAtMs.delete(oldest);
+    }
+    this.#evidence.forget(part);
+    if (!this.#holds.delete(part)) return;
+    this.#logger.info("part_released", { part });
+  }
+
+  /** Parts quarantined for at least `forMs` of which the store has no row. */
+  unrecorded(forMs: number, nowMs: number): core.PromptPartKey[] {
+    this.decide(nowMs);
+    return [...this.#holds]
+      .filter(([, hold]) => !hold.isRecorded && nowMs - hold.heldAtMs >= forMs)
+      .map(([part]) => part);
+  }
+
+  /** Parts with a row that have been quarantined for at least `forMs`. */
+  heldFor(forMs: number, nowMs: number): core.PromptPartKey[] {
+    return [...this.#holds]
+      .filter(([, hold]) => hold.isRecorded && nowMs - hold.heldAtMs >= forMs)
+      .map(([part]) => part);
+  }
+
+  #addCrash(crash: WitnessedCrash | undefined, nowMs: number): void {
+    if (!crash) return;
+    const { run, parts, atMs } = crash;
+    const added = parts
+      .filter((part) => this.#addPartCrash(part, run, atMs, -Infinity, nowMs));
+    if (added.length === 0) return;
+    this.#logger.info("crash_attributed", {
+      upstream: run,
+      parts: added.slice(0, LOGGED_PARTS_MAX).join(","),
+      candidates: added.length,
+      ageMs: Math.round(nowMs - atMs),
+    });
+  }
+
+  /** @param survivedAtMs when the part last survived at other nodes. */
+  #addPartCrash(
+    part: core.PromptPartKey,
+    run: core.UpstreamRunKey,
+    atMs: number,
+    survivedAtMs: number,
+    nowMs: number,
+  ): boolean {
+    if (atMs <= this.#releaseTimeMs(part)) return false;
+    const lastAtMs = Math.max(survivedAtMs, this.#survivals.lastAtMs(part));
+    return this.#evidence.addCrash(part, run, atMs, lastAtMs, nowMs);
+  }
+
+  #releaseTimeMs(part: core.PromptPartKey): number {
+    return this.#releasedAtMs.get(part) ?? -Infinity;
+  }
+
+  #hold(
+    part: core.PromptPartKey,
+    heldAtMs: number,
+    source: HoldSource,
+    crashes?: number,
+  ): void {
+    if (this.#holds.has(part)) return;
+    if (this.#holds.size >= HOLDS_MAX) {
+      return this.#logger.warn("part_not_held", { part, held: HOLDS_MAX });
+    }
+    this.#holds.set(part, { heldAtMs, isRecorded: false });
+    this.#logger.warn("part_held", { part, source, crashes });
+  }
+}
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -11,6 +11,11 @@
 export interface AttemptFailure {
   /** "no" only if it is certain that no byte of the request was sent. */
   readonly sent: "no" | "maybe";
+  /**
+   * `refused`: nothing listens at the upstream's address; `cancelled`: ended by
+   * this node; `broken`: anything else, such as a closed connection.
+   */
+  readonly cause: "refused" | "cancelled" | "broken";
   readonly detail: string;
 }
 
@@ -125,8 +130,14 @@
   #fail(error: Error): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
+    const { code } = error as NodeJS.ErrnoException;
     const failure: AttemptFailure = {
       sent: this.#isSent ? "maybe" : "no",
+      cause: error === this.#cancelError
+        ? "cancelled"
+        : code === "ECONNREFUSED"
+        ? "refused"
+        : "broken",
       detail: core.messageOf(error),
     };
     this.#settleHead(err(failure));
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -76,6 +76,7 @@
     for (;;) {
       const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
+        assignment.onFailure(event.failure.cause);
         assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
@@ -119,6 +120,7 @@
       const event = await watch.during(attempt.next());
       this.endedInsideEvent = boundary.isInsideEvent;
       if (event.kind === "broken") {
+        assignment.onFailure(event.failure.cause);
         assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
         this.#eventBuffer.discardPending();
         return { kind: "mayHaveRun", detail: event.failure.detail };
@@ -157,6 +159,7 @@
     // Without framing, a head alone may be all that an engine could send.
     const isCutBeforeEvents = chunkCount === 0 && framing === "close";
     if (hasEvents && (this.endedInsideEvent || isCutBeforeEvents)) {
+      assignment.onFailure("broken");
       assignment.onEnd("failed");
       this.#eventBuffer.discardPending();
       const detail = isCutBeforeEvents
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -206,7 +206,8 @@
   ): Promise<AttemptResult> {
     const head = await watch.during(attempt.head);
     if (head.isErr()) {
-      const { sent, detail } = head.error;
+      const { sent, detail, cause } = head.error;
+      assignment.onFailure(cause);
       if (this.#signal.aborted) assignment.onEnd("cancelled");
       else assignment.onEnd(sent === "no" ? "unreachable" : "failed");
       if (sent === "no") return { kind: "notRun", detail };
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -5,6 +5,7 @@
 import type * as core from "../core/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import type { AttemptFailure } from "./relay_attempt.ts";
 
 /** A request as received, with the route that it matched. */
 export interface RelayedRequest {
@@ -44,6 +45,8 @@
   onStreamLength(events: number): void;
   /** Mean time between some consecutive chunks of a stream. */
   onEventGap(gapMs: number): void;
+  /** The attempt ended without a complete response; called before `onEnd`. */
+  onFailure(cause: AttemptFailure["cause"]): void;
   /** The attempt has ended. */
   onEnd(outcome: dispatch.UpstreamOutcome | "shed" | "cancelled"): void;
 }
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -94,6 +94,7 @@
       onNotRun: () => {},
       onEventGap: () => {},
       onStreamLength: () => {},
+      onFailure: () => {},
       onEnd: (outcome: dispatch.UpstreamOutcome | "shed" | "cancelled") => {
         this.outcomes.push(outcome);
       },
