Pass on rows that return unchanged to copies that saw their deletion

Callers could see a node that misses an engine or a member: an entry lapses and returns with the same content; a copy that misses the deletion takes the row as unchanged and leaves it out of what it passes on, and a copy that saw the deletion never gets it back. Cause: the version of the last change that matters stayed at the first write. Change: a row from another copy or from a full read, which may hide a deletion, counts as changed. Open: a feed of the store that joins a deletion and the write after it into one change hides it, too.

--- a/packages/mirror/mirror_table.ts
+++ b/packages/mirror/mirror_table.ts
@@ -114,11 +114,11 @@
       return;
     }
     const listed = new Set(snapshot.rows.map(({ key }) => key));
-    for (const row of snapshot.rows) this.#applyRow(row);
+    for (const row of snapshot.rows) this.#applyRow(row, true);
     for (const [key, row] of this.#rows) {
       const isMissing = !listed.has(key) && row.version <= to.version;
       if (!isMissing || row.value === undefined) continue;
-      this.#applyRow({ key, version: to.version, value: undefined });
+      this.#applyRow({ key, version: to.version, value: undefined }, true);
     }
     this.#advance(to);
   }
@@ -128,11 +128,21 @@
     from: Cursor,
     toVersion: number,
     changes: readonly store.RowChange[],
+  ): MergeOutcome {
+    return this.#applyFrom(from, toVersion, changes, false);
+  }
+
+  /** @param mayHideDeletion as for `#applyRow`. */
+  #applyFrom(
+    from: Cursor,
+    toVersion: number,
+    changes: readonly store.RowChange[],
+    mayHideDeletion: boolean,
   ): MergeOutcome {
     const known = this.#cursor;
     if (from.generation !== known?.generation) return "gap";
     if (from.version > known.version) return "gap";
-    for (const change of changes) this.#applyRow(change);
+    for (const change of changes) this.#applyRow(change, mayHideDeletion);
     this.#advance({ generation: from.generation, version: toVersion });
     return "applied";
   }
@@ -148,7 +158,7 @@
         : JSON.parse(valueJson) as core.JsonValue,
     }));
     if (delta.from !== undefined) {
-      return this.applyChanges(delta.from, delta.to.version, rows);
+      return this.#applyFrom(delta.from, delta.to.version, rows, true);
     }
     const present = rows.flatMap(({ key, version, value }) =>
       value === undefined ? [] : [{ key, version, value }]
@@ -200,7 +210,14 @@
     this.#deltasFromVersion = to.version;
   }
 
-  #applyRow({ key, version, value }: store.RowChange): void {
+  /**
+   * @param mayHideDeletion whether the row is the last state after several
+   * changes, among which it may have been deleted and written again.
+   */
+  #applyRow(
+    { key, version, value }: store.RowChange,
+    mayHideDeletion: boolean,
+  ): void {
     const known = this.#rows.get(key);
     if (known && version <= known.version) return;
     if (value === undefined) {
@@ -216,7 +233,9 @@
     const isSame = known?.value !== undefined &&
       this.#significantJson.get(key) === significantJson;
     if (isSame) {
-      this.#rows.set(key, { ...known, version });
+      // A copy that saw the deletion needs the row again.
+      const changedVersion = mayHideDeletion ? version : known.changedVersion;
+      this.#rows.set(key, { ...known, version, changedVersion });
       return;
     }
     this.#significantJson.set(key, significantJson);
--- a/packages/mirror/tests/unit/mirror_test.ts
+++ b/packages/mirror/tests/unit/mirror_test.ts
@@ -176,6 +176,25 @@
   t.is(copy.confirmedAtMs, 100);
 });
 
+// Guards against a row that was deleted and written again as it was being lost
+// at a copy that saw the deletion, once a copy that did not passes it on.
+test("a row that returns unchanged is passed on by a copy that missed its deletion", (t) => {
+  const [a, b, c] = [makeCopy(), makeCopy(), makeCopy()];
+  for (const { copy } of [a, b, c]) copy.applySnapshot(snapshot(0, {}));
+  const origin = { generation: 1, version: 0 };
+  const log: store.RowChange[] = [
+    { key: "k", version: 1, value: 2 },
+    { key: "k", version: 2, value: undefined },
+    { key: "k", version: 3, value: 2 },
+  ];
+  b.copy.applyChanges(origin, 1, log.slice(0, 1));
+  a.copy.applyChanges(origin, 2, log.slice(0, 2));
+  c.copy.applyChanges(origin, 3, log);
+  transfer(c.copy, b.copy);
+  transfer(b.copy, a.copy);
+  t.deepEqual([...a.listener.rows], [["k", 2]]);
+});
+
 test("copies agree with the store, whatever order changes arrive in", (t) => {
   const step = fc.record({
     key: fc.constantFrom("a", "b", "c"),
@@ -211,7 +230,9 @@
     const expected = [...truth].map(([key, row]) => [key, row.value]).sort();
     return isComplete && JSON.stringify(known) === JSON.stringify(expected);
   });
-  t.notThrows(() => fc.assert(property));
+  // The seed once found the row that returns unchanged.
+  t.notThrows(() => fc.assert(property, { seed: -1_316_334_615 }));
+  t.notThrows(() => fc.assert(property, { numRuns: 500 }));
 });
 
 const names = (count: number) =>
