Count an exchange as news only if another node answered it

A woken node could count a call that its pause had cut off as an exchange and send a quarantined part before it heard of it; a root that nobody follows counted its own step. Change: only an answer, or a follower's digest at the root, or being the only node, ends the wait before prompts are sent.

--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -89,12 +89,8 @@
       const hasQueued = this.#state.queue.size > 0 || this.#hasQueuedBelow;
       this.#hasQueuedBelow = false;
       const { hasReadMembers } = this.#state;
-      await this.#exchange(place);
-      // Before it knows the members, or as a root that nobody follows, a node
-      // has learned nothing.
-      const isRoot = place.role === "root" &&
-        this.#state.members.alive().length > 1;
-      const hasLearned = !isRoot || this.#hub.followers() > 0;
+      const hasLearned = await this.#exchange(place);
+      // Before it knew the members, a node could not learn from them.
       if (hasReadMembers && hasLearned) {
         this.#state.exchangedAtMs = core.monotonicMs();
       }
@@ -136,23 +132,28 @@
     return place;
   }
 
-  async #exchange({ role, parent }: TreePlace): Promise<void> {
+  /** @returns whether this node knows what the other nodes know by now. */
+  async #exchange({ role, parent }: TreePlace): Promise<boolean> {
     const nowMs = core.monotonicMs();
     if (role === "root") {
       this.#hub.becomeRoot();
       this.#hub.applyLoad(nowMs);
-      return this.#fallBack(nowMs);
+      this.#fallBack(nowMs);
+      const isAlone = this.#state.members.alive().length === 1;
+      return isAlone || this.#hub.followers() > 0;
     }
     const address = this.#state.members.row(parent)?.peerAddress;
-    if (address === undefined) return;
+    if (address === undefined) return false;
     const view = await this.#clients
       .exchange(address, this.#hub.digestForParent(parent, nowMs));
     const answeredAtMs = core.monotonicMs();
     if (!view) {
       this.#avoidedUntilMs.set(parent, answeredAtMs + PARENT_AVOIDANCE_MS);
-      return this.#fallBack(answeredAtMs);
+      this.#fallBack(answeredAtMs);
+      return false;
     }
     this.#applyView(parent, view, answeredAtMs);
+    return true;
   }
 
   #applyView(
