--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -239,3 +239,36 @@
   fresh.exchangeWith(root);
   t.is(fresh.copy.cursor?.version, 3);
 });
+
+test("a quarantined prompt part reaches every node over two levels, and is sent once", async (t) => {
+  const root = new TestNode("root");
+  const leaders = [new TestNode("leader-a"), new TestNode("leader-b")];
+  const leaves = [0, 1, 2].map((n) => new TestNode(`leaf-${n}`));
+  const links = [
+    [leaves[0]!, leaders[0]!],
+    [leaves[1]!, leaders[0]!],
+    [leaves[2]!, leaders[1]!],
+    [leaders[0]!, root],
+    [leaders[1]!, root],
+  ] as const;
+  const part = core.brandId<core.PromptPartKey>("ec");
+  // Each leaf sees the end of one engine; only together they tell the cause.
+  for (const [n, leaf] of leaves.entries()) {
+    const run = core.brandId<core.UpstreamRunKey>(`e${n}@1`);
+    const atMs = core.monotonicMs() - 1_000 + n * 100;
+    leaf.state.quarantine.recordBroken(run, [part], atMs);
+    leaf.state.quarantine.recordEnded(run, atMs + 10);
+  }
+  await exchangeRounds(links, 3);
+  await core.sleep(520);
+  const nodes = [root, ...leaders, ...leaves];
+  for (const { name, state } of nodes) {
+    t.is(state.quarantine.find([part], core.monotonicMs()), part, name);
+  }
+  await exchangeRounds(links, 2);
+  for (const [child, parent] of links) {
+    const { digest, view } = child.exchangeWith(parent);
+    t.is(digest.quarantine, undefined);
+    t.is(view.quarantine, undefined);
+  }
+});
