Judge a prompt again after its engine was selected, also one that was queued

A request could wait in the queue while its node was held up, and be sent by the woken node before it heard that its part is held. Found by reading. Change: the wait for an exchange, where the last one is too old, follows the selection, and the parts are checked after it; the place on the engine is given back. The fate of a prompt has a file of its own, and tests of the entry share their settings.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -5,12 +5,11 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
+import { PromptFate } from "./entry_prompt_fate.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Retry-After when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
-/** Time with output after which a request has not ended its engine. */
-const SURVIVAL_MS = 1_000;
 /**
  * Age of the last exchange from which this node, which may be new or was held
  * up, waits for the next one before it sends prompts with shared parts.
@@ -64,18 +63,23 @@
       return this.#selectInstance(request, service, failed);
     }
     const parts = quarantine.sharedPartKeys(request.caller.promptParts);
-    if (parts.length > 0) await this.#awaitExchange(signal);
-    const trySelect = () =>
-      this.#rejectQuarantined(parts) ??
-        this.#selectEngine(request, service, service.engine!, model, failed);
     const rejected = this.#rejectQuarantined(parts);
     if (rejected) return rejected;
     if (!this.#counted.has(request)) {
       this.#counted.add(request);
       this.#recordDemand(request, model, core.monotonicMs());
     }
-    return trySelect() ??
+    const trySelect = () =>
+      this.#rejectQuarantined(parts) ??
+        this.#selectEngine(request, service, service.engine!, model, failed);
+    const selected = trySelect() ??
       await this.#waitInQueue(request, model, trySelect, signal);
+    if (parts.length === 0 || selected.isErr()) return selected;
+    // A node that is new, or was held up, may not know yet what others hold.
+    await this.#awaitExchange(signal);
+    const rejectedLate = this.#rejectQuarantined(parts);
+    if (rejectedLate) selected.value.onEnd("cancelled");
+    return rejectedLate ?? selected;
   }
 
   /** Tries to select an engine for each queued request. */
@@ -344,46 +348,6 @@
   }
 }
 
-/** What became of one attempt's prompt, as evidence for the quarantine. */
-class PromptFate {
-  readonly #quarantine: quarantine.PromptQuarantine;
-  readonly #run: core.UpstreamRunKey;
-  readonly #parts: readonly core.PromptPartKey[];
-  #outputAtMs: number | undefined;
-  #hasSurvived = false;
-
-  constructor(
-    promptQuarantine: quarantine.PromptQuarantine,
-    run: core.UpstreamRunKey,
-    parts: readonly core.PromptPartKey[],
-  ) {
-    this.#quarantine = promptQuarantine;
-    this.#run = run;
-    this.#parts = parts;
-  }
-
-  recordOutput(nowMs: number): void {
-    this.#outputAtMs ??= nowMs;
-  }
-
-  /** Bytes of the response arrived, some time after its first event or not. */
-  recordBytes(nowMs: number): void {
-    if (this.#hasSurvived || this.#outputAtMs === undefined) return;
-    if (nowMs - this.#outputAtMs >= SURVIVAL_MS) this.recordSurvival(nowMs);
-  }
-
-  recordSurvival(nowMs: number): void {
-    this.#hasSurvived = true;
-    this.#quarantine.recordSurvival(this.#parts, nowMs);
-  }
-
-  recordFailure(cause: relay.AttemptFailure["cause"], nowMs: number): void {
-    if (cause === "refused") this.#quarantine.recordEnded(this.#run, nowMs);
-    if (cause !== "broken" || this.#hasSurvived) return;
-    this.#quarantine.recordBroken(this.#run, this.#parts, nowMs);
-  }
-}
-
 function reject(
   reason: string,
   retryAfterMs = NO_UPSTREAM_RETRY_AFTER_MS,
--- a/packages/entry/tests/crashing_fleet.ts
+++ b/packages/entry/tests/crashing_fleet.ts
@@ -20,6 +20,7 @@
 import { EntryUpstreamSelector } from "../entry_selector.ts";
 import { EntryState } from "../entry_state.ts";
 import { TableNewsExchange } from "../entry_table_news.ts";
+import { makeEntrySettings } from "./entry_settings.ts";
 
 const SERVICE = core.brandId<core.ServiceName>("s");
 const MODEL = core.brandId<core.ModelName>("m");
@@ -138,23 +139,10 @@
   readonly #server: Server;
 
   constructor(readonly name: string, records: fleet.UpstreamRecord[]) {
-    const address = { host: "127.0.0.1", port: 1 };
-    this.state = new EntryState({
-      nodeName: core.brandId<core.InstanceId>(name),
-      failureDomain: "d",
-      listen: {
-        callers: address,
-        readiness: address,
-        directory: address,
-        peers: address,
-        metrics: address,
-      },
-      storeOrigin: "",
-      graceMs: 1,
-      directoryTtlMs: 1,
-      retryBudget: { ratio: 1, windowMs: 10_000, slack: 100 },
-      orders: { leaseMs: 1, enginesCheckFences: true },
-    }, new core.Logger({}, () => {}));
+    this.state = new EntryState(
+      makeEntrySettings(name),
+      new core.Logger({}, () => {}),
+    );
     this.state.applyConfig({
       version: 1,
       routes: [],
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -7,6 +7,7 @@
 import { EntryState } from "../../entry_state.ts";
 import * as testing from "../../../testing/mod.ts";
 import { TableNewsExchange } from "../../entry_table_news.ts";
+import { makeEntrySettings } from "../entry_settings.ts";
 import { NoListener } from "../no_listener.ts";
 
 const silentLogger = new core.Logger({}, () => {});
@@ -30,23 +31,7 @@
   readsRequested = 0;
 
   constructor(readonly name: string) {
-    const address = { host: "127.0.0.1", port: 1 };
-    this.state = new EntryState({
-      nodeName: core.brandId<core.InstanceId>(name),
-      failureDomain: "d",
-      listen: {
-        callers: address,
-        readiness: address,
-        directory: address,
-        peers: address,
-        metrics: address,
-      },
-      storeOrigin: "",
-      graceMs: 1,
-      directoryTtlMs: 1,
-      retryBudget: { ratio: 1, windowMs: 1, slack: 1 },
-      orders: { leaseMs: 1, enginesCheckFences: true },
-    }, silentLogger);
+    this.state = new EntryState(makeEntrySettings(name), silentLogger);
     this.state.upstreams.upsert(record, 1_000);
     const news = new TableNewsExchange([{
       copy: this.copy,
--- a/packages/entry/tests/unit/entry_quarantine_test.ts
+++ b/packages/entry/tests/unit/entry_quarantine_test.ts
@@ -68,6 +68,44 @@
   }
 });
 
+// Guards against a request that waits for an engine while its node is held up.
+test.serial("a request that was queued while its node was out of contact is judged again", async (t) => {
+  const fleet = new CrashingFleet(2);
+  await fleet.start(2);
+  try {
+    fleet.crashingParts.add(CRASHING_PART);
+    let arrivals = 0;
+    fleet.onCrashingArrival = () => arrivals++;
+    const { state, selector, request } = queuedAt(fleet.nodes[1]!);
+    fleet.cutOff.add(fleet.nodes[1]!);
+    state.exchangedAtMs = -Infinity;
+    for (let n = 0; n < 50 && state.queue.size === 0; n++) await core.sleep(10);
+    t.is(state.queue.size, 1);
+    for (const each of [...fleet.nodes[0]!.state.upstreams.all()]) {
+      state.setUpstream(each.record);
+    }
+    selector.selectForQueued();
+    await core.sleep(100);
+    state.quarantine.applyRow(part, core.monotonicMs());
+    state.exchangedAtMs = core.monotonicMs();
+    t.is(await request, 503);
+    t.is(arrivals, 0);
+    t.is([...state.upstreams.all()].reduce((n, u) => n + u.inFlight, 0), 0);
+  } finally {
+    await fleet.close();
+  }
+});
+
+/** Sends a crashing request to a node that knows no engine, so that it waits. */
+function queuedAt(node: CrashTestNode) {
+  const { state, selector } = node;
+  for (const { record } of [...state.upstreams.all()]) {
+    state.removeUpstream(record.id, "test");
+  }
+  const request = node.request(["a0", CRASHING_PART, "x"]);
+  return { state, selector, request };
+}
+
 test.serial("a node without contact to others serves sound requests after a short wait", async (t) => {
   const fleet = new CrashingFleet(2);
   await fleet.start(2);
