Tell other nodes of refused connections; keep evidence for ten minutes

Change: refusals are part of the news between nodes. Evidence is kept for 10 minutes instead of one, so that a part that ends an engine every half minute is held too; sound parts in use survive in between. Tags and judgements are kept until the evidence changes, as they are asked for with every exchange and request.

--- a/packages/entry/entry_prompt_fate.ts
+++ b/packages/entry/entry_prompt_fate.ts
@@ -40,7 +40,7 @@
   }
 
   recordFailure(cause: relay.AttemptFailure["cause"], nowMs: number): void {
-    if (cause === "refused") this.#quarantine.recordEnded(this.#run, nowMs);
+    if (cause === "refused") this.#quarantine.recordRefusal(this.#run, nowMs);
     if (cause !== "broken" || this.#hasSurvived) return;
     this.#quarantine.recordBroken(this.#run, this.#parts, nowMs);
   }
--- a/packages/entry/entry_quarantine.ts
+++ b/packages/entry/entry_quarantine.ts
@@ -63,8 +63,9 @@
     if (quarantineTag === "" || quarantineTag === theirTag) {
       return { quarantineTag };
     }
-    const { evidence, holds } = this.#quarantine.report(nowMs);
+    const { refusals, evidence, holds } = this.#quarantine.report(nowMs);
     const news = create(peers.QuarantineNewsSchema, {
+      refusals: refusals.map((refusal) => ({ ...refusal })),
       evidence: evidence.map(({ part, crashes, survivedAgeMs }) => ({
         part,
         crashes: crashes.map((crash) => ({ ...crash })),
--- a/packages/quarantine/mod.ts
+++ b/packages/quarantine/mod.ts
@@ -8,5 +8,6 @@
   HoldSource,
   QuarantineReport,
   ReportedHold,
+  ReportedRefusal,
 } from "./quarantine.ts";
 export type { ReportedEvidence } from "./quarantine_evidence.ts";
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -11,8 +11,15 @@
   readonly heldAgeMs: number;
 }
 
+/** An engine that refused a connection, in messages between nodes. */
+export interface ReportedRefusal {
+  readonly run: string;
+  readonly ageMs: number;
+}
+
 /** What a node tells the others. */
 export interface QuarantineReport {
+  readonly refusals: readonly ReportedRefusal[];
   readonly evidence: readonly ReportedEvidence[];
   readonly holds: readonly ReportedHold[];
 }
@@ -28,6 +35,8 @@
 
 /** Interval at which the evidence is judged, however many requests come. */
 const DECIDE_INTERVAL_MS = 20;
+/** Time after which unchanged evidence needs no further judgement. */
+const SETTLED_AFTER_MS = 1_000;
 /** Quarantined parts that are kept. */
 const HOLDS_MAX = 512;
 /** Parts that a log line names. */
@@ -49,6 +58,12 @@
   readonly #releasedAtMs = new Map<core.PromptPartKey, number>();
 
   #decidedAtMs = -Infinity;
+  /** Revision of the evidence that was last judged, and since when it holds. */
+  #judgedRevision = 0;
+  #changedAtMs = -Infinity;
+  /** Counts changes of holds and refusals. */
+  #revision = 0;
+  #tag: { readonly of: string; readonly text: string } | undefined;
 
   constructor(logger: core.Logger) {
     this.#logger = logger;
@@ -100,10 +115,21 @@
     this.#addCrash(this.#witness.recordEnded(run, nowMs), nowMs);
   }
 
+  /** Records that an incarnation refused a connection of this node. */
+  recordRefusal(run: core.UpstreamRunKey, nowMs: number): void {
+    if (this.#witness.recordRefusal(run, nowMs)) this.#revision++;
+    this.recordEnded(run, nowMs);
+  }
+
   /** Quarantines the parts to which the evidence points by now. */
   decide(nowMs: number): void {
     if (this.#evidence.size === 0) return;
-    if (nowMs - this.#decidedAtMs < DECIDE_INTERVAL_MS) return;
+    if (this.#evidence.revision !== this.#judgedRevision) {
+      this.#judgedRevision = this.#evidence.revision;
+      this.#changedAtMs = nowMs;
+    }
+    const isSettled = this.#decidedAtMs - this.#changedAtMs > SETTLED_AFTER_MS;
+    if (isSettled || nowMs - this.#decidedAtMs < DECIDE_INTERVAL_MS) return;
     this.#decidedAtMs = nowMs;
     for (;;) {
       const held = new Set(this.#holds.keys());
@@ -115,15 +141,30 @@
 
   /** Tag that is equal on nodes which know the same. */
   tag(nowMs: number): string {
-    if (this.#evidence.size === 0 && this.#holds.size === 0) return "";
-    const held = [...this.#holds.keys()].sort().join(" ");
-    const signature = `${this.#evidence.signature(nowMs)}\n${held}`;
-    return core.hash32(signature).toString(36);
+    const refusals = this.#witness.refusals(nowMs);
+    const isEmpty = this.#evidence.size === 0 && this.#holds.size === 0 &&
+      refusals.size === 0;
+    if (isEmpty) return "";
+    const of = [this.#revision, this.#evidence.revision, refusals.size].join();
+    if (this.#tag?.of !== of) {
+      const known = [
+        this.#evidence.signature(),
+        [...this.#holds.keys()].sort().join(" "),
+        [...refusals.keys()].sort().join(" "),
+      ];
+      const text = core.hash32(known.join("\n")).toString(36);
+      this.#tag = { of, text };
+    }
+    return this.#tag.text;
   }
 
   /** Returns all that this node knows. */
   report(nowMs: number): QuarantineReport {
     return {
+      refusals: [...this.#witness.refusals(nowMs)].map(([run, atMs]) => ({
+        run,
+        ageMs: Math.max(0, Math.round(nowMs - atMs)),
+      })),
       evidence: this.#evidence.report(nowMs),
       holds: [...this.#holds].map(([part, { heldAtMs }]) => ({
         part,
@@ -133,7 +174,13 @@
   }
 
   /** Adopts what another node knows. */
-  merge({ evidence, holds }: QuarantineReport, nowMs: number): void {
+  merge({ refusals, evidence, holds }: QuarantineReport, nowMs: number): void {
+    for (const { run: text, ageMs } of refusals) {
+      const run = core.brandId<core.UpstreamRunKey>(text);
+      if (!this.#witness.recordRefusal(run, nowMs - ageMs)) continue;
+      this.#revision++;
+      this.recordEnded(run, nowMs);
+    }
     for (const { part: text, crashes, survivedAgeMs } of evidence) {
       const part = core.brandId<core.PromptPartKey>(text);
       const survivedAtMs = nowMs - (survivedAgeMs ?? Infinity);
@@ -177,6 +224,7 @@
     }
     this.#evidence.forget(part);
     if (!this.#holds.delete(part)) return;
+    this.#revision++;
     this.#logger.info("part_released", { part });
   }
 
@@ -237,6 +285,7 @@
       return this.#logger.warn("part_not_held", { part, held: HOLDS_MAX });
     }
     this.#holds.set(part, { heldAtMs, isRecorded: false });
+    this.#revision++;
     this.#logger.warn("part_held", { part, source, crashes });
   }
 }
--- a/packages/quarantine/quarantine_evidence.ts
+++ b/packages/quarantine/quarantine_evidence.ts
@@ -44,13 +44,23 @@
 /** Time in which other nodes' survivals arrive after a crash is known. */
 const SETTLE_MS = 500;
 /** Age at which a crash is dropped. */
-const CRASH_TTL_MS = 60_000;
+const CRASH_TTL_MS = 10 * 60_000;
 const PARTS_MAX = 128;
 const CRASHES_PER_PART_MAX = 16;
 
+/** Interval at which old crashes are dropped. */
+const EXPIRY_INTERVAL_MS = 1_000;
+
 /** Collects crashes and survivals by part, and names the part to blame. */
 export class CrashEvidence {
   readonly #parts = new Map<core.PromptPartKey, PartEvidence>();
+  #expiredAtMs = -Infinity;
+  #revision = 0;
+
+  /** Changes with the evidence, so that what is derived can be kept. */
+  get revision(): number {
+    return this.#revision;
+  }
 
   /** Whether there is evidence on a part. */
   has(part: core.PromptPartKey): boolean {
@@ -81,7 +91,10 @@
       evidence = { crashes: new Map(), survivedAtMs };
       this.#parts.set(part, evidence);
     }
-    evidence.survivedAtMs = Math.max(evidence.survivedAtMs, survivedAtMs);
+    if (survivedAtMs > evidence.survivedAtMs) {
+      evidence.survivedAtMs = survivedAtMs;
+      this.#revision++;
+    }
     const known = evidence.crashes.get(run);
     if (known) {
       known.atMs = Math.min(known.atMs, atMs);
@@ -89,6 +102,7 @@
     }
     if (evidence.crashes.size >= CRASHES_PER_PART_MAX) return false;
     evidence.crashes.set(run, { atMs, learnedAtMs: nowMs });
+    this.#revision++;
     return true;
   }
 
@@ -104,13 +118,15 @@
     const exonerates = [...evidence.crashes.values()]
       .some((crash) => crash.atMs > survivedAtMs && crash.atMs <= atMs);
     // Other survivals change no decision, and each change is sent to all nodes.
-    if (exonerates) evidence.survivedAtMs = atMs;
-    return exonerates;
+    if (!exonerates) return false;
+    evidence.survivedAtMs = atMs;
+    this.#revision++;
+    return true;
   }
 
-  /** Drops all evidence on a part up to a time. */
+  /** Drops all evidence on a part. */
   forget(part: core.PromptPartKey): void {
-    this.#parts.delete(part);
+    if (this.#parts.delete(part)) this.#revision++;
   }
 
   /** Returns the part to blame next, if any, and the number of its crashes. */
@@ -156,8 +172,7 @@
   }
 
   /** Text that is equal on nodes with equal evidence, whatever the delays. */
-  signature(nowMs: number): string {
-    this.#expire(nowMs);
+  signature(): string {
     return [...this.#parts].map(([part, evidence]) => {
       const runs = [...evidence.crashes.keys()].sort().join(" ");
       const blame = `${blamedCount(evidence)} ${isSurvivor(evidence)}`;
@@ -175,9 +190,13 @@
   }
 
   #expire(nowMs: number): void {
+    if (nowMs - this.#expiredAtMs < EXPIRY_INTERVAL_MS) return;
+    this.#expiredAtMs = nowMs;
     for (const [part, { crashes }] of this.#parts) {
       for (const [run, { atMs }] of crashes) {
-        if (nowMs - atMs > CRASH_TTL_MS) crashes.delete(run);
+        if (nowMs - atMs <= CRASH_TTL_MS) continue;
+        crashes.delete(run);
+        this.#revision++;
       }
       if (crashes.size === 0) this.#parts.delete(part);
     }
--- a/packages/quarantine/quarantine_witness.ts
+++ b/packages/quarantine/quarantine_witness.ts
@@ -16,6 +16,8 @@
 const CONFIRMATION_MS = 8_000;
 /** Ended incarnations that are remembered for requests that break later. */
 const ENDED_MAX = 256;
+/** Time for which a refused connection is passed on to other nodes. */
+const REFUSAL_TTL_MS = 10_000;
 
 interface BrokenRequests {
   readonly parts: Set<core.PromptPartKey>;
@@ -27,6 +29,8 @@
   readonly #broken = new Map<core.UpstreamRunKey, BrokenRequests>();
   /** Incarnations known to have ended, with when their requests broke. */
   readonly #ended = new Map<core.UpstreamRunKey, number>();
+  /** Incarnations that refused connections of any node, with when. */
+  readonly #refusals = new Map<core.UpstreamRunKey, number>();
 
   /**
    * Records a request that was cut off before it had output.
@@ -65,6 +69,26 @@
     return { run, parts: [...broken.parts], atMs: broken.firstAtMs };
   }
 
+  /**
+   * Records that an incarnation refused a connection, so that nothing listens at
+   * its address any more.
+   *
+   * @returns whether that was not known.
+   */
+  recordRefusal(run: core.UpstreamRunKey, atMs: number): boolean {
+    if (this.#refusals.has(run)) return false;
+    this.#refusals.set(run, atMs);
+    return true;
+  }
+
+  /** Returns the recent refusals, which other nodes may not have seen. */
+  refusals(nowMs: number): ReadonlyMap<core.UpstreamRunKey, number> {
+    for (const [run, atMs] of this.#refusals) {
+      if (nowMs - atMs > REFUSAL_TTL_MS) this.#refusals.delete(run);
+    }
+    return this.#refusals;
+  }
+
   #rememberEnded(
     run: core.UpstreamRunKey,
     broken: BrokenRequests | undefined,
--- a/packages/quarantine/tests/unit/quarantine_test.ts
+++ b/packages/quarantine/tests/unit/quarantine_test.ts
@@ -45,6 +45,15 @@
   t.deepEqual(heldAt(node, 3_600), [CULPRIT]);
 });
 
+test("evidence is judged whenever the next request comes, also much later", (t) => {
+  const node = makeQuarantine();
+  for (let n = 1; n <= 2; n++) crash(node, n, [CULPRIT], n * 1_000);
+  t.deepEqual(heldAt(node, 5_000), []);
+  t.deepEqual(heldAt(node, 9_000), []);
+  crash(node, 3, [CULPRIT], 10_000);
+  t.deepEqual(heldAt(node, 200_000), [CULPRIT]);
+});
+
 test("two crashes hold nothing", (t) => {
   const node = makeQuarantine();
   for (let n = 1; n <= 2; n++) crash(node, n, [CULPRIT], n * 1_000);
@@ -125,6 +134,19 @@
   }
 });
 
+// Guards against waiting for the list of upstreams, which drops an engine some
+// seconds after its end, where another node has found nothing listening.
+test("an engine that refused another node's connection has ended", (t) => {
+  const [a, b] = [makeQuarantine(), makeQuarantine()];
+  for (let n = 1; n <= 3; n++) {
+    a.recordBroken(runKey(n), [CULPRIT], n * 100);
+    b.recordRefusal(runKey(n), n * 100 + 30);
+  }
+  a.merge(b.report(400), 400);
+  t.deepEqual(heldAt(a, 1_000), [CULPRIT]);
+  t.is(b.report(11_000).refusals.length, 0, "passed on for a while only");
+});
+
 test("a survival at another node exonerates, also one before the crashes", (t) => {
   const [a, b] = [makeQuarantine(), makeQuarantine()];
   b.recordSurvival([CULPRIT], 900);
@@ -144,7 +166,7 @@
   const [a, b, c] = [makeQuarantine(), makeQuarantine(), makeQuarantine()];
   for (let n = 1; n <= 3; n++) crash(a, n, [CULPRIT], n * 1_000);
   t.deepEqual(heldAt(a, 4_000), [CULPRIT]);
-  b.merge({ evidence: [], holds: a.report(4_100).holds }, 4_100);
+  b.merge({ ...a.report(4_100), evidence: [] }, 4_100);
   t.deepEqual(heldAt(b, 4_100), [CULPRIT]);
   c.applyRow(CULPRIT, 10);
   t.deepEqual(heldAt(c, 20), [CULPRIT]);
