--- a/packages/entry/tests/crashing_fleet.ts
+++ b/packages/entry/tests/crashing_fleet.ts
@@ -138,7 +138,12 @@
   readonly selector: EntryUpstreamSelector;
   readonly #server: Server;
 
-  constructor(readonly name: string, records: fleet.UpstreamRecord[]) {
+  /** @param isResumable whether this node resends streams that broke off. */
+  constructor(
+    readonly name: string,
+    records: fleet.UpstreamRecord[],
+    readonly isResumable = false,
+  ) {
     this.state = new EntryState(
       makeEntrySettings(name),
       new core.Logger({}, () => {}),
@@ -220,7 +225,7 @@
           priority: 0,
           targets: [],
           attemptsMax: 2,
-          isResumable: false,
+          isResumable: this.isResumable,
         },
         service: SERVICE,
         method: "GET",
@@ -253,7 +258,7 @@
   /** Nodes that cannot reach the others. */
   readonly cutOff = new Set<CrashTestNode>();
 
-  constructor(engines: number) {
+  constructor(engines: number, readonly isResumable = false) {
     this.#engines = Array.from(
       { length: engines },
       (_, n) => new CrashingEngine(`e${n}`, this),
@@ -268,7 +273,7 @@
 
   async addNode(name: string): Promise<CrashTestNode> {
     const records = this.#engines.flatMap(({ record }) => record ?? []);
-    const node = new CrashTestNode(name, records);
+    const node = new CrashTestNode(name, records, this.isResumable);
     await node.start();
     this.nodes.push(node);
     return node;
--- a/packages/entry/tests/unit/entry_crashing_part_test.ts
+++ b/packages/entry/tests/unit/entry_crashing_part_test.ts
@@ -3,10 +3,10 @@
 import * as core from "../../../core/mod.ts";
 import { CrashingFleet } from "../crashing_fleet.ts";
 
-const CRASHING_PART = "ec";
 /** Time after the fifth crash in which nodes may still learn of the part. */
 const LEARNING_MS = 3_000;
 const OBSERVED_MS = 2_000;
+const TRAFFIC_MAX_MS = 10_000;
 /** Requests that may still reach engines after that time, over all nodes. */
 const LATE_ARRIVALS_MAX = 3;
 
@@ -24,12 +24,13 @@
 async function runTraffic(
   fleet: CrashingFleet,
   crashingGapMs: number,
+  crashingParts: readonly string[],
 ): Promise<Outcome> {
   let arrivals = 0;
   let lateArrivals = 0;
   let fifthCrashAtMs = Infinity;
   const soundLate = { sent: 0, served: 0 };
-  fleet.crashingParts.add(CRASHING_PART);
+  for (const part of crashingParts) fleet.crashingParts.add(part);
   fleet.onCrashingArrival = () => {
     arrivals++;
     if (core.monotonicMs() > fifthCrashAtMs + LEARNING_MS) lateArrivals++;
@@ -41,9 +42,12 @@
   for (;;) {
     const nowMs = core.monotonicMs();
     if (fleet.crashes >= 5) fifthCrashAtMs = Math.min(fifthCrashAtMs, nowMs);
-    const isLate = nowMs > fifthCrashAtMs + LEARNING_MS;
+    const isHeld = fleet.nodes.every(({ state }) =>
+      state.quarantine.size === crashingParts.length
+    );
+    const isLate = isHeld || nowMs > fifthCrashAtMs + LEARNING_MS;
     if (nowMs > fifthCrashAtMs + LEARNING_MS + OBSERVED_MS) break;
-    if (nowMs > startedAtMs + 14_000) break;
+    if (nowMs > startedAtMs + TRAFFIC_MAX_MS) break;
     const node = fleet.nodes[sent++ % fleet.nodes.length]!;
     const sound = ["a0", `b${sent % 5}`, `s${sent}`];
     pending.push(
@@ -56,7 +60,8 @@
     if (nowMs >= nextCrashingAtMs) {
       nextCrashingAtMs = nowMs + crashingGapMs;
       const other = fleet.nodes[(sent + 1) % fleet.nodes.length]!;
-      pending.push(other.request(["a0", CRASHING_PART, `x${sent}`]));
+      const part = crashingParts[sent % crashingParts.length]!;
+      pending.push(other.request(["a0", part, `x${sent}`]));
     }
     await core.sleep(20);
   }
@@ -64,17 +69,75 @@
   return { arrivals, lateArrivals, crashes: fleet.crashes, soundLate };
 }
 
+interface Case {
+  readonly name: string;
+  readonly engines: number;
+  readonly nodes: number;
+  readonly crashingGapMs: number;
+  readonly crashingParts: readonly string[];
+  readonly isResumable?: boolean;
+}
+
+const cases: Case[] = [
+  {
+    name: "",
+    engines: 6,
+    nodes: 3,
+    crashingGapMs: 150,
+    crashingParts: ["ec"],
+  },
+  {
+    name: ": many requests with the part at once",
+    engines: 8,
+    nodes: 4,
+    crashingGapMs: 30,
+    crashingParts: ["ec"],
+  },
+  {
+    name: ": few requests with the part",
+    engines: 6,
+    nodes: 3,
+    crashingGapMs: 900,
+    crashingParts: ["ec"],
+  },
+  {
+    name: ": nodes resend streams that broke off",
+    engines: 6,
+    nodes: 3,
+    crashingGapMs: 200,
+    crashingParts: ["ec"],
+    isResumable: true,
+  },
+  {
+    name: ": two such parts at the same time",
+    engines: 8,
+    nodes: 3,
+    crashingGapMs: 150,
+    crashingParts: ["ec", "ed"],
+  },
+];
+
 // Guards against requests with one prompt part crashing engine after engine:
 // nothing related the crashes to what the crashed engines had been running.
-test.serial("a prompt part that crashes engines is held back, and sound requests beside it are served", async (t) => {
-  const fleet = new CrashingFleet(6);
-  await fleet.start(3);
-  try {
-    const outcome = await runTraffic(fleet, 150);
-    t.log(JSON.stringify(outcome));
-    t.true(outcome.lateArrivals <= LATE_ARRIVALS_MAX);
-    t.true(outcome.soundLate.served >= 0.9 * outcome.soundLate.sent);
-  } finally {
-    await fleet.close();
-  }
-});
+for (const each of cases) {
+  test.serial(`a prompt part that crashes engines is held back, and sound requests beside it are served${each.name}`, async (t) => {
+    const fleet = new CrashingFleet(each.engines, each.isResumable);
+    await fleet.start(each.nodes);
+    try {
+      const outcome = await runTraffic(
+        fleet,
+        each.crashingGapMs,
+        each.crashingParts,
+      );
+      t.log(JSON.stringify(outcome));
+      t.true(
+        outcome.lateArrivals <= LATE_ARRIVALS_MAX * each.crashingParts.length,
+      );
+      t.true(outcome.soundLate.served >= 0.9 * outcome.soundLate.sent);
+      const held = fleet.nodes.map(({ state }) => state.quarantine.size);
+      t.deepEqual(held, held.map(() => each.crashingParts.length));
+    } finally {
+      await fleet.close();
+    }
+  });
+}
