End a decision once no more prompt parts can be held

Found by reading the change: with the limit of held parts reached, the search for the next culprit found the same one again without end, and the node stood still. Change: the decision ends there, and the limit is logged once.

--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -61,6 +61,7 @@
   /** Revision of the evidence that was last judged, and since when it holds. */
   #judgedRevision = 0;
   #changedAtMs = -Infinity;
+  #isLimitLogged = false;
   /** Counts changes of holds and refusals. */
   #revision = 0;
   #tag: { readonly of: string; readonly text: string } | undefined;
@@ -135,7 +136,8 @@
       const held = new Set(this.#holds.keys());
       const culprit = this.#evidence.findCulprit(held, nowMs);
       if (!culprit) return;
-      this.#hold(culprit.part, nowMs, "evidence", culprit.crashes);
+      const { part, crashes } = culprit;
+      if (!this.#hold(part, nowMs, "evidence", crashes)) return;
     }
   }
 
@@ -224,6 +226,7 @@
     }
     this.#evidence.forget(part);
     if (!this.#holds.delete(part)) return;
+    this.#isLimitLogged = false;
     this.#revision++;
     this.#logger.info("part_released", { part });
   }
@@ -274,18 +277,25 @@
     return this.#releasedAtMs.get(part) ?? -Infinity;
   }
 
+  /** @returns whether the part is held. */
   #hold(
     part: core.PromptPartKey,
     heldAtMs: number,
     source: HoldSource,
     crashes?: number,
-  ): void {
-    if (this.#holds.has(part)) return;
+  ): boolean {
+    if (this.#holds.has(part)) return true;
     if (this.#holds.size >= HOLDS_MAX) {
-      return this.#logger.warn("part_not_held", { part, held: HOLDS_MAX });
+      // Logged once, as each decision and exchange comes here again.
+      if (!this.#isLimitLogged) {
+        this.#logger.warn("part_not_held", { part, source, held: HOLDS_MAX });
+      }
+      this.#isLimitLogged = true;
+      return false;
     }
     this.#holds.set(part, { heldAtMs, isRecorded: false });
     this.#revision++;
     this.#logger.warn("part_held", { part, source, crashes });
+    return true;
   }
 }
--- a/packages/quarantine/tests/unit/quarantine_test.ts
+++ b/packages/quarantine/tests/unit/quarantine_test.ts
@@ -207,6 +207,17 @@
   t.deepEqual(heldAt(node, 4_000), [CULPRIT]);
 });
 
+// Guards against an endless search for the next part once no more can be held.
+test("held parts are bounded, and the limit ends no decision", (t) => {
+  const node = makeQuarantine();
+  for (let n = 0; n < 1_000; n++) {
+    node.applyRow(quarantine.toPartKey(`h${n}`), 1);
+  }
+  t.true(node.size < 1_000);
+  for (let n = 1; n <= 3; n++) crash(node, n, [CULPRIT], n * 1_000);
+  t.deepEqual(heldAt(node, 4_000), []);
+});
+
 test("keys of parts are bounded and safe, whatever callers send", (t) => {
   t.is(String(quarantine.toPartKey("91bd3f06")), "91bd3f06");
   const odd = quarantine.toPartKey("a/b c".repeat(1_000));
