Do not take a response that cannot have a body for one cut by a reset

Found by reading the change: since the head counts for the detection of resets, a 204, a 304 and the answer to a HEAD without a length ended in the turn of their head and were taken for cut off. Callers would have seen 502. Cause: such a response has no framing, as it has no body. Change: framing 'none', by method and status. 'a response that cannot have a body is complete after its head' failed before (204: broken); 122 tests of relay, transport, instance and upstream pass.

--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -46,6 +46,7 @@
 export class Attempt {
   /** Resolves to the response head, or to the failure if none arrived. */
   readonly head: Promise<Result<AttemptHead, AttemptFailure>>;
+  readonly #method: string;
   readonly #startBeforeMs: number;
   #settleHead!: (head: Result<AttemptHead, AttemptFailure>) => void;
   #controller: Dispatcher.DispatchController | undefined;
@@ -58,7 +59,8 @@
   #wakeReader: (() => void) | undefined;
 
   /** @param startBeforeMs time of the monotonic clock from which not to send. */
-  constructor(startBeforeMs: number) {
+  constructor(method: string, startBeforeMs: number) {
+    this.#method = method;
     this.#startBeforeMs = startBeforeMs;
     this.head = new Promise((resolve) => {
       this.#settleHead = resolve;
@@ -107,7 +109,7 @@
     onResponseStart: (_controller, status, headers) => {
       // 1xx informational responses precede the final response.
       if (status < 200) return this.#countInformational();
-      const framing = transport.framingOf(headers);
+      const framing = transport.framingOf(this.#method, status, headers);
       this.#settleHead(ok({ status, headers, framing }));
     },
     onResponseData: (controller, data) => {
@@ -172,7 +174,10 @@
     readonly startBeforeMs?: number;
   },
 ): Attempt {
-  const attempt = new Attempt(request.startBeforeMs ?? Infinity);
+  const attempt = new Attempt(
+    request.method,
+    request.startBeforeMs ?? Infinity,
+  );
   try {
     dispatcher.dispatch({
       path: request.path,
--- a/packages/relay/tests/unit/relay_attempt_test.ts
+++ b/packages/relay/tests/unit/relay_attempt_test.ts
@@ -35,11 +35,12 @@
 async function sendOnce(
   upstream: fleet.UpstreamRecord,
   readAfterMs = 0,
+  method = "GET",
 ): Promise<{ status?: number; end: string; sent?: string; body: string }> {
   const pools = new relay.UpstreamPools();
   const attempt = relay.startAttempt(pools.get(upstream, 10, 1), {
     path: "/",
-    method: "GET",
+    method,
     headers: {},
     body: null,
   });
@@ -180,6 +181,26 @@
   }
 });
 
+// Guards against a response that has no body, and so no framing, being taken
+// for one that was cut by a reset.
+test("a response that cannot have a body is complete after its head", async (t) => {
+  const heads = {
+    GET: ["HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified"],
+    HEAD: ["HTTP/1.1 200 OK"],
+  };
+  for (const [method, lines] of Object.entries(heads)) {
+    for (const line of lines) {
+      await withUpstream(
+        (socket) => socket.write(`${line}\r\n\r\n`),
+        async (upstream) => {
+          const received = await sendOnce(upstream, 0, method);
+          t.like(received, { end: "end", body: "" }, line);
+        },
+      );
+    }
+  }
+});
+
 // Guards against a large answer without framing whose slow reader made the
 // relay pause it: its end threw outside of any request.
 test("a body without a length that is read late is whole", async (t) => {
--- a/packages/transport/transport_unframed.ts
+++ b/packages/transport/transport_unframed.ts
@@ -7,20 +7,32 @@
 import type { Dispatcher } from "undici";
 import { ResetDetector, ResetError } from "./transport_reset.ts";
 
-/** What marks the end of a response body: RFC 9112, section 6.3. */
-export type BodyFraming = "length" | "chunks" | "close";
+/**
+ * What marks the end of a response body: RFC 9112, section 6.3. `none`: the
+ * response cannot have a body.
+ */
+export type BodyFraming = "length" | "chunks" | "close" | "none";
+
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
 
 /**
  * Returns what marks the end of a response's body.
  *
+ * @param method method of the request.
  * @example
  * ```ts
- * transport.framingOf({ "content-length": "12" }); // "length"
+ * transport.framingOf("GET", 200, { "content-length": "12" }); // "length"
  * ```
  */
 export function framingOf(
+  method: string,
+  status: number,
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): BodyFraming {
+  const hasNoBody = method === "HEAD" || status < 200 ||
+    status === STATUS_NO_CONTENT || status === STATUS_NOT_MODIFIED;
+  if (hasNoBody) return "none";
   const codings = headers["transfer-encoding"];
   if (codings !== undefined) {
     return /(^|,)\s*chunked\s*$/i.test(String(codings)) ? "chunks" : "close";
@@ -82,13 +94,19 @@
 class UnframedBodyHandler implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
   readonly #bytesMax: number;
+  readonly #method: string;
   #controller!: PauseGuard;
   readonly #resetDetector = new ResetDetector();
   #isUnframed = false;
   #bytes = 0;
 
-  constructor(handler: Dispatcher.DispatchHandler, bytesMax: number) {
+  constructor(
+    handler: Dispatcher.DispatchHandler,
+    method: string,
+    bytesMax: number,
+  ) {
     this.#handler = handler;
+    this.#method = method;
     this.#bytesMax = bytesMax;
   }
 
@@ -106,7 +124,7 @@
     headers: IncomingHttpHeaders,
     statusMessage?: string,
   ): void {
-    this.#isUnframed = status >= 200 && framingOf(headers) === "close";
+    this.#isUnframed = framingOf(this.#method, status, headers) === "close";
     this.#controller.mayPause = !this.#isUnframed;
     this.#resetDetector.onHead(this.#isUnframed);
     this.#handler
@@ -162,6 +180,9 @@
   bytesMax: number,
 ): Dispatcher {
   return dispatcher.compose((dispatch) => (options, handler) =>
-    dispatch(options, new UnframedBodyHandler(handler, bytesMax))
+    dispatch(
+      options,
+      new UnframedBodyHandler(handler, options.method, bytesMax),
+    )
   );
 }
