Guard unframed bodies in the attempt, without a dispatcher in between

Change: the relay wraps its handler for each attempt in place of sending through undici's composed dispatcher, framed chunks pass without further checks, and the parts of a prompt are keyed once a request.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -71,7 +71,14 @@
     }
     const trySelect = () =>
       this.#rejectQuarantined(parts) ??
-        this.#selectEngine(request, service, service.engine!, model, failed);
+        this.#selectEngine(
+          request,
+          service,
+          service.engine!,
+          model,
+          parts,
+          failed,
+        );
     const selected = trySelect() ??
       await this.#waitInQueue(request, model, trySelect, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
@@ -185,6 +192,7 @@
     service: fleet.ServiceSpec,
     spec: fleet.EngineSpec,
     model: core.ModelName,
+    parts: readonly core.PromptPartKey[],
     failed: ReadonlySet<core.UpstreamId>,
   ): SelectionResult | undefined {
     const { upstreams, stepTimes } = this.#state;
@@ -221,7 +229,7 @@
         sentAtMs: nowMs,
         hasOutput: false,
       },
-      quarantine.sharedPartKeys(promptParts),
+      parts,
       choice.firstEventMs,
       spec.tokensPerEvent,
     ));
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -39,6 +39,8 @@
  * Bytes buffered for a slow caller before reading from the upstream is paused.
  */
 const BUFFERED_BYTES_MAX = 256 * 1024;
+/** Largest body with neither a length nor chunks. */
+const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
 /** Informational (1xx) responses accepted before the final one. */
 const INFORMATIONAL_MAX = 32;
 
@@ -179,12 +181,16 @@
     request.startBeforeMs ?? Infinity,
   );
   try {
-    dispatcher.dispatch({
-      path: request.path,
-      method: request.method as Dispatcher.HttpMethod,
-      headers: request.headers,
-      body: request.body,
-    }, attempt.handler);
+    const { handler } = attempt;
+    dispatcher.dispatch(
+      {
+        path: request.path,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: request.headers,
+        body: request.body,
+      },
+      transport.guardUnframedBody(handler, request.method, UNFRAMED_BYTES_MAX),
+    );
   } catch (thrown) {
     // undici rejected the request before sending anything.
     attempt.cancel(core.messageOf(thrown));
--- a/packages/relay/relay_pools.ts
+++ b/packages/relay/relay_pools.ts
@@ -15,20 +15,12 @@
 /** Share of an upstream's connection limit that all nodes together may use. */
 const CONNECTIONS_SHARE = 0.8;
 const CONNECTIONS_MIN = 4;
-/** Largest body with neither a length nor chunks. */
-const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
-
-interface PoolEntry {
-  readonly pool: undici.Pool;
-  /** The pool, with what every request to it needs. */
-  readonly dispatcher: undici.Dispatcher;
-}
 
 const connect = transport.connector(CONNECT_TIMEOUT_MS);
 
 /** Opens pools on demand and closes those of removed upstreams. */
 export class UpstreamPools {
-  readonly #pools = new Map<string, PoolEntry>();
+  readonly #pools = new Map<string, undici.Pool>();
 
   /**
    * Returns the pool of one incarnation of an upstream, opening it if needed.
@@ -41,13 +33,13 @@
     upstream: fleet.UpstreamRecord,
     connectionsMax: number,
     nodes: number,
-  ): undici.Dispatcher {
+  ): undici.Pool {
     const key = poolKey(upstream);
-    let entry = this.#pools.get(key);
-    if (!entry) {
+    let pool = this.#pools.get(key);
+    if (!pool) {
       const nodeShare = CONNECTIONS_SHARE * connectionsMax /
         Math.max(1, nodes);
-      const pool = new undici.Pool(`http://${upstream.address}`, {
+      pool = new undici.Pool(`http://${upstream.address}`, {
         connections: Math.max(CONNECTIONS_MIN, Math.floor(nodeShare)),
         // Without pipelining undici never resends a request by itself.
         pipelining: 1,
@@ -57,28 +49,25 @@
         keepAliveTimeout: IDLE_TIMEOUT_DEFAULT_MS,
         keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
       });
-      const dispatcher = transport
-        .guardUnframedBodies(pool, UNFRAMED_BYTES_MAX);
-      entry = { pool, dispatcher };
-      this.#pools.set(key, entry);
+      this.#pools.set(key, pool);
     }
-    return entry.dispatcher;
+    return pool;
   }
 
   /** Closes the pool of a removed upstream once its in-flight requests end. */
   drain(upstream: fleet.UpstreamRecord): void {
     const key = poolKey(upstream);
-    const entry = this.#pools.get(key);
+    const pool = this.#pools.get(key);
     this.#pools.delete(key);
     // close() waits for in-flight requests; nothing depends on its completion.
-    entry?.pool.close().catch(() => {});
+    pool?.close().catch(() => {});
   }
 
   /** Destroys all connections, including those with in-flight requests. */
   async close(): Promise<void> {
     const pools = [...this.#pools.values()];
     this.#pools.clear();
-    await Promise.all(pools.map(({ pool }) => pool.destroy()));
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 }
 
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -18,6 +18,7 @@
 export {
   framingOf,
   guardUnframedBodies,
+  guardUnframedBody,
   UnframedBodyTooLargeError,
 } from "./transport_unframed.ts";
 export type { BodyFraming } from "./transport_unframed.ts";
--- a/packages/transport/transport_reset.ts
+++ b/packages/transport/transport_reset.ts
@@ -45,18 +45,10 @@
  * libuv reports a hang-up after a partial read as end of stream.
  */
 export class ResetDetector {
-  #isCloseDelimited = false;
   #hasBytesThisTurn = false;
 
-  /** Records that the head arrived, which may be the last thing to do so. */
-  onHead(isCloseDelimited: boolean): void {
-    this.#isCloseDelimited = isCloseDelimited;
-    this.onBytes();
-  }
-
-  /** Records that bytes of the response arrived. */
+  /** Records that bytes of the response arrived, be it the head alone. */
   onBytes(): void {
-    if (!this.#isCloseDelimited) return;
     this.#hasBytesThisTurn = true;
     setImmediate(() => {
       this.#hasBytesThisTurn = false;
--- a/packages/transport/transport_unframed.ts
+++ b/packages/transport/transport_unframed.ts
@@ -126,7 +126,7 @@
   ): void {
     this.#isUnframed = framingOf(this.#method, status, headers) === "close";
     this.#controller.mayPause = !this.#isUnframed;
-    this.#resetDetector.onHead(this.#isUnframed);
+    if (this.#isUnframed) this.#resetDetector.onBytes();
     this.#handler
       .onResponseStart?.(this.#controller, status, headers, statusMessage);
   }
@@ -135,13 +135,16 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.#isUnframed && !this.#acceptUnframed(chunk)) return;
+    this.#handler.onResponseData?.(this.#controller, chunk);
+  }
+
+  #acceptUnframed(chunk: Buffer): boolean {
     this.#resetDetector.onBytes();
     this.#bytes += chunk.length;
-    if (this.#isUnframed && this.#bytes > this.#bytesMax) {
-      return this.#controller
-        .abort(new UnframedBodyTooLargeError(this.#bytesMax));
-    }
-    this.#handler.onResponseData?.(this.#controller, chunk);
+    if (this.#bytes <= this.#bytesMax) return true;
+    this.#controller.abort(new UnframedBodyTooLargeError(this.#bytesMax));
+    return false;
   }
 
   onResponseEnd(
@@ -164,14 +167,33 @@
 }
 
 /**
- * Returns a dispatcher for responses that may have bodies without framing. Such
- * a body fails if its connection is reset, provided that the connection is from
- * `connector`. It is read at the speed of its connection, whatever its reader's:
- * if it is paused when the connection ends, undici throws outside of any request.
+ * Returns a handler for one request, whose response may have a body without
+ * framing. Such a body fails if its connection is reset, provided that the
+ * connection is from `connector`. It is read at the speed of its connection,
+ * whatever its reader's: if it is paused when the connection ends, undici throws
+ * outside of any request.
  *
+ * @param method method of the request.
  * @param bytesMax largest body without framing; it may be buffered as a whole.
  * @example
  * ```ts
+ * pool.dispatch(options, transport.guardUnframedBody(handler, "GET", 1_024));
+ * ```
+ */
+export function guardUnframedBody(
+  handler: Dispatcher.DispatchHandler,
+  method: string,
+  bytesMax: number,
+): Dispatcher.DispatchHandler {
+  return new UnframedBodyHandler(handler, method, bytesMax);
+}
+
+/**
+ * Returns a dispatcher that guards each of its requests, as `guardUnframedBody`
+ * does.
+ *
+ * @example
+ * ```ts
  * const guarded = transport.guardUnframedBodies(new Agent(), 8_388_608);
  * ```
  */
@@ -180,9 +202,6 @@
   bytesMax: number,
 ): Dispatcher {
   return dispatcher.compose((dispatch) => (options, handler) =>
-    dispatch(
-      options,
-      new UnframedBodyHandler(handler, options.method, bytesMax),
-    )
+    dispatch(options, guardUnframedBody(handler, options.method, bytesMax))
   );
 }
