Recognise the most common blank line without a pattern

The splitter of resumable streams matched a pattern at every line end since it knows all three line ends. LF LF, which most streams use, is compared directly again. No behaviour changes; all tests of the relay pass.

--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -113,6 +113,8 @@
   for (let end = bytes.length; end > 1; end--) {
     const last = bytes[end - 1];
     if (last !== LINE_FEED && last !== CARRIAGE_RETURN) continue;
+    // Most streams end their lines so; the pattern costs more.
+    if (last === LINE_FEED && bytes[end - 2] === LINE_FEED) return end;
     const tail = bytes.toString("latin1", Math.max(0, end - TAIL_BYTES), end);
     if (EVENT_END_AT_END.test(tail)) return end;
   }
