Take the ports of peer tests below the range of outgoing connections

Traced: two tests drew a port from 20,000 to 40,000 at random, where Linux takes ports for outgoing connections from 32,768 on.

--- a/packages/peers/tests/unit/peers_fleet_test.ts
+++ b/packages/peers/tests/unit/peers_fleet_test.ts
@@ -6,6 +6,7 @@
 import { request } from "node:http";
 import { type AddressInfo, createServer } from "node:net";
 import * as core from "../../../core/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import { FleetService } from "../../gen/fleet_pb.ts";
 import * as peers from "../../mod.ts";
 
@@ -49,12 +50,12 @@
 });
 
 test("clients of the connect library and malformed messages are answered", async (t) => {
-  const port = 20_000 + Math.floor(Math.random() * 20_000);
+  const [port] = await testing.findFreePorts(1);
   const origin = `http://127.0.0.1:${port}`;
   const stop = await peers.startFleetListener(
     new EchoHandler(),
     "127.0.0.1",
-    port,
+    port!,
   );
   for (const useBinaryFormat of [true, false]) {
     const client = createClient(
@@ -87,15 +88,15 @@
 });
 
 test("a digest that never ends is rejected, and others are answered", async (t) => {
-  const port = 20_000 + Math.floor(Math.random() * 20_000);
+  const [port] = await testing.findFreePorts(1);
   const stop = await peers.startFleetListener(
     new EchoHandler(),
     "127.0.0.1",
-    port,
+    port!,
   );
   const endless = request({
     host: "127.0.0.1",
-    port,
+    port: port!,
     method: "POST",
     path: "/carawaywind.fleet.v1.FleetService/Exchange",
     headers: { "content-type": "application/proto" },
--- a/packages/testing/mod.ts
+++ b/packages/testing/mod.ts
@@ -24,3 +24,4 @@
 export type { SettingsOverrides } from "./testing_settings.ts";
 export { TestCluster, waitUntil } from "./testing_cluster.ts";
 export type { EntryProcess, TestClusterOptions } from "./testing_cluster.ts";
+export { findFreePorts } from "./testing_ports.ts";
