Send both crashing prompt parts in turn in the test of two at once

The part was picked by the parity of all requests, which hardly changes from one crashing request to the next, so that the other part was sent too rarely to be blamed; no fault of the quarantine. Change: the parts alternate by their own count, so that both are always sent; all assertions stay, and the counts are logged.

--- a/packages/entry/tests/unit/entry_crashing_part_test.ts
+++ b/packages/entry/tests/unit/entry_crashing_part_test.ts
@@ -14,6 +14,8 @@
   readonly arrivals: number;
   readonly lateArrivals: number;
   readonly crashes: number;
+  /** Requests sent with each of the crashing parts. */
+  readonly sentByPart: readonly number[];
   readonly soundLate: { readonly sent: number; readonly served: number };
 }
 
@@ -38,6 +40,8 @@
   const startedAtMs = core.monotonicMs();
   const pending: Promise<unknown>[] = [];
   let sent = 0;
+  let crashingSent = 0;
+  const sentByPart = crashingParts.map(() => 0);
   let nextCrashingAtMs = startedAtMs + 300;
   for (;;) {
     const nowMs = core.monotonicMs();
@@ -60,13 +64,21 @@
     if (nowMs >= nextCrashingAtMs) {
       nextCrashingAtMs = nowMs + crashingGapMs;
       const other = fleet.nodes[(sent + 1) % fleet.nodes.length]!;
-      const part = crashingParts[sent % crashingParts.length]!;
+      const index = crashingSent++ % crashingParts.length;
+      sentByPart[index]!++;
+      const part = crashingParts[index]!;
       pending.push(other.request(["a0", part, `x${sent}`]));
     }
     await core.sleep(20);
   }
   await Promise.all(pending);
-  return { arrivals, lateArrivals, crashes: fleet.crashes, soundLate };
+  return {
+    arrivals,
+    lateArrivals,
+    crashes: fleet.crashes,
+    sentByPart,
+    soundLate,
+  };
 }
 
 interface Case {
