Remove a method that nothing calls, and a state that an empty tag expresses

Found on reading the whole change once more: CrashEvidence.has is unused, and the parent's tag of the quarantine needs no undefined beside the empty tag. No behaviour changes; callers see nothing.

--- a/packages/entry/entry_quarantine.ts
+++ b/packages/entry/entry_quarantine.ts
@@ -27,7 +27,7 @@
 export class QuarantineExchange {
   readonly #quarantine: quarantine.PromptQuarantine;
   #parent: string | undefined;
-  #parentTag: string | undefined;
+  #parentTag = "";
 
   constructor(promptQuarantine: quarantine.PromptQuarantine) {
     this.#quarantine = promptQuarantine;
@@ -37,7 +37,7 @@
   forParent(parent: string, nowMs: number): QuarantineFields {
     if (parent !== this.#parent) this.#parentTag = "";
     this.#parent = parent;
-    return this.#fields(this.#parentTag ?? "", nowMs);
+    return this.#fields(this.#parentTag, nowMs);
   }
 
   /** Fields for a child that has sent its tag. */
--- a/packages/quarantine/quarantine_evidence.ts
+++ b/packages/quarantine/quarantine_evidence.ts
@@ -62,11 +62,6 @@
     return this.#revision;
   }
 
-  /** Whether there is evidence on a part. */
-  has(part: core.PromptPartKey): boolean {
-    return this.#parts.has(part);
-  }
-
   get size(): number {
     return this.#parts.size;
   }
