Leave a silent upstream only for another one that can take the request

What callers saw: a stream that had begun was cut off, or a safe request got 502, although its upstream was sound and went on a second or two later.

Cause: when no data arrived in time, the node cancelled the attempt first and looked for another upstream afterwards. If none was free, the caller lost an answer that its upstream would have finished.

Ruled out by the same log: a time limit (totalMs=5700 of 15000), a break by the engine (insideEvent=false and no reset), an exception (no request_crashed, no unhandled).

Change: the other upstream is selected, and the retry taken from the budget, before the attempt is cancelled; suspect upstreams are not selected. Otherwise the attempt goes on and is looked at again every 100 ms. A response taken off a silent upstream waits for the retry budget if the next upstream declines, as nothing else can continue it. The log has attempt_abandoned, and request_end counts them.

--- a/packages/dispatch/dispatch_retry_budget.ts
+++ b/packages/dispatch/dispatch_retry_budget.ts
@@ -37,16 +37,21 @@
   }
 
   /**
-   * Spends one retry if this node's share allows it.
+   * Whether this node's share allows one more retry.
    *
    * @param nodes number of nodes that may spend at the same time.
    */
-  trySpend(nodes: number, nowMs: number): boolean {
+  canSpend(nodes: number, nowMs: number): boolean {
     this.#dropExpired(nowMs);
     const { ratio, slack } = this.#options;
     const allowed = SPENT_SHARE *
       (ratio * this.#requestsAtMs.length + slack / Math.max(1, nodes));
-    if (this.#retriesAtMs.length + 1 > allowed) return false;
+    return this.#retriesAtMs.length + 1 <= allowed;
+  }
+
+  /** Spends one retry if this node's share allows it, as in `canSpend`. */
+  trySpend(nodes: number, nowMs: number): boolean {
+    if (!this.canSpend(nodes, nowMs)) return false;
     this.#retriesAtMs.push(nowMs);
     return true;
   }
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -51,9 +51,47 @@
     return allowed;
   }
 
-  override async select(
+  override trySelectRetry(
+    request: relay.RelayedRequest,
+    { failed }: relay.AttemptHistory,
+  ): relay.UpstreamAssignment | undefined {
+    const canRetry = this.#state.retryBudget(request.service)
+      .canSpend(this.#state.members.count(), core.monotonicMs());
+    if (!canRetry) return undefined;
+    const selected = this.#selectResponsive(request, failed);
+    if (selected) this.trySpendRetry(request.service);
+    return selected;
+  }
+
+  /** Selects an upstream that can take the request now and is not suspect. */
+  #selectResponsive(
     request: relay.RelayedRequest,
     failed: ReadonlySet<core.UpstreamId>,
+  ): relay.UpstreamAssignment | undefined {
+    const service = this.#state.config?.services.get(request.service);
+    const { model, promptParts } = request.caller;
+    if (!service) return undefined;
+    const excluded = this.#exclude(request.service, failed, true);
+    if (!service.engine || model === undefined) {
+      return this.#assignInstance(request, service, excluded);
+    }
+    const parts = quarantine.sharedPartKeys(promptParts);
+    const isHeld = this.#rejectQuarantined(parts) !== undefined ||
+      (parts.length > 0 && !this.#isExchangeFresh());
+    if (isHeld) return undefined;
+    return this.#assignEngine(
+      request,
+      service,
+      service.engine,
+      model,
+      parts,
+      excluded,
+    );
+  }
+
+  override async select(
+    request: relay.RelayedRequest,
+    { failed }: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const service = this.#state.config?.services.get(request.service);
@@ -69,16 +107,19 @@
       this.#counted.add(request);
       this.#recordDemand(request, model, core.monotonicMs());
     }
-    const trySelect = () =>
-      this.#rejectQuarantined(parts) ??
-        this.#selectEngine(
-          request,
-          service,
-          service.engine!,
-          model,
-          parts,
-          failed,
-        );
+    const trySelect = (): SelectionResult | undefined => {
+      const rejected = this.#rejectQuarantined(parts);
+      if (rejected) return rejected;
+      const assigned = this.#assignEngine(
+        request,
+        service,
+        service.engine!,
+        model,
+        parts,
+        this.#exclude(request.service, failed),
+      );
+      return assigned && ok(assigned);
+    };
     const selected = trySelect() ??
       await this.#waitInQueue(request, model, trySelect, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
@@ -108,13 +149,17 @@
   async #awaitExchange(signal: AbortSignal): Promise<void> {
     const untilMs = core.monotonicMs() + EXCHANGE_WAIT_MS;
     for (;;) {
-      const nowMs = core.monotonicMs();
-      const isFresh = nowMs - this.#state.exchangedAtMs < EXCHANGE_STALE_MS;
-      if (isFresh || nowMs >= untilMs || signal.aborted) return;
+      const isOver = core.monotonicMs() >= untilMs || signal.aborted;
+      if (isOver || this.#isExchangeFresh()) return;
       await core.sleep(EXCHANGE_POLL_MS, signal);
     }
   }
 
+  #isExchangeFresh(): boolean {
+    const ageMs = core.monotonicMs() - this.#state.exchangedAtMs;
+    return ageMs < EXCHANGE_STALE_MS;
+  }
+
   #recordDemand(
     { caller }: relay.RelayedRequest,
     model: core.ModelName,
@@ -165,13 +210,23 @@
     service: fleet.ServiceSpec,
     failed: ReadonlySet<core.UpstreamId>,
   ): SelectionResult {
+    const excluded = this.#exclude(request.service, failed);
+    const assigned = this.#assignInstance(request, service, excluded) ??
+      this.#assignInstance(request, service, new Set());
+    return assigned
+      ? ok(assigned)
+      : reject("no upstream of the service is known");
+  }
+
+  #assignInstance(
+    request: relay.RelayedRequest,
+    service: fleet.ServiceSpec,
+    excluded: ReadonlySet<dispatch.UpstreamState>,
+  ): relay.UpstreamAssignment | undefined {
     const instances = this.#state.upstreams.ofService(request.service);
-    const excluded = this.#excludeFailed(instances, failed);
     const nowMs = core.monotonicMs();
-    const instance = dispatch.chooseInstance(instances, excluded, nowMs) ??
-      dispatch.chooseInstance(instances, new Set(), nowMs);
-    if (!instance) return reject("no upstream of the service is known");
-    return ok(this.#assign(
+    const instance = dispatch.chooseInstance(instances, excluded, nowMs);
+    return instance && this.#assign(
       instance,
       service,
       {
@@ -184,21 +239,20 @@
       },
       [],
       0,
-    ));
+    );
   }
 
-  #selectEngine(
+  #assignEngine(
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
     spec: fleet.EngineSpec,
     model: core.ModelName,
     parts: readonly core.PromptPartKey[],
-    failed: ReadonlySet<core.UpstreamId>,
-  ): SelectionResult | undefined {
+    excluded: ReadonlySet<dispatch.UpstreamState>,
+  ): relay.UpstreamAssignment | undefined {
     const { upstreams, stepTimes } = this.#state;
     const { adapter, promptTokens, outputTokensMax, promptParts } =
       request.caller;
-    const engines = upstreams.ofService(request.service);
     const nowMs = core.monotonicMs();
     const needs: dispatch.RequestNeeds = {
       model,
@@ -208,16 +262,15 @@
       promptParts,
       eventGapMaxMs: request.route.eventGapTargetMs,
     };
-    const excluded = this.#excludeFailed(engines, failed);
-    const context = { stepTimes, spec, nowMs };
-    const choice = dispatch.chooseEngine(engines, needs, {
-      ...context,
-      excluded,
-    });
+    const choice = dispatch.chooseEngine(
+      upstreams.ofService(request.service),
+      needs,
+      { stepTimes, spec, nowMs, excluded },
+    );
     if (!choice) return undefined;
     const modelKey = dispatch.toModelKey(model, adapter);
     choice.engine.prefixCache.recordPrompt(modelKey, promptParts);
-    return ok(this.#assign(
+    return this.#assign(
       choice.engine,
       service,
       {
@@ -232,17 +285,21 @@
       parts,
       choice.firstEventMs,
       spec.tokensPerEvent,
-    ));
+    );
   }
 
-  #excludeFailed(
-    upstreams: Iterable<dispatch.UpstreamState>,
+  /** Upstreams of a service that a request avoids. */
+  #exclude(
+    service: core.ServiceName,
     failed: ReadonlySet<core.UpstreamId>,
+    excludesSuspects = false,
   ): ReadonlySet<dispatch.UpstreamState> {
     const excluded = new Set<dispatch.UpstreamState>();
-    if (failed.size === 0) return excluded;
-    for (const upstream of upstreams) {
-      if (failed.has(upstream.record.id)) excluded.add(upstream);
+    if (failed.size === 0 && !excludesSuspects) return excluded;
+    const nowMs = core.monotonicMs();
+    for (const upstream of this.#state.upstreams.ofService(service)) {
+      const isSuspect = excludesSuspects && upstream.isSuspect(nowMs);
+      if (isSuspect || failed.has(upstream.record.id)) excluded.add(upstream);
     }
     return excluded;
   }
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -20,6 +20,7 @@
 export type { RelayOutcome } from "./relay_task.ts";
 export { UpstreamSelector } from "./relay_types.ts";
 export type {
+  AttemptHistory,
   Rejection,
   RelayDependencies,
   RelayedRequest,
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -2,6 +2,7 @@
  * Relays one request: selects an upstream, sends the request, retries it where
  * that is safe, and writes the response to the caller.
  */
+import { ok, type Result } from "neverthrow";
 import * as core from "../core/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
@@ -14,6 +15,7 @@
 import { type AttemptResult, BodyRelay } from "./relay_response_body.ts";
 import { WaitWatch } from "./relay_wait_watch.ts";
 import type {
+  AttemptHistory,
   Rejection,
   RelayDependencies,
   RelayedRequest,
@@ -34,6 +36,10 @@
 /** Minimum time without data after which a stream moves to another upstream. */
 const STREAM_NO_DATA_TIMEOUT_MIN_MS = fleet.STREAM_PATIENCE_MIN_MS -
   STREAM_RESUME_TIME_MS;
+/** Interval at which another upstream is sought for a silent attempt. */
+const SILENT_RETRY_INTERVAL_MS = 100;
+/** Interval at which a response that can only be continued is sent again. */
+const CONTINUE_INTERVAL_MS = 50;
 /** Parts of a prompt, and characters of each, in the log. */
 const LOGGED_PARTS_MAX = 4;
 const LOGGED_PART_LENGTH = 16;
@@ -57,6 +63,10 @@
   #waitedMs = 0;
   /** Whether a retry for the next run is already taken from the retry budget. */
   #isRetryTaken = false;
+  /** The upstream selected for the next attempt when this one was abandoned. */
+  #reserved: UpstreamAssignment | undefined;
+  /** Attempts given up because the upstream was silent, though it may be sound. */
+  #abandonedCount = 0;
 
   /**
    * @param signal aborted when the caller disconnects or the deadline passes.
@@ -85,15 +95,29 @@
       return this.#outcome;
     } finally {
       this.#signal.removeEventListener("abort", cancelAttempt);
+      // An abandoned attempt may still have ended by itself.
+      this.#reserved?.onEnd("cancelled");
     }
   }
 
+  async #select(): Promise<Result<UpstreamAssignment, Rejection>> {
+    const reserved = this.#reserved;
+    this.#reserved = undefined;
+    if (reserved) return ok(reserved);
+    const startedAtMs = core.monotonicMs();
+    const selected = await this.#dependencies.selector
+      .select(this.#request, this.#history(), this.#signal);
+    this.#waitedMs += core.monotonicMs() - startedAtMs;
+    return selected;
+  }
+
+  #history(): AttemptHistory {
+    return { failed: this.#failedUpstreams };
+  }
+
   async #runAttempts(): Promise<void> {
     for (;;) {
-      const selectionStartedAtMs = core.monotonicMs();
-      const assignment = await this.#dependencies.selector
-        .select(this.#request, this.#failedUpstreams, this.#signal);
-      this.#waitedMs += core.monotonicMs() - selectionStartedAtMs;
+      const assignment = await this.#select();
       if (this.#signal.aborted) return this.#finishAborted();
       if (assignment.isErr()) return this.#reject(assignment.error);
       // A process that was held up may not have noticed that the caller left.
@@ -106,9 +130,7 @@
       if (result.kind === "done") return this.#logEnd("done", result.status);
       if (this.#signal.aborted) return this.#finishAborted();
       if (result.kind === "notRun") {
-        const mayResend = this.#sendCount < NOT_RUN_SENDS_MAX &&
-          this.#dependencies.selector.trySpendRetry(this.#request.service);
-        if (!mayResend) {
+        if (!await this.#mayResend()) {
           return this.#reject({
             reason: result.detail,
             retryAfterMs: REJECTED_RETRY_AFTER_MS,
@@ -123,6 +145,24 @@
     }
   }
 
+  /**
+   * Whether a request that an upstream did not run may be sent again. A response
+   * that this node took off a sound upstream has to be continued, so it waits
+   * for the retry budget.
+   */
+  async #mayResend(): Promise<boolean> {
+    const { selector } = this.#dependencies;
+    const { service } = this.#request;
+    if (!this.#response.hasStarted || this.#abandonedCount === 0) {
+      return this.#sendCount < NOT_RUN_SENDS_MAX &&
+        selector.trySpendRetry(service);
+    }
+    do await core.sleep(CONTINUE_INTERVAL_MS, this.#signal); while (
+      !this.#signal.aborted && !selector.trySpendRetry(service)
+    );
+    return true;
+  }
+
   /**
    * Whether the route allows another run after `runCount` runs: only safe
    * requests and resumable streams may run more than once. Ignores the retry
@@ -150,22 +190,42 @@
   }
 
   /**
-   * Watches the waits for data from an upstream. If none arrives in time,
-   * cancels the attempt, provided that the request may run again and the retry
-   * budget allows it; otherwise the wait goes on.
+   * Watches the waits for data from an upstream. A silent upstream may be sound,
+   * so the attempt goes on until another upstream can take the request.
    */
-  #watchAttempt(attempt: Attempt): WaitWatch {
-    const { route, service } = this.#request;
+  #watchAttempt(attempt: Attempt, upstream: core.UpstreamId): WaitWatch {
+    const { route } = this.#request;
     const runCount = this.#runCount + 1;
     const noDataTimeoutMs = route.kind === "stream"
       ? Math.max(route.latencyTargetMs, STREAM_NO_DATA_TIMEOUT_MIN_MS)
       : route.latencyTargetMs;
     return new WaitWatch(noDataTimeoutMs, () => {
       if (!this.#canRunAgain(runCount) || this.#isRetryTaken) return;
-      if (!this.#dependencies.selector.trySpendRetry(service)) return;
-      this.#isRetryTaken = true;
-      attempt.cancel("no data from the upstream in time");
+      if (this.#reserveOther(upstream)) {
+        attempt.cancel("no data from the upstream in time");
+      }
+    }, SILENT_RETRY_INTERVAL_MS);
+  }
+
+  /** Reserves another upstream for a request whose upstream is silent. */
+  #reserveOther(silent: core.UpstreamId): boolean {
+    const { selector, logger } = this.#dependencies;
+    const reserved = selector.trySelectRetry(this.#request, {
+      ...this.#history(),
+      failed: new Set([...this.#failedUpstreams, silent]),
+    });
+    if (!reserved) return false;
+    this.#isRetryTaken = true;
+    this.#reserved = reserved;
+    this.#abandonedCount++;
+    logger.info("attempt_abandoned", {
+      request: this.#request.caller.requestId,
+      reason: "upstream silent",
+      upstream: silent,
+      next: reserved.upstream.id,
+      started: this.#response.hasStarted,
     });
+    return true;
   }
 
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
@@ -190,7 +250,7 @@
       startBeforeMs: deadlineAtMs,
     });
     this.#attempt = attempt;
-    const watch = this.#watchAttempt(attempt);
+    const watch = this.#watchAttempt(attempt, upstream.id);
     try {
       return await this.#receive(assignment, attempt, watch);
     } finally {
@@ -347,6 +407,7 @@
       upstream: this.#upstream,
       sendings: this.#sendCount,
       runs: this.#runCount,
+      abandoned: this.#abandonedCount || undefined,
       framing: this.#framing,
       insideEvent: this.#bodyRelay.endedInsideEvent,
       firstMs: firstByteAtMs === undefined
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -57,22 +57,36 @@
   readonly retryAfterMs: number;
 }
 
+/** What the earlier attempts of a request left behind. */
+export interface AttemptHistory {
+  /** Upstreams on which an attempt has failed; avoided if possible. */
+  readonly failed: ReadonlySet<core.UpstreamId>;
+}
+
 /** Selects upstreams for requests and accounts for retries. */
 export abstract class UpstreamSelector {
   /**
    * Selects an upstream. If none can take the request now, queues it until one
    * can, unless the wait would be too long.
    *
-   * @param failed upstreams on which an attempt has failed; avoided if
-   * possible.
    * @param signal aborts the wait in the queue.
    */
   abstract select(
     request: RelayedRequest,
-    failed: ReadonlySet<core.UpstreamId>,
+    history: AttemptHistory,
     signal: AbortSignal,
   ): Promise<Result<UpstreamAssignment, Rejection>>;
 
+  /**
+   * Selects an upstream that can take the request now and on which it has not
+   * failed, and takes a retry from the budget; undefined if either is not
+   * possible.
+   */
+  abstract trySelectRetry(
+    request: RelayedRequest,
+    history: AttemptHistory,
+  ): UpstreamAssignment | undefined;
+
   /**
    * Takes one retry from the service's retry budget; false if it is exhausted.
    */
--- a/packages/relay/relay_wait_watch.ts
+++ b/packages/relay/relay_wait_watch.ts
@@ -8,11 +8,14 @@
 export class WaitWatch {
   readonly #timeoutMs: number;
   readonly #onTimeout: () => void;
+  readonly #repeatMs: number | undefined;
   #startedAtMs: number | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   /**
-   * @param onTimeout called at most once per wait.
+   * @param onTimeout called when a wait has lasted too long.
+   * @param repeatMs interval at which it is called again while that wait lasts;
+   * by default it is called at most once per wait.
    * @example
    * ```ts
    * const watch = new WaitWatch(1_200, () => attempt.cancel("no data"));
@@ -20,9 +23,10 @@
    * watch.stop();
    * ```
    */
-  constructor(timeoutMs: number, onTimeout: () => void) {
+  constructor(timeoutMs: number, onTimeout: () => void, repeatMs?: number) {
     this.#timeoutMs = timeoutMs;
     this.#onTimeout = onTimeout;
+    this.#repeatMs = repeatMs;
   }
 
   /** Watches until the promise settles; returns its result. */
@@ -50,7 +54,11 @@
     this.#timer = undefined;
     if (this.#startedAtMs === undefined) return;
     const leftMs = this.#startedAtMs + this.#timeoutMs - core.monotonicMs();
-    if (leftMs > 0) this.#timer = this.#arm(leftMs);
-    else this.#onTimeout();
+    if (leftMs > 0) {
+      this.#timer = this.#arm(leftMs);
+      return;
+    }
+    if (this.#repeatMs !== undefined) this.#timer = this.#arm(this.#repeatMs);
+    this.#onTimeout();
   }
 }
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -76,16 +76,25 @@
   }
 
   override select() {
+    const assignment = this.#nextAssignment();
+    return Promise.resolve<Result<relay.UpstreamAssignment, relay.Rejection>>(
+      assignment
+        ? ok(assignment)
+        : err({ reason: "no upstream left", retryAfterMs: 700 }),
+    );
+  }
+
+  override trySelectRetry(): relay.UpstreamAssignment | undefined {
+    const hasOther = this.#next < this.#upstreams.length;
+    return hasOther && this.trySpendRetry()
+      ? this.#nextAssignment()
+      : undefined;
+  }
+
+  #nextAssignment(): relay.UpstreamAssignment | undefined {
     const upstream = this.#upstreams[this.#next++];
-    if (!upstream) {
-      return Promise.resolve(
-        err<relay.UpstreamAssignment, relay.Rejection>({
-          reason: "no upstream left",
-          retryAfterMs: 700,
-        }),
-      );
-    }
-    return Promise.resolve(ok<relay.UpstreamAssignment, relay.Rejection>({
+    if (!upstream) return undefined;
+    return {
       upstream,
       dispatcher: this.#pools.get(upstream, 10, 1),
       logFields: {},
@@ -98,11 +107,13 @@
       onEnd: (outcome: dispatch.UpstreamOutcome | "shed" | "cancelled") => {
         this.outcomes.push(outcome);
       },
-    }));
+    };
   }
 
   override trySpendRetry(): boolean {
-    return this.budget-- > 0;
+    if (this.budget <= 0) return false;
+    this.budget--;
+    return true;
   }
 }
 
@@ -116,11 +127,19 @@
   readonly runs: readonly string[];
 }
 
+export interface RelayOptions {
+  /** Retries allowed at the start. */
+  readonly budget?: number;
+  /** Time from the start after which ten more retries are allowed. */
+  readonly budgetReturnsAfterMs?: number;
+  readonly deadlineMs?: number;
+}
+
 /** Relays one request to upstreams with the given behaviours. */
 export async function relayTo(
   behaviours: readonly Behaviour[],
   routeChanges: Partial<fleet.RouteSpec>,
-  options: { budget?: number; deadlineMs?: number } = {},
+  options: RelayOptions = {},
 ): Promise<RelayResult> {
   const runs: string[] = [];
   const servers = behaviours.map((respond) =>
@@ -142,6 +161,10 @@
   }
   const pools = new relay.UpstreamPools();
   const selector = new ListedSelector(upstreams, pools, options.budget ?? 10);
+  const budgetTimer = setTimeout(
+    () => selector.budget = 10,
+    options.budgetReturnsAfterMs ?? 60_000,
+  );
   const route: fleet.RouteSpec = {
     name: "r",
     host: "h",
@@ -208,6 +231,7 @@
       runs,
     };
   } finally {
+    clearTimeout(budgetTimer);
     await pools.close();
     for (const server of [...servers, callerServer]) {
       server.close();
