Queue a response that has begun until an engine is free, not by its age

What callers saw: a stream that had to be continued at another engine was cut off at once, or shortly after, although its caller still waited.

Cause: the longest wait in the queue is counted from the receipt of the request, as for callers that wait for a first event. A stream that has run for some seconds is past it, so without a free engine it was cut off immediately; the length of the queue counted against it too.

Requests that have not begun are rejected as before.

Test: entry_selector_test; before, "a stream that has begun is queued until an engine is free" failed (queue size 0, expected 1); 5 of 5 pass now.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -91,7 +91,7 @@
 
   override async select(
     request: relay.RelayedRequest,
-    { failed }: relay.AttemptHistory,
+    { failed, hasStarted }: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const service = this.#state.config?.services.get(request.service);
@@ -121,7 +121,7 @@
       return assigned && ok(assigned);
     };
     const selected = trySelect() ??
-      await this.#waitInQueue(request, model, trySelect, signal);
+      await this.#waitInQueue(request, model, trySelect, hasStarted, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
     await this.#awaitExchange(signal);
@@ -367,13 +367,16 @@
     request: relay.RelayedRequest,
     model: core.ModelName,
     trySelect: () => SelectionResult | undefined,
+    hasStarted: boolean,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const { queue, demand } = this.#state;
     const { caller, route, receivedAtMs, deadlineAtMs } = request;
     const nowMs = core.monotonicMs();
-    const waitUntilMs = dispatch
-      .queueUntilMs(route, receivedAtMs, deadlineAtMs);
+    // A started response cannot be rejected, so it is queued for all its time.
+    const waitUntilMs = hasStarted
+      ? deadlineAtMs
+      : dispatch.queueUntilMs(route, receivedAtMs, deadlineAtMs);
     const modelKey = dispatch.toModelKey(model, caller.adapter);
     const workMs = this.#estimateWorkMs(caller, model);
     const rejectWithReturn = (reason: string) => {
@@ -387,7 +390,7 @@
       return rejectWithReturn("no engine in time");
     }
     const { waitMs } = this.#viewQueue(request, model, workMs);
-    if (nowMs + waitMs > waitUntilMs) {
+    if (!hasStarted && nowMs + waitMs > waitUntilMs) {
       const reason = `queue is ${Math.round(waitMs)} ms long`;
       return rejectWithReturn(reason);
     }
@@ -396,7 +399,9 @@
     const selected = await queue.wait({
       priority: route.priority,
       arrivedAtMs: receivedAtMs,
-      targetAtMs: receivedAtMs + route.latencyTargetMs,
+      targetAtMs: hasStarted
+        ? deadlineAtMs
+        : receivedAtMs + route.latencyTargetMs,
       modelKey,
       workMs,
     }, {
--- /dev/null
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -0,0 +1,166 @@
+/** Selections for requests whose response has begun, or that were abandoned. */
+import { Buffer } from "node:buffer";
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import type * as fleet from "../../../fleet/mod.ts";
+import type * as relay from "../../../relay/mod.ts";
+import * as testing from "../../../testing/mod.ts";
+import { EntryUpstreamSelector } from "../../entry_selector.ts";
+import { EntryState } from "../../entry_state.ts";
+import { makeEntrySettings } from "../entry_settings.ts";
+
+const SERVICE = core.brandId<core.ServiceName>("s");
+const MODEL = core.brandId<core.ModelName>("m");
+const SLOTS = 1;
+const TIMEOUT_MS = 30_000;
+const never = new AbortController().signal;
+
+function makeConfig(
+  version: number,
+  services: readonly core.ServiceName[],
+): fleet.FleetConfig {
+  return {
+    version,
+    routes: [],
+    services: new Map(services.map((name) => [name, {
+      name,
+      connectionsMax: 10,
+      engine: {
+        slots: SLOTS,
+        kvCacheTokens: 100_000,
+        tokensPerEvent: 1,
+        weightMemoryMb: 1,
+        adapterSlots: 1,
+        loadsPerS: 1,
+        models: new Map(),
+      },
+    }])),
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+    bodyBytesMax: 1_000,
+  };
+}
+
+/** A node that knows some engines, each with place for one request. */
+function makeNode(engines: readonly string[]) {
+  const state = new EntryState(
+    makeEntrySettings("n1"),
+    new core.Logger({}, () => {}),
+  );
+  state.applyConfig(makeConfig(1, [SERVICE]));
+  for (const id of engines) {
+    state.setUpstream(testing.makeUpstreamRecord({
+      id: core.brandId<core.UpstreamId>(id),
+      service: SERVICE,
+      address: `127.0.0.1:${1_000 + state.upstreams.listings}`,
+      slots: SLOTS,
+      models: [{ model: MODEL, adapters: [] }],
+    }));
+  }
+  return { state, selector: new EntryUpstreamSelector(state) };
+}
+
+/** @param ageMs time since the request was received. */
+function makeRequest(id: string, ageMs = 0): relay.RelayedRequest {
+  const receivedAtMs = core.monotonicMs() - ageMs;
+  return {
+    caller: {
+      requestId: core.brandId<core.RequestId>(id),
+      model: MODEL,
+      promptTokens: 10,
+      outputTokensMax: 10,
+      promptParts: [],
+      forwardedHeaders: {},
+    },
+    route: {
+      name: "r",
+      host: "h",
+      pathPrefix: "/",
+      kind: "stream",
+      timeoutMs: TIMEOUT_MS,
+      latencyTargetMs: 600,
+      eventGapTargetMs: 300,
+      priority: 0,
+      targets: [],
+      attemptsMax: 2,
+      isResumable: true,
+    },
+    service: SERVICE,
+    method: "POST",
+    path: "/",
+    body: Buffer.alloc(0),
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + TIMEOUT_MS,
+  };
+}
+
+function history(
+  hasStarted: boolean,
+  failed: readonly string[] = [],
+): relay.AttemptHistory {
+  return {
+    hasStarted,
+    failed: new Set(failed.map((id) => core.brandId<core.UpstreamId>(id))),
+  };
+}
+
+// Guards against a stream that is cut off because no engine is free at the
+// moment at which it has to be continued, long after it was received.
+test("a stream that has begun is queued until an engine is free", async (t) => {
+  const { state, selector } = makeNode(["e1"]);
+  const first = await selector.select(makeRequest("a"), history(false), never);
+  const selecting = selector
+    .select(makeRequest("b", 10_000), history(true), never);
+  await core.sleep(50);
+  t.is(state.queue.size, 1);
+  first._unsafeUnwrap().onEnd("served");
+  const second = await selecting;
+  t.is(second._unsafeUnwrap().upstream.id, "e1" as core.UpstreamId);
+});
+
+test("a stream that has not begun is rejected at once after its caller's patience", async (t) => {
+  const { state, selector } = makeNode(["e1"]);
+  await selector.select(makeRequest("a"), history(false), never);
+  const rejected = await selector
+    .select(makeRequest("b", 10_000), history(false), never);
+  t.true(rejected.isErr());
+  t.is(state.queue.size, 0);
+});
+
+test("a stream that has begun leaves the queue with its caller", async (t) => {
+  const { state, selector } = makeNode(["e1"]);
+  await selector.select(makeRequest("a"), history(false), never);
+  const caller = new AbortController();
+  const selecting = selector
+    .select(makeRequest("b", 10_000), history(true), caller.signal);
+  await core.sleep(20);
+  caller.abort();
+  t.true((await selecting).isErr());
+  t.is(state.queue.size, 0);
+});
+
+// Guards against a stream that is taken off a silent engine for another silent
+// one.
+test("only an engine that responds is selected for a stream whose engine is silent", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2"]);
+  const request = makeRequest("a");
+  const first = await selector.select(request, history(false), never);
+  const { id } = first._unsafeUnwrap().upstream;
+  const other = [...state.upstreams.all()]
+    .find(({ record }) => record.id !== id)!;
+  const retry = () => selector.trySelectRetry(request, history(true, [id]));
+  other.health.markUnreachable(core.monotonicMs());
+  t.is(retry(), undefined);
+  other.health.markReachable();
+  t.is(retry()?.upstream.id, other.record.id);
+});
+
+test("no retry is taken from the budget if there is no other engine", async (t) => {
+  const { state, selector } = makeNode(["e1"]);
+  const request = makeRequest("a");
+  await selector.select(request, history(false), never);
+  for (let n = 0; n < 1_000; n++) {
+    t.is(selector.trySelectRetry(request, history(true, ["e1"])), undefined);
+  }
+  t.true(state.retryBudget(SERVICE).canSpend(1, core.monotonicMs()));
+});
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -112,7 +112,10 @@
   }
 
   #history(): AttemptHistory {
-    return { failed: this.#failedUpstreams };
+    return {
+      failed: this.#failedUpstreams,
+      hasStarted: this.#response.hasStarted,
+    };
   }
 
   async #runAttempts(): Promise<void> {
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -61,13 +61,19 @@
 export interface AttemptHistory {
   /** Upstreams on which an attempt has failed; avoided if possible. */
   readonly failed: ReadonlySet<core.UpstreamId>;
+  /**
+   * Whether the caller has received a part of the response, so that it can be
+   * continued but no longer rejected.
+   */
+  readonly hasStarted: boolean;
 }
 
 /** Selects upstreams for requests and accounts for retries. */
 export abstract class UpstreamSelector {
   /**
    * Selects an upstream. If none can take the request now, queues it until one
-   * can, unless the wait would be too long.
+   * can, unless the wait would be too long. A started response is queued until
+   * the signal, as its caller decides how long it waits.
    *
    * @param signal aborts the wait in the queue.
    */
