Give back a place on an upstream that is found after the request's end

What callers saw: nothing directly; the node counts a request on the engine that is not there, so later callers find it fuller than it is, for as long as the engine lives.

Cause: if the caller left or the deadline passed while an upstream was being selected, the selected place was dropped without `onEnd`.

--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -121,14 +121,13 @@
   async #runAttempts(): Promise<void> {
     for (;;) {
       const assignment = await this.#select();
-      if (this.#signal.aborted) return this.#finishAborted();
-      if (assignment.isErr()) return this.#reject(assignment.error);
       // A process that was held up may not have noticed that the caller left.
-      await core.nextPoll();
+      if (assignment.isOk()) await core.nextPoll();
       if (this.#signal.aborted) {
-        assignment.value.onEnd("cancelled");
+        if (assignment.isOk()) assignment.value.onEnd("cancelled");
         return this.#finishAborted();
       }
+      if (assignment.isErr()) return this.#reject(assignment.error);
       const result = await this.#send(assignment.value);
       if (result.kind === "done") return this.#logEnd("done", result.status);
       if (this.#signal.aborted) return this.#finishAborted();
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -61,27 +61,30 @@
   readonly outcomes: string[] = [];
   readonly #upstreams: fleet.UpstreamRecord[];
   readonly #pools: relay.UpstreamPools;
+  readonly #selectionMs: number;
   #next = 0;
   budget: number;
 
   constructor(
     upstreams: fleet.UpstreamRecord[],
     pools: relay.UpstreamPools,
-    budget: number,
+    { budget = 10, selectionMs = 0 }: RelayOptions,
   ) {
     super();
     this.#upstreams = upstreams;
     this.#pools = pools;
+    this.#selectionMs = selectionMs;
     this.budget = budget;
   }
 
-  override select() {
+  override async select(): Promise<
+    Result<relay.UpstreamAssignment, relay.Rejection>
+  > {
+    if (this.#selectionMs > 0) await core.sleep(this.#selectionMs);
     const assignment = this.#nextAssignment();
-    return Promise.resolve<Result<relay.UpstreamAssignment, relay.Rejection>>(
-      assignment
-        ? ok(assignment)
-        : err({ reason: "no upstream left", retryAfterMs: 700 }),
-    );
+    return assignment
+      ? ok(assignment)
+      : err({ reason: "no upstream left", retryAfterMs: 700 });
   }
 
   override trySelectRetry(): relay.UpstreamAssignment | undefined {
@@ -133,6 +136,8 @@
   /** Time from the start after which ten more retries are allowed. */
   readonly budgetReturnsAfterMs?: number;
   readonly deadlineMs?: number;
+  /** Time that the selection of an upstream takes. */
+  readonly selectionMs?: number;
 }
 
 /** Relays one request to upstreams with the given behaviours. */
@@ -160,7 +165,7 @@
     }));
   }
   const pools = new relay.UpstreamPools();
-  const selector = new ListedSelector(upstreams, pools, options.budget ?? 10);
+  const selector = new ListedSelector(upstreams, pools, options);
   const budgetTimer = setTimeout(
     () => selector.budget = 10,
     options.budgetReturnsAfterMs ?? 60_000,
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -303,3 +303,15 @@
     t.is(relayed.replace(/\r\n$/, ""), whole, JSON.stringify(lineEnd));
   }
 });
+
+// Guards against a place on an upstream that stays taken for ever, because the
+// request's time was over when the place was found.
+test("a place that is found after the deadline is given back", async (t) => {
+  const result = await relayTo([respondOk], {}, {
+    deadlineMs: 50,
+    selectionMs: 150,
+  });
+  t.is(result.status, 503);
+  t.deepEqual(result.outcomes, ["cancelled"]);
+  t.deepEqual(result.runs, []);
+});
