Continue a request at its service when a new configuration drops it

What callers saw: a stream that broke off, or whose engine fell silent, just after a configuration without its service was cut off with "service is not configured", although the engines of the service still served.

Cause: each selection looked the service up in the newest configuration.

Evidence: from reading, as one of the ways in which a configuration can end a request in flight; the new test failed before ("a request goes on at its service when a new configuration drops it": undefined).

Change: a request keeps the service as it was configured at its last selection. Requests that come later are rejected as before, which the test checks too.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -36,6 +36,8 @@
   readonly #state: EntryState;
   /** Requests counted in the demand, so that retries are not counted again. */
   readonly #counted = new WeakSet<relay.RelayedRequest>();
+  /** Services as last configured; a configuration may drop them meanwhile. */
+  readonly #services = new WeakMap<relay.RelayedRequest, fleet.ServiceSpec>();
   /** Called when a request is queued. */
   onQueued: () => void = () => {};
 
@@ -68,7 +70,7 @@
     request: relay.RelayedRequest,
     failed: ReadonlySet<core.UpstreamId>,
   ): relay.UpstreamAssignment | undefined {
-    const service = this.#state.config?.services.get(request.service);
+    const service = this.#serviceOf(request);
     const { model, promptParts } = request.caller;
     if (!service) return undefined;
     const excluded = this.#exclude(request.service, failed, true);
@@ -94,7 +96,7 @@
     { failed, hasStarted }: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
-    const service = this.#state.config?.services.get(request.service);
+    const service = this.#serviceOf(request);
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
     if (!service.engine || model === undefined) {
@@ -130,6 +132,13 @@
     return rejectedLate ?? selected;
   }
 
+  #serviceOf(request: relay.RelayedRequest): fleet.ServiceSpec | undefined {
+    const service = this.#state.config?.services.get(request.service) ??
+      this.#services.get(request);
+    if (service) this.#services.set(request, service);
+    return service;
+  }
+
   /** Tries to select an engine for each queued request. */
   selectForQueued(): void {
     this.#state.queue.trySelectAll(core.monotonicMs());
--- a/packages/entry/tests/unit/entry_selector_test.ts
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -164,3 +164,21 @@
   }
   t.true(state.retryBudget(SERVICE).canSpend(1, core.monotonicMs()));
 });
+
+// Guards against a request in flight that ends because a configuration drops
+// its service, while the engines still serve.
+test("a request goes on at its service when a new configuration drops it", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2"]);
+  const request = makeRequest("a");
+  const first = await selector.select(request, history(false), never);
+  const { id } = first._unsafeUnwrap().upstream;
+  state.applyConfig(makeConfig(2, []));
+  const silent = selector.trySelectRetry(request, history(true, [id]));
+  t.not(silent, undefined);
+  silent?.onEnd("cancelled");
+  const broken = await selector.select(request, history(true, [id]), never);
+  t.true(broken.isOk());
+  const late = await selector
+    .select(makeRequest("b"), history(false), never);
+  t.true(late.isErr());
+});
