Log the software version of upstreams, and which stream a request takes up

An upstream that changes its version counts as another incarnation. Nothing is decided by the version yet.

--- a/packages/core/ids.ts
+++ b/packages/core/ids.ts
@@ -13,6 +13,8 @@
 export type ServiceName = Branded<"ServiceName">;
 export type ModelName = Branded<"ModelName">;
 export type RequestId = Branded<"RequestId">;
+/** A version of the software that upstreams of a service run. */
+export type SoftwareVersion = Branded<"SoftwareVersion">;
 export type ArtifactId = Branded<"ArtifactId">;
 export type AttemptId = Branded<"AttemptId">;
 export type TransmissionId = Branded<"TransmissionId">;
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -62,6 +62,7 @@
   RequestId,
   RowName,
   ServiceName,
+  SoftwareVersion,
   TransmissionId,
   UpstreamId,
   UpstreamRunKey,
--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -249,14 +249,15 @@
   }
 
   /**
-   * Adds an upstream or updates its record. A new incarnation, address or
-   * service starts with fresh state.
+   * Adds an upstream or updates its record. A new incarnation, address, service
+   * or software version starts with fresh state.
    */
   upsert(record: fleet.UpstreamRecord, kvCacheTokens: number): UpstreamState {
     const known = this.#upstreams.get(record.id);
     const isSame = known && known.record.startedAtMs === record.startedAtMs &&
       known.record.address === record.address &&
-      known.record.service === record.service;
+      known.record.service === record.service &&
+      known.record.softwareVersion === record.softwareVersion;
     if (isSame) {
       // An incarnation that leaves does not return, though a row may be old.
       const isLeaving = known.record.isLeaving || record.isLeaving;
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -115,6 +115,7 @@
     this.logger.info("upstream_seen", {
       upstream: record.id,
       service: record.service,
+      softwareVersion: record.softwareVersion,
       address: record.address,
       leaving: record.isLeaving,
       remainingMs: record.remainingMs,
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -10,6 +10,14 @@
   readonly tokens: number;
 }
 
+/** A stream that broke off, which a request takes up again. */
+export interface TakenUpStream {
+  /** Last event that the caller has received. */
+  readonly lastEventId: string;
+  /** The caller's attempt that brought its first event, if named. */
+  readonly firstRequestId?: core.RequestId;
+}
+
 /** A caller's request, as read from its headers. */
 export interface CallerRequest {
   readonly requestId: core.RequestId;
@@ -20,6 +28,7 @@
   readonly promptTokens: number;
   readonly outputTokensMax: number;
   readonly promptParts: readonly PromptPart[];
+  readonly takenUpStream?: TakenUpStream;
   /** Headers to forward, without hop-by-hop and system headers. */
   readonly forwardedHeaders: Readonly<Record<string, string | string[]>>;
 }
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -96,6 +96,11 @@
    */
   readonly startedAtMs: number;
   readonly service: core.ServiceName;
+  /**
+   * Version of its software, not of the weights. Streams of two versions do not
+   * fit together.
+   */
+  readonly softwareVersion: core.SoftwareVersion;
   /** Host and port, as `10.0.0.1:8080`. */
   readonly address: string;
   readonly failureDomain: string;
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -8,6 +8,7 @@
 export type {
   CallerRequest,
   PromptPart,
+  TakenUpStream,
   UpstreamRequest,
   UpstreamResponse,
 } from "./fleet_dialect.ts";
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -56,7 +56,7 @@
   #attempt: Attempt | undefined;
   #runCount = 0;
   #sendCount = 0;
-  #upstream: core.UpstreamId | undefined;
+  #upstream: fleet.UpstreamRecord | undefined;
   #selectionFields: core.LogFields = {};
   #framing: transport.BodyFraming | undefined;
   #outcome: RelayOutcome = "failed";
@@ -235,7 +235,7 @@
     const { caller, route, deadlineAtMs, method, path, body } = this.#request;
     const { upstream } = assignment;
     const { lastEventId } = this.#bodyRelay;
-    this.#upstream = upstream.id;
+    this.#upstream = upstream;
     this.#selectionFields = assignment.logFields;
     this.#sendCount++;
     const attempt = startAttempt(assignment.dispatcher, {
@@ -406,7 +406,9 @@
       model: caller.model,
       adapter: caller.adapter,
       parts: this.#loggedParts(),
-      upstream: this.#upstream,
+      takesUp: caller.takenUpStream?.firstRequestId,
+      upstream: this.#upstream?.id,
+      softwareVersion: this.#upstream?.softwareVersion,
       sendings: this.#sendCount,
       runs: this.#runCount,
       abandoned: this.#abandonedCount || undefined,
--- a/packages/testing/testing_fixtures.ts
+++ b/packages/testing/testing_fixtures.ts
@@ -10,6 +10,7 @@
     id: core.brandId<core.UpstreamId>("e"),
     startedAtMs: 1,
     service: core.brandId<core.ServiceName>("s"),
+    softwareVersion: core.brandId<core.SoftwareVersion>("v1"),
     address: "127.0.0.1:1",
     failureDomain: "z",
     slots: 1,
