Continue a stream inside its answer only at the version that began it

What callers saw: one answer with events of two software versions, where an engine broke off or fell silent and the node went on at another one.

Cause: an upstream was selected for the rest of a stream without regard to its software version.

Change: the version of the upstream whose events the caller has is part of what the selector is told; upstreams of other versions are excluded, also when a silent one is left. If none of the version is listed, the answer is broken off at once, as its caller can do nothing but wait. The engine that broke the stream may go on with it if no other of its version can run the model: before, any other engine could.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -55,12 +55,12 @@
 
   override trySelectRetry(
     request: relay.RelayedRequest,
-    { failed }: relay.AttemptHistory,
+    history: relay.AttemptHistory,
   ): relay.UpstreamAssignment | undefined {
     const canRetry = this.#state.retryBudget(request.service)
       .canSpend(this.#state.members.count(), core.monotonicMs());
     if (!canRetry) return undefined;
-    const selected = this.#selectResponsive(request, failed);
+    const selected = this.#selectResponsive(request, history);
     if (selected) this.trySpendRetry(request.service);
     return selected;
   }
@@ -68,12 +68,12 @@
   /** Selects an upstream that can take the request now and is not suspect. */
   #selectResponsive(
     request: relay.RelayedRequest,
-    failed: ReadonlySet<core.UpstreamId>,
+    history: relay.AttemptHistory,
   ): relay.UpstreamAssignment | undefined {
     const service = this.#serviceOf(request);
     const { model, promptParts } = request.caller;
     if (!service) return undefined;
-    const excluded = this.#exclude(request.service, failed, true);
+    const excluded = this.#exclude(request.service, history, true);
     if (!service.engine || model === undefined) {
       return this.#assignInstance(request, service, excluded);
     }
@@ -93,14 +93,18 @@
 
   override async select(
     request: relay.RelayedRequest,
-    { failed, hasStarted }: relay.AttemptHistory,
+    history: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const service = this.#serviceOf(request);
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
+    const { softwareVersion, hasStarted } = history;
+    if (!this.#hasVersion(request.service, softwareVersion)) {
+      return reject(`no upstream of software version ${softwareVersion}`);
+    }
     if (!service.engine || model === undefined) {
-      return this.#selectInstance(request, service, failed);
+      return this.#selectInstance(request, service, history);
     }
     const parts = quarantine.sharedPartKeys(request.caller.promptParts);
     const rejected = this.#rejectQuarantined(parts);
@@ -118,7 +122,7 @@
         service.engine!,
         model,
         parts,
-        this.#exclude(request.service, failed),
+        this.#excludeForEngine(request, model, history),
       );
       return assigned && ok(assigned);
     };
@@ -217,11 +221,15 @@
   #selectInstance(
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
-    failed: ReadonlySet<core.UpstreamId>,
+    history: relay.AttemptHistory,
   ): SelectionResult {
-    const excluded = this.#exclude(request.service, failed);
+    const excluded = this.#exclude(request.service, history);
+    const others = this.#exclude(request.service, {
+      ...history,
+      failed: new Set(),
+    });
     const assigned = this.#assignInstance(request, service, excluded) ??
-      this.#assignInstance(request, service, new Set());
+      this.#assignInstance(request, service, others);
     return assigned
       ? ok(assigned)
       : reject("no upstream of the service is known");
@@ -297,22 +305,59 @@
     );
   }
 
-  /** Upstreams of a service that a request avoids. */
+  /** Upstreams of a service to which a request is not sent. */
   #exclude(
     service: core.ServiceName,
-    failed: ReadonlySet<core.UpstreamId>,
+    { failed, softwareVersion }: relay.AttemptHistory,
     excludesSuspects = false,
   ): ReadonlySet<dispatch.UpstreamState> {
     const excluded = new Set<dispatch.UpstreamState>();
-    if (failed.size === 0 && !excludesSuspects) return excluded;
+    const acceptsAll = failed.size === 0 && softwareVersion === undefined;
+    if (acceptsAll && !excludesSuspects) return excluded;
     const nowMs = core.monotonicMs();
     for (const upstream of this.#state.upstreams.ofService(service)) {
-      const isSuspect = excludesSuspects && upstream.isSuspect(nowMs);
-      if (isSuspect || failed.has(upstream.record.id)) excluded.add(upstream);
+      const { record } = upstream;
+      const isExcluded = failed.has(record.id) ||
+        !isOfVersion(record, softwareVersion) ||
+        (excludesSuspects && upstream.isSuspect(nowMs));
+      if (isExcluded) excluded.add(upstream);
     }
     return excluded;
   }
 
+  /**
+   * Engines to which a request is not sent. One on which it failed may be the
+   * only one of its software version that holds the model.
+   */
+  #excludeForEngine(
+    { service, caller }: relay.RelayedRequest,
+    model: core.ModelName,
+    history: relay.AttemptHistory,
+  ): ReadonlySet<dispatch.UpstreamState> {
+    const excluded = this.#exclude(service, history);
+    const { softwareVersion, failed } = history;
+    if (softwareVersion === undefined || failed.size === 0) return excluded;
+    const nowMs = core.monotonicMs();
+    const hasOther = [...this.#state.upstreams.ofService(service)]
+      .some((engine) =>
+        !excluded.has(engine) && !engine.record.isLeaving &&
+        engine.canRun(model, caller.adapter, nowMs)
+      );
+    if (hasOther) return excluded;
+    return this.#exclude(service, { ...history, failed: new Set() });
+  }
+
+  /** Whether an upstream may continue a stream that this version began. */
+  #hasVersion(
+    service: core.ServiceName,
+    softwareVersion: core.SoftwareVersion | undefined,
+  ): boolean {
+    if (softwareVersion === undefined) return true;
+    return [...this.#state.upstreams.ofService(service)].some(({ record }) =>
+      !record.isLeaving && isOfVersion(record, softwareVersion)
+    );
+  }
+
   /** Counts a request as in flight on an upstream until its attempt ends. */
   #assign(
     upstream: dispatch.UpstreamState,
@@ -427,6 +472,14 @@
   }
 }
 
+function isOfVersion(
+  record: fleet.UpstreamRecord,
+  softwareVersion: core.SoftwareVersion | undefined,
+): boolean {
+  return softwareVersion === undefined ||
+    record.softwareVersion === softwareVersion;
+}
+
 function reject(
   reason: string,
   retryAfterMs = NO_UPSTREAM_RETRY_AFTER_MS,
--- a/packages/entry/tests/unit/entry_selector_test.ts
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -41,17 +41,25 @@
   };
 }
 
+function version(name: string): core.SoftwareVersion {
+  return core.brandId<core.SoftwareVersion>(name);
+}
+
 /** A node that knows some engines, each with place for one request. */
-function makeNode(engines: readonly string[]) {
+function makeNode(
+  engines: readonly string[],
+  versions: readonly string[] = [],
+) {
   const state = new EntryState(
     makeEntrySettings("n1"),
     new core.Logger({}, () => {}),
   );
   state.applyConfig(makeConfig(1, [SERVICE]));
-  for (const id of engines) {
+  for (const [n, id] of engines.entries()) {
     state.setUpstream(testing.makeUpstreamRecord({
       id: core.brandId<core.UpstreamId>(id),
       service: SERVICE,
+      softwareVersion: version(versions[n] ?? "v1"),
       address: `127.0.0.1:${1_000 + state.upstreams.listings}`,
       slots: SLOTS,
       models: [{ model: MODEL, adapters: [] }],
@@ -165,6 +173,36 @@
   t.true(state.retryBudget(SERVICE).canSpend(1, core.monotonicMs()));
 });
 
+// Guards against a stream that goes on at another software version, whose events
+// do not fit.
+test("a stream goes on at its software version only", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2", "e3"], ["v1", "v1", "v2"]);
+  const pinned = { ...history(true), softwareVersion: version("v1") };
+  const ids: string[] = [];
+  for (const name of ["a", "b"]) {
+    const selected = await selector.select(makeRequest(name), pinned, never);
+    ids.push(selected._unsafeUnwrap().upstream.id);
+  }
+  t.deepEqual(ids.sort(), ["e1", "e2"]);
+  t.is(selector.trySelectRetry(makeRequest("c"), pinned), undefined);
+  state.removeUpstream(core.brandId<core.UpstreamId>("e1"), "row deleted");
+  state.removeUpstream(core.brandId<core.UpstreamId>("e2"), "row deleted");
+  const rejected = await selector.select(makeRequest("d"), pinned, never);
+  t.true(rejected.isErr());
+  t.is(state.queue.size, 0);
+});
+
+// Guards against a stream that waits to its end, while the engine that broke it
+// off is the only one that could go on with it.
+test("a stream returns to the engine that broke it off, if no other of its version can run it", async (t) => {
+  const { selector } = makeNode(["e1", "e2"], ["v1", "v2"]);
+  const selected = await selector.select(makeRequest("a"), {
+    ...history(true, ["e1"]),
+    softwareVersion: version("v1"),
+  }, never);
+  t.is(selected._unsafeUnwrap().upstream.id, "e1" as core.UpstreamId);
+});
+
 // Guards against a request in flight that ends because a configuration drops
 // its service, while the engines still serve.
 test("a request goes on at its service when a new configuration drops it", async (t) => {
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -43,6 +43,8 @@
   readonly #splitsEvents: boolean;
   readonly #signal: AbortSignal;
   readonly #eventBuffer = new EventStreamBuffer();
+  /** Version of the upstream that began the stream. */
+  softwareVersion: core.SoftwareVersion | undefined;
   /** Whether the last stream ended inside an event, for the log. */
   endedInsideEvent: boolean | undefined;
   /** Longest time between the arrivals of two chunks, for the log. */
@@ -152,6 +154,7 @@
       }
       if (data.length === 0) continue;
       if (!this.#response.hasStarted) {
+        this.softwareVersion = assignment.upstream.softwareVersion;
         this.#response.start(status, headers, event.atMs);
       }
       await this.#response.write(data);
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -112,9 +112,11 @@
   }
 
   #history(): AttemptHistory {
+    const { softwareVersion } = this.#bodyRelay;
     return {
       failed: this.#failedUpstreams,
       hasStarted: this.#response.hasStarted,
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
     };
   }
 
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -66,6 +66,8 @@
    * continued but no longer rejected.
    */
   readonly hasStarted: boolean;
+  /** The only software version whose upstreams can continue the response. */
+  readonly softwareVersion?: core.SoftwareVersion;
 }
 
 /** Selects upstreams for requests and accounts for retries. */
