Reject a take-up at once if only other software versions hold its model

What callers saw: a take-up that can be served by no engine of its version is held for the caller's whole patience, and then rejected.

Cause: replicas are placed by model, not by version. A model that some engine holds is not loaded for a second version, so such a request waits in vain.

The new case of entry_selector_test fails without the change, as the request is queued.

Change: the request is rejected at once, with the reason in `request_end`, unless no engine holds the model at all; then it may be loaded in time.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -105,8 +105,9 @@
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
     const { softwareVersion, hasStarted } = history;
-    if (!this.#hasVersion(request.service, softwareVersion)) {
-      return reject(`no upstream of software version ${softwareVersion}`);
+    if (softwareVersion !== undefined) {
+      const reason = this.#whyNotContinued(request, softwareVersion);
+      if (reason !== undefined) return reject(reason);
     }
     if (!service.engine || model === undefined) {
       return this.#selectInstance(request, service, history);
@@ -354,15 +355,29 @@
     return this.#exclude(service, { ...history, failed: new Set() });
   }
 
-  /** Whether an upstream may continue a stream that this version began. */
-  #hasVersion(
-    service: core.ServiceName,
-    softwareVersion: core.SoftwareVersion | undefined,
-  ): boolean {
-    if (softwareVersion === undefined) return true;
-    return [...this.#state.upstreams.ofService(service)].some(({ record }) =>
-      !record.isLeaving && isOfVersion(record, softwareVersion)
-    );
+  /**
+   * Why no upstream can continue a stream that a software version began, however
+   * long it waits; undefined if one may. Replicas are not placed by version, so
+   * a model that other versions hold is not loaded for this one.
+   */
+  #whyNotContinued(
+    { service, caller }: relay.RelayedRequest,
+    softwareVersion: core.SoftwareVersion,
+  ): string | undefined {
+    const { model } = caller;
+    const upstreams = [...this.#state.upstreams.ofService(service)]
+      .filter(({ record }) => !record.isLeaving);
+    const ofVersion = upstreams
+      .filter(({ record }) => isOfVersion(record, softwareVersion));
+    if (ofVersion.length === 0) {
+      return `no upstream of software version ${softwareVersion}`;
+    }
+    if (model === undefined) return undefined;
+    const holdsModel = ({ replicas }: dispatch.UpstreamState) =>
+      replicas.has(model);
+    return upstreams.some(holdsModel) && !ofVersion.some(holdsModel)
+      ? `no engine of software version ${softwareVersion} holds the model`
+      : undefined;
   }
 
   /** Counts a request as in flight on an upstream until its attempt ends. */
--- a/packages/entry/tests/unit/entry_selector_test.ts
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -192,6 +192,25 @@
   t.is(state.queue.size, 0);
 });
 
+// Guards against a take-up that waits although no engine that could continue it
+// will get its model.
+test("a stream whose model only other software versions hold is rejected at once", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2"], ["v1", "v2"]);
+  const pinned = { ...history(true), softwareVersion: version("v1") };
+  const [engine] = state.upstreams.all();
+  engine!.setReplicas(new Map());
+  const rejected = await selector.select(makeRequest("a"), pinned, never);
+  t.true(rejected.isErr());
+  // If no engine holds the model, it may be loaded on one of the version.
+  for (const each of state.upstreams.all()) each.setReplicas(new Map());
+  const selecting = selector.select(makeRequest("b"), pinned, never);
+  await core.sleep(20);
+  t.is(state.queue.size, 1);
+  engine!.setListedReplicas();
+  selector.selectForQueued();
+  t.true((await selecting).isOk());
+});
+
 // Guards against a stream that waits to its end, while the engine that broke it
 // off is the only one that could go on with it.
 test("a stream returns to the engine that broke it off, if no other of its version can run it", async (t) => {
