Let SIGHUP cut off no request: check the settings file instead of ending

Seen by callers: a hang-up signal, as operators send it for a reload of the settings, ended an entry at once. Streams broke off, and requests that had been read whole got neither an answer nor a refusal.

Cause: `serve` had no listener for SIGHUP, whose default is to end the process.

Ruled out: SIGTERM and SIGINT have listeners, and a second one joins the stop that is running.

Change: SIGHUP reads and checks the file, logs settings_checked or each settings_fault, and changes nothing; changed settings take effect at the next start, as instances are replaced, not changed.

--- a/packages/cli/cli_serve.ts
+++ b/packages/cli/cli_serve.ts
@@ -1,5 +1,6 @@
 /** Commands that read settings: `serve` and `check`. */
 import type { Command } from "commander";
+import { err, type Result } from "neverthrow";
 import { readFile } from "node:fs/promises";
 import process from "node:process";
 import * as core from "../core/mod.ts";
@@ -10,25 +11,40 @@
 /** Exit code for settings that cannot be read or are invalid. */
 const EXIT_INVALID_SETTINGS = 2;
 
-async function readSettings(
+/** Reads a settings file and returns it, or the faults found, one a line. */
+async function checkFile(
   file: string,
-): Promise<settings.Settings | undefined> {
+): Promise<Result<settings.Settings, string[]>> {
   let text: string;
   try {
     text = await readFile(file, "utf8");
   } catch (thrown) {
-    fail(`${file}: ${core.messageOf(thrown)}`, EXIT_INVALID_SETTINGS);
-    return undefined;
+    return err([`${file}: ${core.messageOf(thrown)}`]);
   }
-  const result = settings.checkSettings(text);
-  if (result.isOk()) return result.value;
-  const lines = result.error.map((fault) =>
-    `${file}:${settings.renderFault(fault)}`
+  return settings.checkSettings(text).mapErr((faults) =>
+    faults.map((fault) => `${file}:${settings.renderFault(fault)}`)
   );
-  fail(lines.join("\n"), EXIT_INVALID_SETTINGS);
+}
+
+async function readSettings(
+  file: string,
+): Promise<settings.Settings | undefined> {
+  const result = await checkFile(file);
+  if (result.isOk()) return result.value;
+  fail(result.error.join("\n"), EXIT_INVALID_SETTINGS);
   return undefined;
 }
 
+/** Checks the file for the next start; a running instance keeps its settings. */
+async function recheckSettings(
+  file: string,
+  logger: core.Logger,
+): Promise<void> {
+  const result = await checkFile(file);
+  if (result.isOk()) return logger.info("settings_checked");
+  for (const fault of result.error) logger.error("settings_fault", { fault });
+}
+
 async function serve(file: string): Promise<void> {
   const entrySettings = await readSettings(file);
   if (entrySettings === undefined) return;
@@ -47,6 +63,10 @@
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
+  process.on(
+    "SIGHUP",
+    () => void recheckSettings(file, entryInstance.logger),
+  );
   process.on("unhandledRejection", (thrown) => {
     entryInstance.logger.error("unhandled", { detail: core.messageOf(thrown) });
   });
