Log an uncaught exception instead of ending every request with it

Seen by callers: an exception outside of any request, in a timer or a listener of a connection, would end the process. All requests in progress were cut off.

Evidence, the new test on the code before (the entry process throws in a signal listener that the test adds, while a stream is running):

✘ an uncaught exception cuts off no request {"cut":"SocketError: other side closed"}

Change: both are logged as `unhandled`, with the place. A start that fails ends the process by itself, with start_failed and exit code 1. After it the test passes.

--- a/packages/cli/cli_serve.ts
+++ b/packages/cli/cli_serve.ts
@@ -67,11 +67,24 @@
     "SIGHUP",
     () => void recheckSettings(file, entryInstance.logger),
   );
-  process.on("unhandledRejection", (thrown) => {
-    entryInstance.logger.error("unhandled", { detail: core.messageOf(thrown) });
-  });
-  const addresses = await entryInstance.start();
-  print(JSON.stringify(addresses));
+  // One faulty request must not end the others that the process serves.
+  const reportUnhandled = (thrown: unknown) => {
+    entryInstance.logger.error("unhandled", {
+      detail: core.messageOf(thrown),
+      at: thrown instanceof Error ? thrown.stack?.split("\n")[1] : undefined,
+    });
+  };
+  process.on("unhandledRejection", reportUnhandled);
+  process.on("uncaughtException", reportUnhandled);
+  try {
+    print(JSON.stringify(await entryInstance.start()));
+  } catch (thrown) {
+    // An instance that cannot listen must not keep running half started.
+    entryInstance.logger.error("start_failed", {
+      detail: core.messageOf(thrown),
+    });
+    process.exit(1);
+  }
 }
 
 /** Adds `serve` and `check`. */
--- a/packages/proofs/tests/unit/planned_work_test.ts
+++ b/packages/proofs/tests/unit/planned_work_test.ts
@@ -3,6 +3,7 @@
  * each ends with a whole answer or a refusal.
  */
 import test from "ava";
+import process from "node:process";
 import * as testing from "../../../testing/mod.ts";
 
 const rows = [testing.makeRow("llama")];
@@ -45,3 +46,30 @@
     await cluster.stop();
   }
 });
+
+// An exception outside of any request ended the process and cut off every
+// request in progress.
+test.serial("an uncaught exception cuts off no request", async (t) => {
+  const throwOnSignal = "process.on('SIGUSR2',()=>{throw(Error('stray'))})";
+  const flags = process.env.CARAWAYWIND_NODE_FLAGS;
+  process.env.CARAWAYWIND_NODE_FLAGS =
+    `--import data:text/javascript,${throwOnSignal}`;
+  const cluster = new testing.TestCluster({ entries: 1, engines: 1, rows });
+  try {
+    await cluster.start();
+    const [entry] = cluster.entries;
+    const call = { model: "llama", prompt: "go on", tokens: 400 };
+    let hasStarted = false;
+    const result = await testing.stream(originOf(cluster), call, () => {
+      if (!hasStarted) entry?.signal("SIGUSR2");
+      hasStarted = true;
+    });
+    t.true(result.isComplete, JSON.stringify(result.error));
+    t.is(result.text, testing.expectedText(call));
+    t.true(entry?.stderrLines.some((line) => line.includes("stray")));
+  } finally {
+    if (flags === undefined) delete process.env.CARAWAYWIND_NODE_FLAGS;
+    else process.env.CARAWAYWIND_NODE_FLAGS = flags;
+    await cluster.stop();
+  }
+});
