Relay answers that have no body while an entry is leaving

Seen by callers: after SIGTERM, until new requests are refused, a service's answer with status 204, 205 or 304, or with one outside of 200 to 599, reached its caller as code 7001 with status 500. The call had run, also one that may not be repeated.

Cause: while the instance leaves, a middleware added the header `connection` to the finished response. Hono makes another response for that, and its constructor throws for such a status with a body, even an empty one.

Evidence, the new tests on the code before:

✘ a leaving entry relays a service's answer with status 204 - 500 + 204 ✘ a leaving entry relays a service's answer with status 304 - 500 + 304 ✘ a leaving entry relays a service's answer with status 700 - 500 + 700

Ruled out: header values of a service. undici decodes them byte by byte, and what its parser lets through can be written; tried with content types in UTF-8 and Latin-1, which arrived.

Change: the middleware sets `shouldKeepAlive` of Node's response, which sends the same header. After it the tests pass.

--- a/packages/gateway/gateway_app.ts
+++ b/packages/gateway/gateway_app.ts
@@ -39,7 +39,9 @@
   app.use("*", async (context, next) => {
     await next();
     if (dependencies.admission.phase === "serving") return;
-    context.header("connection", "close");
+    // Not by a header of the response: to add one, Hono would make another
+    // response, which throws if the status allows no body.
+    context.env.outgoing.shouldKeepAlive = false;
   });
   registerEntries(app, dependencies);
   registerCompletions(app, dependencies);
--- a/packages/proofs/tests/unit/planned_work_test.ts
+++ b/packages/proofs/tests/unit/planned_work_test.ts
@@ -3,7 +3,13 @@
  * each ends with a whole answer or a refusal.
  */
 import test from "ava";
+import { createServer, type RequestListener, type Server } from "node:http";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
 import process from "node:process";
+import { buffer } from "node:stream/consumers";
+import { request } from "undici";
+import * as core from "../../../core/mod.ts";
 import * as testing from "../../../testing/mod.ts";
 
 const rows = [testing.makeRow("llama")];
@@ -12,6 +18,44 @@
   return cluster.entries[0]?.ready.callerAddress ?? "";
 }
 
+/** Adds an instance of the service `orders` that answers as told. */
+async function addOrderService(
+  cluster: testing.TestCluster,
+  respond: RequestListener,
+): Promise<Server> {
+  const server = createServer((incoming, outgoing) => {
+    void buffer(incoming).then(() => {
+      const id = String(incoming.headers["x-request-id"]);
+      outgoing.setHeader("x-request-id", id);
+      respond(incoming, outgoing);
+    });
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  cluster.instanceList.put({
+    id: "orders-own",
+    kind: "service",
+    service: "orders",
+    address: `http://127.0.0.1:${port}`,
+    failureDomain: "calama",
+    state: "live",
+  });
+  return server;
+}
+
+async function stopServer(server: Server): Promise<void> {
+  server.closeAllConnections();
+  server.close();
+  await once(server, "close");
+}
+
+async function waitUntilLeaving(origin: string): Promise<void> {
+  await testing.waitUntil("the entry is leaving", async () => {
+    const response = await request(`${origin}/readyz`);
+    return await response.body.text() === "leaving\n";
+  });
+}
+
 // A hang-up signal, as for a reload of the settings, ended the process and cut
 // off every request.
 test.serial("SIGHUP cuts off no request and names faults of the settings file", async (t) => {
@@ -73,3 +117,36 @@
     await cluster.stop();
   }
 });
+
+for (const status of [204, 304, 700]) {
+  // While an entry was leaving, an answer whose status has no body, or is not in
+  // the standard's range, was replaced by an internal error.
+  test.serial(`a leaving entry relays a service's answer with status ${status}`, async (t) => {
+    const cluster = new testing.TestCluster({
+      entries: 1,
+      engines: 0,
+      settings: { drain: { entriesMaxAgeMs: 5_000 } },
+    });
+    await cluster.start();
+    const server = await addOrderService(cluster, (_, outgoing) => {
+      outgoing.writeHead(status).end();
+    });
+    try {
+      const origin = originOf(cluster);
+      const call = { service: "orders", path: "dispense", body: {} };
+      await testing.waitUntil("the service is known", async () => {
+        const key = core.randomId("warm");
+        const { status } = await testing.callService(origin, { ...call, key });
+        return status !== core.NO_UPSTREAM.httpStatus;
+      });
+      cluster.entries[0]?.signal("SIGTERM");
+      await waitUntilLeaving(origin);
+      const key = "leaving-1";
+      const response = await testing.callService(origin, { ...call, key });
+      t.is(response.status, status, JSON.stringify(response.body));
+    } finally {
+      await stopServer(server);
+      await cluster.stop();
+    }
+  });
+}
