Close the connections of streams that begin while an entry is leaving

Seen by callers: a stream that began after SIGTERM said `keep-alive`, unlike every other response of a leaving entry. The caller's next request was sent on that connection, which the end of the process closes.

Cause: the middleware that asks callers to close their connections runs after the handler; a stream's head has been written by then.

Evidence, the new test on the code before:

✘ a stream of a leaving entry closes its connection - 'keep-alive' + 'close'

Ruled out: streams that began before SIGTERM cannot say it any more; what becomes of their connections is for the listener.

Change: the relay runs a callback before it writes the head, and the middleware and the relay share `closeIfLeaving`. After it the test passes.

--- a/packages/gateway/gateway_app.ts
+++ b/packages/gateway/gateway_app.ts
@@ -5,7 +5,7 @@
 import { registerCompletions } from "./gateway_completions.ts";
 import { registerEntries } from "./gateway_entries.ts";
 import { registerOperator } from "./gateway_operator.ts";
-import { problemResponse } from "./gateway_request.ts";
+import { closeIfLeaving, problemResponse } from "./gateway_request.ts";
 import { registerServices } from "./gateway_services.ts";
 import type { GatewayDependencies, GatewayEnv } from "./gateway_types.ts";
 
@@ -38,10 +38,7 @@
   );
   app.use("*", async (context, next) => {
     await next();
-    if (dependencies.admission.phase === "serving") return;
-    // Not by a header of the response: to add one, Hono would make another
-    // response, which throws if the status allows no body.
-    context.env.outgoing.shouldKeepAlive = false;
+    closeIfLeaving(context, dependencies.admission);
   });
   registerEntries(app, dependencies);
   registerCompletions(app, dependencies);
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -9,7 +9,7 @@
 import * as routing from "../routing/mod.ts";
 import * as transport from "../transport/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
-import { problemResponse } from "./gateway_request.ts";
+import { closeIfLeaving, problemResponse } from "./gateway_request.ts";
 import {
   CompletionReader,
   type CompletionRequest,
@@ -70,7 +70,10 @@
     }
     try {
       this.#dependencies.retryBudget.recordRequest();
-      const relay = new StreamRelay(context.env.outgoing);
+      const relay = new StreamRelay(
+        context.env.outgoing,
+        () => closeIfLeaving(context, this.#dependencies.admission),
+      );
       const response = await this.#serve(completion.value, relay);
       const failure = response.isErr() ? response.error : undefined;
       this.#recordResult(completion.value, startedAtMs, failure);
--- a/packages/gateway/gateway_relay.ts
+++ b/packages/gateway/gateway_relay.ts
@@ -19,13 +19,16 @@
  */
 export class StreamRelay {
   readonly #outgoing: Outgoing;
+  readonly #onStart: () => void;
   #started = false;
   #firstCompletionId = "";
   #eventCount = 0;
   #relayedText = "";
 
-  constructor(outgoing: Outgoing) {
+  /** @param onStart called before the head of the response is written. */
+  constructor(outgoing: Outgoing, onStart: () => void) {
     this.#outgoing = outgoing;
+    this.#onStart = onStart;
   }
 
   /** Whether the response to the caller has started. */
@@ -88,6 +91,7 @@
   async #write(text: string): Promise<void> {
     if (!this.#started) {
       this.#started = true;
+      this.#onStart();
       this.#outgoing.writeHead(200, STREAM_HEADERS);
     }
     if (this.#outgoing.write(text) || this.#outgoing.destroyed) return;
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -3,6 +3,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import * as core from "../core/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import type { GatewayAdmission } from "./gateway_admission.ts";
 import type { GatewayContext } from "./gateway_types.ts";
 
 /** Header with the time until the caller's deadline, in milliseconds. */
@@ -133,3 +134,17 @@
   });
   return controller.signal;
 }
+
+/**
+ * Closes the caller's connection after the response if the instance is leaving.
+ * To be called before the head of the response is written.
+ */
+export function closeIfLeaving(
+  context: GatewayContext,
+  admission: GatewayAdmission,
+): void {
+  if (admission.phase === "serving") return;
+  // Not by a header of the response: to add one, Hono would make another
+  // response, which throws if the status allows no body.
+  context.env.outgoing.shouldKeepAlive = false;
+}
--- a/packages/proofs/tests/unit/planned_work_test.ts
+++ b/packages/proofs/tests/unit/planned_work_test.ts
@@ -150,3 +150,34 @@
     }
   });
 }
+
+// A stream of a leaving entry did not ask its caller to close the connection, so
+// that the caller's next request crossed the end of the process.
+test.serial("a stream of a leaving entry closes its connection", async (t) => {
+  const cluster = new testing.TestCluster({
+    entries: 1,
+    engines: 1,
+    rows,
+    settings: { drain: { entriesMaxAgeMs: 5_000 } },
+  });
+  try {
+    await cluster.start();
+    const origin = originOf(cluster);
+    await testing.complete(origin, { model: "llama", prompt: "warm" });
+    cluster.entries[0]?.signal("SIGTERM");
+    await waitUntilLeaving(origin);
+    const response = await request(`${origin}/v1/chat/completions`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${testing.CALLER_TOKENS.kiosk}` },
+      body: JSON.stringify({
+        model: "llama",
+        messages: [{ role: "user", content: "last" }],
+        stream: true,
+      }),
+    });
+    t.is(response.headers.connection, "close");
+    t.true((await response.body.text()).endsWith("data: [DONE]\n\n"));
+  } finally {
+    await cluster.stop();
+  }
+});
