Send written responses to slow callers before a stopping entry closes

Seen by callers: one that reads slowly lost the rest of its answer when an entry stopped, although neither its deadline nor the stop's time was over.

Cause: `http.Server.close` destroys connections whose response has been ended, also if its bytes are still in the process. The count of requests in progress does not cover them either: it ends with the handler.

Evidence, the new test on the code before:

✘ the rest of a response is sent to a slow caller after the close 3919872 of bytes

Ruled out: streams lose at most their last write this way, as the relay waits for its caller to read.

Change: the listener closes its listening socket alone, counts the responses owed to each connection until they have been sent, and closes the connections that were used and are owed none. After it the test passes.

--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -1,24 +1,50 @@
 /** HTTP listener for callers and operators. */
 import { createAdaptorServer, type ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { Server, ServerResponse } from "node:http";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import * as core from "../../core/mod.ts";
 import type * as gateway from "../../gateway/mod.ts";
 
 const CLOSE_POLL_MS = 20;
 
+/** A caller's connection, and the responses that are owed to it. */
+class CallerConnection {
+  readonly #socket: Socket;
+  #openResponses = 0;
+  #hasBeenUsed = false;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+  }
+
+  /** Counts a response until it has been sent completely. */
+  addResponse(response: ServerResponse): void {
+    this.#openResponses++;
+    this.#hasBeenUsed = true;
+    response.once("close", () => this.#openResponses--);
+  }
+
+  /** Closes the connection if it was used and is owed no response. */
+  closeIfIdle(): void {
+    if (this.#hasBeenUsed && this.#openResponses === 0) this.#socket.destroy();
+  }
+}
+
 /** HTTP server that waits for open connections when it is closed. */
 export class CallersListener {
   readonly #server: Server;
-  #connections = 0;
+  readonly #connections = new Map<Socket, CallerConnection>();
 
   constructor(app: Hono<gateway.GatewayEnv>) {
     const server: ServerType = createAdaptorServer({ fetch: app.fetch });
     this.#server = server as Server;
     this.#server.on("connection", (socket) => {
-      this.#connections++;
-      socket.on("close", () => this.#connections--);
+      this.#connections.set(socket, new CallerConnection(socket));
+      socket.on("close", () => this.#connections.delete(socket));
+    });
+    this.#server.prependListener("request", ({ socket }, response) => {
+      this.#connections.get(socket)?.addResponse(response);
     });
   }
 
@@ -36,14 +62,27 @@
    * end, then closes the rest.
    */
   async close(waitMs: number): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
-    );
+    const closed = this.#stopAccepting();
     const deadline = new core.Deadline(waitMs);
-    while (this.#connections > 0 && !deadline.isOver()) {
+    while (this.#connections.size > 0 && !deadline.isOver()) {
       await core.sleep(CLOSE_POLL_MS);
+      // Requests that came while the process was held up have been read then.
+      await core.nextPoll();
+      for (const connection of this.#connections.values()) {
+        connection.closeIfIdle();
+      }
     }
     this.#server.closeAllConnections();
     await closed;
   }
+
+  /**
+   * Closes the listening socket alone. The method of the HTTP server also
+   * destroys connections whose response has been written, but not sent.
+   */
+  #stopAccepting(): Promise<void> {
+    return new Promise((resolve) => {
+      NetServer.prototype.close.call(this.#server, () => resolve());
+    });
+  }
 }
--- /dev/null
+++ b/packages/instance/tests/unit/callers_listener_test.ts
@@ -0,0 +1,49 @@
+/** Closing the listener for callers while responses are on their way. */
+import test from "ava";
+import { Hono } from "hono";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import * as core from "../../../core/mod.ts";
+import type * as gateway from "../../../gateway/mod.ts";
+import { CallersListener } from "../../callers/callers_listener.ts";
+
+const BODY_BYTES = 32 * 1024 * 1024;
+const REQUEST = "GET / HTTP/1.1\r\nhost: entry\r\n\r\n";
+
+/** A caller on one connection, which reads nothing until it is told to. */
+class RawCaller {
+  readonly socket: Socket;
+  bytes = 0;
+  readonly closed: Promise<unknown>;
+
+  constructor(port: number) {
+    this.socket = connect(port, "127.0.0.1");
+    this.socket.on("error", () => {});
+    this.socket.on("data", (chunk) => this.bytes += chunk.length);
+    this.socket.pause();
+    this.closed = once(this.socket, "close");
+  }
+}
+
+async function listen(app: Hono<gateway.GatewayEnv>) {
+  const listener = new CallersListener(app);
+  return { listener, port: await listener.listen("127.0.0.1", 0) };
+}
+
+const body = new Uint8Array(BODY_BYTES);
+const largeApp = new Hono<gateway.GatewayEnv>()
+  .get("/", (context) => context.body(body));
+
+// Closing the server destroyed connections whose response had been written, but
+// not sent yet.
+test("the rest of a response is sent to a slow caller after the close", async (t) => {
+  const { listener, port } = await listen(largeApp);
+  const caller = new RawCaller(port);
+  caller.socket.write(REQUEST);
+  await core.sleep(200);
+  const closed = listener.close(20_000);
+  await core.sleep(1_000);
+  caller.socket.resume();
+  await Promise.all([caller.closed, closed]);
+  t.true(caller.bytes > BODY_BYTES, `${caller.bytes} of ${BODY_BYTES} bytes`);
+});
