Keep callers' connections for a second more when an entry stops

Seen by callers: one that went on using its connection, as after the end of a stream that had begun before SIGTERM, had its next request cut off. No response on that connection had said that it would be closed.

Cause: idle connections were destroyed in the moment in which the listener closed, including requests that the kernel had received.

Evidence, the new test on the code before:

✘ a connection is kept for the next request for a while Timed out waiting until the second response

Ruled out: connections whose last response said `close`; Node closes them.

Change: while the listener closes, a connection is destroyed only after it has been idle for a second, and after a poll of the event loop. After it the test passes. A request that crosses the end of that second is still lost, as with every idle timeout.

--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -7,12 +7,18 @@
 import type * as gateway from "../../gateway/mod.ts";
 
 const CLOSE_POLL_MS = 20;
+/**
+ * How long a connection without a request is kept while the listener closes, so
+ * that a request that its caller is about to send gets a response.
+ */
+const IDLE_CLOSE_MS = 1_000;
 
 /** A caller's connection, and the responses that are owed to it. */
 class CallerConnection {
   readonly #socket: Socket;
   #openResponses = 0;
-  #hasBeenUsed = false;
+  /** When the last response was sent completely; unused connections: never. */
+  #idleFromMs = Infinity;
 
   constructor(socket: Socket) {
     this.#socket = socket;
@@ -21,13 +27,17 @@
   /** Counts a response until it has been sent completely. */
   addResponse(response: ServerResponse): void {
     this.#openResponses++;
-    this.#hasBeenUsed = true;
-    response.once("close", () => this.#openResponses--);
+    response.once("close", () => {
+      this.#openResponses--;
+      this.#idleFromMs = core.monotonicMs();
+    });
   }
 
-  /** Closes the connection if it was used and is owed no response. */
+  /** Closes the connection if it was used and has been idle since then. */
   closeIfIdle(): void {
-    if (this.#hasBeenUsed && this.#openResponses === 0) this.#socket.destroy();
+    const idleMs = core.monotonicMs() - this.#idleFromMs;
+    if (this.#openResponses > 0 || idleMs < IDLE_CLOSE_MS) return;
+    this.#socket.destroy();
   }
 }
 
--- a/packages/instance/tests/unit/callers_listener_test.ts
+++ b/packages/instance/tests/unit/callers_listener_test.ts
@@ -5,6 +5,7 @@
 import { connect, type Socket } from "node:net";
 import * as core from "../../../core/mod.ts";
 import type * as gateway from "../../../gateway/mod.ts";
+import * as testing from "../../../testing/mod.ts";
 import { CallersListener } from "../../callers/callers_listener.ts";
 
 const BODY_BYTES = 32 * 1024 * 1024;
@@ -47,3 +48,22 @@
   await Promise.all([caller.closed, closed]);
   t.true(caller.bytes > BODY_BYTES, `${caller.bytes} of ${BODY_BYTES} bytes`);
 });
+
+// A connection whose caller sends its next request just after the server was
+// closed was cut off.
+test("a connection is kept for the next request for a while", async (t) => {
+  const app = new Hono<gateway.GatewayEnv>()
+    .get("/", (context) => context.text("here"));
+  const { listener, port } = await listen(app);
+  const caller = new RawCaller(port);
+  caller.socket.resume();
+  caller.socket.write(REQUEST);
+  await testing.waitUntil("the first response", () => caller.bytes > 0);
+  const { bytes } = caller;
+  const closed = listener.close(20_000);
+  await core.sleep(100);
+  caller.socket.write(REQUEST);
+  await testing.waitUntil("the second response", () => caller.bytes > bytes);
+  t.is(caller.bytes, 2 * bytes);
+  await Promise.all([caller.closed, closed]);
+});
