Wait for the responses that are owed before a stopping entry closes

Seen by callers and operators: 6 s after the last completion or service call, a stopping entry cut off what it had read whole and was still working on or sending: an edit of the table at a slow store, whose fate stayed unknown, and answers to callers that read slowly.

Cause: requests of operators do not count as in progress, nor do responses that are being sent. The listener waited for them as long as for idle connections, not until the end of `drain.finishMaxMs`.

Ruled out: the store's client and its connections, which are closed after the listener.

Change: the listener waits for responses to requests that have been read whole until `drain.finishMaxMs` is over, and for all other connections 6 s, as before; a request whose body never arrives does not hold it up.

--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -16,7 +16,7 @@
 /** A caller's connection, and the responses that are owed to it. */
 class CallerConnection {
   readonly #socket: Socket;
-  #openResponses = 0;
+  readonly #openResponses = new Set<ServerResponse>();
   /** When the last response was sent completely; unused connections: never. */
   #idleFromMs = Infinity;
 
@@ -24,11 +24,16 @@
     this.#socket = socket;
   }
 
-  /** Counts a response until it has been sent completely. */
+  /** Whether a request was read whole whose response is not sent yet. */
+  get owesResponse(): boolean {
+    return [...this.#openResponses].some(({ req }) => req.complete);
+  }
+
+  /** Adds a response until it has been sent completely. */
   addResponse(response: ServerResponse): void {
-    this.#openResponses++;
+    this.#openResponses.add(response);
     response.once("close", () => {
-      this.#openResponses--;
+      this.#openResponses.delete(response);
       this.#idleFromMs = core.monotonicMs();
     });
   }
@@ -36,7 +41,7 @@
   /** Closes the connection if it was used and has been idle since then. */
   closeIfIdle(): void {
     const idleMs = core.monotonicMs() - this.#idleFromMs;
-    if (this.#openResponses > 0 || idleMs < IDLE_CLOSE_MS) return;
+    if (this.#openResponses.size > 0 || idleMs < IDLE_CLOSE_MS) return;
     this.#socket.destroy();
   }
 }
@@ -68,13 +73,23 @@
   }
 
   /**
-   * Stops accepting connections, waits up to `waitMs` for the open ones to
-   * end, then closes the rest.
+   * Stops accepting connections, waits for the open ones to end, then closes the
+   * rest.
+   *
+   * @param connectionWaitMs longest wait for connections whose callers are owed
+   * no response.
+   * @param responseWaitMs longest wait for the responses to requests that have
+   * been read whole.
    */
-  async close(waitMs: number): Promise<void> {
+  async close(connectionWaitMs: number, responseWaitMs: number): Promise<void> {
     const closed = this.#stopAccepting();
-    const deadline = new core.Deadline(waitMs);
-    while (this.#connections.size > 0 && !deadline.isOver()) {
+    const connectionsDeadline = new core.Deadline(connectionWaitMs);
+    const responsesDeadline = new core.Deadline(responseWaitMs);
+    while (this.#connections.size > 0) {
+      const deadline = this.#owesResponse
+        ? responsesDeadline
+        : connectionsDeadline;
+      if (deadline.isOver()) break;
       await core.sleep(CLOSE_POLL_MS);
       // Requests that came while the process was held up have been read then.
       await core.nextPoll();
@@ -86,6 +101,11 @@
     await closed;
   }
 
+  get #owesResponse(): boolean {
+    return [...this.#connections.values()]
+      .some(({ owesResponse }) => owesResponse);
+  }
+
   /**
    * Closes the listening socket alone. The method of the HTTP server also
    * destroys connections whose response has been written, but not sent.
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -36,7 +36,10 @@
 const CLAIM_WRITES_IN_FLIGHT_MAX = 4;
 const RETRIES_PER_REQUEST = 0.1;
 const RETRY_BALANCE_MAX = 20;
-/** How long a graceful shutdown waits for callers to close connections. */
+/**
+ * How long a graceful shutdown waits for callers to close connections on which
+ * no response is owed.
+ */
 const CONNECTION_CLOSE_WAIT_MS = 6_000;
 /**
  * Poll interval per live member, so that all members together read the table's
@@ -300,7 +303,8 @@
   /**
    * Shuts down gracefully: announces that the instance is leaving, stops
    * admitting requests after a grace period, and waits up to
-   * `drain.finishMaxMs` for in-flight requests to finish.
+   * `drain.finishMaxMs` for in-flight requests to finish and for their responses
+   * to be sent.
    */
   async stop(): Promise<void> {
     const { drain, peers: peerSettings } = this.#settings;
@@ -315,9 +319,13 @@
     const graceMs = drain.entriesMaxAgeMs + peerSettings.exchangeIntervalMs * 2;
     await core.sleep(graceMs);
     this.admission.startRejecting();
-    const idle = await this.admission.whenIdle(drain.finishMaxMs);
+    const finishDeadline = new core.Deadline(drain.finishMaxMs);
+    const idle = await this.admission.whenIdle(finishDeadline.remainingMs());
     await this.claimRunner.settler.drain(CLAIM_DRAIN_MAX_MS);
-    await this.#callersListener.close(CONNECTION_CLOSE_WAIT_MS);
+    await this.#callersListener.close(
+      CONNECTION_CLOSE_WAIT_MS,
+      finishDeadline.remainingMs(),
+    );
     await this.#supervisor.stop();
     // With nothing in use, the second call releases what the first one kept.
     await this.#limitShares.releaseUnused();
--- a/packages/instance/tests/unit/callers_listener_test.ts
+++ b/packages/instance/tests/unit/callers_listener_test.ts
@@ -42,7 +42,7 @@
   const caller = new RawCaller(port);
   caller.socket.write(REQUEST);
   await core.sleep(200);
-  const closed = listener.close(20_000);
+  const closed = listener.close(20_000, 20_000);
   await core.sleep(1_000);
   caller.socket.resume();
   await Promise.all([caller.closed, closed]);
@@ -60,10 +60,46 @@
   caller.socket.write(REQUEST);
   await testing.waitUntil("the first response", () => caller.bytes > 0);
   const { bytes } = caller;
-  const closed = listener.close(20_000);
+  const closed = listener.close(20_000, 20_000);
   await core.sleep(100);
   caller.socket.write(REQUEST);
   await testing.waitUntil("the second response", () => caller.bytes > bytes);
   t.is(caller.bytes, 2 * bytes);
   await Promise.all([caller.closed, closed]);
 });
+
+// The responses to requests that had been read whole were cut off after the time
+// in which callers are expected to close idle connections.
+test("an owed response is waited for longer than an idle connection", async (t) => {
+  const app = new Hono<gateway.GatewayEnv>().get("/", async (context) => {
+    await core.sleep(1_000);
+    return context.text("late");
+  });
+  const { listener, port } = await listen(app);
+  const [caller, silent] = [new RawCaller(port), new RawCaller(port)];
+  caller.socket.resume();
+  silent.socket.resume();
+  caller.socket.write(REQUEST);
+  await core.sleep(200);
+  const startedAtMs = core.monotonicMs();
+  await listener.close(300, 20_000);
+  await Promise.all([caller.closed, silent.closed]);
+  t.true(caller.bytes > 0);
+  t.true(core.monotonicMs() - startedAtMs < 5_000);
+});
+
+// A request whose body never arrives must not hold up the end of the process.
+test("a request that is not read whole is not waited for", async (t) => {
+  const app = new Hono<gateway.GatewayEnv>()
+    .post("/", async (context) => context.text(await context.req.text()));
+  const { listener, port } = await listen(app);
+  const caller = new RawCaller(port);
+  caller.socket.resume();
+  caller.socket.write(
+    "POST / HTTP/1.1\r\nhost: entry\r\ncontent-length: 10\r\n\r\npart",
+  );
+  await core.sleep(200);
+  const startedAtMs = core.monotonicMs();
+  await listener.close(300, 20_000);
+  t.true(core.monotonicMs() - startedAtMs < 5_000);
+});
