Refuse a request under a limit by its deadline if the store is silent

Seen by callers: after an edit that gave a row a limit, and whenever an entry's share of a limit had to grow, a request waited for the table service. While that did not answer, the caller heard nothing until twice the store's time limit had passed, long after its own deadline.

Cause: `LimitShares.admit` knew no deadline.

Ruled out: requests within the share the entry holds; they need no store.

The change of the share goes on for later requests. `Deadline.waitFor` in core bounds the wait.

--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -122,4 +122,23 @@
   isOver(): boolean {
     return this.remainingMs() <= 0;
   }
+
+  /**
+   * Waits for a promise until the deadline; what it stands for goes on after it.
+   *
+   * @returns undefined if the deadline passed first.
+   * @example
+   * ```ts
+   * const rows = await deadline.waitFor(service.read(request));
+   * ```
+   */
+  async waitFor<T>(promise: Promise<T>): Promise<T | undefined> {
+    const timerEnd = new AbortController();
+    const timer = sleep(this.remainingMs(), timerEnd.signal);
+    try {
+      return await Promise.race([promise, timer.then(() => undefined)]);
+    } finally {
+      timerEnd.abort();
+    }
+  }
 }
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -99,9 +99,14 @@
     const release = core.mergeCleanups(admitted.value, endRequest);
     const { inProgressMax } = row.limits;
     if (inProgressMax === undefined) return ok(release);
-    const releaseShare = await limits.admit(row.name, inProgressMax);
+    const releaseShare = await limits
+      .admit(row.name, inProgressMax, completion.deadline);
     if (releaseShare) return ok(core.mergeCleanups(release, releaseShare));
     await release();
+    if (completion.deadline.isOver()) {
+      const detail = `no share of the limit of ${row.name} in time`;
+      return err(core.refuse(core.DEADLINE_PASSED, detail));
+    }
     return err(
       core.refuse(
         core.LIMIT_REACHED,
--- a/packages/limits/limits_shares.ts
+++ b/packages/limits/limits_shares.ts
@@ -57,23 +57,27 @@
   /**
    * Admits one request under a row's limit, enlarging the share if needed.
    *
+   * @param deadline ends the wait for a larger share.
    * @returns a function that ends the request, to be called once, or undefined
-   * when the limit is reached.
+   * when the limit is reached, or the deadline passed.
    * @example
    * ```ts
-   * const release = await shares.admit(row.name, 8);
+   * const release = await shares.admit(row.name, 8, request.deadline);
    * ```
    */
   async admit(
     rowName: core.RowName,
     limit: number,
+    deadline: core.Deadline,
   ): Promise<core.Cleanup | undefined> {
     const held = this.#heldOf(rowName);
     const isFull = () => held.inUse >= Math.min(held.count, limit);
     for (let round = 0; isFull() && round < ADMIT_ROUNDS_MAX; round++) {
-      await this.#runExclusive(held, () => this.#acquire(rowName, held, limit));
+      await deadline.waitFor(
+        this.#runExclusive(held, () => this.#acquire(rowName, held, limit)),
+      );
     }
-    if (held.inUse >= Math.min(held.count, limit)) return undefined;
+    if (isFull() || deadline.isOver()) return undefined;
     held.inUse++;
     held.peakInUse = Math.max(held.peakInUse, held.inUse);
     return this.#makeRelease(held);
--- a/packages/limits/tests/unit/limits_test.ts
+++ b/packages/limits/tests/unit/limits_test.ts
@@ -10,6 +10,10 @@
 const ROW = core.brandId<core.RowName>("llama");
 const LIMIT = 5;
 
+function inTime(): core.Deadline {
+  return new core.Deadline(60_000);
+}
+
 /** In-memory table service that loses the replies given by a schedule. */
 class LossyTableService extends store.TableService {
   readonly fake = new fakes.FakeTableService();
@@ -87,7 +91,7 @@
         if (kind === "releaseUnused") running.push(own.releaseUnused());
         if (kind === "admit") {
           running.push(
-            own.admit(ROW, LIMIT).then((release) => {
+            own.admit(ROW, LIMIT, inTime()).then((release) => {
               if (release) list.push(release);
               check();
             }),
@@ -113,15 +117,15 @@
   const second = makeShares(service, 2);
   const releases: core.Cleanup[] = [];
   for (let n = 0; n < LIMIT; n++) {
-    const release = await first.admit(ROW, LIMIT);
+    const release = await first.admit(ROW, LIMIT, inTime());
     t.truthy(release);
     if (release) releases.push(release);
   }
-  t.is(await second.admit(ROW, LIMIT), undefined);
+  t.is(await second.admit(ROW, LIMIT, inTime()), undefined);
   for (const release of releases) await release();
   await first.releaseUnused();
   await first.releaseUnused();
-  t.truthy(await second.admit(ROW, LIMIT));
+  t.truthy(await second.admit(ROW, LIMIT, inTime()));
 });
 
 test("a share is reclaimed only from an instance that was removed", async (t) => {
@@ -129,21 +133,23 @@
   const removed = new Set<string>();
   const first = makeShares(service, 1);
   const second = makeShares(service, 2, removed);
-  for (let n = 0; n < LIMIT; n++) await first.admit(ROW, LIMIT);
-  t.is(await second.admit(ROW, LIMIT), undefined);
+  for (let n = 0; n < LIMIT; n++) await first.admit(ROW, LIMIT, inTime());
+  t.is(await second.admit(ROW, LIMIT, inTime()), undefined);
   removed.add("entry-1");
-  t.truthy(await second.admit(ROW, LIMIT));
+  t.truthy(await second.admit(ROW, LIMIT, inTime()));
 });
 
 test("during a store outage shares stay usable but do not grow", async (t) => {
   const service = new LossyTableService([]);
   const own = makeShares(service, 1);
-  const release = await own.admit(ROW, LIMIT);
+  const release = await own.admit(ROW, LIMIT, inTime());
   t.truthy(release);
   service.read = () =>
     Promise.resolve(err({ effect: "none", reached: false, detail: "down" }));
   const results: unknown[] = [];
-  for (let n = 0; n < LIMIT; n++) results.push(await own.admit(ROW, LIMIT));
+  for (let n = 0; n < LIMIT; n++) {
+    results.push(await own.admit(ROW, LIMIT, inTime()));
+  }
   const admittedCount =
     results.filter((release) => release !== undefined).length;
   t.true(admittedCount >= 1 && admittedCount < LIMIT);
