Answer a call that may not be repeated by its deadline if the store is silent

Seen by callers: while the table service did not answer, the write of a claim was repeated four times with the store's time limit each, and queries to the claim's owner came on top. The caller heard nothing until long after its deadline.

Cause: only the dispatched call was bounded by the deadline, not what comes before it.

Evidence, the new test on the code before (deadline 1 s, store time limit 8 s):

✘ a call is refused by its deadline while the store is silent refused after 32288.279899 ms

Ruled out: a call that is dispatched after its caller was refused.

Change: `ClaimRunner.run` returns at the deadline: `ran: "no"` while the claim is being written, and the request is not dispatched then; CLAIM_IN_FLIGHT if another request has the claim or the call was dispatched. The failures have a module of their own.

--- a/packages/claims/claims_runner.ts
+++ b/packages/claims/claims_runner.ts
@@ -1,6 +1,7 @@
 /** Runs calls that may not be repeated, each at most once. */
 import { err, ok, type Result } from "neverthrow";
 import * as core from "../core/mod.ts";
+import * as failures from "./claims_failures.ts";
 import { ClaimEntry, ClaimRegistry } from "./claims_registry.ts";
 import { ClaimSettler } from "./claims_settler.ts";
 import { claimKey, type ClaimStore } from "./claims_store.ts";
@@ -21,8 +22,6 @@
 const OWNER_QUERY_ATTEMPTS_MAX = 3;
 /** Interval between queries to the owner of an in-flight claim. */
 const OWNER_QUERY_INTERVAL_MS = 100;
-const STORE_RETRY_AFTER_MS = 1_000;
-const OWNER_RETRY_AFTER_MS = 1_000;
 
 /** Options of a `ClaimRunner`. */
 export interface ClaimRunnerOptions {
@@ -46,6 +45,14 @@
   | { readonly kind: "held"; readonly held: VersionedClaim }
   | { readonly kind: "refused"; readonly failure: core.Failure };
 
+/**
+ * How far a request has come: its claim is being written, another request has
+ * the claim, its call was dispatched, or its deadline passed before that.
+ */
+interface RunProgress {
+  stage: "claiming" | "held" | "dispatched" | "ended";
+}
+
 /** What to do after an attempt to claim a key. */
 type ClaimStep =
   | { readonly kind: "end"; readonly result: ClaimResult }
@@ -74,7 +81,8 @@
   }
 
   /**
-   * Runs a request at most once across all instances.
+   * Runs a request at most once across all instances. Its result comes by the
+   * deadline, whatever the store, the owner of the claim or the service do.
    *
    * @example
    * ```ts
@@ -82,22 +90,42 @@
    * ```
    */
   async run(request: ClaimRequest, dispatch: Dispatch): Promise<ClaimResult> {
+    const progress: RunProgress = { stage: "claiming" };
+    const result = this.#run(request, progress, async () => {
+      if (progress.stage === "ended") {
+        return { kind: "notRun", failure: failures.noClaimInTime() };
+      }
+      progress.stage = "dispatched";
+      return await dispatch();
+    });
+    const resultInTime = await request.deadline.waitFor(result);
+    if (resultInTime !== undefined) return resultInTime;
+    const failure = lateFailure(progress);
+    if (progress.stage === "claiming") progress.stage = "ended";
+    return err(failure);
+  }
+
+  async #run(
+    request: ClaimRequest,
+    progress: RunProgress,
+    dispatch: Dispatch,
+  ): Promise<ClaimResult> {
     let version = 0;
     while (!request.deadline.isOver()) {
       const local = this.registry.find(claimKey(request));
       if (local) {
+        progress.stage = "held";
         const result = await this.#awaitLocalClaim(request, local);
         if (result) return result;
         continue;
       }
-      const step = await this.#tryClaim(request, version, dispatch);
+      progress.stage = "claiming";
+      const step = await this.#tryClaim(request, progress, version, dispatch);
       if (step.kind === "end") return step.result;
       if (step.kind === "takeOver") version = step.version;
       else await core.sleep(core.jitterMs(OWNER_QUERY_INTERVAL_MS));
     }
-    return err(
-      core.refuse(core.DEADLINE_PASSED, "no claim before the deadline"),
-    );
+    return err(lateFailure(progress));
   }
 
   /**
@@ -108,7 +136,7 @@
     request: ClaimRequest,
     local: ClaimEntry,
   ): Promise<ClaimResult | undefined> {
-    if (local.bodyHash !== request.bodyHash) return err(keyReused());
+    if (local.bodyHash !== request.bodyHash) return err(failures.keyReused());
     const remainingMs = request.deadline.remainingMs();
     await Promise.race([local.settled, core.sleep(remainingMs)]);
     switch (local.fate.kind) {
@@ -118,21 +146,22 @@
         await core.sleep(1);
         return undefined;
       case "inFlight":
-        return err(stillInFlight());
+        return err(failures.stillInFlight());
       default:
-        return err(fateUnknown("its outcome was lost"));
+        return err(failures.fateUnknown("its outcome was lost"));
     }
   }
 
   async #tryClaim(
     request: ClaimRequest,
+    progress: RunProgress,
     version: number,
     dispatch: Dispatch,
   ): Promise<ClaimStep> {
     if (this.registry.size >= this.#options.unsettledMax) {
       return {
         kind: "end",
-        result: err(storeUnavailable("too many unsettled claims")),
+        result: err(failures.storeUnavailable("too many unsettled claims")),
       };
     }
     const entry = new ClaimEntry(
@@ -155,6 +184,7 @@
     if (acquired.kind === "refused") {
       return { kind: "end", result: err(acquired.failure) };
     }
+    progress.stage = "held";
     return this.#resolveHeld(request, acquired.held);
   }
 
@@ -181,7 +211,7 @@
     if (hasLostReply) this.#releaseInBackground(entry);
     return {
       kind: "refused",
-      failure: storeUnavailable("the claim is not recorded"),
+      failure: failures.storeUnavailable("the claim is not recorded"),
     };
   }
 
@@ -190,7 +220,7 @@
     held: VersionedClaim | undefined,
   ): AcquireResult {
     if (held === undefined) {
-      const failure = storeUnavailable("the claim row cannot be read");
+      const failure = failures.storeUnavailable("the claim row cannot be read");
       return { kind: "refused", failure };
     }
     if (held.claim.nonce !== entry.nonce) return { kind: "held", held };
@@ -203,7 +233,7 @@
   ): ClaimStep | Promise<ClaimStep> {
     const { claim, version } = held;
     if (claim.bodyHash !== request.bodyHash) {
-      return { kind: "end", result: err(keyReused()) };
+      return { kind: "end", result: err(failures.keyReused()) };
     }
     switch (claim.state) {
       case "done":
@@ -213,7 +243,7 @@
       case "unknown":
         return {
           kind: "end",
-          result: err(fateUnknown("its outcome was lost")),
+          result: err(failures.fateUnknown("its outcome was lost")),
         };
       case "claimed":
         return this.#resolveWithOwner(request, held);
@@ -235,16 +265,15 @@
         if (request.deadline.remainingMs() > OWNER_QUERY_INTERVAL_MS * 2) {
           return { kind: "wait" };
         }
-        return { kind: "end", result: err(stillInFlight()) };
+        return { kind: "end", result: err(failures.stillInFlight()) };
       case "unreachable": {
-        const failure = {
-          ...fateUnknown(`its owner ${owner} cannot be reached`),
-          retryAfterMs: OWNER_RETRY_AFTER_MS,
-        };
-        return { kind: "end", result: err(failure) };
+        return { kind: "end", result: err(failures.ownerUnreachable(owner)) };
       }
       default:
-        return { kind: "end", result: err(fateUnknown(`its owner is gone`)) };
+        return {
+          kind: "end",
+          result: err(failures.fateUnknown(`its owner is gone`)),
+        };
     }
   }
 
@@ -277,19 +306,6 @@
       const failure = core.refuse(core.DEADLINE_PASSED, "after the claim");
       return this.#finish(entry, version, { kind: "notRun", failure });
     }
-    const completion = this.#dispatchAndFinish(entry, version, dispatch);
-    const resultInTime = await Promise.race([
-      completion,
-      core.sleep(request.deadline.remainingMs()).then(() => undefined),
-    ]);
-    return resultInTime ?? err(stillInFlight());
-  }
-
-  async #dispatchAndFinish(
-    entry: ClaimEntry,
-    version: number,
-    dispatch: Dispatch,
-  ): Promise<ClaimResult> {
     core.invariant(version > 0, 3, entry.storeKey);
     const result = await dispatch();
     return this.#finish(entry, version, result);
@@ -353,31 +369,15 @@
 }
 
 function replay(outcome: ClaimOutcome | undefined): ClaimStep {
-  if (outcome !== undefined) return { kind: "end", result: ok(outcome) };
-  const failure: core.Failure = {
-    ...core.fail(core.OUTCOME_UNREADABLE, "the object store", "yes"),
-    retryAfterMs: STORE_RETRY_AFTER_MS,
-  };
-  return { kind: "end", result: err(failure) };
-}
-
-function keyReused(): core.Failure {
-  return core.refuse(core.KEY_REUSED, "the key names another request");
-}
-
-function stillInFlight(): core.Failure {
-  const failure = core.fail(
-    core.CLAIM_IN_FLIGHT,
-    "the first request with this key has not ended",
-    "unknown",
-  );
-  return { ...failure, retryAfterMs: OWNER_RETRY_AFTER_MS };
-}
-
-function fateUnknown(detail: string): core.Failure {
-  return core.fail(core.CLAIM_FATE_UNKNOWN, detail, "unknown");
+  const result = outcome === undefined
+    ? err(failures.outcomeUnreadable())
+    : ok(outcome);
+  return { kind: "end", result };
 }
 
-function storeUnavailable(detail: string): core.Failure {
-  return core.refuse(core.CLAIM_STORE_DOWN, detail, STORE_RETRY_AFTER_MS);
+/** The failure of a request whose deadline passed. */
+function lateFailure({ stage }: RunProgress): core.Failure {
+  return stage === "claiming"
+    ? failures.noClaimInTime()
+    : failures.stillInFlight();
 }
--- a/packages/proofs/tests/unit/silent_store_test.ts
+++ b/packages/proofs/tests/unit/silent_store_test.ts
@@ -43,3 +43,34 @@
     await cluster.stop();
   }
 });
+
+// The write of a claim was bounded by the store's time limit alone, so that
+// callers heard nothing until long after their deadline.
+test.serial("a call is refused by its deadline while the store is silent", async (t) => {
+  const cluster = new testing.TestCluster({
+    entries: 1,
+    engines: 0,
+    services: { orders: 1 },
+    settings: { platform: { timeoutMs: STORE_TIMEOUT_MS } },
+  });
+  try {
+    await cluster.start();
+    cluster.tableService.faults.inject({ name: "blackhole" });
+    const startedAtMs = core.monotonicMs();
+    const response = await testing.callService(originOf(cluster), {
+      service: "orders",
+      path: "dispense",
+      body: {},
+      key: "silent-store",
+      deadlineMs: DEADLINE_MS,
+    });
+    const tookMs = core.monotonicMs() - startedAtMs;
+    t.is(response.body.ran, "no");
+    t.true(tookMs < DEADLINE_MS + MARGIN_MS, `refused after ${tookMs} ms`);
+    cluster.tableService.faults.clear();
+    await core.sleep(1_000);
+    t.is(cluster.runCount("orders", "kiosk/silent-store"), 0);
+  } finally {
+    await cluster.stop();
+  }
+});
