Let an upstream be silent until the caller's deadline

Seen by callers: with a deadline above five minutes, an answer ended with UPSTREAM_BROKE or STREAM_BROKEN after 300 s of silence of a sound engine or service; the outcome of a call that may not be repeated was then unknown for good.

Cause: undici's limits for headers and for gaps in bodies, 300 s by setting and by default.

Evidence, the new tests on the code before (undici's clock is advanced):

✘ a stream of an engine that is silent before its response is whole Headers Timeout Error ✘ a call of a service that is silent before its response is answered Headers Timeout Error ✘ a stream of an engine that is silent inside its response is whole Body Timeout Error ✘ a call of a service that is silent inside its response is answered Body Timeout Error

Ruled out: silences of seconds; neither watches nor the list of upstreams end an attempt, they only keep new requests away.

Change: both limits are off for callers' requests, each of which is aborted at its own deadline. Reports and orders keep theirs. After it the tests pass.

--- a/packages/instance/upstreams/upstreams_clients.ts
+++ b/packages/instance/upstreams/upstreams_clients.ts
@@ -9,8 +9,8 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Shorter than the upstreams' own keep-alive time-out for idle connections. */
 const KEEP_ALIVE_MS = 3_000;
-/** Longest time without response headers or between two chunks of a body. */
-const BODY_TIMEOUT_MS = 300_000;
+/** No time limit for silence: each request is aborted at its own deadline. */
+const SILENCE_UNLIMITED = { headersTimeout: 0, bodyTimeout: 0 };
 /** Largest completion with neither a length nor chunks. */
 const UNFRAMED_BYTES_MAX = 8 * 1024 * 1024;
 
@@ -20,12 +20,11 @@
   readonly #agent = new Agent({
     connect: transport.connector(CONNECT_TIMEOUT_MS),
     keepAliveTimeout: KEEP_ALIVE_MS,
-    bodyTimeout: BODY_TIMEOUT_MS,
-    headersTimeout: BODY_TIMEOUT_MS,
+    ...SILENCE_UNLIMITED,
   });
   readonly #serviceAgent = new Agent({
     connect: transport.connector(CONNECT_TIMEOUT_MS),
-    headersTimeout: BODY_TIMEOUT_MS,
+    ...SILENCE_UNLIMITED,
   });
   readonly #dispatcher = transport
     .guardUnframedBodies(this.#agent, UNFRAMED_BYTES_MAX);
