Wait at a planned stop for calls that outlasted their callers' deadlines

Seen by callers: a call that may not be repeated and outlasts its caller's deadline is answered with CLAIM_IN_FLIGHT and `Retry-After`. If its entry was stopped meanwhile, the call was cut off, and the caller that came back to another entry was told, for good, that the fate is unknown (4002). The call had run.

Cause: such a call counts neither as in progress, as its caller has been answered, nor as a final state to be stored, as it has none yet.

Evidence, the new test on the code before:

✘ a planned stop waits for the outcome of a call that may not be repeated - 502 + 200 "its owner entry-1 cannot be reached","code":4002,"ran":"unknown"

Ruled out: final states that are known when the stop begins; they are written for up to 5 s.

Change: `ClaimRunner.whenIdle` waits for the calls in flight; the stop uses it until `drain.finishMaxMs` is over, and says `idle=false` if that was too short. After it the test passes.

--- a/packages/claims/claims_failures.ts
+++ b/packages/claims/claims_failures.ts
@@ -4,6 +4,14 @@
 const STORE_RETRY_AFTER_MS = 1_000;
 const OWNER_RETRY_AFTER_MS = 1_000;
 
+/**
+ * How far a request has come: its claim is being written, another request has
+ * the claim, its call was dispatched, or its deadline passed before that.
+ */
+export interface RunProgress {
+  stage: "claiming" | "held" | "dispatched" | "ended";
+}
+
 /** The key was used with another request. */
 export function keyReused(): core.Failure {
   return core.refuse(core.KEY_REUSED, "the key names another request");
@@ -49,3 +57,8 @@
     retryAfterMs: STORE_RETRY_AFTER_MS,
   };
 }
+
+/** The failure of a request whose deadline passed. */
+export function lateFailure({ stage }: RunProgress): core.Failure {
+  return stage === "claiming" ? noClaimInTime() : stillInFlight();
+}
--- a/packages/claims/claims_runner.ts
+++ b/packages/claims/claims_runner.ts
@@ -45,14 +45,6 @@
   | { readonly kind: "held"; readonly held: VersionedClaim }
   | { readonly kind: "refused"; readonly failure: core.Failure };
 
-/**
- * How far a request has come: its claim is being written, another request has
- * the claim, its call was dispatched, or its deadline passed before that.
- */
-interface RunProgress {
-  stage: "claiming" | "held" | "dispatched" | "ended";
-}
-
 /** What to do after an attempt to claim a key. */
 type ClaimStep =
   | { readonly kind: "end"; readonly result: ClaimResult }
@@ -64,6 +56,8 @@
   readonly registry = new ClaimRegistry();
   readonly settler: ClaimSettler;
   readonly #options: ClaimRunnerOptions;
+  /** Calls in flight, until their final states are stored or given up. */
+  readonly #dispatched = new Set<Promise<ClaimResult>>();
 
   constructor(options: ClaimRunnerOptions) {
     this.#options = options;
@@ -80,6 +74,17 @@
     return this.registry.fateOf(nonce);
   }
 
+  /**
+   * Waits up to `waitMs` until no call is in flight, including those whose
+   * callers were answered at their deadlines.
+   *
+   * @returns whether that happened.
+   */
+  async whenIdle(waitMs: number): Promise<boolean> {
+    const ended = Promise.allSettled(this.#dispatched).then(() => true);
+    return await new core.Deadline(waitMs).waitFor(ended) ?? false;
+  }
+
   /**
    * Runs a request at most once across all instances. Its result comes by the
    * deadline, whatever the store, the owner of the claim or the service do.
@@ -90,7 +95,7 @@
    * ```
    */
   async run(request: ClaimRequest, dispatch: Dispatch): Promise<ClaimResult> {
-    const progress: RunProgress = { stage: "claiming" };
+    const progress: failures.RunProgress = { stage: "claiming" };
     const result = this.#run(request, progress, async () => {
       if (progress.stage === "ended") {
         return { kind: "notRun", failure: failures.noClaimInTime() };
@@ -100,14 +105,14 @@
     });
     const resultInTime = await request.deadline.waitFor(result);
     if (resultInTime !== undefined) return resultInTime;
-    const failure = lateFailure(progress);
+    const failure = failures.lateFailure(progress);
     if (progress.stage === "claiming") progress.stage = "ended";
     return err(failure);
   }
 
   async #run(
     request: ClaimRequest,
-    progress: RunProgress,
+    progress: failures.RunProgress,
     dispatch: Dispatch,
   ): Promise<ClaimResult> {
     let version = 0;
@@ -125,7 +130,7 @@
       if (step.kind === "takeOver") version = step.version;
       else await core.sleep(core.jitterMs(OWNER_QUERY_INTERVAL_MS));
     }
-    return err(lateFailure(progress));
+    return err(failures.lateFailure(progress));
   }
 
   /**
@@ -154,7 +159,7 @@
 
   async #tryClaim(
     request: ClaimRequest,
-    progress: RunProgress,
+    progress: failures.RunProgress,
     version: number,
     dispatch: Dispatch,
   ): Promise<ClaimStep> {
@@ -307,8 +312,14 @@
       return this.#finish(entry, version, { kind: "notRun", failure });
     }
     core.invariant(version > 0, 3, entry.storeKey);
-    const result = await dispatch();
-    return this.#finish(entry, version, result);
+    const ended = dispatch()
+      .then((result) => this.#finish(entry, version, result));
+    this.#dispatched.add(ended);
+    try {
+      return await ended;
+    } finally {
+      this.#dispatched.delete(ended);
+    }
   }
 
   async #finish(
@@ -374,10 +385,3 @@
     : ok(outcome);
   return { kind: "end", result };
 }
-
-/** The failure of a request whose deadline passed. */
-function lateFailure({ stage }: RunProgress): core.Failure {
-  return stage === "claiming"
-    ? failures.noClaimInTime()
-    : failures.stillInFlight();
-}
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -303,8 +303,8 @@
   /**
    * Shuts down gracefully: announces that the instance is leaving, stops
    * admitting requests after a grace period, and waits up to
-   * `drain.finishMaxMs` for in-flight requests to finish and for their responses
-   * to be sent.
+   * `drain.finishMaxMs` for in-flight requests to finish, for their responses to
+   * be sent, and for calls that outlasted their callers' deadlines.
    */
   async stop(): Promise<void> {
     const { drain, peers: peerSettings } = this.#settings;
@@ -320,7 +320,11 @@
     await core.sleep(graceMs);
     this.admission.startRejecting();
     const finishDeadline = new core.Deadline(drain.finishMaxMs);
-    const idle = await this.admission.whenIdle(finishDeadline.remainingMs());
+    const hasFinished = await this.admission
+      .whenIdle(finishDeadline.remainingMs());
+    const hasSettled = await this.claimRunner
+      .whenIdle(finishDeadline.remainingMs());
+    const idle = hasFinished && hasSettled;
     await this.claimRunner.settler.drain(CLAIM_DRAIN_MAX_MS);
     await this.#callersListener.close(
       CONNECTION_CLOSE_WAIT_MS,
--- a/packages/proofs/tests/unit/planned_stop_test.ts
+++ b/packages/proofs/tests/unit/planned_stop_test.ts
@@ -4,10 +4,11 @@
  */
 import test from "ava";
 import { request } from "undici";
+import * as core from "../../../core/mod.ts";
 import * as testing from "../../../testing/mod.ts";
 
-function originOf(cluster: testing.TestCluster): string {
-  return cluster.entries[0]?.ready.callerAddress ?? "";
+function originOf(cluster: testing.TestCluster, index = 0): string {
+  return cluster.entries[index]?.ready.callerAddress ?? "";
 }
 
 // An edit that waited for a slow store when a planned stop began was cut off
@@ -48,3 +49,41 @@
     await cluster.stop();
   }
 });
+
+// A call that outlasted its caller's deadline was cut off by a planned stop, so
+// that the caller, told to come back for the outcome, never learned of it.
+test.serial("a planned stop waits for the outcome of a call that may not be repeated", async (t) => {
+  const cluster = new testing.TestCluster({
+    entries: 2,
+    engines: 0,
+    services: { orders: 1 },
+    settings: { drain: { entriesMaxAgeMs: 100 } },
+  });
+  try {
+    await cluster.start();
+    const [entry] = cluster.entries;
+    cluster.services.get("orders")?.[0]?.faults.inject({
+      name: "slowRun",
+      delayMs: 5_000,
+      count: 1,
+    });
+    const call = {
+      service: "orders",
+      path: "dispense",
+      body: {},
+      key: "outlived",
+    };
+    const first = await testing.callService(originOf(cluster), {
+      ...call,
+      deadlineMs: 300,
+    });
+    t.is(first.body.code, core.CLAIM_IN_FLIGHT.code);
+    entry?.signal("SIGTERM");
+    t.is(await entry?.exited(), 0);
+    const second = await testing.callService(originOf(cluster, 1), call);
+    t.is(second.status, 200, JSON.stringify(second.body));
+    t.is(cluster.runCount("orders", "kiosk/outlived"), 1);
+  } finally {
+    await cluster.stop();
+  }
+});
