End requests that outlast a planned stop with a failure

Seen by callers: completions, streams and calls of services that were in progress when `drain.finishMaxMs` was over were cut off, with neither an answer nor a refusal.

Cause: the stop stopped waiting and closed the connections; nothing told the handlers.

Evidence, the new test on the code before:

✘ requests that outlast a planned stop end with a failure - 'cut: SocketError: other side closed', (completion) + '503 7003 unknown', - 'cut: SocketError: other side closed', (call that may not be repeated) + '409 4001 unknown', - 'cut: SocketError: other side closed', (repeatable call) + '503 7003 unknown',

Ruled out: requests that have not been admitted; they are refused before.

Change: admission keeps an aborter for each admitted request and aborts them at the end of the time. What waits for an engine is refused with INSTANCE_LEAVING, `ran: "no"`; what was sent fails with the new code 7003, INSTANCE_STOPPED, in a stream as an error event; a call under a claim gets CLAIM_IN_FLIGHT. The handlers have a second for it. After it the test passes.

--- a/packages/claims/claims_runner.ts
+++ b/packages/claims/claims_runner.ts
@@ -87,7 +87,7 @@
 
   /**
    * Runs a request at most once across all instances. Its result comes by the
-   * deadline, whatever the store, the owner of the claim or the service do.
+   * deadline, or when its signal aborts, whatever the store, the owner of the claim or the service do.
    *
    * @example
    * ```ts
@@ -103,7 +103,8 @@
       progress.stage = "dispatched";
       return await dispatch();
     });
-    const resultInTime = await request.deadline.waitFor(result);
+    const resultInTime = await request.deadline
+      .waitFor(result, request.signal);
     if (resultInTime !== undefined) return resultInTime;
     const failure = failures.lateFailure(progress);
     if (progress.stage === "claiming") progress.stage = "ended";
--- a/packages/claims/claims_types.ts
+++ b/packages/claims/claims_types.ts
@@ -34,6 +34,8 @@
   /** Hash of everything that distinguishes the request from another one. */
   readonly bodyHash: string;
   readonly deadline: core.Deadline;
+  /** Ends the request before its deadline; a dispatched call goes on. */
+  readonly signal?: AbortSignal;
 }
 
 /**
--- a/packages/core/clock.ts
+++ b/packages/core/clock.ts
@@ -126,19 +126,27 @@
   /**
    * Waits for a promise until the deadline; what it stands for goes on after it.
    *
-   * @returns undefined if the deadline passed first.
+   * @param signal ends the wait before the deadline.
+   * @returns undefined if the wait ended first.
    * @example
    * ```ts
    * const rows = await deadline.waitFor(service.read(request));
    * ```
    */
-  async waitFor<T>(promise: Promise<T>): Promise<T | undefined> {
+  async waitFor<T>(
+    promise: Promise<T>,
+    signal?: AbortSignal,
+  ): Promise<T | undefined> {
     const timerEnd = new AbortController();
+    const endTimer = () => timerEnd.abort();
+    signal?.addEventListener("abort", endTimer, { once: true });
+    if (signal?.aborted) endTimer();
     const timer = sleep(this.remainingMs(), timerEnd.signal);
     try {
       return await Promise.race([promise, timer.then(() => undefined)]);
     } finally {
-      timerEnd.abort();
+      signal?.removeEventListener("abort", endTimer);
+      endTimer();
     }
   }
 }
--- a/packages/core/codes.ts
+++ b/packages/core/codes.ts
@@ -286,6 +286,12 @@
   503,
   "A peer instance could not be reached.",
 );
+export const INSTANCE_STOPPED = define(
+  7003,
+  "INSTANCE_STOPPED",
+  503,
+  "The instance stopped before the request had ended.",
+);
 
 /** Every result code, in numeric order. */
 export const RESULT_CODES: readonly ResultCode[] = [
@@ -330,4 +336,5 @@
   EDIT_OUTCOME_UNKNOWN,
   INTERNAL,
   PEER_UNREACHABLE,
+  INSTANCE_STOPPED,
 ];
--- a/packages/gateway/gateway_admission.ts
+++ b/packages/gateway/gateway_admission.ts
@@ -27,7 +27,9 @@
 export class GatewayAdmission {
   readonly #options: GatewayAdmissionOptions;
   #phase: GatewayPhase = "serving";
-  #inProgress = 0;
+  /** Aborted to end the admitted requests; one for each of them. */
+  readonly #aborters = new Set<AbortController>();
+  #hasEndedRequests = false;
   #onIdle: (() => void) | undefined;
   #pendingProbe: Promise<void> | undefined;
   #lastProbeAtMs = -Infinity;
@@ -42,7 +44,12 @@
 
   /** Number of admitted requests that have not ended. */
   get inProgress(): number {
-    return this.#inProgress;
+    return this.#aborters.size;
+  }
+
+  /** Whether `endRequests` was called. */
+  get hasEndedRequests(): boolean {
+    return this.#hasEndedRequests;
   }
 
   /** Whether new callers should be directed to this instance. */
@@ -61,23 +68,32 @@
     this.#phase = "refusing";
   }
 
+  /** Ends the requests in progress; their handlers respond with a failure. */
+  endRequests(): void {
+    this.#hasEndedRequests = true;
+    for (const aborter of this.#aborters) aborter.abort();
+  }
+
   /**
    * Admits or rejects a request; an isolated instance probes first.
    *
+   * @param aborter aborted if the request must end before it is done.
    * @returns the cleanup to call when the request has ended, or the rejection.
    * @example
    * ```ts
-   * const release = await admission.admit();
+   * const release = await admission.admit(new AbortController());
    * if (release.isErr()) return problemResponse(context, release.error);
    * ```
    */
-  async admit(): Promise<Result<core.Cleanup, core.Failure>> {
+  async admit(
+    aborter: AbortController,
+  ): Promise<Result<core.Cleanup, core.Failure>> {
     // A process that was paused looks isolated until it contacts store or peers.
     if (this.#options.isIsolated()) await this.#probe();
     const rejection = this.#checkAdmission();
     if (rejection) return err(rejection);
-    this.#inProgress++;
-    return ok(() => this.#release());
+    this.#aborters.add(aborter);
+    return ok(() => this.#release(aborter));
   }
 
   /**
@@ -86,7 +102,7 @@
    * @returns true if that happened within `timeoutMs`, false if it did not.
    */
   async whenIdle(timeoutMs: number): Promise<boolean> {
-    if (this.#inProgress === 0) return true;
+    if (this.inProgress === 0) return true;
     const idle = new Promise<boolean>((resolve) => {
       this.#onIdle = () => resolve(true);
     });
@@ -104,18 +120,14 @@
     await this.#pendingProbe;
   }
 
-  #release(): void {
-    this.#inProgress--;
-    if (this.#inProgress === 0) this.#onIdle?.();
+  #release(aborter: AbortController): void {
+    this.#aborters.delete(aborter);
+    if (this.inProgress === 0) this.#onIdle?.();
   }
 
   #checkAdmission(): core.Failure | undefined {
     if (this.#phase === "refusing") {
-      return core.refuse(
-        core.INSTANCE_LEAVING,
-        "ask /v1/entries for another instance",
-        OTHER_INSTANCE_RETRY_AFTER_MS,
-      );
+      return leavingFailure();
     }
     if (!this.#options.isTableReady()) {
       return core.refuse(
@@ -131,13 +143,38 @@
         OTHER_INSTANCE_RETRY_AFTER_MS,
       );
     }
-    if (this.#inProgress >= this.#options.inProgressMax) {
+    if (this.inProgress >= this.#options.inProgressMax) {
       return core.refuse(
         core.INSTANCE_FULL,
-        `${this.#inProgress} requests in progress`,
+        `${this.inProgress} requests in progress`,
         SAME_INSTANCE_RETRY_AFTER_MS,
       );
     }
     return undefined;
   }
 }
+
+function leavingFailure(): core.Failure {
+  return core.refuse(
+    core.INSTANCE_LEAVING,
+    "ask /v1/entries for another instance",
+    OTHER_INSTANCE_RETRY_AFTER_MS,
+  );
+}
+
+/**
+ * Returns the failure of a request that ended with the time of a planned stop.
+ *
+ * @example
+ * ```ts
+ * if (admission.hasEndedRequests) return err(stoppedFailure(failure.ran));
+ * ```
+ */
+export function stoppedFailure(ran: core.Ran): core.Failure {
+  if (ran === "no") return leavingFailure();
+  const detail = "the time to finish requests was over";
+  return {
+    ...core.fail(core.INSTANCE_STOPPED, detail, ran),
+    retryAfterMs: OTHER_INSTANCE_RETRY_AFTER_MS,
+  };
+}
--- a/packages/gateway/gateway_cold_start.ts
+++ b/packages/gateway/gateway_cold_start.ts
@@ -36,7 +36,7 @@
     row: table.TableRow,
     deadline: core.Deadline,
     responseMs: number,
-    disconnectSignal: AbortSignal,
+    abortSignal: AbortSignal,
   ): Promise<Result<void, core.Failure>> {
     const { demand, onColdStart, metrics } = this.#dependencies;
     const expectedLoadMs = this.#estimateLoadMs(row);
@@ -52,7 +52,7 @@
     const wasLoaded = await this.#waitUntilLoaded(
       row,
       waitMaxMs,
-      disconnectSignal,
+      abortSignal,
     );
     endWait();
     if (!wasLoaded) {
@@ -87,14 +87,14 @@
   #waitUntilLoaded(
     row: table.TableRow,
     waitMaxMs: number,
-    disconnectSignal: AbortSignal,
+    abortSignal: AbortSignal,
   ): Promise<boolean> {
     if (this.#isLoaded(row)) return Promise.resolve(true);
     return new Promise((resolve) => {
       const finish = (isLoaded: boolean) => {
         clearTimeout(timer);
         unregister();
-        disconnectSignal.removeEventListener("abort", stopWaiting);
+        abortSignal.removeEventListener("abort", stopWaiting);
         resolve(isLoaded);
       };
       const stopWaiting = () => finish(false);
@@ -102,7 +102,7 @@
       const unregister = this.#dependencies.fleet.registerListener(() => {
         if (this.#isLoaded(row)) finish(true);
       });
-      disconnectSignal.addEventListener("abort", stopWaiting);
+      abortSignal.addEventListener("abort", stopWaiting);
     });
   }
 }
--- a/packages/gateway/gateway_completion_request.ts
+++ b/packages/gateway/gateway_completion_request.ts
@@ -14,7 +14,7 @@
 import * as core from "../core/mod.ts";
 import * as table from "../table/mod.ts";
 import {
-  callerDisconnectSignal,
+  makeAborter,
   makeCallerTokens,
   readDeadline,
 } from "./gateway_request.ts";
@@ -49,8 +49,8 @@
   /** Hash of the start of the body, for prefix-aware routing. */
   readonly prefixHash: number;
   readonly deadline: core.Deadline;
-  /** Aborts when the caller disconnects. */
-  readonly disconnectSignal: AbortSignal;
+  /** Aborted when the caller disconnects, or the request must end. */
+  readonly aborter: AbortController;
 }
 
 /** Authenticates callers and parses their completion requests. */
@@ -95,7 +95,7 @@
       tokensMax: requestedTokensOf(body) ?? DEFAULT_OUTPUT_TOKENS,
       prefixHash: core.hash32(text.slice(0, PREFIX_CHARACTERS)),
       deadline,
-      disconnectSignal: callerDisconnectSignal(context),
+      aborter: makeAborter(context),
     }));
   }
 }
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -10,6 +10,7 @@
 import * as transport from "../transport/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
 import { closeIfLeaving, problemResponse } from "./gateway_request.ts";
+import { stoppedFailure } from "./gateway_admission.ts";
 import {
   CompletionReader,
   type CompletionRequest,
@@ -74,7 +75,12 @@
         context.env.outgoing,
         () => closeIfLeaving(context, this.#dependencies.admission),
       );
-      const response = await this.#serve(completion.value, relay);
+      const response = (await this.#serve(completion.value, relay))
+        .mapErr((failure) =>
+          this.#dependencies.admission.hasEndedRequests
+            ? stoppedFailure(failure.ran)
+            : failure
+        );
       const failure = response.isErr() ? response.error : undefined;
       this.#recordResult(completion.value, startedAtMs, failure);
       if (response.isOk()) return response.value;
@@ -92,7 +98,7 @@
     completion: CompletionRequest,
   ): Promise<Result<core.Cleanup, core.Failure>> {
     const { admission, limits, demand } = this.#dependencies;
-    const admitted = await admission.admit();
+    const admitted = await admission.admit(completion.aborter);
     if (admitted.isErr()) return admitted;
     const { row } = completion;
     const endRequest = demand.beginRequest(row.name);
@@ -129,7 +135,7 @@
       triedIds: new Set(),
     };
     while (
-      !completion.deadline.isOver() && !completion.disconnectSignal.aborted
+      !completion.deadline.isOver() && !completion.aborter.signal.aborted
     ) {
       const view = await this.#selector.select(completion, progress);
       if (view.isErr()) return err(withRan(view.error, progress.ran));
@@ -147,7 +153,7 @@
       if (response.isOk()) return ok(response.value);
       if (finalFailure) return err(withRan(finalFailure, progress.ran));
     }
-    const detail = completion.disconnectSignal.aborted
+    const detail = completion.aborter.signal.aborted
       ? "caller gone"
       : "too late";
     const code = progress.ran === "no"
@@ -170,7 +176,7 @@
       bodyText: completion.bodyText,
       priority: completion.row.priority,
       deadlineMs: remainingMs,
-      signal: transport.timeoutSignal(remainingMs, completion.disconnectSignal),
+      signal: transport.timeoutSignal(remainingMs, completion.aborter.signal),
       onLoad: (load) => view.applyResponseLoad(load),
       ...(relay.hasStarted ? { resume: relay.position } : {}),
     };
@@ -226,10 +232,15 @@
     relay: StreamRelay,
     failure: core.Failure,
   ): void {
+    const { hasEndedRequests } = this.#dependencies.admission;
     const isLate = completion.deadline.isOver();
-    const code = isLate ? core.ANSWER_LATE : core.STREAM_BROKEN;
+    const code = hasEndedRequests
+      ? core.INSTANCE_STOPPED
+      : isLate
+      ? core.ANSWER_LATE
+      : core.STREAM_BROKEN;
     relay.abort(core.fail(code, failure.detail, "yes"));
-    if (completion.disconnectSignal.aborted) return;
+    if (this.#isCallerGone(completion)) return;
     this.#dependencies.metrics.increment("streams_broken");
     this.#dependencies.logger.warn("stream_broken", {
       callerId: completion.callerId,
@@ -266,7 +277,7 @@
       return progress.lastFailure;
     }
     if (
-      completion.disconnectSignal.aborted || progress.attempts >= ATTEMPTS_MAX
+      completion.aborter.signal.aborted || progress.attempts >= ATTEMPTS_MAX
     ) {
       return progress.lastFailure;
     }
@@ -309,12 +320,17 @@
     return problemResponse(context, failure);
   }
 
+  #isCallerGone({ aborter }: CompletionRequest): boolean {
+    const { admission } = this.#dependencies;
+    return aborter.signal.aborted && !admission.hasEndedRequests;
+  }
+
   #recordResult(
     completion: CompletionRequest,
     startedAtMs: number,
     failure: core.Failure | undefined,
   ): void {
-    if (completion.disconnectSignal.aborted) return;
+    if (this.#isCallerGone(completion)) return;
     const { metrics, burn } = this.#dependencies;
     const isInTime = failure === undefined && !completion.deadline.isOver();
     burn.record(completion.callerId, completion.row.name, isInTime);
--- a/packages/gateway/gateway_engine_selector.ts
+++ b/packages/gateway/gateway_engine_selector.ts
@@ -94,7 +94,7 @@
     progress: AttemptProgress,
     holders: readonly routing.EngineView[],
   ): Promise<Result<routing.EngineView, core.Failure>> {
-    const { artifactId, deadline, disconnectSignal, row } = completion;
+    const { aborter, artifactId, deadline, row } = completion;
     const idleMs = this.#estimateIdleResponseMs(completion);
     const slots = holders
       .reduce((sum, { load }) => sum + (load?.slots ?? 1), 0);
@@ -119,7 +119,7 @@
         workMs,
       },
       () => this.#takePlace(completion, progress),
-      disconnectSignal,
+      aborter.signal,
     );
     if (place === undefined) return reject();
     return place === "noHolder"
@@ -151,7 +151,7 @@
       completion.row,
       completion.deadline,
       this.#estimateIdleResponseMs(completion),
-      completion.disconnectSignal,
+      completion.aborter.signal,
     );
     if (waited.isErr()) return err(waited.error);
     const view = this.#dependencies.policy.choose(
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -123,16 +123,18 @@
 }
 
 /**
- * Returns a signal that aborts when the caller's connection closes before the
+ * Returns an aborter that aborts when the caller's connection closes before the
  * response has been sent completely.
  */
-export function callerDisconnectSignal(context: GatewayContext): AbortSignal {
-  const controller = new AbortController();
+export function makeAborter(context: GatewayContext): AbortController {
+  const aborter = new AbortController();
   const { outgoing } = context.env;
-  outgoing.once("close", () => {
-    if (!outgoing.writableFinished) controller.abort();
-  });
-  return controller.signal;
+  const onClose = () => {
+    if (!outgoing.writableFinished) aborter.abort();
+  };
+  outgoing.once("close", onClose);
+  if (outgoing.destroyed) onClose();
+  return aborter;
 }
 
 /**
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -10,6 +10,7 @@
 import type * as settings from "../settings/mod.ts";
 import * as transport from "../transport/mod.ts";
 import type * as upstream from "../upstream/mod.ts";
+import { stoppedFailure } from "./gateway_admission.ts";
 import { toFailure } from "./gateway_failure.ts";
 import {
   makeCallerTokens,
@@ -60,14 +61,23 @@
     this.#dependencies.metrics.increment("requests");
     const call = await this.#read(context);
     if (call.isErr()) return this.#failureResponse(context, call.error);
-    const admitted = await this.#dependencies.admission.admit();
+    const aborter = new AbortController();
+    const { admission } = this.#dependencies;
+    const admitted = await admission.admit(aborter);
     if (admitted.isErr()) return this.#failureResponse(context, admitted.error);
     try {
-      const result = call.value.isRepeatable
-        ? await this.#callRepeatable(call.value)
-        : await this.#callAtMostOnce(call.value);
+      const result = (call.value.isRepeatable
+        ? await this.#callRepeatable(call.value, aborter.signal)
+        : await this.#callAtMostOnce(call.value, aborter.signal))
+        .mapErr((failure) =>
+          admission.hasEndedRequests && failure.result !== core.CLAIM_IN_FLIGHT
+            ? stoppedFailure(failure.ran)
+            : failure
+        );
       this.#recordResult(call.value, startedAtMs, result);
-      if (result.isErr()) return this.#failureResponse(context, result.error);
+      if (result.isErr()) {
+        return this.#failureResponse(context, result.error);
+      }
       const { status, contentType, bodyText } = result.value;
       return context.body(bodyText, status as 200, {
         "content-type": contentType,
@@ -118,15 +128,20 @@
   }
 
   /** Sends a repeatable call, retrying other instances within the budget. */
-  async #callRepeatable(call: ServiceCall): Promise<CallResult> {
+  async #callRepeatable(
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
     this.#dependencies.retryBudget.recordRequest();
     let failure = noInstanceFailure(call.service.name);
     for (let attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
       if (call.deadline.isOver()) return err(deadlineFailure(failure));
+      if (signal.aborted) return err(failure);
       if (attempt > 0 && !this.#dependencies.retryBudget.trySpend()) {
         return err(failure);
       }
-      const result = await this.#sendAttempt(call, call.deadline.remainingMs());
+      const timeoutMs = call.deadline.remainingMs();
+      const result = await this.#sendAttempt(call, timeoutMs, signal);
       if (result === undefined) return err(failure);
       if (result.isOk()) return ok(result.value);
       failure = withEarlierRan(failure, toFailure(result.error));
@@ -135,7 +150,10 @@
   }
 
   /** Runs a call that must not run twice, under a claim on its key. */
-  async #callAtMostOnce(call: ServiceCall): Promise<CallResult> {
+  async #callAtMostOnce(
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
     const key = call.key;
     if (key === undefined) throw new Error("Call without a key");
     return await this.#dependencies.claims.run({
@@ -143,6 +161,7 @@
       key,
       bodyHash: hashCall(call),
       deadline: call.deadline,
+      signal,
     }, () => this.#dispatchUnderClaim(call));
   }
 
@@ -167,6 +186,7 @@
   async #sendAttempt(
     call: ServiceCall,
     timeoutMs: number,
+    signal?: AbortSignal,
   ): Promise<
     Result<upstream.ServiceResponse, upstream.AttemptFailure> | undefined
   > {
@@ -182,7 +202,7 @@
       contentType: call.contentType,
       bodyText: call.bodyText,
       deadlineMs: timeoutMs,
-      signal: transport.timeoutSignal(timeoutMs),
+      signal: transport.timeoutSignal(timeoutMs, signal),
       ...(call.key === undefined ? {} : { key: call.key }),
     };
     const response = await clients.service(listed).call(attempt);
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -57,6 +57,8 @@
 /** An engine is unusable if its report is older than this × `silentAfterMs`. */
 const STALE_FACTOR = 12;
 const CLAIM_SETTLE_WAIT_MS = 500;
+/** How long requests may take to respond once they were ended. */
+const REQUEST_END_WAIT_MS = 1_000;
 const CLAIM_DRAIN_MAX_MS = 5_000;
 
 /** Policies that replace those named in the settings. */
@@ -322,13 +324,17 @@
     const finishDeadline = new core.Deadline(drain.finishMaxMs);
     const hasFinished = await this.admission
       .whenIdle(finishDeadline.remainingMs());
+    if (!hasFinished) {
+      this.admission.endRequests();
+      await this.admission.whenIdle(REQUEST_END_WAIT_MS);
+    }
     const hasSettled = await this.claimRunner
       .whenIdle(finishDeadline.remainingMs());
     const idle = hasFinished && hasSettled;
     await this.claimRunner.settler.drain(CLAIM_DRAIN_MAX_MS);
     await this.#callersListener.close(
       CONNECTION_CLOSE_WAIT_MS,
-      finishDeadline.remainingMs(),
+      Math.max(CONNECTION_CLOSE_WAIT_MS, finishDeadline.remainingMs()),
     );
     await this.#supervisor.stop();
     // With nothing in use, the second call releases what the first one kept.
--- a/packages/proofs/tests/unit/planned_stop_test.ts
+++ b/packages/proofs/tests/unit/planned_stop_test.ts
@@ -87,3 +87,65 @@
     await cluster.stop();
   }
 });
+
+// When the time of a planned stop was over, requests in progress were cut off
+// without an answer.
+test.serial("requests that outlast a planned stop end with a failure", async (t) => {
+  const cluster = new testing.TestCluster({
+    entries: 1,
+    engines: 1,
+    services: { orders: 1, stock: 1 },
+    rows: [testing.makeRow("llama")],
+    settings: { drain: { entriesMaxAgeMs: 100, finishMaxMs: 500 } },
+  });
+  try {
+    await cluster.start();
+    const [entry] = cluster.entries;
+    const origin = originOf(cluster);
+    await testing.complete(origin, { model: "llama", prompt: "warm" });
+    cluster.engines[0]?.faults.inject({ name: "slowTokens", delayMs: 500 });
+    for (const [service] of cluster.services.values()) {
+      service?.faults.inject({ name: "slowRun", delayMs: 15_000 });
+    }
+    const describe = (
+      { status, body }: { status: number; body?: Record<string, unknown> },
+    ) => `${status} ${body?.code} ${body?.ran}`;
+    const endOf = (result: Promise<testing.CallerResponse>) =>
+      result.then(describe, (thrown) => `cut: ${thrown}`);
+    const call = {
+      model: "llama",
+      prompt: "outlasts",
+      tokens: 8_000,
+      deadlineMs: 60_000,
+    };
+    let hasStarted = false;
+    const stream = testing.stream(origin, call, () => hasStarted = true);
+    const ends = [
+      endOf(testing.complete(origin, call)),
+      endOf(testing.callService(origin, {
+        service: "orders",
+        path: "dispense",
+        body: {},
+        key: "outlasts",
+      })),
+      endOf(testing.callService(origin, {
+        service: "stock",
+        path: "count",
+        body: {},
+      })),
+    ];
+    await testing.waitUntil("the stream has started", () => hasStarted);
+    entry?.signal("SIGTERM");
+    const stopped = core.INSTANCE_STOPPED;
+    t.deepEqual(await Promise.all(ends), [
+      `${stopped.httpStatus} ${stopped.code} unknown`,
+      `${core.CLAIM_IN_FLIGHT.httpStatus} ${core.CLAIM_IN_FLIGHT.code} unknown`,
+      `${stopped.httpStatus} ${stopped.code} unknown`,
+    ]);
+    const { error } = await stream;
+    t.is(error?.code, String(stopped.code), JSON.stringify(error));
+    t.is(await entry?.exited(), 0);
+  } finally {
+    await cluster.stop();
+  }
+});
