Answer all pipelined requests before a leaving entry closes their connection

Seen by callers: of requests sent at once on one connection to a leaving entry, only the first was answered. The others had been read whole and run; their answers were lost with the connection.

Cause: each response of a leaving entry closes its connection, also if responses to later requests are still owed on it.

Ruled out: the count of requests in progress, which had both.

Change: the listener, which knows what it owes to each connection, tells handlers whether later requests have arrived; only the last response closes the connection. A request that arrives after a response that says `close` is not answered, as the protocol has it.

--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -138,14 +138,16 @@
 }
 
 /**
- * Closes the caller's connection after the response if the instance is leaving.
- * To be called before the head of the response is written.
+ * Closes the caller's connection after the response if the instance is leaving,
+ * unless further responses are owed on it. To be called before the head of the
+ * response is written.
  */
 export function closeIfLeaving(
   context: GatewayContext,
   admission: GatewayAdmission,
 ): void {
   if (admission.phase === "serving") return;
+  if (context.env.hasLaterRequests()) return;
   // Not by a header of the response: to add one, Hono would make another
   // response, which throws if the status allows no body.
   context.env.outgoing.shouldKeepAlive = false;
--- a/packages/gateway/gateway_types.ts
+++ b/packages/gateway/gateway_types.ts
@@ -14,9 +14,15 @@
 import type * as upstream from "../upstream/mod.ts";
 import type { GatewayAdmission } from "./gateway_admission.ts";
 
-/** Hono environment with the Node bindings. */
+/** What the listener passes to handlers with each request. */
+export interface GatewayBindings extends HttpBindings {
+  /** Whether later requests have arrived on the caller's connection. */
+  readonly hasLaterRequests: () => boolean;
+}
+
+/** Hono environment with the listener's bindings. */
 export interface GatewayEnv {
-  Bindings: HttpBindings;
+  Bindings: GatewayBindings;
 }
 
 /** Hono context of one request. */
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -11,6 +11,7 @@
 export { DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER } from "./gateway_request.ts";
 export { UpstreamClients } from "./gateway_types.ts";
 export type {
+  GatewayBindings,
   GatewayContext,
   GatewayDependencies,
   GatewayEnv,
--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -1,5 +1,9 @@
 /** HTTP listener for callers and operators. */
-import { createAdaptorServer, type ServerType } from "@hono/node-server";
+import {
+  createAdaptorServer,
+  type HttpBindings,
+  type ServerType,
+} from "@hono/node-server";
 import type { Hono } from "hono";
 import type { Server, ServerResponse } from "node:http";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
@@ -38,6 +42,11 @@
     });
   }
 
+  /** Whether further responses are owed after the given one. */
+  owesAfter(response: ServerResponse): boolean {
+    return [...this.#openResponses].at(-1) !== response;
+  }
+
   /** Closes the connection if it was used and has been idle since then. */
   closeIfIdle(): void {
     const idleMs = core.monotonicMs() - this.#idleFromMs;
@@ -52,7 +61,13 @@
   readonly #connections = new Map<Socket, CallerConnection>();
 
   constructor(app: Hono<gateway.GatewayEnv>) {
-    const server: ServerType = createAdaptorServer({ fetch: app.fetch });
+    const server: ServerType = createAdaptorServer({
+      fetch: (request, { incoming, outgoing }) =>
+        app.fetch(
+          request,
+          this.#makeBindings({ incoming, outgoing } as HttpBindings),
+        ),
+    });
     this.#server = server as Server;
     this.#server.on("connection", (socket) => {
       this.#connections.set(socket, new CallerConnection(socket));
@@ -101,6 +116,15 @@
     await closed;
   }
 
+  #makeBindings(bindings: HttpBindings): gateway.GatewayBindings {
+    const connection = this.#connections.get(bindings.incoming.socket);
+    const { outgoing } = bindings;
+    return {
+      ...bindings,
+      hasLaterRequests: () => connection?.owesAfter(outgoing) ?? false,
+    };
+  }
+
   get #owesResponse(): boolean {
     return [...this.#connections.values()]
       .some(({ owesResponse }) => owesResponse);
--- a/packages/instance/tests/unit/callers_listener_test.ts
+++ b/packages/instance/tests/unit/callers_listener_test.ts
@@ -91,7 +91,8 @@
 // A request whose body never arrives must not hold up the end of the process.
 test("a request that is not read whole is not waited for", async (t) => {
   const app = new Hono<gateway.GatewayEnv>()
-    .post("/", async (context) => context.text(await context.req.text()));
+    .post("/", async (context) => context.text(await context.req.text()))
+    .onError((_, context) => context.text("cut", 500));
   const { listener, port } = await listen(app);
   const caller = new RawCaller(port);
   caller.socket.resume();
--- a/packages/proofs/tests/unit/planned_work_test.ts
+++ b/packages/proofs/tests/unit/planned_work_test.ts
@@ -5,7 +5,7 @@
 import test from "ava";
 import { createServer, type RequestListener, type Server } from "node:http";
 import { once } from "node:events";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import process from "node:process";
 import { buffer } from "node:stream/consumers";
 import { request } from "undici";
@@ -181,3 +181,36 @@
     await cluster.stop();
   }
 });
+
+// Of requests that a caller sent at once on one connection, all but the first
+// were cut off by the close of the connection after the first answer.
+test.serial("pipelined requests to a leaving entry are all answered", async (t) => {
+  const cluster = new testing.TestCluster({
+    entries: 1,
+    engines: 1,
+    rows,
+    settings: { drain: { entriesMaxAgeMs: 5_000 } },
+  });
+  try {
+    await cluster.start();
+    const origin = originOf(cluster);
+    await testing.complete(origin, { model: "llama", prompt: "warm" });
+    cluster.entries[0]?.signal("SIGTERM");
+    await waitUntilLeaving(origin);
+    const socket = connect(Number(new URL(origin).port), "127.0.0.1");
+    const body = JSON.stringify({
+      model: "llama",
+      messages: [{ role: "user", content: "both" }],
+    });
+    const message = "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n" +
+      `authorization: Bearer ${testing.CALLER_TOKENS.kiosk}\r\n` +
+      `content-length: ${body.length}\r\n\r\n${body}`;
+    socket.write(message + message);
+    let received = "";
+    socket.on("data", (bytes) => received += bytes.toString("latin1"));
+    await once(socket, "close");
+    t.is(received.match(/HTTP\/1\.1 200 OK/g)?.length, 2, received);
+  } finally {
+    await cluster.stop();
+  }
+});
