Go on with a planned stop if the peers cannot be told of it

Seen by callers: after SIGTERM an entry whose digest could not be built ended at once, with exit code 1, and cut off every request in progress.

Cause: the stop begins by exchanging digests with all peers. What that throws ended the stop before it waited for any request. A digest cannot be built, for instance, while an engine reports a number of bytes that is not whole.

Evidence, the new test on the code before:

✘ a planned stop cuts off no request if peers cannot be told {"cut":"SocketError: other side closed"}

Ruled out: peers that do not answer; their calls have a time limit and return a result.

Change: the failure is logged as leaving_not_announced and the stop goes on. That such a report stops all exchanges of the entry is a fault of its own and remains. After it the test passes.

--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -315,7 +315,7 @@
     });
     this.admission.markLeaving();
     this.directory.markSelfLeaving();
-    await this.#exchangeTask.exchangeWithAll();
+    await this.#announceLeaving();
     // Callers may use a cached /v1/entries response, which still lists this
     // instance, until it expires.
     const graceMs = drain.entriesMaxAgeMs + peerSettings.exchangeIntervalMs * 2;
@@ -344,6 +344,16 @@
     this.logger.info("instance_stopped", { idle });
   }
 
+  /** Tells the peers; they learn it later, and the stop goes on, if it fails. */
+  async #announceLeaving(): Promise<void> {
+    try {
+      await this.#exchangeTask.exchangeWithAll();
+    } catch (thrown) {
+      const detail = core.messageOf(thrown);
+      this.logger.warn("leaving_not_announced", { detail });
+    }
+  }
+
   #startTasks(): void {
     const { engines } = this.#settings;
     const root = this.#supervisor;
--- a/packages/proofs/tests/unit/planned_stop_test.ts
+++ b/packages/proofs/tests/unit/planned_stop_test.ts
@@ -149,3 +149,38 @@
     await cluster.stop();
   }
 });
+
+// If its peers could not be told, here because of a report of an engine that no
+// digest can carry, an entry that was told to stop ended at once.
+test.serial("a planned stop cuts off no request if peers cannot be told", async (t) => {
+  const cluster = new testing.TestCluster({
+    entries: 2,
+    engines: 1,
+    rows: [testing.makeRow("llama")],
+  });
+  try {
+    await cluster.start();
+    const [entry] = cluster.entries;
+    const [engine] = cluster.engines;
+    if (!entry || !engine) throw new Error("No entry or no engine");
+    const origin = originOf(cluster);
+    await testing.complete(origin, { model: "llama", prompt: "warm" });
+    const report = engine.report.bind(engine);
+    engine.report = () => ({ ...report(), capacityBytes: 100.5 });
+    await testing.waitUntil(
+      "no digest can be built",
+      () => entry.stderrLines.some((line) => line.includes("exchange-digests")),
+    );
+    const call = { model: "llama", prompt: "whole", tokens: 1_500 };
+    let hasStarted = false;
+    const result = await testing.stream(origin, call, () => {
+      if (!hasStarted) entry.signal("SIGTERM");
+      hasStarted = true;
+    });
+    t.true(result.isComplete, JSON.stringify(result.error));
+    t.is(result.text, testing.expectedText(call));
+    t.is(await entry.exited(), 0);
+  } finally {
+    await cluster.stop();
+  }
+});
