Accept queued connections before a stopping entry closes its listening socket

Seen by callers: requests on new connections to a stopping entry were reset. To the caller the connection was open and the request sent; it got neither an answer nor a refusal.

Cause: libuv accepts about one connection in each turn of the event loop, so that connections queue in the kernel under load. Closing the listening socket resets the queue.

Evidence, the new test on the code before (60 callers, all connected):

✘ requests on connections that wait to be accepted are answered - 59 + 0

Ruled out: connections that the process had accepted; each was answered.

Change: before it closes its socket, the listener accepts until a turn of the event loop brings no connection. It holds responses meanwhile, for some milliseconds, so that callers that connect again at once cannot fill the queue. After it the test passes.

--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -59,17 +59,24 @@
 export class CallersListener {
   readonly #server: Server;
   readonly #connections = new Map<Socket, CallerConnection>();
+  #acceptedConnections = 0;
+  /** Responses are held until this resolves, if it is set. */
+  #held: Promise<void> | undefined;
+  #endHold: () => void = () => undefined;
 
   constructor(app: Hono<gateway.GatewayEnv>) {
     const server: ServerType = createAdaptorServer({
-      fetch: (request, { incoming, outgoing }) =>
-        app.fetch(
-          request,
-          this.#makeBindings({ incoming, outgoing } as HttpBindings),
-        ),
+      fetch: async (request, { incoming, outgoing }) => {
+        const bindings = { incoming, outgoing } as HttpBindings;
+        const response = await app
+          .fetch(request, this.#makeBindings(bindings));
+        await this.#held;
+        return response;
+      },
     });
     this.#server = server as Server;
     this.#server.on("connection", (socket) => {
+      this.#acceptedConnections++;
       this.#connections.set(socket, new CallerConnection(socket));
       socket.on("close", () => this.#connections.delete(socket));
     });
@@ -97,7 +104,9 @@
    * been read whole.
    */
   async close(connectionWaitMs: number, responseWaitMs: number): Promise<void> {
+    await this.#drainAcceptQueue(connectionWaitMs);
     const closed = this.#stopAccepting();
+    this.#endHold();
     const connectionsDeadline = new core.Deadline(connectionWaitMs);
     const responsesDeadline = new core.Deadline(responseWaitMs);
     while (this.#connections.size > 0) {
@@ -130,6 +139,21 @@
       .some(({ owesResponse }) => owesResponse);
   }
 
+  /**
+   * Accepts what the kernel has queued, as closing the listening socket resets
+   * it. Responses are held meanwhile, so that callers that connect again at once
+   * do not fill the queue.
+   */
+  async #drainAcceptQueue(waitMs: number): Promise<void> {
+    this.#held = new Promise((resolve) => this.#endHold = resolve);
+    const deadline = new core.Deadline(waitMs);
+    let known: number;
+    do {
+      known = this.#acceptedConnections;
+      await core.nextPoll();
+    } while (this.#acceptedConnections > known && !deadline.isOver());
+  }
+
   /**
    * Closes the listening socket alone. The method of the HTTP server also
    * destroys connections whose response has been written, but not sent.
--- a/packages/instance/tests/unit/callers_listener_test.ts
+++ b/packages/instance/tests/unit/callers_listener_test.ts
@@ -22,7 +22,7 @@
     this.socket.on("error", () => {});
     this.socket.on("data", (chunk) => this.bytes += chunk.length);
     this.socket.pause();
-    this.closed = once(this.socket, "close");
+    this.closed = new Promise((resolve) => this.socket.on("close", resolve));
   }
 }
 
@@ -104,3 +104,21 @@
   await listener.close(300, 20_000);
   t.true(core.monotonicMs() - startedAtMs < 5_000);
 });
+
+// Requests on connections that the kernel had accepted, but not yet the process,
+// were cut off by the close of the listening socket.
+test("requests on connections that wait to be accepted are answered", async (t) => {
+  const app = new Hono<gateway.GatewayEnv>()
+    .get("/", (context) => context.text("here"));
+  const { listener, port } = await listen(app);
+  const callers = Array.from({ length: 60 }, () => new RawCaller(port));
+  await Promise.all(callers.map(async ({ socket }) => {
+    socket.resume();
+    await once(socket, "connect");
+    socket.write(REQUEST);
+  }));
+  const closed = listener.close(20_000, 20_000);
+  await Promise.all(callers.map((caller) => caller.closed));
+  await closed;
+  t.is(callers.filter(({ bytes }) => bytes === 0).length, 0);
+});
