Keep a share of a limit that grows while unused ones are released

Seen by callers: a request under a limit that came while its entry released unused shares was served, but the share was forgotten. It stayed taken in the store, so that a row with a limit of one refused every later request with LIMIT_REACHED until the entry was replaced.

Cause: `releaseUnused` dropped the record of a share with nothing in it, also while a request was waiting for it to grow.

Evidence, the new test on the code before:

✘ a share that grows during a release is kept Value is not truthy: undefined

Ruled out: records of shares with requests in progress.

Change: a record is kept while its share is being changed. After it the test passes, as does the property test.

--- a/packages/limits/limits_shares.ts
+++ b/packages/limits/limits_shares.ts
@@ -97,7 +97,8 @@
           () => this.#shrink(rowName, held, -excess),
         );
       }
-      if (held.count === 0 && held.inUse === 0) this.#held.delete(rowName);
+      const isUnused = held.count === 0 && held.inUse === 0;
+      if (isUnused && !held.pendingChange) this.#held.delete(rowName);
     }
   }
 
--- a/packages/limits/tests/unit/limits_test.ts
+++ b/packages/limits/tests/unit/limits_test.ts
@@ -154,3 +154,17 @@
     results.filter((release) => release !== undefined).length;
   t.true(admittedCount >= 1 && admittedCount < LIMIT);
 });
+
+// A share that was enlarged while unused shares were released was forgotten, and
+// stayed taken for good.
+test("a share that grows during a release is kept", async (t) => {
+  const service = new LossyTableService([]);
+  const own = makeShares(service, 1);
+  const growing = own.admit(ROW, 1, inTime());
+  await own.releaseUnused();
+  const release = await growing;
+  t.truthy(release);
+  await release?.();
+  const again = await own.admit(ROW, 1, inTime());
+  t.truthy(again);
+});
