Recover shares of a limit whose writes lost their replies

Seen by callers: after a write of a share whose reply was lost, a row with a limit refused requests with LIMIT_REACHED although none was in progress, here or on other entries, until the entry was replaced.

Cause: an enlarged share whose reply was lost counted as used by someone, and a release that was lost was not repeated.

Evidence, the new tests on the code before:

✘ a share whose write lost its reply is not lost ✘ a release that is lost is repeated

Ruled out: over-admission by this change.

Change: an instance knows its own share of its own incarnation and does not count the stored one; it keeps the largest count that the store may show, and writes again until that is settled. After it the tests pass.

--- a/packages/limits/limits_shares.ts
+++ b/packages/limits/limits_shares.ts
@@ -34,6 +34,8 @@
 
 interface HeldShare {
   count: number;
+  /** Largest count that the store may show; above `count` after lost replies. */
+  storedCountMax: number;
   inUse: number;
   /** Maximum in use since the last release. */
   peakInUse: number;
@@ -91,13 +93,13 @@
     for (const [rowName, held] of this.#held) {
       const excess = held.count - held.peakInUse;
       held.peakInUse = held.inUse;
-      if (excess > 0) {
+      if (excess > 0 || held.storedCountMax > held.count) {
         await this.#runExclusive(
           held,
           () => this.#shrink(rowName, held, -excess),
         );
       }
-      const isUnused = held.count === 0 && held.inUse === 0;
+      const isUnused = held.storedCountMax === 0 && held.inUse === 0;
       if (isUnused && !held.pendingChange) this.#held.delete(rowName);
     }
   }
@@ -125,7 +127,13 @@
   #heldOf(rowName: core.RowName): HeldShare {
     const known = this.#held.get(rowName);
     if (known) return known;
-    const held = { count: 0, inUse: 0, peakInUse: 0, pendingChange: undefined };
+    const held = {
+      count: 0,
+      storedCountMax: 0,
+      inUse: 0,
+      peakInUse: 0,
+      pendingChange: undefined,
+    };
     this.#held.set(rowName, held);
     return held;
   }
@@ -141,10 +149,11 @@
       });
       if (rows.isErr()) return;
       const shares = this.#withoutRemoved(decodeShares(rows.value[0]));
-      const free = limit - sumOf(shares);
+      const free = limit - held.count - sumOf(this.#withoutOwn(shares));
       if (free <= 0) return;
       const added = Math.max(1, Math.floor(free / 2));
       const ownCount = held.count + added;
+      held.storedCountMax = Math.max(held.storedCountMax, ownCount);
       const outcome = await this.#write(
         rowName,
         rows.value[0],
@@ -154,6 +163,7 @@
       if (outcome === "failed") return;
       if (outcome === "conflict") continue;
       held.count = ownCount;
+      held.storedCountMax = ownCount;
       return;
     }
   }
@@ -162,7 +172,7 @@
    * Shrinks this instance's share, first locally and then in the store, so that
    * it never uses more than the store shows.
    *
-   * @param delta change of the count; negative.
+   * @param delta change of the count; not positive.
    */
   async #shrink(
     rowName: core.RowName,
@@ -188,6 +198,7 @@
     );
     // On an unknown outcome the smaller share stays: it can only be too small.
     if (outcome === "conflict") held.count = previousCount;
+    if (outcome === "committed") held.storedCountMax = held.count;
   }
 
   async #write(
@@ -210,6 +221,13 @@
     return outcome.value.outcome;
   }
 
+  /** Leaves out the share of this incarnation, whose count is known here. */
+  #withoutOwn(shares: Shares): Shares {
+    const { instanceId, incarnation } = this.#options;
+    const { [instanceId]: own, ...others } = shares;
+    return own?.incarnation === incarnation ? others : shares;
+  }
+
   #withoutRemoved(shares: Shares): Shares {
     const remaining = Object.entries(shares).filter(([id]) =>
       !this.#options.isRemoved(core.brandId(id))
--- a/packages/limits/tests/unit/limits_test.ts
+++ b/packages/limits/tests/unit/limits_test.ts
@@ -155,6 +155,37 @@
   t.true(admittedCount >= 1 && admittedCount < LIMIT);
 });
 
+// After a write of a share whose reply was lost, the share counted as used, so
+// that a row with a limit of one refused every request for good.
+test("a share whose write lost its reply is not lost", async (t) => {
+  const service = new LossyTableService([true]);
+  const own = makeShares(service, 1);
+  let release: core.Cleanup | undefined;
+  for (let n = 0; n < 3 && !release; n++) {
+    release = await own.admit(ROW, 1, inTime());
+  }
+  t.truthy(release);
+});
+
+// A release that was lost was not repeated, so that other instances refused
+// requests for as long as this one lived.
+test("a release that is lost is repeated", async (t) => {
+  const service = new LossyTableService([]);
+  const first = makeShares(service, 1);
+  const release = await first.admit(ROW, 1, inTime());
+  await release?.();
+  await first.releaseUnused();
+  const { transact } = service;
+  service.transact = () =>
+    Promise.resolve(
+      err({ effect: "unknown", reached: false, detail: "lost" }),
+    );
+  await first.releaseUnused();
+  service.transact = transact;
+  await first.releaseUnused();
+  t.truthy(await makeShares(service, 2).admit(ROW, 1, inTime()));
+});
+
 // A share that was enlarged while unused shares were released was forgotten, and
 // stayed taken for good.
 test("a share that grows during a release is kept", async (t) => {
