Survive the end of the process that reads the log

Seen by callers: when the reader of an entry's standard error went away, as a collector of logs that is restarted or configured anew, the next log line ended the entry. All requests in progress were cut off.

Cause: the write fails with EPIPE, an error event of the stream that nobody listened to.

Ruled out: a loop of failing lines; consola drops equal lines after a few. The test bounds the processor time all the same.

Change: errors of standard error are ignored.

--- a/packages/cli/cli_serve.ts
+++ b/packages/cli/cli_serve.ts
@@ -76,6 +76,8 @@
   };
   process.on("unhandledRejection", reportUnhandled);
   process.on("uncaughtException", reportUnhandled);
+  // Whoever reads the log may go away; to report that would fail again.
+  process.stderr.on("error", () => undefined);
   try {
     print(JSON.stringify(await entryInstance.start()));
   } catch (thrown) {
--- a/packages/proofs/tests/unit/planned_work_test.ts
+++ b/packages/proofs/tests/unit/planned_work_test.ts
@@ -49,6 +49,12 @@
   await once(server, "close");
 }
 
+async function readCpuSeconds(origin: string): Promise<number> {
+  const response = await request(`${origin}/metrics`);
+  const text = await response.body.text();
+  return Number(/carawaywind_cpu_s_total (\S+)/.exec(text)?.[1]);
+}
+
 async function waitUntilLeaving(origin: string): Promise<void> {
   await testing.waitUntil("the entry is leaving", async () => {
     const response = await request(`${origin}/readyz`);
@@ -91,6 +97,34 @@
   }
 });
 
+// When the reader of its log went away, as a collector of logs that restarts, the
+// next line ended the process and cut off every request.
+test.serial("a log that nobody reads any more cuts off no request", async (t) => {
+  const cluster = new testing.TestCluster({ entries: 1, engines: 1, rows });
+  try {
+    await cluster.start();
+    const [entry] = cluster.entries;
+    const origin = originOf(cluster);
+    const call = { model: "llama", prompt: "go on", tokens: 400 };
+    let hasStarted = false;
+    const streamed = testing.stream(origin, call, () => hasStarted = true);
+    await testing.waitUntil("the stream has started", () => hasStarted);
+    entry?.closeStderr();
+    for (const weight of [2, 3]) {
+      await cluster.applyEdit([testing.makeRow("llama", { weight })]);
+    }
+    const { isComplete, text, error } = await streamed;
+    t.true(isComplete, JSON.stringify(error));
+    t.is(text, testing.expectedText(call));
+    const before = await readCpuSeconds(origin);
+    await core.sleep(1_000);
+    const cpuSeconds = await readCpuSeconds(origin) - before;
+    t.true(cpuSeconds < 0.5, `${cpuSeconds} s of processor time in 1 s`);
+  } finally {
+    await cluster.stop();
+  }
+});
+
 // An exception outside of any request ended the process and cut off every
 // request in progress.
 test.serial("an uncaught exception cuts off no request", async (t) => {
--- a/packages/testing/testing_process.ts
+++ b/packages/testing/testing_process.ts
@@ -41,6 +41,11 @@
     this.#child.kill(name);
   }
 
+  /** Closes the pipe of its stderr, as a collector of logs that restarts. */
+  closeStderr(): void {
+    this.#child.stderr?.destroy();
+  }
+
   /** Waits for the exit; resolves to the exit code, or null after a signal. */
   exited(): Promise<number | null> {
     return this.#exited;
