--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -15,6 +15,7 @@
 import * as table from "../table/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { makePlacement, makeRouting } from "./instance_policies.ts";
+import { PlannedStop } from "./instance_stop.ts";
 import { CallersListener } from "./callers/callers_listener.ts";
 import { LimitsReleaseTask } from "./callers/callers_limits_task.ts";
 import { DigestManager } from "./peers/peers_digest.ts";
@@ -36,11 +37,6 @@
 const CLAIM_WRITES_IN_FLIGHT_MAX = 4;
 const RETRIES_PER_REQUEST = 0.1;
 const RETRY_BALANCE_MAX = 20;
-/**
- * How long a graceful shutdown waits for callers to close connections on which
- * no response is owed.
- */
-const CONNECTION_CLOSE_WAIT_MS = 6_000;
 /**
  * Poll interval per live member, so that all members together read the table's
  * revision about 80 times per second.
@@ -57,9 +53,6 @@
 /** An engine is unusable if its report is older than this × `silentAfterMs`. */
 const STALE_FACTOR = 12;
 const CLAIM_SETTLE_WAIT_MS = 500;
-/** How long requests may take to respond once they were ended. */
-const REQUEST_END_WAIT_MS = 1_000;
-const CLAIM_DRAIN_MAX_MS = 5_000;
 
 /** Policies that replace those named in the settings. */
 export interface InstancePolicies {
@@ -302,40 +295,21 @@
     return { ...addresses, callerPort, peerPort };
   }
 
-  /**
-   * Shuts down gracefully: announces that the instance is leaving, stops
-   * admitting requests after a grace period, and waits up to
-   * `drain.finishMaxMs` for in-flight requests to finish, for their responses to
-   * be sent, and for calls that outlasted their callers' deadlines.
-   */
+  /** Shuts down gracefully: see `PlannedStop`. */
   async stop(): Promise<void> {
     const { drain, peers: peerSettings } = this.#settings;
-    this.logger.info("instance_leaving", {
-      inProgress: this.admission.inProgress,
+    const plannedStop = new PlannedStop({
+      logger: this.logger,
+      admission: this.admission,
+      directory: this.directory,
+      exchange: this.#exchangeTask,
+      claims: this.claimRunner,
+      listener: this.#callersListener,
+      entriesMaxAgeMs: drain.entriesMaxAgeMs,
+      exchangeIntervalMs: peerSettings.exchangeIntervalMs,
+      finishMaxMs: drain.finishMaxMs,
     });
-    this.admission.markLeaving();
-    this.directory.markSelfLeaving();
-    await this.#announceLeaving();
-    // Callers may use a cached /v1/entries response, which still lists this
-    // instance, until it expires.
-    const graceMs = drain.entriesMaxAgeMs + peerSettings.exchangeIntervalMs * 2;
-    await core.sleep(graceMs);
-    this.admission.startRejecting();
-    const finishDeadline = new core.Deadline(drain.finishMaxMs);
-    const hasFinished = await this.admission
-      .whenIdle(finishDeadline.remainingMs());
-    if (!hasFinished) {
-      this.admission.endRequests();
-      await this.admission.whenIdle(REQUEST_END_WAIT_MS);
-    }
-    const hasSettled = await this.claimRunner
-      .whenIdle(finishDeadline.remainingMs());
-    const idle = hasFinished && hasSettled;
-    await this.claimRunner.settler.drain(CLAIM_DRAIN_MAX_MS);
-    await this.#callersListener.close(
-      CONNECTION_CLOSE_WAIT_MS,
-      Math.max(CONNECTION_CLOSE_WAIT_MS, finishDeadline.remainingMs()),
-    );
+    const idle = await plannedStop.run();
     await this.#supervisor.stop();
     // With nothing in use, the second call releases what the first one kept.
     await this.#limitShares.releaseUnused();
@@ -344,16 +318,6 @@
     this.logger.info("instance_stopped", { idle });
   }
 
-  /** Tells the peers; they learn it later, and the stop goes on, if it fails. */
-  async #announceLeaving(): Promise<void> {
-    try {
-      await this.#exchangeTask.exchangeWithAll();
-    } catch (thrown) {
-      const detail = core.messageOf(thrown);
-      this.logger.warn("leaving_not_announced", { detail });
-    }
-  }
-
   #startTasks(): void {
     const { engines } = this.#settings;
     const root = this.#supervisor;
