--- a/packages/limits/limits_shares.ts
+++ b/packages/limits/limits_shares.ts
@@ -34,6 +34,8 @@
 
 interface HeldShare {
   count: number;
+  /** Largest count that the store may show; above `count` after lost replies. */
+  storedCountMax: number;
   inUse: number;
   /** Maximum in use since the last release. */
   peakInUse: number;
@@ -57,23 +59,27 @@
   /**
    * Admits one request under a row's limit, enlarging the share if needed.
    *
+   * @param deadline ends the wait for a larger share.
    * @returns a function that ends the request, to be called once, or undefined
-   * when the limit is reached.
+   * when the limit is reached, or the deadline passed.
    * @example
    * ```ts
-   * const release = await shares.admit(row.name, 8);
+   * const release = await shares.admit(row.name, 8, request.deadline);
    * ```
    */
   async admit(
     rowName: core.RowName,
     limit: number,
+    deadline: core.Deadline,
   ): Promise<core.Cleanup | undefined> {
     const held = this.#heldOf(rowName);
     const isFull = () => held.inUse >= Math.min(held.count, limit);
     for (let round = 0; isFull() && round < ADMIT_ROUNDS_MAX; round++) {
-      await this.#runExclusive(held, () => this.#acquire(rowName, held, limit));
+      await deadline.waitFor(
+        this.#runExclusive(held, () => this.#acquire(rowName, held, limit)),
+      );
     }
-    if (held.inUse >= Math.min(held.count, limit)) return undefined;
+    if (isFull() || deadline.isOver()) return undefined;
     held.inUse++;
     held.peakInUse = Math.max(held.peakInUse, held.inUse);
     return this.#makeRelease(held);
@@ -87,13 +93,14 @@
     for (const [rowName, held] of this.#held) {
       const excess = held.count - held.peakInUse;
       held.peakInUse = held.inUse;
-      if (excess > 0) {
+      if (excess > 0 || held.storedCountMax > held.count) {
         await this.#runExclusive(
           held,
           () => this.#shrink(rowName, held, -excess),
         );
       }
-      if (held.count === 0 && held.inUse === 0) this.#held.delete(rowName);
+      const isUnused = held.storedCountMax === 0 && held.inUse === 0;
+      if (isUnused && !held.pendingChange) this.#held.delete(rowName);
     }
   }
 
@@ -120,7 +127,13 @@
   #heldOf(rowName: core.RowName): HeldShare {
     const known = this.#held.get(rowName);
     if (known) return known;
-    const held = { count: 0, inUse: 0, peakInUse: 0, pendingChange: undefined };
+    const held = {
+      count: 0,
+      storedCountMax: 0,
+      inUse: 0,
+      peakInUse: 0,
+      pendingChange: undefined,
+    };
     this.#held.set(rowName, held);
     return held;
   }
@@ -136,10 +149,11 @@
       });
       if (rows.isErr()) return;
       const shares = this.#withoutRemoved(decodeShares(rows.value[0]));
-      const free = limit - sumOf(shares);
+      const free = limit - held.count - sumOf(this.#withoutOwn(shares));
       if (free <= 0) return;
       const added = Math.max(1, Math.floor(free / 2));
       const ownCount = held.count + added;
+      held.storedCountMax = Math.max(held.storedCountMax, ownCount);
       const outcome = await this.#write(
         rowName,
         rows.value[0],
@@ -149,6 +163,7 @@
       if (outcome === "failed") return;
       if (outcome === "conflict") continue;
       held.count = ownCount;
+      held.storedCountMax = ownCount;
       return;
     }
   }
@@ -157,7 +172,7 @@
    * Shrinks this instance's share, first locally and then in the store, so that
    * it never uses more than the store shows.
    *
-   * @param delta change of the count; negative.
+   * @param delta change of the count; not positive.
    */
   async #shrink(
     rowName: core.RowName,
@@ -183,6 +198,7 @@
     );
     // On an unknown outcome the smaller share stays: it can only be too small.
     if (outcome === "conflict") held.count = previousCount;
+    if (outcome === "committed") held.storedCountMax = held.count;
   }
 
   async #write(
@@ -205,6 +221,13 @@
     return outcome.value.outcome;
   }
 
+  /** Leaves out the share of this incarnation, whose count is known here. */
+  #withoutOwn(shares: Shares): Shares {
+    const { instanceId, incarnation } = this.#options;
+    const { [instanceId]: own, ...others } = shares;
+    return own?.incarnation === incarnation ? others : shares;
+  }
+
   #withoutRemoved(shares: Shares): Shares {
     const remaining = Object.entries(shares).filter(([id]) =>
       !this.#options.isRemoved(core.brandId(id))
