--- a/packages/proofs/tests/unit/drain_test.ts
+++ b/packages/proofs/tests/unit/drain_test.ts
@@ -130,6 +130,7 @@
 /** The sources that may report that an upstream is leaving. */
 const sources = ["the engine's own report", "the instance list"] as const;
 
+// Guards against new requests on an engine that is known to be leaving.
 for (const source of sources) {
   test(`a leaving engine gets no new requests, reported by ${source}`, async (t) => {
     const cluster = new testing.TestCluster({
@@ -170,12 +171,25 @@
         const isServed = responses.every(({ status }) => status === 200);
         return isServed && otherAttempts() === before + origins.length;
       });
+      // An entry that does not know it yet may use the other engine by chance.
+      await testing.waitUntil("every entry knows of the leaving", async () => {
+        const statuses = await Promise.all(
+          cluster.entries.map((entry) => cluster.status(entry)),
+        );
+        return statuses.every(({ engines }) =>
+          engines.some((engine) =>
+            engine.upstreamId === leaving.options.upstreamId && engine.leaving
+          )
+        );
+      });
       const attemptsBefore = leaving.attempts.size;
       for (let n = 0; n < 30; n++) {
-        await testing.complete(origins[n % 3] ?? "", {
-          model: "llama",
-          prompt: `after ${n}`,
-        });
+        const call = { model: "llama", prompt: `after ${n}` };
+        const { status, body } = await testing.complete(
+          origins[n % 3] ?? "",
+          call,
+        );
+        t.is(status, 200, JSON.stringify(body));
       }
       t.is(leaving.attempts.size, attemptsBefore);
     } finally {
--- a/packages/testing/mod.ts
+++ b/packages/testing/mod.ts
@@ -23,5 +23,9 @@
 } from "./testing_settings.ts";
 export type { SettingsOverrides } from "./testing_settings.ts";
 export { TestCluster, waitUntil } from "./testing_cluster.ts";
-export type { EntryProcess, TestClusterOptions } from "./testing_cluster.ts";
+export type {
+  EntryProcess,
+  EntryStatus,
+  TestClusterOptions,
+} from "./testing_cluster.ts";
 export { findFreePorts } from "./testing_ports.ts";
--- a/packages/testing/testing_cluster.ts
+++ b/packages/testing/testing_cluster.ts
@@ -45,6 +45,15 @@
   readonly links?: boolean;
 }
 
+/** The parts of `/v1/status` that tests read. */
+export interface EntryStatus {
+  readonly tableRevision: number;
+  readonly engines: readonly {
+    readonly upstreamId: string;
+    readonly leaving: boolean;
+  }[];
+}
+
 /** The process of an entry instance. */
 export type EntryProcess = StartedProcess<instance.InstanceAddresses>;
 
@@ -229,11 +238,11 @@
   }
 
   /** Returns `/v1/status` of an entry. */
-  async status(entry: EntryProcess): Promise<{ tableRevision: number }> {
+  async status(entry: EntryProcess): Promise<EntryStatus> {
     const response = await fetch(`${entry.ready.callerAddress}/v1/status`, {
       headers: { authorization: `Bearer ${OPERATOR_TOKENS.ana}` },
     });
-    return await response.json() as { tableRevision: number };
+    return await response.json() as EntryStatus;
   }
 
   /** Counts the runs of a keyed call over all instances of its service. */
