Give the store 10 s in the tests of services, as its fake shares their process

What callers saw: nothing.

Cause shown: the calls may not be repeated, so each needs a committed claim. The fake store runs in the process of the test, with the fakes and callers of the five other tests of the file, and a call to it had 500 ms. An entry refuses with 4003, "ran: no", once four writes of the claim have timed out, as OPERATIONS.md says of a table service that is out. The unchanged test failed so beside 4 busy processes with the file and edits_test confined to two cores (1 of 6 runs; in the same run 'a leaving service gets no new calls' with the same code) and to one core:

[503, 503] in place of [200, 200] CLAIM_STORE_DOWN 4003 "the claim is not recorded", ran: no

and 3 of 3 times alone where a write takes 700 ms (trial).

Ruled out: an entry that says that it has joined before it knows the upstreams (one list brings both, in one turn), an entry without a table (it lists itself only once it has one).

Change: 10 s for calls to the store in both tests of services, as in the other tests whose subject is no timeout. Every check stays.

After: 3 of 3 with writes of 700 ms (trial), 20 of 20 runs of the whole file beside 4 busy processes (load 13 to 22). With the joining state ignored in the directory (trial) the old and the new test both fail, 4 of 4 runs each, alone.

--- a/packages/proofs/tests/unit/drain_test.ts
+++ b/packages/proofs/tests/unit/drain_test.ts
@@ -4,6 +4,8 @@
 
 const rows = [testing.makeRow("llama"), testing.makeRow("mistral")];
 const MAX_AGE_MS = 600;
+/** The store runs in this process, which a busy machine holds up. */
+const PLATFORM = { timeoutMs: 10_000 };
 /** Well above the duration of a long stream on a busy machine. */
 const LONG_STREAM_DEADLINE_MS = 100_000;
 
@@ -203,6 +205,7 @@
     entries: 2,
     engines: 0,
     services: { orders: 2 },
+    settings: { platform: PLATFORM },
   });
   try {
     await cluster.start();
@@ -243,11 +246,13 @@
   }
 });
 
+// Guards against callers at an entry that has not read the list of upstreams.
 test("an entry that knows no upstream yet gets no callers", async (t) => {
   const cluster = new testing.TestCluster({
     entries: 2,
     engines: 0,
     services: { orders: 2 },
+    settings: { platform: PLATFORM },
   });
   try {
     // One fetch of the list fails, so that an entry learns of the other entry
