Make the time for which an edit is retried a setting, for tables on a slow store

What callers saw: operators whose edits of different rows meet at a slow table service are refused with 6001, "other edits keep winning the race", although no one else changed their row.

Of n edits at once one wins each round of a read and a write, so the last one needs n rounds; the 3 s for them were fixed, while the time that a call to the store may take is a setting.

Ruled out: lost updates, an edit applied twice (revisions are 1 to n), edits of one entry that hinder more than those of others.

Change: table.editMaxMs, 3 s unless set.

--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -159,7 +159,10 @@
     digestEnginesMax: count(32, 10_000),
     timeoutMs: durationMs(500),
   }),
-  table: object({ pollIntervalMs: durationMs(1_200) }),
+  table: object({
+    pollIntervalMs: durationMs(1_200),
+    editMaxMs: durationMs(3_000),
+  }),
   drain: object({
     entriesMaxAgeMs: durationMs(3_000, 0),
     finishMaxMs: durationMs(600_000),
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -81,7 +81,11 @@
     readonly digestEnginesMax: number;
     readonly timeoutMs: number;
   };
-  readonly table: { readonly pollIntervalMs: number };
+  readonly table: {
+    readonly pollIntervalMs: number;
+    /** Time for which an edit is retried, as other edits win or reads lag. */
+    readonly editMaxMs: number;
+  };
   readonly drain: {
     /** Time for which callers may cache the response of `/v1/entries`. */
     readonly entriesMaxAgeMs: number;
--- a/packages/table/mod.ts
+++ b/packages/table/mod.ts
@@ -15,7 +15,7 @@
 export { TableCache } from "./table_cache.ts";
 export type { TableListener } from "./table_cache.ts";
 export { TableStore } from "./table_store.ts";
-export type { EditAcceptance } from "./table_store.ts";
+export type { EditAcceptance, TableStoreOptions } from "./table_store.ts";
 export type {
   AcceptedEdit,
   RevisedRow,
--- a/packages/table/table_store.ts
+++ b/packages/table/table_store.ts
@@ -17,11 +17,6 @@
 const HISTORY_PREFIX = "table/history/";
 const HISTORY_DIGITS = 12;
 
-/**
- * Time for which an edit is retried while reads are stale or other edits
- * conflict. Operators expect an edit to be in force within it.
- */
-const EDIT_TIMEOUT_MS = 3_000;
 /** Attempts to determine the outcome of an edit whose reply was lost. */
 const LOST_REPLY_ATTEMPTS_MAX = 5;
 const RETRY_DELAY_MS = 40;
@@ -33,6 +28,15 @@
   changesHash: string,
 });
 
+/** Limits of a `TableStore`. */
+export interface TableStoreOptions {
+  /**
+   * Time for which an edit is retried while reads are stale or other edits
+   * conflict. Operators expect an edit to be in force within it.
+   */
+  readonly editMaxMs: number;
+}
+
 /** The revision and snapshot that an accepted edit produced. */
 export interface EditAcceptance {
   readonly revision: number;
@@ -78,9 +82,11 @@
 /** Stores the table in the table service. */
 export class TableStore {
   readonly #service: store.TableService;
+  readonly #options: TableStoreOptions;
 
-  constructor(service: store.TableService) {
+  constructor(service: store.TableService, options: TableStoreOptions) {
     this.#service = service;
+    this.#options = options;
   }
 
   /** Reads the current revision; may be stale. */
@@ -127,7 +133,7 @@
     edit: TableEdit,
     minRevision = 0,
   ): Promise<Result<EditAcceptance, core.Failure>> {
-    const endsAtMs = core.monotonicMs() + EDIT_TIMEOUT_MS;
+    const endsAtMs = core.monotonicMs() + this.#options.editMaxMs;
     let failure = TOO_MANY_CONFLICTS;
     do {
       const result = await this.#attempt(edit, minRevision);
