Do not cut off callers that read slowly in a planned stop

What callers see: a response that the instance has ended but not yet sent, as its caller reads slowly, is broken off when the instance stops, although a planned stop finishes every request and stream.

Cause: a request counts as in progress until its response is ended, not until it is sent. Then the listener is closed, and `Server.close` of Node.js destroys each connection whose response has ended, with all that waits in its buffer. Found while tracing 'after the grace period a leaving entry only finishes streams'.

Ruled out as the cause of that other test's failure: there engine and caller are one process, so that nothing can pile up.

Change: the listener waits for the responses that are open when it is closed, as long as is left of drain.finishMaxMs, and only then closes connections.

Left: packages/entry counts its requests in the same way, and its process exits when none is in flight.

--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -315,9 +315,13 @@
     const graceMs = drain.entriesMaxAgeMs + peerSettings.exchangeIntervalMs * 2;
     await core.sleep(graceMs);
     this.admission.startRejecting();
-    const idle = await this.admission.whenIdle(drain.finishMaxMs);
+    const finishDeadline = new core.Deadline(drain.finishMaxMs);
+    const idle = await this.admission.whenIdle(finishDeadline.remainingMs());
     await this.claimRunner.settler.drain(CLAIM_DRAIN_MAX_MS);
-    await this.#callersListener.close(CONNECTION_CLOSE_WAIT_MS);
+    await this.#callersListener.close(
+      finishDeadline.remainingMs(),
+      CONNECTION_CLOSE_WAIT_MS,
+    );
     await this.#supervisor.stop();
     // With nothing in use, the second call releases what the first one kept.
     await this.#limitShares.releaseUnused();
