--- a/packages/instance/tests/unit/callers_listener_test.ts
+++ b/packages/instance/tests/unit/callers_listener_test.ts
@@ -1,5 +1,6 @@
 /** Closing the listener for callers while responses are on their way. */
 import test from "ava";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { Hono } from "hono";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
@@ -9,6 +10,8 @@
 import { CallersListener } from "../../callers/callers_listener.ts";
 
 const BODY_BYTES = 32 * 1024 * 1024;
+/** Of a response that the handler has ended itself. */
+const ENDED_BODY_BYTES = 64 * 1024 * 1024;
 const REQUEST = "GET / HTTP/1.1\r\nhost: entry\r\n\r\n";
 
 /** A caller on one connection, which reads nothing until it is told to. */
@@ -122,3 +125,32 @@
   await closed;
   t.is(callers.filter(({ bytes }) => bytes === 0).length, 0);
 });
+
+// Guards against a planned stop that cuts off callers that read slowly.
+test("closing waits until a slow caller has read its response", async (t) => {
+  const app = new Hono<gateway.GatewayEnv>();
+  let hasEnded = false;
+  app.get("/", (context) => {
+    const { outgoing } = context.env;
+    outgoing.writeHead(200, { "content-length": ENDED_BODY_BYTES });
+    outgoing.end(new Uint8Array(ENDED_BODY_BYTES));
+    hasEnded = true;
+    return RESPONSE_ALREADY_SENT;
+  });
+  const listener = new CallersListener(app);
+  const port = await listener.listen("127.0.0.1", 0);
+  const caller = connect(port, "127.0.0.1");
+  await once(caller, "connect");
+  caller.pause();
+  caller.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  while (!hasEnded) await core.sleep(5);
+  const closed = listener.close(1_000, 10_000);
+  await core.sleep(200);
+  let bytes = 0;
+  caller.on("data", (chunk) => bytes += chunk.length);
+  caller.on("error", () => undefined);
+  caller.resume();
+  await once(caller, "close");
+  await closed;
+  t.true(bytes > ENDED_BODY_BYTES, `${bytes} bytes`);
+});
