--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -138,7 +138,7 @@
       origin: validSettings.platform.instanceListUrl,
       timeoutMs,
     });
-    this.#tableStore = new table.TableStore(this.store);
+    this.#tableStore = new table.TableStore(this.store, validSettings.table);
     this.#tablePollTask = new TablePollTask(
       this.#tableStore,
       this.tableCache,
