Read what has arrived before an upstream counts as silent

What callers saw: a node that was held up for a second took streams off upstreams that had sent their events all the while.

Cause: timers run before the sockets are read, so after a hold-up the silence was noticed before the data that had arrived.

Change: the watch waits for the next poll, and reports the silence only if the same wait lasts still.

--- a/packages/relay/relay_wait_watch.ts
+++ b/packages/relay/relay_wait_watch.ts
@@ -11,6 +11,7 @@
   readonly #repeatMs: number | undefined;
   #startedAtMs: number | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
 
   /**
    * @param onTimeout called when a wait has lasted too long.
@@ -44,6 +45,7 @@
   stop(): void {
     clearTimeout(this.#timer);
     this.#timer = undefined;
+    this.#isStopped = true;
   }
 
   #arm(delayMs: number): NodeJS.Timeout {
@@ -59,6 +61,14 @@
       return;
     }
     if (this.#repeatMs !== undefined) this.#timer = this.#arm(this.#repeatMs);
-    this.#onTimeout();
+    this.#reportAfterPoll(this.#startedAtMs);
+  }
+
+  /** Data may have come while the process was held up, and not be read yet. */
+  async #reportAfterPoll(startedAtMs: number): Promise<void> {
+    await core.nextPoll();
+    if (this.#startedAtMs === startedAtMs && !this.#isStopped) {
+      this.#onTimeout();
+    }
   }
 }
