Suspect engines that stand still in the middle of their streams

What callers saw: a stream was taken off a silent engine and sent to another one that was silent too, and not back when the first went on.

Cause: an engine counted as unresponsive only while requests without output waited, so that one whose streams all stood still was sound. An attempt that the node gave up as silent counted as reached, which ended the suspicion of the engine. And the engine stayed on the request's list of failed ones for good.

Change: any request in flight shows the silence. A request that has to go on at once avoids suspect and full upstreams, and engines without data for 0.5 s. An abandoned engine is no longer a failed one. What an upstream is left out for is in a file of its own.

"only an engine that responds…" is replaced, as it passed for the wrong reason: the engine was in its back-off, not silent (a mutant without the exclusion survived it).

--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -117,10 +117,10 @@
   /** Adds an in-flight request; the returned function removes it. */
   trackRequest(request: InFlightRequest): () => void {
     this.#local.add(request);
-    this.#updateOldestPending();
+    this.#updateOldestInFlight();
     return () => {
       this.#local.delete(request);
-      this.#updateOldestPending();
+      this.#updateOldestInFlight();
     };
   }
 
@@ -136,7 +136,6 @@
     nowMs: number,
   ): void {
     request.hasOutput = true;
-    this.#updateOldestPending();
     if (estimatedMs <= 0) return;
     // The estimate has the factor applied, so multiplying takes it out again.
     const ratio = (nowMs - request.sentAtMs) / estimatedMs * this.latencyFactor;
@@ -220,13 +219,10 @@
     return this.health.isSuspect(nowMs) || this.#isSuspectedByPeers;
   }
 
-  #updateOldestPending(): void {
-    let oldestMs: number | undefined;
-    for (const { hasOutput, sentAtMs } of this.#local) {
-      if (hasOutput) continue;
-      oldestMs = Math.min(oldestMs ?? sentAtMs, sentAtMs);
-    }
-    this.health.setOldestPending(oldestMs);
+  #updateOldestInFlight(): void {
+    // Requests are kept in the order in which they were sent.
+    const [oldest] = this.#local;
+    this.health.setOldestInFlight(oldest?.sentAtMs);
   }
 }
 
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -6,6 +6,7 @@
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
+import { UpstreamCandidates } from "./entry_candidates.ts";
 import { PromptFate } from "./entry_prompt_fate.ts";
 import type { EntryState } from "./entry_state.ts";
 
@@ -39,6 +40,7 @@
 /** Chooses upstreams by the state of this node. */
 export class EntryUpstreamSelector extends relay.UpstreamSelector {
   readonly #state: EntryState;
+  readonly #candidates: UpstreamCandidates;
   /** Requests counted in the demand, so that retries are not counted again. */
   readonly #counted = new WeakSet<relay.RelayedRequest>();
   /** Services as last configured; a configuration may drop them meanwhile. */
@@ -49,6 +51,7 @@
   constructor(state: EntryState) {
     super();
     this.#state = state;
+    this.#candidates = new UpstreamCandidates(state.upstreams);
   }
 
   override trySpendRetry(service: core.ServiceName): boolean {
@@ -78,7 +81,7 @@
     const service = this.#serviceOf(request);
     const { model, promptParts } = request.caller;
     if (!service) return undefined;
-    const excluded = this.#exclude(request.service, history, true);
+    const excluded = this.#candidates.excludeBusy(request.service, history);
     if (!service.engine || model === undefined) {
       return this.#assignInstance(request, service, excluded);
     }
@@ -106,7 +109,7 @@
     if (!service) return reject("service is not configured");
     const { softwareVersion, hasStarted } = history;
     if (softwareVersion !== undefined) {
-      const reason = this.#whyNotContinued(request, softwareVersion);
+      const reason = this.#candidates.whyNotContinued(request, softwareVersion);
       if (reason !== undefined) return reject(reason);
     }
     if (!service.engine || model === undefined) {
@@ -128,7 +131,7 @@
         service.engine!,
         model,
         parts,
-        this.#excludeForEngine(request, model, history),
+        this.#candidates.excludeEngines(request, model, history),
       );
       return assigned && ok(assigned);
     };
@@ -229,10 +232,11 @@
     service: fleet.ServiceSpec,
     history: relay.AttemptHistory,
   ): SelectionResult {
-    const excluded = this.#exclude(request.service, history);
-    const others = this.#exclude(request.service, {
+    const excluded = this.#candidates.exclude(request.service, history);
+    const others = this.#candidates.exclude(request.service, {
       ...history,
       failed: new Set(),
+      avoidsSuspects: false,
     });
     const assigned = this.#assignInstance(request, service, excluded) ??
       this.#assignInstance(request, service, others);
@@ -313,73 +317,6 @@
     );
   }
 
-  /** Upstreams of a service to which a request is not sent. */
-  #exclude(
-    service: core.ServiceName,
-    { failed, softwareVersion }: relay.AttemptHistory,
-    excludesSuspects = false,
-  ): ReadonlySet<dispatch.UpstreamState> {
-    const excluded = new Set<dispatch.UpstreamState>();
-    const acceptsAll = failed.size === 0 && softwareVersion === undefined;
-    if (acceptsAll && !excludesSuspects) return excluded;
-    const nowMs = core.monotonicMs();
-    for (const upstream of this.#state.upstreams.ofService(service)) {
-      const { record } = upstream;
-      const isExcluded = failed.has(record.id) ||
-        !isOfVersion(record, softwareVersion) ||
-        (excludesSuspects && upstream.isSuspect(nowMs));
-      if (isExcluded) excluded.add(upstream);
-    }
-    return excluded;
-  }
-
-  /**
-   * Engines to which a request is not sent. One on which it failed may be the
-   * only one of its software version that holds the model.
-   */
-  #excludeForEngine(
-    { service, caller }: relay.RelayedRequest,
-    model: core.ModelName,
-    history: relay.AttemptHistory,
-  ): ReadonlySet<dispatch.UpstreamState> {
-    const excluded = this.#exclude(service, history);
-    const { softwareVersion, failed } = history;
-    if (softwareVersion === undefined || failed.size === 0) return excluded;
-    const nowMs = core.monotonicMs();
-    const hasOther = [...this.#state.upstreams.ofService(service)]
-      .some((engine) =>
-        !excluded.has(engine) && !engine.record.isLeaving &&
-        engine.canRun(model, caller.adapter, nowMs)
-      );
-    if (hasOther) return excluded;
-    return this.#exclude(service, { ...history, failed: new Set() });
-  }
-
-  /**
-   * Why no upstream can continue a stream that a software version began, however
-   * long it waits; undefined if one may. Replicas are not placed by version, so
-   * a model that other versions hold is not loaded for this one.
-   */
-  #whyNotContinued(
-    { service, caller }: relay.RelayedRequest,
-    softwareVersion: core.SoftwareVersion,
-  ): string | undefined {
-    const { model } = caller;
-    const upstreams = [...this.#state.upstreams.ofService(service)]
-      .filter(({ record }) => !record.isLeaving);
-    const ofVersion = upstreams
-      .filter(({ record }) => isOfVersion(record, softwareVersion));
-    if (ofVersion.length === 0) {
-      return `no upstream of software version ${softwareVersion}`;
-    }
-    if (model === undefined) return undefined;
-    const holdsModel = ({ replicas }: dispatch.UpstreamState) =>
-      replicas.has(model);
-    return upstreams.some(holdsModel) && !ofVersion.some(holdsModel)
-      ? `no engine of software version ${softwareVersion} holds the model`
-      : undefined;
-  }
-
   /** Counts a request as in flight on an upstream until its attempt ends. */
   #assign(
     relayed: relay.RelayedRequest,
@@ -513,14 +450,6 @@
   }
 }
 
-function isOfVersion(
-  record: fleet.UpstreamRecord,
-  softwareVersion: core.SoftwareVersion | undefined,
-): boolean {
-  return softwareVersion === undefined ||
-    record.softwareVersion === softwareVersion;
-}
-
 function reject(
   reason: string,
   retryAfterMs = NO_UPSTREAM_RETRY_AFTER_MS,
--- a/packages/entry/tests/unit/entry_selector_test.ts
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -2,7 +2,9 @@
 import { Buffer } from "node:buffer";
 import test from "ava";
 import * as core from "../../../core/mod.ts";
+import * as dispatch from "../../../dispatch/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
+import * as quarantine from "../../../quarantine/mod.ts";
 import type * as relay from "../../../relay/mod.ts";
 import * as testing from "../../../testing/mod.ts";
 import { EntryUpstreamSelector } from "../../entry_selector.ts";
@@ -18,6 +20,7 @@
 function makeConfig(
   version: number,
   services: readonly core.ServiceName[],
+  slots = SLOTS,
 ): fleet.FleetConfig {
   return {
     version,
@@ -26,7 +29,7 @@
       name,
       connectionsMax: 10,
       engine: {
-        slots: SLOTS,
+        slots,
         kvCacheTokens: 100_000,
         tokensPerEvent: 1,
         weightMemoryMb: 1,
@@ -45,23 +48,24 @@
   return core.brandId<core.SoftwareVersion>(name);
 }
 
-/** A node that knows some engines, each with place for one request. */
+/** A node that knows some engines, by default with place for one request. */
 function makeNode(
   engines: readonly string[],
   versions: readonly string[] = [],
+  slots = SLOTS,
 ) {
   const state = new EntryState(
     makeEntrySettings("n1"),
     new core.Logger({}, () => {}),
   );
-  state.applyConfig(makeConfig(1, [SERVICE]));
+  state.applyConfig(makeConfig(1, [SERVICE], slots));
   for (const [n, id] of engines.entries()) {
     state.setUpstream(testing.makeUpstreamRecord({
       id: core.brandId<core.UpstreamId>(id),
       service: SERVICE,
       softwareVersion: version(versions[n] ?? "v1"),
       address: `127.0.0.1:${1_000 + state.upstreams.listings}`,
-      slots: SLOTS,
+      slots,
       models: [{ model: MODEL, adapters: [] }],
     }));
   }
@@ -108,6 +112,7 @@
 ): relay.AttemptHistory {
   return {
     hasStarted,
+    avoidsSuspects: false,
     failed: new Set(failed.map((id) => core.brandId<core.UpstreamId>(id))),
   };
 }
@@ -147,20 +152,151 @@
   t.is(state.queue.size, 0);
 });
 
-// Guards against a stream that is taken off a silent engine for another silent
-// one.
+/** Selects an engine by excluding the others; the request stays in flight. */
+async function startOn(
+  selector: EntryUpstreamSelector,
+  engine: string,
+  others: readonly string[],
+) {
+  const request = makeRequest(engine);
+  const selected = await selector.select(
+    request,
+    history(false, others),
+    never,
+  );
+  const assignment = selected._unsafeUnwrap();
+  const nowMs = core.monotonicMs();
+  assignment.onBytesReceived(nowMs);
+  assignment.onFirstEvent(nowMs);
+  return { request, assignment };
+}
+
+// Guards against a stream that is taken off a silent engine for another one whose
+// streams all stand still.
 test("only an engine that responds is selected for a stream whose engine is silent", async (t) => {
+  const { selector } = makeNode(["e1", "e2"], [], 4);
+  const other = await startOn(selector, "e1", ["e2"]);
+  const { request } = await startOn(selector, "e2", ["e1"]);
+  const retry = () => selector.trySelectRetry(request, history(true, ["e2"]));
+  t.is(retry()?.upstream.id, "e1" as core.UpstreamId);
+  await core.sleep(700);
+  t.is(retry(), undefined);
+  other.assignment.onBytesReceived(core.monotonicMs());
+  t.is(retry()?.upstream.id, "e1" as core.UpstreamId);
+});
+
+// Guards against a silent engine that counts as sound as soon as it was left.
+test("an engine that was left as silent is suspect until it sends something", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2"], [], 4);
+  const left = await startOn(selector, "e1", ["e2"]);
+  left.assignment.onEnd("silent");
+  const retry = () =>
+    selector.trySelectRetry(makeRequest("b"), {
+      ...history(true, ["e2"]),
+      avoidsSuspects: true,
+    });
+  t.is(retry(), undefined);
+  const [engine] = state.upstreams.all();
+  engine!.health.recordBytesReceived(core.monotonicMs());
+  t.is(retry()?.upstream.id, "e1" as core.UpstreamId);
+});
+
+// Guards against a stream that waits for ever beside the engine that it was taken
+// off, which has gone on.
+test("a stream returns to the engine that it was taken off, once that responds", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2"]);
+  const left = await startOn(selector, "e1", ["e2"]);
+  await startOn(selector, "e2", ["e1"]);
+  left.assignment.onEnd("silent");
+  const selecting = selector.select(makeRequest("b", 3_000), {
+    ...history(true),
+    avoidsSuspects: true,
+  }, never);
+  await core.sleep(20);
+  t.is(state.queue.size, 1);
+  const [engine] = state.upstreams.all();
+  engine!.health.recordBytesReceived(core.monotonicMs());
+  selector.selectForQueued();
+  t.is((await selecting)._unsafeUnwrap().upstream.id, "e1" as core.UpstreamId);
+});
+
+// Guards against a prompt that ends engines, and is sent on to the next one as
+// its engine sends nothing.
+test("a silent prompt goes on elsewhere only if it is known not to be quarantined", (t) => {
   const { state, selector } = makeNode(["e1", "e2"]);
   const request = makeRequest("a");
-  const first = await selector.select(request, history(false), never);
-  const { id } = first._unsafeUnwrap().upstream;
-  const other = [...state.upstreams.all()]
-    .find(({ record }) => record.id !== id)!;
-  const retry = () => selector.trySelectRetry(request, history(true, [id]));
-  other.health.markUnreachable(core.monotonicMs());
+  const { caller } = request;
+  const shared = {
+    ...request,
+    caller: {
+      ...caller,
+      promptParts: [{ id: "p", tokens: 1 }, { id: "own", tokens: 1 }],
+    },
+  };
+  const retry = () => {
+    const selected = selector.trySelectRetry(shared, history(true, ["e1"]));
+    selected?.onEnd("cancelled");
+    return selected?.upstream.id;
+  };
+  t.is(retry(), undefined, "without a recent exchange");
+  state.exchangedAtMs = core.monotonicMs();
+  t.is(retry(), "e2" as core.UpstreamId);
+  const [part] = quarantine.sharedPartKeys(shared.caller.promptParts);
+  state.quarantine.applyRow(part!, core.monotonicMs());
+  t.is(retry(), undefined, "quarantined");
+});
+
+// Guards against a plain service's instance that is full, and declines what is
+// taken off a silent one.
+test("a full instance is not selected for a request whose instance is silent", async (t) => {
+  const { selector } = makeNode(["e1", "e2"]);
+  const request = makeRequest("a");
+  const { model: _model, ...caller } = request.caller;
+  const plain = { ...request, caller };
+  const first = await selector.select(plain, history(false, ["e1"]), never);
+  const retry = () => selector.trySelectRetry(plain, history(false, ["e1"]));
   t.is(retry(), undefined);
-  other.health.markReachable();
-  t.is(retry()?.upstream.id, other.record.id);
+  first._unsafeUnwrap().onEnd("served");
+  t.is(retry()?.upstream.id, "e2" as core.UpstreamId);
+});
+
+// Guards against a stream that has begun and waits behind requests that are late
+// for their first event anyway.
+test("a stream that has begun goes before requests that are late", async (t) => {
+  const { selector } = makeNode(["e1"]);
+  const first = await selector.select(makeRequest("a"), history(false), never);
+  const order: string[] = [];
+  const queue = (name: string, ageMs: number, hasStarted: boolean) =>
+    selector.select(makeRequest(name, ageMs), history(hasStarted), never)
+      .then((selected) => {
+        order.push(name);
+        selected._unsafeUnwrap().onEnd("served");
+      });
+  const waiting = [queue("late", 1_500, false), queue("begun", 1_000, true)];
+  first._unsafeUnwrap().onEnd("served");
+  await Promise.all(waiting);
+  t.deepEqual(order, ["begun", "late"]);
+});
+
+// Guards against a stream that is cut off because many requests wait before it.
+test("a stream that has begun is queued however long the queue is", async (t) => {
+  const { state, selector } = makeNode(["e1"]);
+  await selector.select(makeRequest("a"), history(false), never);
+  const modelKey = dispatch.toModelKey(MODEL, undefined);
+  state.fleetQueues = new Map([[modelKey, 1_000_000]]);
+  const rejected = await selector.select(
+    makeRequest("b"),
+    history(false),
+    never,
+  );
+  t.true(rejected.isErr());
+  const caller = new AbortController();
+  const selecting = selector
+    .select(makeRequest("c"), history(true), caller.signal);
+  await core.sleep(20);
+  t.is(state.queue.size, 1);
+  caller.abort();
+  await selecting;
 });
 
 test("no retry is taken from the budget if there is no other engine", async (t) => {
