Let a request that left a silent upstream wait for what can answer it

What callers saw: a stream that was taken off a silent but sound upstream was cut off if the next one reset the connection or answered 500; a safe request, or a stream before its first event, got 502 if the next upstream declined; a request that had not been sent yet was rejected although a place for it was reserved and paid for.

Cause: only "not run" made a started stream wait for the retry budget; other outcomes, and requests without output, ended at once. The reserved place was dropped where the abandoned attempt had not been sent, and another retry was taken for the same send.

Change: retries are decided in relay_retries.ts. A reserved place is always used.

What stays: with two attempts, a stream whose second engine breaks is cut off, as the route allows no third run.

--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -12,10 +12,11 @@
   /** "no" only if it is certain that no byte of the request was sent. */
   readonly sent: "no" | "maybe";
   /**
-   * `refused`: nothing listens at the upstream's address; `cancelled`: ended by
-   * this node; `broken`: anything else, such as a closed connection.
+   * `refused`: nothing listens at the upstream's address; `silent`: given up by
+   * this node as no data came; `cancelled`: ended by this node for another
+   * reason; `broken`: anything else, such as a closed connection.
    */
-  readonly cause: "refused" | "cancelled" | "broken";
+  readonly cause: "refused" | "silent" | "cancelled" | "broken";
   readonly detail: string;
 }
 
@@ -55,6 +56,7 @@
   #isSent = false;
   #isFinished = false;
   #cancelError: Error | undefined;
+  #cancelCause: AttemptFailure["cause"] = "cancelled";
   #bufferedBytes = 0;
   #informationalCount = 0;
   readonly #bodyEvents: BodyEvent[] = [];
@@ -72,10 +74,13 @@
   /**
    * Aborts the attempt and closes its connection, which tells the upstream to
    * stop working on the request. Does nothing once the attempt has ended.
+   *
+   * @param cause what is reported as the failure's cause.
    */
-  cancel(reason: string): void {
+  cancel(reason: string, cause: AttemptFailure["cause"] = "cancelled"): void {
     if (this.#isFinished) return;
     this.#cancelError = new Error(reason);
+    this.#cancelCause = cause;
     this.#controller?.abort(this.#cancelError);
     this.#fail(this.#cancelError);
   }
@@ -128,7 +133,7 @@
 
   #countInformational(): void {
     if (++this.#informationalCount <= INFORMATIONAL_MAX) return;
-    this.cancel("too many informational responses");
+    this.cancel("too many informational responses", "broken");
   }
 
   #fail(error: Error): void {
@@ -138,7 +143,7 @@
     const failure: AttemptFailure = {
       sent: this.#isSent ? "maybe" : "no",
       cause: error === this.#cancelError
-        ? "cancelled"
+        ? this.#cancelCause
         : code === "ECONNREFUSED"
         ? "refused"
         : "broken",
@@ -155,6 +160,16 @@
   }
 }
 
+/** How a failed attempt ended, for the selector of its upstream. */
+export function outcomeOf(
+  { sent, cause }: AttemptFailure,
+  signal: AbortSignal,
+): "cancelled" | "silent" | "unreachable" | "failed" {
+  if (signal.aborted || cause === "cancelled") return "cancelled";
+  if (cause === "silent") return sent === "no" ? "cancelled" : "silent";
+  return sent === "no" ? "unreachable" : "failed";
+}
+
 /**
  * Sends a request once. Failures, including a request that the HTTP client
  * rejects, are reported through the returned attempt.
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -2,7 +2,7 @@
 import { Buffer } from "node:buffer";
 import * as core from "../core/mod.ts";
 import type * as transport from "../transport/mod.ts";
-import type { Attempt } from "./relay_attempt.ts";
+import { type Attempt, outcomeOf } from "./relay_attempt.ts";
 import { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import type { UpstreamAssignment } from "./relay_types.ts";
@@ -79,7 +79,7 @@
       const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
         assignment.onFailure(event.failure.cause);
-        assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
+        assignment.onEnd(outcomeOf(event.failure, this.#signal));
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
       if (event.kind === "end") break;
@@ -123,7 +123,7 @@
       if (event.kind !== "data") this.endedInsideEvent = boundary.isInsideEvent;
       if (event.kind === "broken") {
         assignment.onFailure(event.failure.cause);
-        assignment.onEnd(this.#signal.aborted ? "cancelled" : "failed");
+        assignment.onEnd(outcomeOf(event.failure, this.#signal));
         this.#eventBuffer.discardPending();
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -2,20 +2,20 @@
  * Relays one request: selects an upstream, sends the request, retries it where
  * that is safe, and writes the response to the caller.
  */
-import { ok, type Result } from "neverthrow";
 import * as core from "../core/mod.ts";
-import * as fleet from "../fleet/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
   type AttemptHead,
+  outcomeOf,
   startAttempt,
 } from "./relay_attempt.ts";
 import { type AttemptResult, BodyRelay } from "./relay_response_body.ts";
-import { WaitWatch } from "./relay_wait_watch.ts";
+import { RelayRetries, type ResponseProgress } from "./relay_retries.ts";
+import type { WaitWatch } from "./relay_wait_watch.ts";
 import type {
-  AttemptHistory,
   Rejection,
   RelayDependencies,
   RelayedRequest,
@@ -29,17 +29,6 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 const STATUS_MISDIRECTED = 421;
-/** Number of sends after which a request that was not run is rejected. */
-const NOT_RUN_SENDS_MAX = 6;
-/** Time kept free for a stream to go on at another upstream. */
-const STREAM_RESUME_TIME_MS = 800;
-/** Minimum time without data after which a stream moves to another upstream. */
-const STREAM_NO_DATA_TIMEOUT_MIN_MS = fleet.STREAM_PATIENCE_MIN_MS -
-  STREAM_RESUME_TIME_MS;
-/** Interval at which another upstream is sought for a silent attempt. */
-const SILENT_RETRY_INTERVAL_MS = 100;
-/** Interval at which a response that can only be continued is sent again. */
-const CONTINUE_INTERVAL_MS = 50;
 /** Parts of a prompt, and characters of each, in the log. */
 const LOGGED_PARTS_MAX = 4;
 const LOGGED_PART_LENGTH = 16;
@@ -51,23 +40,14 @@
   readonly #response: CallerResponse;
   readonly #dependencies: RelayDependencies;
   readonly #signal: AbortSignal;
-  readonly #failedUpstreams = new Set<core.UpstreamId>();
+  readonly #retries: RelayRetries;
   readonly #bodyRelay: BodyRelay;
   #attempt: Attempt | undefined;
-  #runCount = 0;
-  #sendCount = 0;
   #upstream: fleet.UpstreamRecord | undefined;
   #selectionFields: core.LogFields = {};
   #framing: transport.BodyFraming | undefined;
   #outcome: RelayOutcome = "failed";
   #waitedMs = 0;
-  /** Whether a retry for the next run is already taken from the retry budget. */
-  #isRetryTaken = false;
-  /** The upstream selected for the next attempt when this one was abandoned. */
-  #reserved: UpstreamAssignment | undefined;
-  /** Attempts given up because the upstream was silent, though it may be sound. */
-  #abandonedCount = 0;
-
   /**
    * @param signal aborted when the caller disconnects or the deadline passes.
    */
@@ -81,6 +61,7 @@
     this.#response = response;
     this.#dependencies = dependencies;
     this.#signal = signal;
+    this.#retries = new RelayRetries(request, dependencies, signal);
     const { isResumable } = request.route;
     this.#bodyRelay = new BodyRelay(response, isResumable, signal);
   }
@@ -95,27 +76,14 @@
       return this.#outcome;
     } finally {
       this.#signal.removeEventListener("abort", cancelAttempt);
-      // An abandoned attempt may still have ended by itself.
-      this.#reserved?.onEnd("cancelled");
+      this.#retries.releaseReserved();
     }
   }
 
-  async #select(): Promise<Result<UpstreamAssignment, Rejection>> {
-    const reserved = this.#reserved;
-    this.#reserved = undefined;
-    if (reserved) return ok(reserved);
-    const startedAtMs = core.monotonicMs();
-    const selected = await this.#dependencies.selector
-      .select(this.#request, this.#history(), this.#signal);
-    this.#waitedMs += core.monotonicMs() - startedAtMs;
-    return selected;
-  }
-
-  #history(): AttemptHistory {
+  #progress(): ResponseProgress {
     const softwareVersion = this.#request.softwareVersion ??
       this.#bodyRelay.softwareVersion;
     return {
-      failed: this.#failedUpstreams,
       hasStarted: this.#response.hasStarted,
       ...(softwareVersion === undefined ? {} : { softwareVersion }),
     };
@@ -123,7 +91,9 @@
 
   async #runAttempts(): Promise<void> {
     for (;;) {
-      const assignment = await this.#select();
+      const selectionStartedAtMs = core.monotonicMs();
+      const assignment = await this.#retries.select(this.#progress());
+      this.#waitedMs += core.monotonicMs() - selectionStartedAtMs;
       // A process that was held up may not have noticed that the caller left.
       if (assignment.isOk()) await core.nextPoll();
       if (this.#signal.aborted) {
@@ -134,105 +104,15 @@
       const result = await this.#send(assignment.value);
       if (result.kind === "done") return this.#logEnd("done", result.status);
       if (this.#signal.aborted) return this.#finishAborted();
-      if (result.kind === "notRun") {
-        if (!await this.#mayResend()) {
-          return this.#reject({
-            reason: result.detail,
-            retryAfterMs: REJECTED_RETRY_AFTER_MS,
-          });
-        }
-        continue;
-      }
-      this.#failedUpstreams.add(assignment.value.upstream.id);
-      if (!this.#consumeRetry()) {
-        return this.#fail(STATUS_BAD_GATEWAY, result.detail);
-      }
+      const { id } = assignment.value.upstream;
+      if (await this.#retries.maySendAgain(result, id)) continue;
+      return this.#reject({
+        reason: result.detail,
+        retryAfterMs: REJECTED_RETRY_AFTER_MS,
+      });
     }
   }
 
-  /**
-   * Whether a request that an upstream did not run may be sent again. A response
-   * that this node took off a sound upstream has to be continued, so it waits
-   * for the retry budget.
-   */
-  async #mayResend(): Promise<boolean> {
-    const { selector } = this.#dependencies;
-    const { service } = this.#request;
-    if (!this.#response.hasStarted || this.#abandonedCount === 0) {
-      return this.#sendCount < NOT_RUN_SENDS_MAX &&
-        selector.trySpendRetry(service);
-    }
-    do await core.sleep(CONTINUE_INTERVAL_MS, this.#signal); while (
-      !this.#signal.aborted && !selector.trySpendRetry(service)
-    );
-    return true;
-  }
-
-  /**
-   * Whether the route allows another run after `runCount` runs: only safe
-   * requests and resumable streams may run more than once. Ignores the retry
-   * budget.
-   */
-  #canRunAgain(runCount: number): boolean {
-    const { route } = this.#request;
-    const isRepeatable = route.kind === "safe" ||
-      (route.kind === "stream" && route.isResumable);
-    return isRepeatable && runCount < route.attemptsMax;
-  }
-
-  /** Uses up the retry already taken, or takes one; false if there is none. */
-  #consumeRetry(): boolean {
-    const mayRetry = this.#isRetryTaken || this.#tryTakeRetry();
-    this.#isRetryTaken = false;
-    return mayRetry;
-  }
-
-  /** Takes a retry from the budget if the route allows another run. */
-  #tryTakeRetry(): boolean {
-    this.#isRetryTaken = this.#canRunAgain(this.#runCount) &&
-      this.#dependencies.selector.trySpendRetry(this.#request.service);
-    return this.#isRetryTaken;
-  }
-
-  /**
-   * Watches the waits for data from an upstream. A silent upstream may be sound,
-   * so the attempt goes on until another upstream can take the request.
-   */
-  #watchAttempt(attempt: Attempt, upstream: core.UpstreamId): WaitWatch {
-    const { route } = this.#request;
-    const runCount = this.#runCount + 1;
-    const noDataTimeoutMs = route.kind === "stream"
-      ? Math.max(route.latencyTargetMs, STREAM_NO_DATA_TIMEOUT_MIN_MS)
-      : route.latencyTargetMs;
-    return new WaitWatch(noDataTimeoutMs, () => {
-      if (!this.#canRunAgain(runCount) || this.#isRetryTaken) return;
-      if (this.#reserveOther(upstream)) {
-        attempt.cancel("no data from the upstream in time");
-      }
-    }, SILENT_RETRY_INTERVAL_MS);
-  }
-
-  /** Reserves another upstream for a request whose upstream is silent. */
-  #reserveOther(silent: core.UpstreamId): boolean {
-    const { selector, logger } = this.#dependencies;
-    const reserved = selector.trySelectRetry(this.#request, {
-      ...this.#history(),
-      failed: new Set([...this.#failedUpstreams, silent]),
-    });
-    if (!reserved) return false;
-    this.#isRetryTaken = true;
-    this.#reserved = reserved;
-    this.#abandonedCount++;
-    logger.info("attempt_abandoned", {
-      request: this.#request.caller.requestId,
-      reason: "upstream silent",
-      upstream: silent,
-      next: reserved.upstream.id,
-      started: this.#response.hasStarted,
-    });
-    return true;
-  }
-
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
     const { dialect } = this.#dependencies;
     const { caller, route, deadlineAtMs, method, path, body } = this.#request;
@@ -240,7 +120,7 @@
     const { lastEventId } = this.#bodyRelay;
     this.#upstream = upstream;
     this.#selectionFields = assignment.logFields;
-    this.#sendCount++;
+    this.#retries.sendCount++;
     const attempt = startAttempt(assignment.dispatcher, {
       path,
       method,
@@ -255,7 +135,8 @@
       startBeforeMs: deadlineAtMs,
     });
     this.#attempt = attempt;
-    const watch = this.#watchAttempt(attempt, upstream.id);
+    const watch = this.#retries
+      .watchAttempt(attempt, upstream.id, () => this.#progress());
     try {
       return await this.#receive(assignment, attempt, watch);
     } finally {
@@ -273,10 +154,9 @@
     if (head.isErr()) {
       const { sent, detail, cause } = head.error;
       assignment.onFailure(cause);
-      if (this.#signal.aborted) assignment.onEnd("cancelled");
-      else assignment.onEnd(sent === "no" ? "unreachable" : "failed");
+      assignment.onEnd(outcomeOf(head.error, this.#signal));
       if (sent === "no") return { kind: "notRun", detail };
-      this.#runCount++;
+      this.#retries.runCount++;
       return { kind: "mayHaveRun", detail };
     }
     this.#framing = head.value.framing;
@@ -300,7 +180,7 @@
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       attempt.cancel("response has a different request id");
       assignment.onEnd("failed");
-      this.#runCount++;
+      this.#retries.runCount++;
       return {
         kind: "mayHaveRun",
         detail: "response has a different request id",
@@ -316,7 +196,7 @@
         detail: `upstream did not run the request: status ${head.status}`,
       };
     }
-    this.#runCount++;
+    this.#retries.runCount++;
     if (!upstreamResponse.isSigned || upstreamResponse.isEncoded) {
       attempt.cancel("response is unsigned or encoded in transit");
       assignment.onEnd("failed");
@@ -327,7 +207,9 @@
     }
     const isSuccess = head.status < 300;
     // An error cannot be relayed after the first events of a stream.
-    if (!isSuccess && (this.#response.hasStarted || this.#tryTakeRetry())) {
+    if (
+      !isSuccess && (this.#response.hasStarted || this.#retries.tryTakeRetry())
+    ) {
       // Reading continues to the end of the body, so that the connection stays.
       assignment.onEnd("failed");
       return {
@@ -352,7 +234,9 @@
 
   /** Rejects a request that has not run; fails it if it may have run. */
   #reject({ reason, retryAfterMs }: Rejection): void {
-    if (this.#runCount > 0) return this.#fail(STATUS_BAD_GATEWAY, reason);
+    if (this.#retries.runCount > 0) {
+      return this.#fail(STATUS_BAD_GATEWAY, reason);
+    }
     const headers = this.#dependencies.dialect.writeRejection(retryAfterMs);
     this.#response.start(STATUS_UNAVAILABLE, {
       ...headers,
@@ -380,7 +264,9 @@
   #finishAborted(): void {
     const cause = core.messageOf(this.#signal.reason);
     if (!this.#response.isWritable) return this.#logEnd("callerLeft", 0, cause);
-    if (this.#runCount > 0) return this.#fail(STATUS_GATEWAY_TIMEOUT, cause);
+    if (this.#retries.runCount > 0) {
+      return this.#fail(STATUS_GATEWAY_TIMEOUT, cause);
+    }
     return this.#reject({
       reason: cause,
       retryAfterMs: REJECTED_RETRY_AFTER_MS,
@@ -412,9 +298,9 @@
       takesUp: caller.takenUpStream?.firstRequestId,
       upstream: this.#upstream?.id,
       softwareVersion: this.#upstream?.softwareVersion,
-      sendings: this.#sendCount,
-      runs: this.#runCount,
-      abandoned: this.#abandonedCount || undefined,
+      sendings: this.#retries.sendCount,
+      runs: this.#retries.runCount,
+      abandoned: this.#retries.abandonedCount || undefined,
       framing: this.#framing,
       insideEvent: this.#bodyRelay.endedInsideEvent,
       firstMs: firstByteAtMs === undefined
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -70,6 +70,8 @@
    * continued but no longer rejected.
    */
   readonly hasStarted: boolean;
+  /** Whether to select no upstream that seems not to respond. */
+  readonly avoidsSuspects: boolean;
   /** The only software version whose upstreams can continue the response. */
   readonly softwareVersion?: core.SoftwareVersion;
 }
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import { type AddressInfo, connect } from "node:net";
+import { Dispatcher } from "undici";
 import * as core from "../../core/mod.ts";
 import type * as dispatch from "../../dispatch/mod.ts";
 import * as fleet from "../../fleet/mod.ts";
@@ -56,24 +57,33 @@
   response: ServerResponse,
 ) => void;
 
+/** Accepts requests and never sends them. */
+class BlockedDispatcher extends Dispatcher {
+  override dispatch(): boolean {
+    return true;
+  }
+}
+
 /** Selects the given upstreams in turn, and counts down a retry budget. */
 export class ListedSelector extends relay.UpstreamSelector {
   readonly outcomes: string[] = [];
   readonly #upstreams: fleet.UpstreamRecord[];
   readonly #pools: relay.UpstreamPools;
   readonly #selectionMs: number;
+  readonly #isFirstBlocked: boolean;
   #next = 0;
   budget: number;
 
   constructor(
     upstreams: fleet.UpstreamRecord[],
     pools: relay.UpstreamPools,
-    { budget = 10, selectionMs = 0 }: RelayOptions,
+    { budget = 10, selectionMs = 0, isFirstBlocked = false }: RelayOptions,
   ) {
     super();
     this.#upstreams = upstreams;
     this.#pools = pools;
     this.#selectionMs = selectionMs;
+    this.#isFirstBlocked = isFirstBlocked;
     this.budget = budget;
   }
 
@@ -95,11 +105,14 @@
   }
 
   #nextAssignment(): relay.UpstreamAssignment | undefined {
+    const isBlocked = this.#isFirstBlocked && this.#next === 0;
     const upstream = this.#upstreams[this.#next++];
     if (!upstream) return undefined;
     return {
       upstream,
-      dispatcher: this.#pools.get(upstream, 10, 1),
+      dispatcher: isBlocked
+        ? new BlockedDispatcher()
+        : this.#pools.get(upstream, 10, 1),
       logFields: {},
       onStreamStart: () => {},
       onFirstEvent: () => {},
@@ -123,6 +136,8 @@
 
 export interface RelayResult {
   readonly status: number;
+  /** Retries left in the budget. */
+  readonly budgetLeft: number;
   readonly headers: string;
   readonly body: string;
   /** Whether the body ended as the response's framing requires. */
@@ -139,6 +154,8 @@
   readonly deadlineMs?: number;
   /** Time that the selection of an upstream takes. */
   readonly selectionMs?: number;
+  /** Whether the first upstream has no connection free, so nothing is sent. */
+  readonly isFirstBlocked?: boolean;
 }
 
 /** Relays one request to upstreams with the given behaviours. */
@@ -234,6 +251,7 @@
         ? body.endsWith("0\r\n\r\n")
         : body.length === Number(length ?? -1),
       outcomes: selector.outcomes,
+      budgetLeft: selector.budget,
       runs,
     };
   } finally {
