Do not end a node at once on a second SIGTERM

Callers saw their connections closed without an answer when a node was sent SIGTERM twice. EntryNode.stop returned at once if a stop was under way, and the handler of the second signal then ended the process with all its requests in flight. The new test, on the code before:

a second SIGTERM cuts off no request Rejected promise returned by test. Reason: Error { code: 'ECONNRESET', message: 'socket hang up' }

Ruled out: a signal while the modules load ends the process by default, before it listens. Change: every call of stop waits for the same stop. After it the test passes, and the process exits with 0.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -94,6 +94,7 @@
   readonly #callerListener: CallerListener;
   /** Generation of the store in which the member row was written. */
   #rowGeneration: number | undefined;
+  #stopping: Promise<void> | undefined;
 
   constructor(
     settings: fleet.EntrySettings,
@@ -158,11 +159,16 @@
   /**
    * Stops the node as planned. Releases the order lease, leaves the directory
    * and waits until no request is in flight, so that none is cut off, but no
-   * longer than shortly before the end of the grace period.
+   * longer than shortly before the end of the grace period. Further calls wait
+   * for the same stop.
    */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
     const { state } = this;
-    if (state.isStopping) return;
     state.isStopping = true;
     const startedAtMs = core.monotonicMs();
     state.logger.info("stopping", { requests: state.requestsInFlight });
