Count a request as in flight until its response is handed to the kernel

A caller that read slowly lost the end of its answer when the node was stopped as planned: the process counted the request as ended once the response had been written to Node's buffer, and exited with megabytes of it still there.

Change: a request is in flight until its response is closed, which Node reports when the kernel has all of it, or until the connection is gone; the stop already waits for that within the grace period.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -116,11 +116,12 @@
   #handle(request: IncomingMessage, response: ServerResponse): void {
     this.#state.requestsInFlight++;
     this.#state.metrics.increment("requests");
-    this.#relay(request, response).catch((thrown) => {
+    const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
+    this.#relay(request, response, reply).catch((thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("request_crashed", { reason });
       response.destroy();
-    }).finally(() => {
+    }).then(() => reply.flushed()).finally(() => {
       this.#state.requestsInFlight--;
     });
   }
@@ -128,9 +129,9 @@
   async #relay(
     request: IncomingMessage,
     response: ServerResponse,
+    reply: relay.CallerResponse,
   ): Promise<void> {
     const receivedAtMs = core.monotonicMs();
-    const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
     const { config, table, hasReadUpstreams, hasReadMembers } = this.#state;
     if (!config || !table || !hasReadUpstreams || !hasReadMembers) {
       return this.#reject(
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -48,7 +48,7 @@
    * happened meanwhile, on the monotonic clock.
    */
   exchangedAtMs = -Infinity;
-  /** Callers' requests in flight. */
+  /** Callers' requests in flight: until their responses are handed on whole. */
   requestsInFlight = 0;
 
   constructor(settings: fleet.EntrySettings, logger: core.Logger) {
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -71,6 +71,25 @@
     if (this.isWritable) this.#response.end(data);
   }
 
+  /**
+   * Waits until every byte of an ended response has been passed to the kernel,
+   * or its connection has closed.
+   */
+  async flushed(): Promise<void> {
+    const { socket } = this.#response.req;
+    if (this.#response.closed || socket.destroyed) return;
+    await new Promise<void>((resolve) => {
+      const onClose = () => {
+        this.#response.off("close", onClose);
+        socket.off("close", onClose);
+        resolve();
+      };
+      this.#response.on("close", onClose);
+      // A response behind others of its connection does not see it close.
+      socket.on("close", onClose);
+    });
+  }
+
   /**
    * Destroys the connection, so that the response cannot look complete. An
    * orderly close would complete a body that only the connection frames.
