Answer what is in flight when the time of a planned stop is over

Callers whose requests were queued or ran at the end of the grace period lost their connections: the stop logged them and the process exited. Where the grace period is shorter than the time for which a stopping node still serves callers, new requests were accepted, sent to upstreams and cut off until the very exit.

Change: 400 ms before the grace period is over, as long as the stop has always kept free, the listener ends all requests as their deadline would: 504 for those that may have run, 503 with Retry-After for those that have not. It rejects new ones from then on, and the node waits for the last bytes until 100 ms before the end. A node waits no longer for the requests' end first and for the store after it, which accepted requests for up to 100 ms that nothing waited for. Streams that have begun are still cut off, as nothing else can end them as incomplete.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -26,6 +26,8 @@
 /** Interval at which connections with incomplete headers are timed out. */
 const HEADER_CHECK_INTERVAL_MS = 1_000;
 
+/** Why a node that stops rejects or ends requests. */
+const STOPPING = "node is stopping";
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
 /**
@@ -65,6 +67,9 @@
   #keepsAlive = true;
   #rejectFromMs = Infinity;
   #stopEndsAtMs = Infinity;
+  #hasEnded = false;
+  /** End the requests that are queued or sent to an upstream. */
+  readonly #aborters = new Set<AbortController>();
 
   constructor(
     state: EntryState,
@@ -104,7 +109,17 @@
     this.#stopEndsAtMs = stopEndsAtMs;
   }
 
+  /**
+   * Ends all requests: those that may have run with an error, the others with a
+   * rejection. Rejects new ones.
+   */
+  endAll(): void {
+    this.#hasEnded = true;
+    for (const aborter of this.#aborters) aborter.abort(new Error(STOPPING));
+  }
+
   #canAdmit(caller: fleet.CallerRequest, maxDurationMs: number): boolean {
+    if (this.#hasEnded) return false;
     const nowMs = core.monotonicMs();
     if (nowMs < this.#rejectFromMs) return true;
     if (this.#state.members.callerAddresses().length > 0) return false;
@@ -153,7 +168,7 @@
     const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
     const maxDurationMs = Math.min(deadlineMs, route.timeoutMs);
     if (!this.#canAdmit(caller.value, maxDurationMs)) {
-      return this.#reject(request, reply, 503, "node is stopping");
+      return this.#reject(request, reply, 503, STOPPING);
     }
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
@@ -162,6 +177,7 @@
       timeoutMs: maxDurationMs,
     });
     if (!body) return;
+    if (this.#hasEnded) return this.#reject(request, reply, 503, STOPPING);
     this.#state.retryBudget(service).recordRequest(receivedAtMs);
     await this.#run(
       {
@@ -185,6 +201,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const aborter = new AbortController();
+    this.#aborters.add(aborter);
     const onClose = () => {
       if (!response.writableFinished) aborter.abort(new Error("caller left"));
     };
@@ -209,6 +226,7 @@
       this.#state.metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
     } finally {
       clearTimeout(timer);
+      this.#aborters.delete(aborter);
       response.off("close", onClose);
       this.#recordLatency(request, reply);
     }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -34,6 +34,7 @@
 } from "./entry_quarantine.ts";
 import { EntryUpstreamSelector } from "./entry_selector.ts";
 import { EntryState } from "./entry_state.ts";
+import { finishRequests } from "./entry_stop.ts";
 import { TableNewsExchange } from "./entry_table_news.ts";
 
 /** What the platform provides to an entry node. */
@@ -51,9 +52,6 @@
  * directory response for up to three TTLs.
  */
 const STOP_LINGER_MS = 3 * DIRECTORY_TTL_MAX_MS;
-/** A stop ends at the latest this long before the grace period is over. */
-const GRACE_MARGIN_MS = 400;
-const STOP_POLL_MS = 50;
 /** Interval at which the member row is written, if it has to be. */
 const MEMBER_ROW_RETRY_MS = 300;
 
@@ -159,8 +157,7 @@
   /**
    * Stops the node as planned. Releases the order lease, leaves the directory
    * and waits until no request is in flight, so that none is cut off, but no
-   * longer than shortly before the end of the grace period. Further calls wait
-   * for the same stop.
+   * longer than the grace period. Further calls wait for the same stop.
    */
   stop(): Promise<void> {
     this.#stopping ??= this.#stop();
@@ -172,20 +169,13 @@
     state.isStopping = true;
     const startedAtMs = core.monotonicMs();
     state.logger.info("stopping", { requests: state.requestsInFlight });
-    this.#callerListener.disableKeepAlive();
-    const released = this.#lease.release();
-    const rowWritten = this.#writeMemberRow(true);
-    const endsAtMs = startedAtMs + state.settings.graceMs - GRACE_MARGIN_MS;
-    this.#callerListener.rejectNew(startedAtMs + STOP_LINGER_MS, endsAtMs);
-    for (;;) {
-      await core.sleep(STOP_POLL_MS);
-      const nowMs = core.monotonicMs();
-      const hasLingered = nowMs - startedAtMs >= STOP_LINGER_MS;
-      const isDone = state.requestsInFlight === 0 && !this.#lease.isHeld;
-      if (hasLingered && isDone) break;
-      if (nowMs >= endsAtMs) break;
-    }
-    await Promise.race([Promise.all([released, rowWritten]), core.sleep(100)]);
+    let isHandedOver = false;
+    Promise.allSettled([this.#lease.release(), this.#writeMemberRow(true)])
+      .then(() => isHandedOver = true);
+    await finishRequests(state, this.#callerListener, {
+      lingerMs: STOP_LINGER_MS,
+      isHandedOver: () => isHandedOver && !this.#lease.isHeld,
+    });
     state.logger.info("stopped", {
       requests: state.requestsInFlight,
       tookMs: Math.round(core.monotonicMs() - startedAtMs),
