Answer a whole request before closing for malformed bytes behind it

A caller whose request ran got 400 or 408 in its place, and its connection was closed, if bytes followed on the connection that are no request, or the head of a next request that was not completed in time. A stream that had begun was cut off. Both statuses say that the request has not run.

Cause: without a listener for client errors, Node writes its own response if the pending one has sent nothing yet, and destroys the connection in any case. Change: where a request that was received whole is still to be answered, the connection is closed after its response, which says so where it can.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -87,6 +87,7 @@
       },
       (request, response) => this.#handle(request, response),
     );
+    transport.finishBeforeParseErrors(this.#server);
   }
 
   /** Starts listening; the returned cleanup closes all connections. */
--- /dev/null
+++ b/packages/entry/tests/listener_harness.ts
@@ -0,0 +1,198 @@
+/** A listener for callers before one upstream, both on loopback. */
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type RequestListener,
+  type Server,
+} from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { err, ok, type Result } from "neverthrow";
+import * as core from "../../core/mod.ts";
+import * as fleet from "../../fleet/mod.ts";
+import * as testing from "../../testing/mod.ts";
+import { CallerListener } from "../entry_caller_listener.ts";
+import { EntryUpstreamSelector } from "../entry_selector.ts";
+import { EntryState } from "../entry_state.ts";
+import { makeEntrySettings } from "./entry_settings.ts";
+
+const SERVICE = core.brandId<core.ServiceName>("s");
+const UPSTREAM = core.brandId<core.UpstreamId>("u1");
+const HEADER_TIMEOUT_MS = 1_000;
+
+/** Reads and writes only the headers that the tests use. */
+export class HarnessDialect extends fleet.HttpDialect {
+  override readRequest(
+    headers: IncomingHttpHeaders,
+  ): Result<fleet.CallerRequest, string> {
+    const id = headers["x-id"];
+    if (id === undefined) return err("X-Id is missing");
+    return ok({
+      requestId: core.brandId<core.RequestId>(String(id)),
+      promptTokens: 0,
+      outputTokensMax: 0,
+      promptParts: [],
+      forwardedHeaders: {},
+    });
+  }
+  override writeRequest({ caller }: fleet.UpstreamRequest) {
+    return { "x-id": caller.requestId };
+  }
+  override readResponse(
+    _status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): fleet.UpstreamResponse {
+    return {
+      requestId: String(headers["x-id"]),
+      isSigned: true,
+      isNotRun: false,
+      isEncoded: false,
+      returnedHeaders: { "x-seal": String(headers["x-seal"]) },
+    };
+  }
+  override writeRejection(retryAfterMs?: number): Record<string, string> {
+    return retryAfterMs === undefined
+      ? {}
+      : { "retry-after": String(retryAfterMs / 1_000) };
+  }
+  override matchSystemEndpoint(): undefined {
+    return undefined;
+  }
+  override writeDirectory(): string {
+    return "";
+  }
+}
+
+/** Behaviour of the upstream: echoes the id, after a delay. */
+export function respondAfter(delayMs: number): RequestListener {
+  return (request, response) => {
+    const headers = { "x-id": request.headers["x-id"], "x-seal": "seal" };
+    setTimeout(() => response.writeHead(200, headers).end("whole"), delayMs);
+  };
+}
+
+/** What a caller received on one connection, and how that ended. */
+export class CallerConnection {
+  readonly socket: Socket;
+  /** Resolves once the connection has closed. */
+  readonly closed: Promise<unknown>;
+  text = "";
+  error: Error | undefined;
+
+  constructor(port: number) {
+    this.socket = connect(port, "127.0.0.1");
+    this.socket.on("data", (data) => this.text += data.toString("latin1"));
+    this.socket.on("error", (error) => this.error = error);
+    this.closed = new Promise((resolve) => this.socket.on("close", resolve));
+  }
+
+  /** Statuses of the responses received so far. */
+  get statuses(): number[] {
+    return [...this.text.matchAll(/^HTTP\/1.1 (\d+) /gm)]
+      .map(([, status]) => Number(status));
+  }
+}
+
+export interface HarnessOptions {
+  readonly dialect?: fleet.HttpDialect;
+  /** Kind of the route. */
+  readonly kind?: fleet.RouteKind;
+}
+
+/** Starts the listener and its upstream; close it at the end of the test. */
+export class ListenerHarness {
+  readonly state = new EntryState(
+    makeEntrySettings("n1"),
+    new core.Logger({}, (line) => this.log.push(line)),
+  );
+  readonly log: string[] = [];
+  readonly listener: CallerListener;
+  /** Ids of the requests that the upstream has received. */
+  readonly received: string[] = [];
+  readonly #upstream: Server;
+  #port = 0;
+  #close: core.Cleanup = () => {};
+
+  readonly #kind: fleet.RouteKind;
+
+  constructor(
+    respond: RequestListener,
+    { dialect = new HarnessDialect(), kind = "safe" }: HarnessOptions = {},
+  ) {
+    this.#kind = kind;
+    this.#upstream = createServer((request, response) => {
+      this.received.push(String(request.headers["x-id"]));
+      respond(request, response);
+    });
+    const selector = new EntryUpstreamSelector(this.state);
+    this.listener = new CallerListener(this.state, dialect, selector);
+  }
+
+  async start(): Promise<void> {
+    this.#upstream.listen(0, "127.0.0.1");
+    await once(this.#upstream, "listening");
+    const { port } = this.#upstream.address() as AddressInfo;
+    this.configure(1);
+    this.state.setUpstream(testing.makeUpstreamRecord({
+      id: UPSTREAM,
+      service: SERVICE,
+      address: `127.0.0.1:${port}`,
+    }));
+    this.state.hasReadUpstreams = true;
+    this.state.hasReadMembers = true;
+    [this.#port] = await testing.findFreePorts(1) as [number];
+    this.#close = await this.listener
+      .listen({ host: "127.0.0.1", port: this.#port });
+  }
+
+  /** Applies a configuration with one route, from `/a/` to the service. */
+  configure(version: number, changes: Partial<fleet.FleetConfig> = {}): void {
+    this.state.applyConfig({
+      version,
+      routes: [{
+        name: "r",
+        host: "h",
+        pathPrefix: "/a/",
+        kind: this.#kind,
+        timeoutMs: 5_000,
+        latencyTargetMs: 5_000,
+        eventGapTargetMs: 300,
+        priority: 0,
+        targets: [{ service: SERVICE, weight: 1 }],
+        attemptsMax: 1,
+        isResumable: false,
+      }],
+      services: new Map([[SERVICE, { name: SERVICE, connectionsMax: 20 }]]),
+      headerTimeoutMs: HEADER_TIMEOUT_MS,
+      idleTimeoutMs: 5_000,
+      bodyBytesMax: 1_000_000,
+      ...changes,
+    });
+  }
+
+  connect(): CallerConnection {
+    return new CallerConnection(this.#port);
+  }
+
+  async close(): Promise<void> {
+    await this.#close();
+    await this.state.pools.close();
+    this.#upstream.close();
+    this.#upstream.closeAllConnections();
+  }
+}
+
+/** Runs a test against a listener, and closes it. */
+export async function withListener(
+  respond: RequestListener,
+  run: (harness: ListenerHarness) => Promise<void>,
+  options: HarnessOptions = {},
+): Promise<void> {
+  const harness = new ListenerHarness(respond, options);
+  await harness.start();
+  try {
+    await run(harness);
+  } finally {
+    await harness.close();
+  }
+}
