Answer a request with 502 where an exception ends it

An exception in the relay, such as one of Node for a header that it refuses to write, destroyed the caller's connection: a request that had been read whole, and may have run, ended without any answer, and a kept connection with it. If the response had ended by then, what the kernel did not have of it was lost.

Ruled out, by reading the code of undici and Node: header values of upstreams that Node refuses (both read and write them as Latin-1), statuses below 200 or above 999, headers named like properties of objects. No input is known that leads here; the tests inject one. Change: the request ends with 502, which promises nothing, without what is left of the refused head, such as the upstream's seal; a response that has started is aborted as before, and one that has ended stays.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -18,6 +18,7 @@
 
 /** Deadline of requests that name none. */
 const DEADLINE_DEFAULT_MS = 60_000;
+const STATUS_BAD_GATEWAY = 502;
 /** Retry-After of 503 responses: not configured yet, stopping, or no target. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 /** Largest header section; stays above the limit of the configuration. */
@@ -136,7 +137,10 @@
     this.#relay(request, response, reply).catch((thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("request_crashed", { reason });
-      response.destroy();
+      // The request may have run, so this must not be a rejection.
+      if (!request.complete) relay.discardBody(request);
+      reply.fail(STATUS_BAD_GATEWAY, core.monotonicMs());
+      this.#state.metrics.increment("failures");
     }).then(() => reply.flushed()).finally(() => {
       this.#state.requestsInFlight--;
     });
--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -88,7 +88,7 @@
 
   /** Statuses of the responses received so far. */
   get statuses(): number[] {
-    return [...this.text.matchAll(/^HTTP\/1.1 (\d+) /gm)]
+    return [...this.text.matchAll(/HTTP\/1\.1 (\d+) /g)]
       .map(([, status]) => Number(status));
   }
 }
--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -1,7 +1,12 @@
 import test from "ava";
 import type { RequestListener } from "node:http";
 import * as core from "../../../core/mod.ts";
-import { respondAfter, withListener } from "../listener_harness.ts";
+import type * as fleet from "../../../fleet/mod.ts";
+import {
+  HarnessDialect,
+  respondAfter,
+  withListener,
+} from "../listener_harness.ts";
 
 const GET = "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n";
 const NO_REQUEST = "\0 no request\r\n\r\n";
@@ -103,3 +108,56 @@
     whole.socket.destroy();
   });
 });
+
+/** Returns a header that cannot be written, and the upstream's seal. */
+class UnwritableDialect extends HarnessDialect {
+  override readResponse(
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): fleet.UpstreamResponse {
+    const returnedHeaders = { "x-seal": "seal", "x-price": "5 \u20ac" };
+    return { ...super.readResponse(status, headers), returnedHeaders };
+  }
+}
+
+for (const isStopping of [false, true]) {
+  // Guards against an exception leaving a caller without any answer, or giving
+  // it the upstream's seal on an answer that is not the upstream's.
+  test(`a response that cannot be written ends with an error${isStopping ? " in a stop" : ""}`, async (t) => {
+    await withListener(respondAfter(0), async (harness) => {
+      if (isStopping) harness.listener.disableKeepAlive();
+      const caller = harness.connect();
+      caller.socket.write(GET);
+      await core.sleep(300);
+      t.deepEqual(caller.statuses, [502]);
+      t.regex(caller.text, /^HTTP\/1.1 502 Bad Gateway\r\n/);
+      t.notRegex(caller.text, /x-seal|retry-after/i);
+      t.regex(caller.text, /content-length: 0\r\n/i);
+      t.is(harness.state.requestsInFlight, 0);
+      t.true(harness.log.some((line) => line.includes("request_crashed")));
+      caller.socket.destroy();
+    }, { dialect: new UnwritableDialect() });
+  });
+}
+
+/** Fails where the second request is passed on. */
+class ThrowingDialect extends HarnessDialect {
+  override writeRequest(request: fleet.UpstreamRequest) {
+    if (request.caller.requestId === "2") throw new Error("not written");
+    return super.writeRequest(request);
+  }
+}
+
+// Guards against an exception in one request ending others, or its connection.
+test("an exception before anything was sent ends with an error, and the connection stays", async (t) => {
+  await withListener(respondAfter(0), async (harness) => {
+    const caller = harness.connect();
+    for (const id of [1, 2, 3]) {
+      caller.socket.write(GET.replace("X-Id: 1", `X-Id: ${id}`));
+      await core.sleep(100);
+    }
+    t.deepEqual(caller.statuses, [200, 502, 200]);
+    t.deepEqual(harness.received, ["1", "3"]);
+    caller.socket.destroy();
+  }, { dialect: new ThrowingDialect() });
+});
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -71,6 +71,21 @@
     if (this.isWritable) this.#response.end(data);
   }
 
+  /**
+   * Ends a response that could not be written as meant: with an error, or, if
+   * it has started, by an abort. One that has ended already stays as it is.
+   */
+  fail(status: number, nowMs: number): void {
+    if (!this.isWritable) return;
+    if (this.hasStarted) return this.abort();
+    // Node keeps parts of a head that it refused to write.
+    const names = this.#response.getHeaderNames();
+    for (const name of names) this.#response.removeHeader(name);
+    this.#response.statusMessage = "";
+    this.start(status, { "content-length": "0" }, nowMs);
+    this.end();
+  }
+
   /**
    * Waits until every byte of an ended response has been passed to the kernel,
    * or its connection has closed.
