Accept no stream in a planned stop that may outlast it

Where all nodes stop at once, a node goes on accepting callers after its linger if a request is expected to end in time. For generations the expectation was an estimate from measured step times; a stream on an engine that was slower was cut off at the end of the grace period, though it was sent late enough to be refused instead. The new test, on the code before (30 events of 100 ms, 1.8 s left):

a node that stops accepts no stream that may outlast the stop a stream was cut off Value is not `false`: true

Change: the time that a stream may take is bounded by its deadline and its route's timeout alone, and otherwise it is rejected with 503 before anything is sent. Other requests keep the estimate, as they end with 504 and not cut off. A stream whose deadline is before the end is still accepted (second test, passed before too).

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -120,14 +120,21 @@
     for (const aborter of this.#aborters) aborter.abort(new Error(STOPPING));
   }
 
-  #canAdmit(caller: fleet.CallerRequest, maxDurationMs: number): boolean {
+  #canAdmit(
+    caller: fleet.CallerRequest,
+    { kind }: fleet.RouteSpec,
+    maxDurationMs: number,
+  ): boolean {
     if (this.#hasEnded) return false;
     const nowMs = core.monotonicMs();
     if (nowMs < this.#rejectFromMs) return true;
     if (this.#state.members.callerAddresses().length > 0) return false;
     const remainingMs = this.#stopEndsAtMs - nowMs - STOP_MARGIN_MS;
-    return remainingMs >
-      Math.min(maxDurationMs, maxGenerationMs(this.#state.stepTimes, caller));
+    // What outlasts its estimate ends with an error, but a stream is cut off.
+    const estimatedMs = kind === "stream"
+      ? Infinity
+      : maxGenerationMs(this.#state.stepTimes, caller);
+    return remainingMs > Math.min(maxDurationMs, estimatedMs);
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
@@ -172,7 +179,7 @@
     }
     const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
     const maxDurationMs = Math.min(deadlineMs, route.timeoutMs);
-    if (!this.#canAdmit(caller.value, maxDurationMs)) {
+    if (!this.#canAdmit(caller.value, route, maxDurationMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
     const service = routes.pickTarget(route, Math.random());
--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -27,8 +27,10 @@
   ): Result<fleet.CallerRequest, string> {
     const id = headers["x-id"];
     if (id === undefined) return err("X-Id is missing");
+    const deadline = headers["x-deadline"];
     return ok({
       requestId: core.brandId<core.RequestId>(String(id)),
+      ...(deadline === undefined ? {} : { deadlineMs: Number(deadline) }),
       promptTokens: 0,
       outputTokensMax: 0,
       promptParts: [],
--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { RequestListener } from "node:http";
+import type { IncomingHttpHeaders, RequestListener } from "node:http";
 import * as core from "../../../core/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
 import {
@@ -41,24 +41,25 @@
   });
 });
 
-/** Sends five events, 100 ms apart. */
-const respondWithEvents: RequestListener = (request, response) => {
-  response.writeHead(200, {
-    "x-id": request.headers["x-id"],
-    "content-type": "text/event-stream",
-  });
-  let count = 0;
-  const timer = setInterval(() => {
-    response.write(`id: ${++count}\ndata: x\n\n`);
-    if (count < 5) return;
-    clearInterval(timer);
-    response.end();
-  }, 100);
-};
+/** Sends events 100 ms apart. */
+const respondWithEvents =
+  (events: number): RequestListener => (request, response) => {
+    response.writeHead(200, {
+      "x-id": request.headers["x-id"],
+      "content-type": "text/event-stream",
+    });
+    let count = 0;
+    const timer = setInterval(() => {
+      response.write(`id: ${++count}\ndata: x\n\n`);
+      if (count < events) return;
+      clearInterval(timer);
+      response.end();
+    }, 100);
+  };
 
 // Guards against a stream that has begun being cut off for what follows it.
 test("a stream ends whole before its connection is closed for malformed bytes", async (t) => {
-  await withListener(respondWithEvents, async (harness) => {
+  await withListener(respondWithEvents(5), async (harness) => {
     const caller = harness.connect();
     caller.socket.write(GET);
     await core.sleep(250);
@@ -161,3 +162,44 @@
     caller.socket.destroy();
   }, { dialect: new ThrowingDialect() });
 });
+
+/** Reads every request as one for a short generation. */
+class ModelDialect extends HarnessDialect {
+  override readRequest(headers: IncomingHttpHeaders) {
+    const model = core.brandId<core.ModelName>("m");
+    return super.readRequest(headers)
+      .map((caller) => ({ ...caller, model, outputTokensMax: 5 }));
+  }
+}
+
+// Guards against a stream being cut off at the end of a planned stop, as its
+// engine was slower than estimated.
+test("a node that stops accepts no stream that may outlast the stop", async (t) => {
+  await withListener(respondWithEvents(30), async (harness) => {
+    const nowMs = core.monotonicMs();
+    harness.listener.rejectNew(nowMs, nowMs + 1_800);
+    const caller = harness.connect();
+    caller.socket.write(GET);
+    await core.sleep(1_800);
+    harness.listener.endAll();
+    await core.sleep(100);
+    const isWhole = caller.text.endsWith("\r\n0\r\n\r\n");
+    t.false(caller.statuses[0] === 200 && !isWhole, "a stream was cut off");
+    t.deepEqual(caller.statuses, [503]);
+    t.deepEqual(harness.received, []);
+    caller.socket.destroy();
+  }, { dialect: new ModelDialect(), kind: "stream" });
+});
+
+test("a node that stops accepts a stream whose deadline is before its end", async (t) => {
+  await withListener(respondWithEvents(5), async (harness) => {
+    const nowMs = core.monotonicMs();
+    harness.listener.rejectNew(nowMs, nowMs + 1_800);
+    const caller = harness.connect();
+    caller.socket.write(GET.replace("X-Id: 1", "X-Id: 1\r\nX-Deadline: 1200"));
+    await core.sleep(1_000);
+    t.deepEqual(caller.statuses, [200]);
+    t.regex(caller.text, /id: 5\ndata: x\n\n\r\n0\r\n\r\n$/);
+    caller.socket.destroy();
+  }, { dialect: new ModelDialect(), kind: "stream" });
+});
