Refuse a CONNECT instead of closing its connection without an answer

A caller that sent CONNECT had its connection closed without an answer, and so had a request before it on the connection that was still running. Node closes it where a server has no listener for the method. The new test, on the code before:

a CONNECT is refused with 501, after the answer to what came before Difference (- actual, + expected): [ + 501, ]

Ruled out, by a trial with 27 kinds of odd requests (other methods, Upgrade, Expect, targets, framings, versions, 2,500 headers): each of the others was answered or served, and none stayed in flight. Change: CONNECT is refused with 501, or, if a response is pending, the connection is closed after that. After it the test passes.

--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -203,3 +203,25 @@
     caller.socket.destroy();
   }, { dialect: new ModelDialect(), kind: "stream" });
 });
+
+const CONNECT = "CONNECT h:80 HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\n\r\n";
+
+// Guards against Node closing the connection of a CONNECT without an answer,
+// and with it the answer to the request before.
+test("a CONNECT is refused with 501, after the answer to what came before", async (t) => {
+  await withListener(respondAfter(300), async (harness) => {
+    const alone = harness.connect();
+    alone.socket.write(CONNECT);
+    await alone.closed;
+    t.deepEqual(alone.statuses, [501]);
+    const caller = harness.connect();
+    caller.socket.write(GET);
+    await core.sleep(100);
+    caller.socket.write(CONNECT);
+    await caller.closed;
+    t.is(caller.statuses[0], 200);
+    t.regex(caller.text, /whole/);
+    t.deepEqual(harness.received, ["1"]);
+    t.is(harness.state.requestsInFlight, 0);
+  });
+});
--- a/packages/transport/transport_parse_errors.ts
+++ b/packages/transport/transport_parse_errors.ts
@@ -1,8 +1,12 @@
-/** Handles bytes on a server's connections that are no HTTP requests. */
+/**
+ * Handles what arrives on a server's connections and is no request that it could
+ * serve: malformed bytes, and CONNECT.
+ */
 import { type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
 
 const STATUS_BAD_REQUEST = 400;
+const STATUS_NOT_IMPLEMENTED = 501;
 /** Statuses for the codes of errors that Node tells apart. */
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
@@ -16,10 +20,49 @@
     (code.startsWith("HPE_") || code in STATUS_BY_CODE);
 }
 
+/** Responses that a server has yet to finish, by connection. */
+class PendingResponses {
+  readonly #bySocket = new WeakMap<Socket, Set<ServerResponse>>();
+  readonly #closing = new WeakSet<Socket>();
+
+  add(socket: Socket, response: ServerResponse): void {
+    let pending = this.#bySocket.get(socket);
+    if (!pending) this.#bySocket.set(socket, pending = new Set());
+    pending.add(response);
+    response.once("close", () => pending.delete(response));
+  }
+
+  /** Whether the head of a pending response has been written. */
+  hasStarted(socket: Socket): boolean {
+    return this.#of(socket).some(({ headersSent }) => headersSent);
+  }
+
+  /**
+   * Closes a connection after its last response to a request that was received
+   * whole.
+   *
+   * @returns false if there is none.
+   */
+  closeAfterLast(socket: Socket): boolean {
+    const last = this.#of(socket).findLast(({ req }) => req.complete);
+    if (last === undefined) return false;
+    if (this.#closing.has(socket)) return true;
+    this.#closing.add(socket);
+    last.shouldKeepAlive = false;
+    last.once("close", () => socket.destroySoon());
+    return true;
+  }
+
+  #of(socket: Socket): ServerResponse[] {
+    return [...this.#bySocket.get(socket) ?? []];
+  }
+}
+
 /**
  * Lets a server finish the responses to requests that it has received whole
  * before it closes a connection on which something else follows. By default,
- * Node sends the error in place of the pending response, and closes at once.
+ * Node sends the error in place of the pending response, and closes at once; a
+ * CONNECT it does not answer at all.
  *
  * @example
  * ```ts
@@ -27,42 +70,37 @@
  * ```
  */
 export function finishBeforeParseErrors(server: Server): void {
-  const pendingBySocket = new WeakMap<Socket, Set<ServerResponse>>();
-  const closingSockets = new WeakSet<Socket>();
-  server.on("request", (request, response) => {
-    const { socket } = request;
-    let pending = pendingBySocket.get(socket);
-    if (!pending) pendingBySocket.set(socket, pending = new Set());
-    pending.add(response);
-    response.once("close", () => pending.delete(response));
-  });
+  const pending = new PendingResponses();
+  server.on(
+    "request",
+    ({ socket }, response) => pending.add(socket, response),
+  );
   server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket;
-    const pending = [...pendingBySocket.get(socket) ?? []];
-    const last = pending.findLast(({ req }) => req.complete);
     // A peer that has closed its end has left.
     const hasLeft = socket.readableEnded || !isParseError(error);
-    if (hasLeft || last === undefined) {
-      return reject(error, socket, pending.some((each) => each.headersSent));
-    }
     // Node reports the error again with whatever else arrives.
-    if (closingSockets.has(socket)) return;
-    closingSockets.add(socket);
-    last.shouldKeepAlive = false;
-    last.once("close", () => socket.destroySoon());
+    if (!hasLeft && pending.closeAfterLast(socket)) return;
+    if (socket.writable && !pending.hasStarted(socket)) {
+      writeStatus(
+        socket,
+        STATUS_BY_CODE[error.code ?? ""] ?? STATUS_BAD_REQUEST,
+      );
+    }
+    socket.destroy(error);
+  });
+  server.on("connect", (_request, stream) => {
+    const socket = stream as Socket;
+    // Node has removed its listener, and the peer may leave.
+    socket.on("error", () => {});
+    if (pending.closeAfterLast(socket)) return;
+    writeStatus(socket, STATUS_NOT_IMPLEMENTED);
+    socket.destroySoon();
   });
 }
 
-/** Answers as Node does by default, and closes the connection. */
-function reject(
-  error: NodeJS.ErrnoException,
-  socket: Socket,
-  hasStarted: boolean,
-): void {
-  if (socket.writable && !hasStarted) {
-    const status = STATUS_BY_CODE[error.code ?? ""] ?? STATUS_BAD_REQUEST;
-    const reason = STATUS_CODES[status];
-    socket.write(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\n\r\n`);
-  }
-  socket.destroy(error);
+/** Writes a response without a body, after which the connection closes. */
+function writeStatus(socket: Socket, status: number): void {
+  const reason = STATUS_CODES[status];
+  socket.write(`HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\n\r\n`);
 }
