End a stream at its deadline although its caller does not read

A stream whose caller had stopped reading stayed in flight for as long as the connection was open, whatever its deadline and its route's timeout: it waited for the caller's socket to drain. It held its upstream's connection, and each planned stop lasted the whole grace period. The new test, on the code before (deadline 500 ms, looked at after 800 ms):

a stream to a caller that does not read ends at its deadline Difference (- actual, + expected): - 1 + 0 (requests in flight)

Ruled out: waits in the queue, for an upstream and for a body end at the deadline already. Change: when a request is ended, by its deadline, its caller or a stop, writes wait for the caller no longer. What had arrived whole by then is still passed on whole. After it the test passes.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -214,6 +214,7 @@
   ): Promise<void> {
     const aborter = new AbortController();
     this.#aborters.add(aborter);
+    aborter.signal.addEventListener("abort", () => reply.stopWaiting());
     const onClose = () => {
       if (!response.writableFinished) aborter.abort(new Error("caller left"));
     };
--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -225,3 +225,28 @@
     t.is(harness.state.requestsInFlight, 0);
   });
 });
+
+// Guards against a caller that does not read holding a request, its upstream's
+// connection and a planned stop for ever.
+test("a stream to a caller that does not read ends at its deadline", async (t) => {
+  const event = `data: ${"x".repeat(100_000)}\n\n`;
+  await withListener((request, response) => {
+    response.writeHead(200, { "x-id": request.headers["x-id"] });
+    const write = () => {
+      while (!response.destroyed && response.write(event));
+      if (!response.destroyed) response.once("drain", write);
+    };
+    write();
+  }, async (harness) => {
+    const caller = harness.connect();
+    caller.socket.pause();
+    caller.socket.write(GET.replace("X-Id: 1", "X-Id: 1\r\nX-Deadline: 500"));
+    await core.sleep(300);
+    t.is(harness.state.requestsInFlight, 1);
+    await core.sleep(500);
+    t.is(harness.state.requestsInFlight, 0);
+    caller.socket.resume();
+    await caller.closed;
+    t.false(caller.text.endsWith("\r\n0\r\n\r\n"));
+  }, { kind: "stream" });
+});
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -11,6 +11,7 @@
   #firstByteAtMs: number | undefined;
   /** Whether the body's length or chunks tell the caller that it is whole. */
   #isFramed = true;
+  readonly #waiting = new AbortController();
 
   /** @param mayKeepAlive whether the connection may be reused afterwards. */
   constructor(response: ServerResponse, mayKeepAlive: () => boolean) {
@@ -51,21 +52,31 @@
 
   /**
    * Writes a chunk of the body. If the caller reads too slowly and the socket's
-   * buffer is full, waits until it drains or the connection closes.
+   * buffer is full, waits until it drains, the connection closes or waiting is
+   * over.
    */
   async write(data: Buffer): Promise<void> {
     if (!this.isWritable || this.#response.write(data)) return;
+    const { signal } = this.#waiting;
+    if (signal.aborted) return;
     await new Promise<void>((resolve) => {
-      const onDrainOrClose = () => {
-        this.#response.off("drain", onDrainOrClose);
-        this.#response.off("close", onDrainOrClose);
+      const onEnd = () => {
+        this.#response.off("drain", onEnd);
+        this.#response.off("close", onEnd);
+        signal.removeEventListener("abort", onEnd);
         resolve();
       };
-      this.#response.on("drain", onDrainOrClose);
-      this.#response.on("close", onDrainOrClose);
+      this.#response.on("drain", onEnd);
+      this.#response.on("close", onEnd);
+      signal.addEventListener("abort", onEnd);
     });
   }
 
+  /** Waits no longer for the caller, as the response is to be ended or aborted. */
+  stopWaiting(): void {
+    this.#waiting.abort();
+  }
+
   /** Ends the response as complete. */
   end(data?: Buffer | string): void {
     if (this.isWritable) this.#response.end(data);
