Keep connections open as long as responses said, whatever comes into force

A caller that kept a connection found it closed before the time in Keep-Alive, where a configuration had shortened the idle timeout: the response promised the old time, and the connection got the new one. Besides, each first response under a configuration named the time before it, the first of a node 5 s, which is the default of Node. The new tests, on the code before:

a kept connection stays open as long as its last response said closed before its time Value is not `false`: true a response says the idle timeout that is in force Difference (- actual, + expected): - 5 + 15

Cause: Node takes the announced time from the server when a request arrives, and the timeout when its response ends; the server got the values of a configuration in between, with the next request. Ruled out: a connection that is closed while a request on it is in flight; Node ends the idle timeout when a head has arrived.

Change: the server's timeouts change when the configuration comes into force, and a connection whose response announced a longer time gets that time. After it the tests pass.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -89,6 +89,11 @@
       (request, response) => this.#handle(request, response),
     );
     transport.finishBeforeParseErrors(this.#server);
+    transport.keepOpenAsAnnounced(this.#server);
+    state.onConfig = ({ idleTimeoutMs, headerTimeoutMs }) => {
+      this.#server.keepAliveTimeout = idleTimeoutMs;
+      this.#server.headersTimeout = headerTimeoutMs;
+    };
   }
 
   /** Starts listening; the returned cleanup closes all connections. */
@@ -168,8 +173,6 @@
         "configuration, upstream or member table not read yet",
       );
     }
-    this.#server.keepAliveTimeout = config.idleTimeoutMs;
-    this.#server.headersTimeout = config.headerTimeoutMs;
     const path = request.url ?? "/";
     const route = table.match(request.headers.host ?? "", path);
     if (!route) return this.#reject(request, reply, 404, "no route matches");
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -48,6 +48,8 @@
    * happened meanwhile, on the monotonic clock.
    */
   exchangedAtMs = -Infinity;
+  /** Called when a configuration has come into force. */
+  onConfig: (config: fleet.FleetConfig) => void = () => {};
   /** Callers' requests in flight: until their responses are handed on whole. */
   requestsInFlight = 0;
 
@@ -89,6 +91,7 @@
     if (this.config && config.version <= this.config.version) return;
     this.table = new routes.RouteTable(config.version, config.routes);
     this.config = config;
+    this.onConfig(config);
     this.logger.info("config_in_force", {
       version: config.version,
       routes: config.routes.length,
--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -4,6 +4,7 @@
 import type * as fleet from "../../../fleet/mod.ts";
 import {
   HarnessDialect,
+  type ListenerHarness,
   respondAfter,
   withListener,
 } from "../listener_harness.ts";
@@ -250,3 +251,55 @@
     t.false(caller.text.endsWith("\r\n0\r\n\r\n"));
   }, { kind: "stream" });
 });
+
+/** The time for which a response says that its connection stays, in s. */
+function announcedS(text: string): number {
+  return Number(
+    text.match(/keep-alive: timeout=(\d+)(?!.*keep-alive:)/is)?.[1],
+  );
+}
+
+/** Serves one request on a connection that is then closed. */
+async function serveOnce(harness: ListenerHarness): Promise<string> {
+  const caller = harness.connect();
+  caller.socket.write(GET);
+  await core.sleep(200);
+  caller.socket.destroy();
+  return caller.text;
+}
+
+// Guards against a shorter idle timeout in a new configuration closing kept
+// connections before the time that their callers were told.
+test("a kept connection stays open as long as its last response said", async (t) => {
+  await withListener(respondAfter(100), async (harness) => {
+    harness.configure(2, { idleTimeoutMs: 4_000 });
+    await serveOnce(harness);
+    const caller = harness.connect();
+    caller.socket.write(GET);
+    await core.sleep(50);
+    harness.configure(3, { idleTimeoutMs: 1_000 });
+    await serveOnce(harness);
+    t.is(announcedS(caller.text), 4);
+    await core.sleep(3_000);
+    t.false(caller.socket.destroyed, "closed before its time");
+    caller.socket.write(GET);
+    await core.sleep(200);
+    t.deepEqual(caller.statuses, [200, 200]);
+    t.is(announcedS(caller.text), 1);
+    await core.sleep(2_300);
+    t.true(caller.socket.destroyed, "idle for longer than it said");
+  });
+});
+
+// Guards against responses that say how long connections stayed open under the
+// configuration before, or before there was one.
+test("a response says the idle timeout that is in force", async (t) => {
+  await withListener(respondAfter(0), async (harness) => {
+    harness.configure(2, { idleTimeoutMs: 15_000 });
+    t.is(announcedS(await serveOnce(harness)), 15);
+    harness.configure(3, { idleTimeoutMs: 2_500 });
+    t.is(announcedS(await serveOnce(harness)), 2);
+    harness.configure(4, { idleTimeoutMs: 0 });
+    t.notRegex(await serveOnce(harness), /keep-alive: timeout/i);
+  });
+});
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -14,6 +14,7 @@
 } from "./transport_request.ts";
 export { connector, ResetError } from "./transport_reset.ts";
 export { limitStart } from "./transport_start_limit.ts";
+export { keepOpenAsAnnounced } from "./transport_keep_alive.ts";
 export { finishBeforeParseErrors } from "./transport_parse_errors.ts";
 export { SocketMeter } from "./transport_meter.ts";
 export {
