Read a refused body before the connection is closed

A caller that was refused while its body was on its way could lose the refusal, with its Retry-After, where the connection was to be closed, as in each planned stop: Node closes it as soon as the response has ended, the bytes that are still unread turn the close into a reset, and a caller that reads after it has sent its body finds an error in place of 503. The new test, on the code before:

a refusal in a stop reaches a caller that reads after sending its body Difference (- actual, + expected): - Error { code: 'EPIPE', syscall: 'write' } + undefined

Ruled out: refusals of requests that were read whole. Change: the refusal is sent at once, and the response ends when the rest of the body has been discarded, within the limits of bytes and time that were there before; until then it counts as in flight, so that a stop waits for it. After it the test passes.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -146,11 +146,11 @@
     this.#state.requestsInFlight++;
     this.#state.metrics.increment("requests");
     const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
-    this.#relay(request, response, reply).catch((thrown) => {
+    this.#relay(request, response, reply).catch(async (thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("request_crashed", { reason });
       // The request may have run, so this must not be a rejection.
-      if (!request.complete) relay.discardBody(request);
+      if (!request.complete) await relay.discardBody(request);
       reply.fail(STATUS_BAD_GATEWAY, core.monotonicMs());
       this.#state.metrics.increment("failures");
     }).then(() => reply.flushed()).finally(() => {
@@ -290,12 +290,16 @@
     const retryAfterMs = status === 503
       ? UNAVAILABLE_RETRY_AFTER_MS
       : undefined;
-    if (!request.complete) relay.discardBody(request);
     reply.start(status, {
       ...this.#dialect.writeRejection(retryAfterMs),
       "content-length": "0",
     }, core.monotonicMs());
-    reply.end();
+    if (request.complete) reply.end();
+    else {
+      // A connection that closes on unread bytes is reset.
+      reply.flushHeaders();
+      relay.discardBody(request).then(() => reply.end());
+    }
     this.#state.metrics.increment("refusals");
     this.#state.logger.info("request_refused", {
       request: String(request.headers["request-id"] ?? ""),
--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders, RequestListener } from "node:http";
 import * as core from "../../../core/mod.ts";
 import type * as fleet from "../../../fleet/mod.ts";
@@ -303,3 +304,28 @@
     t.notRegex(await serveOnce(harness), /keep-alive: timeout/i);
   });
 });
+
+// Guards against a reset of the connection, as bytes of the body are unread,
+// that reaches the caller before it has read why the request was refused.
+test("a refusal in a stop reaches a caller that reads after sending its body", async (t) => {
+  await withListener(respondAfter(0), async (harness) => {
+    const nowMs = core.monotonicMs();
+    harness.listener.disableKeepAlive();
+    harness.listener.rejectNew(nowMs, nowMs);
+    const caller = harness.connect();
+    caller.socket.pause();
+    caller.socket.write(
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: 500000\r\n\r\n",
+    );
+    for (let n = 0; n < 50; n++) {
+      caller.socket.write(Buffer.alloc(10_000));
+      await core.sleep(5);
+    }
+    caller.socket.resume();
+    await caller.closed;
+    t.is(caller.error, undefined);
+    t.deepEqual(caller.statuses, [503]);
+    t.regex(caller.text, /connection: close/i);
+    t.is(harness.state.requestsInFlight, 0);
+  });
+});
--- a/packages/relay/relay_body.ts
+++ b/packages/relay/relay_body.ts
@@ -65,25 +65,29 @@
  * lose the response that is on its way. Closes the connection if the body does
  * not end soon.
  *
+ * @returns a promise that resolves when no more of the body is to be read.
  * @example
  * ```ts
- * relay.discardBody(request); // then write the rejection
+ * relay.discardBody(request).then(() => reply.end());
  * ```
  */
-export function discardBody(request: IncomingMessage): void {
-  let bytes = 0;
-  const stop = () => {
-    clearTimeout(timer);
-    request.off("data", onData).off("close", stop).off("end", stop);
-  };
-  const giveUp = () => {
-    stop();
-    request.socket.destroy();
-  };
-  const onData = (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > DISCARDED_BYTES_MAX) giveUp();
-  };
-  const timer = setTimeout(giveUp, DISCARD_TIMEOUT_MS);
-  request.on("data", onData).on("close", stop).on("end", stop);
+export function discardBody(request: IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    let bytes = 0;
+    const stop = () => {
+      clearTimeout(timer);
+      request.off("data", onData).off("close", stop).off("end", stop);
+      resolve();
+    };
+    const giveUp = () => {
+      stop();
+      request.socket.destroy();
+    };
+    const onData = (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > DISCARDED_BYTES_MAX) giveUp();
+    };
+    const timer = setTimeout(giveUp, DISCARD_TIMEOUT_MS);
+    request.on("data", onData).on("close", stop).on("end", stop);
+  });
 }
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -77,6 +77,14 @@
     this.#waiting.abort();
   }
 
+  /**
+   * Sends the headers now, so that the caller has a response without a body
+   * before that is ended, which may close the connection.
+   */
+  flushHeaders(): void {
+    if (this.isWritable) this.#response.flushHeaders();
+  }
+
   /** Ends the response as complete. */
   end(data?: Buffer | string): void {
     if (this.isWritable) this.#response.end(data);
