--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -56,7 +56,9 @@
   exchangedAtMs = -Infinity;
   /** Start of that exchange. */
   exchangeStartedAtMs = -Infinity;
-  /** Callers' requests in flight. */
+  /** Called when a configuration has come into force. */
+  onConfig: (config: fleet.FleetConfig) => void = () => {};
+  /** Callers' requests in flight: until their responses are handed on whole. */
   requestsInFlight = 0;
 
   constructor(settings: fleet.EntrySettings, logger: core.Logger) {
@@ -97,6 +99,7 @@
     if (this.config && config.version <= this.config.version) return;
     this.table = new routes.RouteTable(config.version, config.routes);
     this.config = config;
+    this.onConfig(config);
     this.logger.info("config_in_force", {
       version: config.version,
       routes: config.routes.length,
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -11,6 +11,7 @@
   #firstByteAtMs: number | undefined;
   /** Whether the body's length or chunks tell the caller that it is whole. */
   #isFramed = true;
+  readonly #waiting = new AbortController();
 
   /** @param mayKeepAlive whether the connection may be reused afterwards. */
   constructor(response: ServerResponse, mayKeepAlive: () => boolean) {
@@ -51,26 +52,78 @@
 
   /**
    * Writes a chunk of the body. If the caller reads too slowly and the socket's
-   * buffer is full, waits until it drains or the connection closes.
+   * buffer is full, waits until it drains, the connection closes or waiting is
+   * over.
    */
   async write(data: Buffer): Promise<void> {
     if (!this.isWritable || this.#response.write(data)) return;
+    const { signal } = this.#waiting;
+    if (signal.aborted) return;
     await new Promise<void>((resolve) => {
-      const onDrainOrClose = () => {
-        this.#response.off("drain", onDrainOrClose);
-        this.#response.off("close", onDrainOrClose);
+      const onEnd = () => {
+        this.#response.off("drain", onEnd);
+        this.#response.off("close", onEnd);
+        signal.removeEventListener("abort", onEnd);
         resolve();
       };
-      this.#response.on("drain", onDrainOrClose);
-      this.#response.on("close", onDrainOrClose);
+      this.#response.on("drain", onEnd);
+      this.#response.on("close", onEnd);
+      signal.addEventListener("abort", onEnd);
     });
   }
 
+  /** Waits no longer for the caller, as the response is to be ended or aborted. */
+  stopWaiting(): void {
+    this.#waiting.abort();
+  }
+
+  /**
+   * Sends the headers now, so that the caller has a response without a body
+   * before that is ended, which may close the connection.
+   */
+  flushHeaders(): void {
+    if (this.isWritable) this.#response.flushHeaders();
+  }
+
   /** Ends the response as complete. */
   end(data?: Buffer | string): void {
     if (this.isWritable) this.#response.end(data);
   }
 
+  /**
+   * Ends a response that could not be written as meant: with an error, or, if
+   * it has started, by an abort. One that has ended already stays as it is.
+   */
+  fail(status: number, nowMs: number): void {
+    if (!this.isWritable) return;
+    if (this.hasStarted) return this.abort();
+    // Node keeps parts of a head that it refused to write.
+    const names = this.#response.getHeaderNames();
+    for (const name of names) this.#response.removeHeader(name);
+    this.#response.statusMessage = "";
+    this.start(status, { "content-length": "0" }, nowMs);
+    this.end();
+  }
+
+  /**
+   * Waits until every byte of an ended response has been passed to the kernel,
+   * or its connection has closed.
+   */
+  async flushed(): Promise<void> {
+    const { socket } = this.#response.req;
+    if (this.#response.closed || socket.destroyed) return;
+    await new Promise<void>((resolve) => {
+      const onClose = () => {
+        this.#response.off("close", onClose);
+        socket.off("close", onClose);
+        resolve();
+      };
+      this.#response.on("close", onClose);
+      // A response behind others of its connection does not see it close.
+      socket.on("close", onClose);
+    });
+  }
+
   /**
    * Destroys the connection, so that the response cannot look complete. An
    * orderly close would complete a body that only the connection frames.
