End the wait for a slow caller without an abort signal of its own

Each response had an AbortController and two listeners on its connection more than it needs. No behaviour changes; the tests of entry and relay and those of planned stops pass (96).

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -70,7 +70,7 @@
   #stopEndsAtMs = Infinity;
   #hasEnded = false;
   /** End the requests that are queued or sent to an upstream. */
-  readonly #aborters = new Set<AbortController>();
+  readonly #endRunning = new Set<(reason: string) => void>();
 
   constructor(
     state: EntryState,
@@ -122,7 +122,7 @@
    */
   endAll(): void {
     this.#hasEnded = true;
-    for (const aborter of this.#aborters) aborter.abort(new Error(STOPPING));
+    for (const end of this.#endRunning) end(STOPPING);
   }
 
   #canAdmit(
@@ -216,15 +216,18 @@
     response: ServerResponse,
   ): Promise<void> {
     const aborter = new AbortController();
-    this.#aborters.add(aborter);
-    aborter.signal.addEventListener("abort", () => reply.stopWaiting());
+    const end = (reason: string) => {
+      reply.stopWaiting();
+      aborter.abort(new Error(reason));
+    };
+    this.#endRunning.add(end);
     const onClose = () => {
-      if (!response.writableFinished) aborter.abort(new Error("caller left"));
+      if (!response.writableFinished) end("caller left");
     };
     response.on("close", onClose);
     if (response.destroyed) onClose();
     const timer = setTimeout(
-      () => aborter.abort(new Error("deadline passed")),
+      () => end("deadline passed"),
       request.deadlineAtMs - core.monotonicMs(),
     );
     const dependencies = {
@@ -242,7 +245,7 @@
       this.#state.metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
     } finally {
       clearTimeout(timer);
-      this.#aborters.delete(aborter);
+      this.#endRunning.delete(end);
       response.off("close", onClose);
       this.#recordLatency(request, reply);
     }
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -11,7 +11,8 @@
   #firstByteAtMs: number | undefined;
   /** Whether the body's length or chunks tell the caller that it is whole. */
   #isFramed = true;
-  readonly #waiting = new AbortController();
+  #mayWait = true;
+  #endWait: (() => void) | undefined;
 
   /** @param mayKeepAlive whether the connection may be reused afterwards. */
   constructor(response: ServerResponse, mayKeepAlive: () => boolean) {
@@ -56,25 +57,24 @@
    * over.
    */
   async write(data: Buffer): Promise<void> {
-    if (!this.isWritable || this.#response.write(data)) return;
-    const { signal } = this.#waiting;
-    if (signal.aborted) return;
+    const isDrained = !this.isWritable || this.#response.write(data);
+    if (isDrained || !this.#mayWait) return;
     await new Promise<void>((resolve) => {
-      const onEnd = () => {
-        this.#response.off("drain", onEnd);
-        this.#response.off("close", onEnd);
-        signal.removeEventListener("abort", onEnd);
+      const endWait = () => {
+        this.#response.off("drain", endWait);
+        this.#response.off("close", endWait);
         resolve();
       };
-      this.#response.on("drain", onEnd);
-      this.#response.on("close", onEnd);
-      signal.addEventListener("abort", onEnd);
+      this.#response.on("drain", endWait);
+      this.#response.on("close", endWait);
+      this.#endWait = endWait;
     });
   }
 
   /** Waits no longer for the caller, as the response is to be ended or aborted. */
   stopWaiting(): void {
-    this.#waiting.abort();
+    this.#mayWait = false;
+    this.#endWait?.();
   }
 
   /**
@@ -110,17 +110,19 @@
    * or its connection has closed.
    */
   async flushed(): Promise<void> {
-    const { socket } = this.#response.req;
-    if (this.#response.closed || socket.destroyed) return;
+    const response = this.#response;
+    const { socket } = response.req;
+    if (response.closed || socket.destroyed) return;
     await new Promise<void>((resolve) => {
       const onClose = () => {
-        this.#response.off("close", onClose);
+        response.off("close", onClose);
         socket.off("close", onClose);
         resolve();
       };
-      this.#response.on("close", onClose);
+      response.on("close", onClose);
       // A response behind others of its connection does not see it close.
-      socket.on("close", onClose);
+      const isBehindOthers = !response.socket && !response.writableFinished;
+      if (isBehindOthers) socket.on("close", onClose);
     });
   }
 
