Bound the time for which an origin is kept, whatever deadline a caller names

What callers saw: nothing yet; a caller that names a deadline of more than 49 days would cut the node that serves it off from all exchanges.

Cause: the origin's time follows from the caller's deadline, and a message between nodes carries it in 32 bits. The digest could not be encoded, the exchange counted as failed with every parent, and as the origin stays as long as the deadline, it would never recover.

Ruled out: bounding it where the message is made only; rows and memory would keep the origin for as long.

Change: origins are kept for at most as long as the versions that began them.

--- a/packages/origins/origins_registry.ts
+++ b/packages/origins/origins_registry.ts
@@ -4,7 +4,11 @@
  * each other only of those that are new.
  */
 import type * as core from "../core/mod.ts";
-import type { ReportedOrigin, StreamOrigin } from "./origins_types.ts";
+import {
+  type ReportedOrigin,
+  type StreamOrigin,
+  TAKE_UP_MAX_MS,
+} from "./origins_types.ts";
 
 interface Entry extends StreamOrigin {
   readonly stream: core.StreamKey;
@@ -41,7 +45,8 @@
 
   /**
    * Records an origin. The first one of a stream stays, as no later event can
-   * change which version began it.
+   * change which version began it. Callers may name any deadline, so the time
+   * is bounded.
    *
    * @example
    * ```ts
@@ -55,7 +60,7 @@
       stream,
       service,
       softwareVersion,
-      expiresAtMs: nowMs + ttlMs,
+      expiresAtMs: nowMs + Math.min(ttlMs, TAKE_UP_MAX_MS),
     };
     this.#byStream.set(stream, entry);
     this.#log.push(entry);
--- a/packages/origins/origins_types.ts
+++ b/packages/origins/origins_types.ts
@@ -15,6 +15,12 @@
   readonly ttlMs: number;
 }
 
+/**
+ * Time after which no stream can be taken up any more. Longer than callers wait
+ * for one stream, all their attempts included.
+ */
+export const TAKE_UP_MAX_MS = 120_000;
+
 /** 96 bits: callers choose the ids, but not so that two share a key. */
 const KEY_LENGTH = 16;
 
--- a/packages/origins/origins_versions.ts
+++ b/packages/origins/origins_versions.ts
@@ -4,6 +4,7 @@
  * of which the store has a row.
  */
 import type * as core from "../core/mod.ts";
+import { TAKE_UP_MAX_MS } from "./origins_types.ts";
 
 /** A software version of one service. */
 export interface ServiceVersion {
@@ -20,12 +21,6 @@
   isRecorded: boolean;
 }
 
-/**
- * Time after which no stream of a version that has left can be taken up. Longer
- * than callers wait for one stream, all their attempts included.
- */
-const TAKE_UP_MAX_MS = 120_000;
-
 /** Counts the upstreams of each version, and remembers those that left. */
 export class SoftwareVersions {
   readonly #known = new Map<string, KnownVersion>();
