Do not pass on origins that a node has read from the store

What callers saw: nothing wrong; the cost grows with the fleet. A node that reads the rows for one take-up learns of all streams of the fleet, and sent all of them to its parent in messages of 500. Each new root wrote all that it had read to new rows, with the whole time of the old row, so that origins went on from root to root long after their streams had ended.

Cause: what a node reads from the store was recorded as if a node had reported it.

Evidence, before the change: entry_origin_rows_test, "origins that a node read from the store are not sent to its parent": two origins in place of the one that began there; "a new root knows the origins of the one before, and does not write them again": the stream is in 2 rows in place of 1.

Ruled out: leaving it to the age in the row, as nodes share no clock.

Change: such origins are known apart, and become news if a node reports them. Rows of an earlier root stay for as long as any stream of them can be taken up, as before, and are then deleted.

--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -105,7 +105,7 @@
     const { ttlMs, groups } = row.value;
     for (const { service, softwareVersion, streams } of groups) {
       for (const stream of streams) {
-        this.#state.origins.record({
+        this.#state.origins.recordStored({
           stream: core.brandId<core.StreamKey>(stream),
           service: core.brandId<core.ServiceName>(service),
           softwareVersion: core.brandId<core.SoftwareVersion>(softwareVersion),
--- a/packages/origins/origins_registry.ts
+++ b/packages/origins/origins_registry.ts
@@ -1,7 +1,8 @@
 /**
  * Origins of the streams that callers may still take up. Pattern of load: many
  * short streams, of which few break off; each is recorded once, and nodes tell
- * each other only of those that are new.
+ * each other only of those that are new. A node that reads the store learns of
+ * all streams at once; these are not news.
  */
 import type * as core from "../core/mod.ts";
 import {
@@ -13,6 +14,8 @@
 interface Entry extends StreamOrigin {
   readonly stream: core.StreamKey;
   readonly expiresAtMs: number;
+  /** Whether it is known from the store alone. */
+  readonly isStored: boolean;
 }
 
 /** Origins that became known after a position, and the position after them. */
@@ -21,7 +24,7 @@
   readonly position: number;
 }
 
-/** Origins that are kept; the oldest are dropped beyond that. */
+/** Origins of nodes, and of the store; the oldest are dropped beyond that. */
 const ORIGINS_MAX = 50_000;
 /** Entries at the head that are dropped together, as that copies the rest. */
 const TRIM_MIN = 256;
@@ -29,10 +32,12 @@
 /** Keeps origins until their streams can no longer be taken up. */
 export class StreamOrigins {
   readonly #byStream = new Map<core.StreamKey, Entry>();
-  /** All entries in the order in which they became known. */
+  /** Entries of this node and of others, in the order they became known. */
   #log: Entry[] = [];
   /** Position of the first entry of the log. */
   #firstPosition = 0;
+  /** Entries known from the store alone, in the order they became known. */
+  #stored: Entry[] = [];
 
   get size(): number {
     return this.#byStream.size;
@@ -44,9 +49,9 @@
   }
 
   /**
-   * Records an origin. The first one of a stream stays, as no later event can
-   * change which version began it. Callers may name any deadline, so the time
-   * is bounded.
+   * Records an origin, to be passed on. The first one of a stream stays, as no
+   * later event can change which version began it. Callers may name any
+   * deadline, so the time is bounded.
    *
    * @example
    * ```ts
@@ -54,23 +59,38 @@
    * ```
    */
   record(origin: ReportedOrigin, nowMs: number): void {
-    if (origin.ttlMs <= 0 || this.find(origin.stream, nowMs)) return;
-    const { stream, service, softwareVersion, ttlMs } = origin;
-    const entry = {
-      stream,
-      service,
-      softwareVersion,
-      expiresAtMs: nowMs + Math.min(ttlMs, TAKE_UP_MAX_MS),
-    };
-    this.#byStream.set(stream, entry);
+    const known = this.#findEntry(origin.stream, nowMs);
+    if (origin.ttlMs <= 0 || (known && !known.isStored)) return;
+    const entry = known
+      ? { ...known, isStored: false }
+      : toEntry(origin, nowMs, false);
+    this.#byStream.set(entry.stream, entry);
     this.#log.push(entry);
-    this.#trim(nowMs);
+    const dropped = this.#dropHead(this.#log, nowMs);
+    this.#firstPosition += dropped;
+  }
+
+  /**
+   * Records an origin that the store has. It is not passed on, as each node and
+   * the next root can read it there.
+   *
+   * @example
+   * ```ts
+   * origins.recordStored({ ...origin, ttlMs: row.ttlMs }, nowMs);
+   * ```
+   */
+  recordStored(origin: ReportedOrigin, nowMs: number): void {
+    const isKnown = this.#findEntry(origin.stream, nowMs) !== undefined;
+    if (origin.ttlMs <= 0 || isKnown) return;
+    const entry = toEntry(origin, nowMs, true);
+    this.#byStream.set(entry.stream, entry);
+    this.#stored.push(entry);
+    this.#dropHead(this.#stored, nowMs);
   }
 
   /** Returns the origin of a stream, if it is known and has not expired. */
   find(stream: core.StreamKey, nowMs: number): StreamOrigin | undefined {
-    const entry = this.#byStream.get(stream);
-    return entry && entry.expiresAtMs > nowMs ? entry : undefined;
+    return this.#findEntry(stream, nowMs);
   }
 
   /**
@@ -98,6 +118,11 @@
     });
   }
 
+  #findEntry(stream: core.StreamKey, nowMs: number): Entry | undefined {
+    const entry = this.#byStream.get(stream);
+    return entry && entry.expiresAtMs > nowMs ? entry : undefined;
+  }
+
   #report(
     { stream, service, softwareVersion, expiresAtMs }: Entry,
     nowMs: number,
@@ -106,20 +131,29 @@
     return ttlMs > 0 ? [{ stream, service, softwareVersion, ttlMs }] : [];
   }
 
-  #trim(nowMs: number): void {
+  /** Drops expired and surplus entries; returns how many. */
+  #dropHead(entries: Entry[], nowMs: number): number {
     let dropped = 0;
-    for (const entry of this.#log) {
-      const isOver = this.#log.length - dropped > ORIGINS_MAX;
+    for (const entry of entries) {
+      const isOver = entries.length - dropped > ORIGINS_MAX;
       if (!isOver && entry.expiresAtMs > nowMs) break;
       dropped++;
     }
-    if (dropped < Math.min(TRIM_MIN, this.#log.length)) return;
-    for (const entry of this.#log.slice(0, dropped)) {
+    if (dropped < Math.min(TRIM_MIN, entries.length)) return 0;
+    for (const entry of entries.splice(0, dropped)) {
       if (this.#byStream.get(entry.stream) === entry) {
         this.#byStream.delete(entry.stream);
       }
     }
-    this.#log = this.#log.slice(dropped);
-    this.#firstPosition += dropped;
+    return dropped;
   }
 }
+
+function toEntry(
+  { stream, service, softwareVersion, ttlMs }: ReportedOrigin,
+  nowMs: number,
+  isStored: boolean,
+): Entry {
+  const expiresAtMs = nowMs + Math.min(ttlMs, TAKE_UP_MAX_MS);
+  return { stream, service, softwareVersion, expiresAtMs, isStored };
+}
