Let no node without contact infer the version of a stream

A node that is cut off from the other nodes and from the store, while callers still reach it, could go on with a stream of another version than the one that began it.

Cause: a stream of unknown origin goes on if the node knows a single version. A node without contact takes itself for the only one after 1.5 s, so that its exchange counts as done, and knows only the versions from before the cut.

Evidence: entry_take_ups_test, "a node without contact to the others and the store infers no version", before the change: 'v1' in place of 'origin of the stream: notAsked'.

Ruled out: reading the store for each such take-up, which costs two tables a read while all is well; asking for most nodes always, as a small group that reaches the store knows all versions.

Change: a version is inferred only if the store has confirmed the list of upstreams within 1.4 s, to this node or to one that told it, or while most of the members are in contact. Otherwise the take-up is rejected for now, as is one that cannot be asked for.

The new file also tests what was right: known and inferred origins, mixed and unknown versions, a store that refuses or hangs.

--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -12,7 +12,7 @@
 export const MEMBER_PREFIX = "member/";
 
 /** A member without contact for this long counts as dead. */
-const MEMBER_TIMEOUT_MS = 1_500;
+export const MEMBER_TIMEOUT_MS = 1_500;
 /** Contacts older than this are not passed on to other nodes. */
 const CONTACT_AGE_MAX_MS = 3_000;
 /** A member counts as alive for this long after its row was first seen. */
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -113,6 +113,8 @@
     this.#supervisor = new core.Supervisor("entry", logger);
     this.#followTasks = this.#createFollowTasks();
     const tables = this.#followTasks;
+    const upstreams = tables
+      .find(({ copy }) => copy.name === dependencies.source.upstreamTable);
     this.#hub = new ExchangeHub(this.state, new TableNewsExchange(tables));
     this.#lease = new orders.OrderLease(dependencies.store, {
       key: `${LEASE_TABLE}/holder`,
@@ -134,7 +136,10 @@
       new TakeUpResolver(
         this.state,
         this.#originReader,
-        () => this.#exchangeWakeSignal.wake(),
+        {
+          wakeExchange: () => this.#exchangeWakeSignal.wake(),
+          upstreamsConfirmedAtMs: () => upstreams!.copy.confirmedAtMs,
+        },
       ),
     );
   }
--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -4,6 +4,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as origins from "../origins/mod.ts";
 import type * as relay from "../relay/mod.ts";
+import { MEMBER_TIMEOUT_MS } from "./entry_members.ts";
 import type { OriginReader } from "./entry_origin_rows.ts";
 import type { EntryState } from "./entry_state.ts";
 
@@ -23,6 +24,11 @@
 /** Retry-After of a stream whose origin nobody knows. */
 const UNKNOWN_RETRY_AFTER_MS = 60_000;
 
+/**
+ * Age of the list of upstreams from which on a node may lack a version. Below
+ * the time after which a node without contact takes itself for the only one.
+ */
+const UPSTREAMS_AGE_MAX_MS = MEMBER_TIMEOUT_MS - 100;
 /** Time for which a stream of inferred origin may be taken up again. */
 const INFERRED_TTL_MS = 60_000;
 
@@ -32,21 +38,28 @@
   readonly source: "memory" | "others" | "onlyVersion" | "unknown" | "notAsked";
 }
 
+/** What the resolver needs of the node's other parts. */
+export interface TakeUpSources {
+  /** Makes this node exchange with the others soon. */
+  readonly wakeExchange: () => void;
+  /** When the store last confirmed the list of upstreams to any node. */
+  readonly upstreamsConfirmedAtMs: () => number;
+}
+
 /** Finds the origins of streams that callers take up. */
 export class TakeUpResolver {
   readonly #state: EntryState;
   readonly #reader: OriginReader;
-  readonly #wakeExchange: () => void;
+  readonly #sources: TakeUpSources;
 
-  /** @param wakeExchange makes this node exchange with the others soon. */
   constructor(
     state: EntryState,
     reader: OriginReader,
-    wakeExchange: () => void,
+    sources: TakeUpSources,
   ) {
     this.#state = state;
     this.#reader = reader;
-    this.#wakeExchange = wakeExchange;
+    this.#sources = sources;
   }
 
   /**
@@ -114,7 +127,7 @@
       }
       if (nowMs >= exchangeAtMs) {
         if (stream) wantedStreams.add(stream, nowMs);
-        this.#wakeExchange();
+        this.#sources.wakeExchange();
         exchangeAtMs = nowMs + EXCHANGE_INTERVAL_MS;
       }
       await core.sleep(LOOKUP_POLL_MS);
@@ -129,8 +142,10 @@
   ): Lookup {
     const [softwareVersion, ...others] = this.#state.softwareVersions
       .ofService(service, nowMs);
-    if (softwareVersion === undefined) return { source: "notAsked" };
     if (others.length > 0) return { source: "unknown" };
+    if (softwareVersion === undefined || !this.#knowsVersions(nowMs)) {
+      return { source: "notAsked" };
+    }
     const origin = { service, softwareVersion };
     if (stream) {
       const ttlMs = INFERRED_TTL_MS;
@@ -138,4 +153,15 @@
     }
     return { origin, source: "onlyVersion" };
   }
+
+  /**
+   * Whether this node knows all versions: from the store, or while that is away
+   * from most of the nodes.
+   */
+  #knowsVersions(nowMs: number): boolean {
+    const { members } = this.#state;
+    const ageMs = nowMs - this.#sources.upstreamsConfirmedAtMs();
+    return ageMs < UPSTREAMS_AGE_MAX_MS ||
+      members.alive().length * 2 > members.count();
+  }
 }
--- /dev/null
+++ b/packages/entry/tests/unit/entry_take_ups_test.ts
@@ -0,0 +1,197 @@
+/** Decisions on streams that callers take up. */
+import test from "ava";
+import * as core from "../../../core/mod.ts";
+import type * as fleet from "../../../fleet/mod.ts";
+import * as origins from "../../../origins/mod.ts";
+import { OriginReader } from "../../entry_origin_rows.ts";
+import { EntryState } from "../../entry_state.ts";
+import { TakeUpResolver } from "../../entry_take_ups.ts";
+import { makeEntrySettings } from "../entry_settings.ts";
+import { MemoryTable } from "../memory_table.ts";
+
+const service = core.brandId<core.ServiceName>("chat");
+const v1 = core.brandId<core.SoftwareVersion>("v1");
+const v2 = core.brandId<core.SoftwareVersion>("v2");
+/** Time after which members without contact count as dead. */
+const SILENT_MS = 2_600;
+
+const route: fleet.RouteSpec = {
+  name: "r",
+  host: "chat.example",
+  pathPrefix: "/",
+  kind: "stream",
+  timeoutMs: 5_000,
+  latencyTargetMs: 500,
+  eventGapTargetMs: 100,
+  priority: 0,
+  targets: [{ service, weight: 1 }],
+  attemptsMax: 2,
+  isResumable: true,
+};
+
+function requestId(name: string): core.RequestId {
+  return core.brandId<core.RequestId>(name);
+}
+
+function takeUpOf(first?: string): fleet.CallerRequest {
+  return {
+    requestId: requestId("take-up"),
+    promptTokens: 1,
+    outputTokensMax: 1,
+    promptParts: [],
+    takenUpStream: {
+      lastEventId: "3",
+      ...(first === undefined ? {} : { firstRequestId: requestId(first) }),
+    },
+    forwardedHeaders: {},
+  };
+}
+
+/** A node whose exchanges and tables a test controls. */
+class ResolvingNode {
+  readonly state: EntryState;
+  readonly table = new MemoryTable();
+  readonly resolver: TakeUpResolver;
+  /** Whether exchanges tell what the other nodes know. */
+  learns = true;
+  /** When the store last confirmed the list of upstreams. */
+  confirmedAtMs = () => core.monotonicMs();
+  exchanges = 0;
+
+  constructor(versions: readonly core.SoftwareVersion[], others = 0) {
+    this.state = new EntryState(
+      makeEntrySettings("n0"),
+      new core.Logger({}, () => {}),
+    );
+    for (const softwareVersion of versions) {
+      this.state.softwareVersions.add({ service, softwareVersion });
+    }
+    for (let n = 0; n <= others; n++) {
+      this.state.members.setRow(core.brandId<core.InstanceId>(`n${n}`), {
+        callerAddress: "127.0.0.1:1",
+        peerAddress: "127.0.0.1:1",
+        failureDomain: "d",
+        incarnation: `in-${n}`,
+        isLeaving: false,
+      });
+    }
+    this.resolver = new TakeUpResolver(
+      this.state,
+      new OriginReader(this.state, this.table),
+      {
+        wakeExchange: () => this.#exchange(),
+        upstreamsConfirmedAtMs: () => this.confirmedAtMs(),
+      },
+    );
+  }
+
+  begin(name: string, softwareVersion: core.SoftwareVersion): void {
+    this.state.origins.record({
+      stream: origins.toStreamKey(requestId(name)),
+      service,
+      softwareVersion,
+      ttlMs: 10_000,
+    }, core.monotonicMs());
+  }
+
+  /** The version at which a take-up goes on, or why it is rejected. */
+  async resolve(first?: string): Promise<string | undefined> {
+    const resolved = await this.resolver
+      .resolve(takeUpOf(first), route, service);
+    return resolved.match(
+      (origin) => origin?.softwareVersion,
+      ({ reason }) => reason,
+    );
+  }
+
+  #exchange(): void {
+    this.exchanges++;
+    if (this.learns) this.state.exchangeStartedAtMs = core.monotonicMs();
+  }
+}
+
+const UNKNOWN = "origin of the stream: unknown";
+const NOT_ASKED = "origin of the stream: notAsked";
+
+test("a request that begins a stream is not looked up", async (t) => {
+  const node = new ResolvingNode([v1, v2]);
+  const { takenUpStream: _, ...caller } = takeUpOf();
+  const resolved = await node.resolver.resolve(caller, route, service);
+  t.is(resolved._unsafeUnwrap(), undefined);
+  t.is(node.exchanges, 0);
+});
+
+test("a stream of this node goes on at its version at once", async (t) => {
+  const node = new ResolvingNode([v1, v2]);
+  node.begin("a", v2);
+  t.is(await node.resolve("a"), v2);
+  t.is(node.exchanges + node.table.reads, 0);
+});
+
+test("a stream of another node goes on once that is told", async (t) => {
+  const node = new ResolvingNode([v1, v2], 1);
+  const resolving = node.resolve("a");
+  t.deepEqual(node.state.wantedStreams.list(core.monotonicMs()), [
+    origins.toStreamKey(requestId("a")),
+  ]);
+  await core.sleep(60);
+  node.begin("a", v2);
+  t.is(await resolving, v2);
+});
+
+test("a stream of unknown origin goes on if there is a single version", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  t.is(await node.resolve("a"), v1);
+  t.is(await node.resolve(), v1);
+  t.is(node.table.reads, 0);
+});
+
+test("a stream of unknown origin is rejected if versions are mixed", async (t) => {
+  const node = new ResolvingNode([v1, v2], 2);
+  t.is(await node.resolve("a"), UNKNOWN);
+  t.is(await node.resolve(), UNKNOWN);
+});
+
+test("a node that knows no version rejects a stream of unknown origin", async (t) => {
+  const node = new ResolvingNode([], 2);
+  t.is(await node.resolve("a"), NOT_ASKED);
+});
+
+// Guards against an origin that is taken for unknown as it could not be read.
+test("a stream is rejected for now if the store cannot be read", async (t) => {
+  const node = new ResolvingNode([v1, v2], 2);
+  node.table.refusesReads = true;
+  t.is(await node.resolve("a"), NOT_ASKED);
+});
+
+test("a lookup ends in time if neither the store nor a node responds", async (t) => {
+  const node = new ResolvingNode([v1, v2], 2);
+  node.learns = false;
+  node.table.readMs = 2_000;
+  const startedAtMs = core.monotonicMs();
+  t.is(await node.resolve("a"), NOT_ASKED);
+  t.true(core.monotonicMs() - startedAtMs < 900);
+});
+
+// Guards against a node that others left behind: it takes itself for the only
+// one, and the version that it knows for the only one.
+test("a node without contact to the others and the store infers no version", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  const cutAtMs = core.monotonicMs();
+  node.confirmedAtMs = () => cutAtMs;
+  await core.sleep(SILENT_MS);
+  t.is(node.state.members.alive().length, 1);
+  t.is(await node.resolve("a"), NOT_ASKED);
+  node.begin("b", v1);
+  t.is(await node.resolve("b"), v1);
+  // It reaches the store again, which has the versions of all.
+  node.confirmedAtMs = () => core.monotonicMs();
+  t.is(await node.resolve("a"), v1);
+});
+
+// Guards against refusals while the store is away and all nodes are there.
+test("without the store, nodes in contact infer the version that all know", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  node.confirmedAtMs = () => -Infinity;
+  t.is(await node.resolve("a"), v1);
+});
