Consider all services that may have begun a stream of unknown origin

Where a route is split over two services, or is moved from one to the other just before all nodes are killed, a stream could go on at the other service's software version.

Cause: versions counted as mixed, and a version as the only one, within one service. Two services with one version each caused no rows of origins, and the version was inferred for the service to which the route leads by now.

Evidence: entry_take_ups_test, "a stream of unknown origin is rejected if another service may have begun it at another version", before the change: 'v1' in place of 'origin of the stream: unknown'.

Ruled out: remembering where each route led: a node that starts anew, after all were killed, reads the newest configuration alone.

Change: the versions of all services of a kind (those that run models, or those that do not) count together, and only if a route of streams that can be resumed leads to that kind. Before, two versions of any plain service made the root write rows of all streams.

Tests: three cases of origins_test asked SoftwareVersions.isMixed, which is gone; they ask now for the exact versions at the same moments.

--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -207,13 +207,16 @@
 
   async #writeOrigins(): Promise<void> {
     const nowMs = core.monotonicMs();
-    const { origins: known, softwareVersions } = this.#state;
     // Without a second version, every stream is of the only one.
-    if (!softwareVersions.isMixed(nowMs)) return;
+    if (!this.#state.hasMixedStreams(nowMs)) return;
     const { generation } = this.#store;
     // A restored store may lack rows that were written.
     if (generation !== this.#savedGeneration) this.#savedPosition = 0;
-    const batch = known.since(this.#savedPosition, ROW_ORIGINS_MAX, nowMs);
+    const batch = this.#state.origins.since(
+      this.#savedPosition,
+      ROW_ORIGINS_MAX,
+      nowMs,
+    );
     if (batch.origins.length === 0) {
       this.#savedPosition = batch.position;
       return;
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -147,6 +147,36 @@
     this.quarantine.recordEnded(quarantine.toRunKey(record), nowMs);
   }
 
+  /**
+   * Returns the software versions that may have begun a stream which a service
+   * is to continue. Routes are split over services of a kind and moved between
+   * them, so the versions of all of that kind are meant.
+   */
+  versionsOfStreams(
+    service: core.ServiceName,
+    nowMs: number,
+  ): readonly core.SoftwareVersion[] {
+    const services = this.config?.services;
+    const runsModels = services?.get(service)?.engine !== undefined;
+    const alternatives = [...services?.values() ?? []]
+      .filter(({ engine }) => (engine !== undefined) === runsModels)
+      .map(({ name }) => name);
+    return this.softwareVersions
+      .ofServices(new Set([service, ...alternatives]), nowMs);
+  }
+
+  /** Whether callers may take up streams of several software versions. */
+  hasMixedStreams(nowMs: number): boolean {
+    const resumable = (this.config?.routes ?? [])
+      .filter(({ kind, isResumable }) => kind === "stream" && isResumable);
+    const services = new Set(
+      resumable.flatMap(({ targets }) => targets.map(({ service }) => service)),
+    );
+    return [...services].some((service) =>
+      this.versionsOfStreams(service, nowMs).length > 1
+    );
+  }
+
   /** Returns this node's share of a service's retry budget. */
   retryBudget(service: core.ServiceName): dispatch.SharedRetryBudget {
     let budget = this.retryBudgets.get(service);
--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -103,8 +103,9 @@
     service: core.ServiceName,
     startedAtMs: number,
   ): Promise<Lookup> {
-    const { softwareVersions, origins: known, wantedStreams } = this.#state;
-    const isMixed = softwareVersions.isMixed(startedAtMs);
+    const { origins: known, wantedStreams } = this.#state;
+    const isMixed =
+      this.#state.versionsOfStreams(service, startedAtMs).length > 1;
     const lookupMs = isMixed ? LOOKUP_MS : SINGLE_LOOKUP_MS;
     let storeRead: "pending" | "done" | "failed" = "done";
     if (stream && isMixed) {
@@ -140,8 +141,8 @@
     service: core.ServiceName,
     nowMs: number,
   ): Lookup {
-    const [softwareVersion, ...others] = this.#state.softwareVersions
-      .ofService(service, nowMs);
+    const [softwareVersion, ...others] = this.#state
+      .versionsOfStreams(service, nowMs);
     if (others.length > 0) return { source: "unknown" };
     if (softwareVersion === undefined || !this.#knowsVersions(nowMs)) {
       return { source: "notAsked" };
--- a/packages/entry/tests/unit/entry_origin_rows_test.ts
+++ b/packages/entry/tests/unit/entry_origin_rows_test.ts
@@ -8,10 +8,16 @@
 import { EntryState } from "../../entry_state.ts";
 import { makeEntrySettings } from "../entry_settings.ts";
 import { MemoryTable } from "../memory_table.ts";
+import {
+  makeStreamConfig,
+  OTHER_STREAM_SERVICE,
+  PLAIN_SERVICE,
+  STREAM_SERVICE,
+} from "../stream_config.ts";
 
 const ORIGIN_TABLE = "carawaywind-origins";
 const NODE_TABLE = "carawaywind";
-const service = core.brandId<core.ServiceName>("chat");
+const service = STREAM_SERVICE;
 const v1 = core.brandId<core.SoftwareVersion>("v1");
 const v2 = core.brandId<core.SoftwareVersion>("v2");
 const TTL_MS = 15_000;
@@ -46,6 +52,7 @@
       new core.Logger({}, () => {}),
     );
     this.state.hasReadMembers = true;
+    this.state.applyConfig(makeStreamConfig());
     for (const softwareVersion of versions) {
       this.state.softwareVersions.add({ service, softwareVersion });
     }
@@ -163,6 +170,23 @@
   t.is(table.transactions.length, 1);
 });
 
+// Guards against streams whose route leads to another service once all nodes
+// were killed.
+test("origins are written while services to which a route may lead differ in version", async (t) => {
+  const table = new MemoryTable();
+  const root = new RowsNode("n1", table, { versions: [v1] });
+  const { softwareVersions } = root.state;
+  softwareVersions.add({ service: PLAIN_SERVICE, softwareVersion: v2 });
+  root.begin("a");
+  await withNodes([root], async () => {
+    await core.sleep(250);
+    t.deepEqual(storedStreams(table), []);
+    const version = { service: OTHER_STREAM_SERVICE, softwareVersion: v2 };
+    softwareVersions.add(version);
+    await waitUntilStored(table, "a");
+  });
+});
+
 test("origins from before a second version are written once it is seen", async (t) => {
   const table = new MemoryTable();
   const root = new RowsNode("n1", table, { versions: [v1] });
--- a/packages/entry/tests/unit/entry_take_ups_test.ts
+++ b/packages/entry/tests/unit/entry_take_ups_test.ts
@@ -8,27 +8,20 @@
 import { TakeUpResolver } from "../../entry_take_ups.ts";
 import { makeEntrySettings } from "../entry_settings.ts";
 import { MemoryTable } from "../memory_table.ts";
-
-const service = core.brandId<core.ServiceName>("chat");
+import {
+  makeStreamConfig,
+  OTHER_STREAM_SERVICE,
+  PLAIN_SERVICE,
+  STREAM_ROUTE,
+  STREAM_SERVICE,
+} from "../stream_config.ts";
+
+const service = STREAM_SERVICE;
 const v1 = core.brandId<core.SoftwareVersion>("v1");
 const v2 = core.brandId<core.SoftwareVersion>("v2");
 /** Time after which members without contact count as dead. */
 const SILENT_MS = 2_600;
 
-const route: fleet.RouteSpec = {
-  name: "r",
-  host: "chat.example",
-  pathPrefix: "/",
-  kind: "stream",
-  timeoutMs: 5_000,
-  latencyTargetMs: 500,
-  eventGapTargetMs: 100,
-  priority: 0,
-  targets: [{ service, weight: 1 }],
-  attemptsMax: 2,
-  isResumable: true,
-};
-
 function requestId(name: string): core.RequestId {
   return core.brandId<core.RequestId>(name);
 }
@@ -63,6 +56,7 @@
       makeEntrySettings("n0"),
       new core.Logger({}, () => {}),
     );
+    this.state.applyConfig(makeStreamConfig());
     for (const softwareVersion of versions) {
       this.state.softwareVersions.add({ service, softwareVersion });
     }
@@ -97,7 +91,7 @@
   /** The version at which a take-up goes on, or why it is rejected. */
   async resolve(first?: string): Promise<string | undefined> {
     const resolved = await this.resolver
-      .resolve(takeUpOf(first), route, service);
+      .resolve(takeUpOf(first), STREAM_ROUTE, service);
     return resolved.match(
       (origin) => origin?.softwareVersion,
       ({ reason }) => reason,
@@ -116,7 +110,7 @@
 test("a request that begins a stream is not looked up", async (t) => {
   const node = new ResolvingNode([v1, v2]);
   const { takenUpStream: _, ...caller } = takeUpOf();
-  const resolved = await node.resolver.resolve(caller, route, service);
+  const resolved = await node.resolver.resolve(caller, STREAM_ROUTE, service);
   t.is(resolved._unsafeUnwrap(), undefined);
   t.is(node.exchanges, 0);
 });
@@ -195,3 +189,29 @@
   node.confirmedAtMs = () => -Infinity;
   t.is(await node.resolve("a"), v1);
 });
+
+// Guards against a route that leads to another service since the stream began,
+// or to several: each has a single version, but not the same one.
+test("a stream of unknown origin is rejected if another service may have begun it at another version", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  node.state.softwareVersions.add({
+    service: OTHER_STREAM_SERVICE,
+    softwareVersion: v1,
+  });
+  t.is(await node.resolve("a"), v1);
+  node.state.softwareVersions.add({
+    service: OTHER_STREAM_SERVICE,
+    softwareVersion: v2,
+  });
+  t.is(await node.resolve("b"), UNKNOWN);
+});
+
+test("versions of services that cannot have begun a stream do not matter", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  node.state.softwareVersions.add({
+    service: PLAIN_SERVICE,
+    softwareVersion: v2,
+  });
+  t.is(await node.resolve("a"), v1);
+  t.is(node.table.reads, 0);
+});
--- a/packages/origins/origins_versions.ts
+++ b/packages/origins/origins_versions.ts
@@ -55,25 +55,22 @@
     for (const known of this.#known.values()) known.isRecorded = false;
   }
 
-  /** The versions of a service whose streams callers may take up. */
-  ofService(
-    service: core.ServiceName,
+  /**
+   * The versions of some services whose streams callers may take up, each once.
+   *
+   * @example
+   * ```ts
+   * const isMixed = versions.ofServices(services, nowMs).length > 1;
+   * ```
+   */
+  ofServices(
+    services: ReadonlySet<core.ServiceName>,
     nowMs: number,
   ): readonly core.SoftwareVersion[] {
-    return [...this.#known.values()]
-      .filter((known) => known.service === service && isCurrent(known, nowMs))
+    const versions = [...this.#known.values()]
+      .filter((known) => services.has(known.service) && isCurrent(known, nowMs))
       .map(({ softwareVersion }) => softwareVersion);
-  }
-
-  /** Whether a service has streams of several versions. */
-  isMixed(nowMs: number): boolean {
-    const services = new Set<core.ServiceName>();
-    for (const known of this.#known.values()) {
-      if (!isCurrent(known, nowMs)) continue;
-      if (services.has(known.service)) return true;
-      services.add(known.service);
-    }
-    return false;
+    return [...new Set(versions)];
   }
 
   /** Versions in use of which the store has no row. */
--- a/packages/origins/tests/unit/origins_test.ts
+++ b/packages/origins/tests/unit/origins_test.ts
@@ -81,20 +81,21 @@
   t.true(keys.every((key) => key.length === 16));
 });
 
+const services = new Set([service]);
+
 // Guards against taking the only listed version for that of a stream whose
 // engines have just left.
 test("a version that has left counts as long as its streams may be taken up", (t) => {
   const versions = new origins.SoftwareVersions();
   versions.add({ service, softwareVersion: v1 });
   versions.add({ service, softwareVersion: v1 });
-  t.false(versions.isMixed(0));
+  t.deepEqual(versions.ofServices(services, 0), [v1]);
   versions.add({ service, softwareVersion: v2 });
-  t.true(versions.isMixed(0));
+  t.deepEqual([...versions.ofServices(services, 0)].sort(), [v1, v2]);
   versions.remove({ service, softwareVersion: v1 }, 1_000);
   versions.remove({ service, softwareVersion: v1 }, 2_000);
-  t.deepEqual([...versions.ofService(service, 100_000)].sort(), [v1, v2]);
-  t.deepEqual(versions.ofService(service, 122_000), [v2]);
-  t.false(versions.isMixed(122_000));
+  t.deepEqual([...versions.ofServices(services, 121_999)].sort(), [v1, v2]);
+  t.deepEqual(versions.ofServices(services, 122_000), [v2]);
 });
 
 // Guards against nodes that start when the engines of a version have left.
@@ -102,23 +103,28 @@
   const versions = new origins.SoftwareVersions();
   versions.add({ service, softwareVersion: v2 });
   versions.recordRow({ service, softwareVersion: v1 }, 5_000);
-  t.true(versions.isMixed(5_000));
+  t.deepEqual([...versions.ofServices(services, 5_000)].sort(), [v1, v2]);
   t.deepEqual(versions.outdated(100_000), []);
   // Reading the rows anew does not prolong it.
   versions.forgetRows();
   versions.recordRow({ service, softwareVersion: v1 }, 100_000);
-  t.false(versions.isMixed(125_000));
+  t.deepEqual(versions.ofServices(services, 125_000), [v2]);
   t.like(versions.outdated(125_000)[0], { softwareVersion: v1 });
   versions.recordNoRow({ service, softwareVersion: v1 });
   t.deepEqual(versions.outdated(125_000), []);
 });
 
-test("versions of different services are not mixed", (t) => {
+test("the versions of several services are told together, each once", (t) => {
   const versions = new origins.SoftwareVersions();
   versions.add({ service, softwareVersion: v1 });
   versions.add({ service: other, softwareVersion: v2 });
-  t.false(versions.isMixed(0));
-  t.deepEqual(versions.ofService(other, 0), [v2]);
+  t.deepEqual(versions.ofServices(services, 0), [v1]);
+  t.deepEqual(versions.ofServices(new Set([other]), 0), [v2]);
+  const both = new Set([service, other]);
+  t.deepEqual([...versions.ofServices(both, 0)].sort(), [v1, v2]);
+  versions.add({ service: other, softwareVersion: v1 });
+  versions.remove({ service: other, softwareVersion: v2 }, 0);
+  t.deepEqual(versions.ofServices(both, 130_000), [v1]);
 });
 
 test("versions in use get a row, also after a restore of the store", (t) => {
