Read the stored origins one read after the other, and only where needed

What callers saw: nothing wrong; processor time and calls. Each take-up at another node than its stream's read all rows of origins at once, though the other nodes tell most origins within 100 ms. While the store was slow, a node began a read every 100 ms, and these took the connections on which it renews the lease and follows the tables.

Cause: the read began with the lookup, and reads shared a result only if they began within 100 ms of each other.

Evidence: entry_take_ups_test, before the change: "the store is read only for streams of which the other nodes do not tell": 1 read in place of 0; "take-ups at the same time read the store one after the other": 3 reads in progress in place of 1, of 250 ms each.

Ruled out: sharing the read in progress with every lookup, as it may have passed over rows that were written since (has a test).

Change: the store is asked after 100 ms, and a lookup that comes during a read gets the next one. The longest lookup is 800 ms in place of 600, so that a read from a slow store (550 ms) is in time.

After: 34 tests of the three files pass.

--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -27,7 +27,7 @@
 const DELETION_INTERVAL_MS = 10_000;
 /** Time after which the rows of another node are no longer needed. */
 const FOREIGN_ROW_TTL_MS = 120_000;
-/** Reads that follow each other more closely share the result. */
+/** Interval between the starts of reads for lookups. */
 const READ_INTERVAL_MS = 100;
 
 const OriginRowCodec = purify.Codec.interface({
@@ -66,20 +66,40 @@
 export class OriginReader {
   readonly #state: EntryState;
   readonly #store: store.TableService;
-  #reading: Promise<boolean> | undefined;
+  /** The read in progress, and the one that follows it. */
+  #current: Promise<boolean> | undefined;
+  #next: Promise<boolean> | undefined;
+  #startedAtMs = -Infinity;
 
   constructor(state: EntryState, tableService: store.TableService) {
     this.#state = state;
     this.#store = tableService;
   }
 
-  /** Records the stored origins; false if the store could not be read. */
+  /**
+   * Records the origins that are stored from now on or earlier; false if the
+   * store could not be read. Reads follow each other, as each takes the whole
+   * table and one of few connections.
+   */
   read(): Promise<boolean> {
-    if (!this.#reading) {
-      this.#reading = this.readRows().then((keys) => keys !== undefined);
-      setTimeout(() => this.#reading = undefined, READ_INTERVAL_MS).unref();
+    if (!this.#current) return this.#current = this.#start();
+    // The one in progress may have passed over rows written since.
+    this.#next ??= this.#current.then(() => {
+      this.#next = undefined;
+      return this.#current ??= this.#start();
+    });
+    return this.#next;
+  }
+
+  async #start(): Promise<boolean> {
+    const sinceLastMs = core.monotonicMs() - this.#startedAtMs;
+    await core.sleep(Math.max(0, READ_INTERVAL_MS - sinceLastMs));
+    this.#startedAtMs = core.monotonicMs();
+    try {
+      return await this.readRows() !== undefined;
+    } finally {
+      this.#current = undefined;
     }
-    return this.#reading;
   }
 
   /** Records the stored origins and returns the keys of their rows. */
--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -15,8 +15,13 @@
 const LOOKUP_MS = 200;
 /** The same while a service has one version, which the origin must be. */
 const SINGLE_LOOKUP_MS = 100;
+/**
+ * Time after which the store is asked as well. Most origins are told before by
+ * the other nodes, and each read takes the whole table.
+ */
+const STORE_READ_AFTER_MS = 100;
 /** Longest lookup, if a node or the store does not answer. */
-const LOOKUP_MAX_MS = 600;
+const LOOKUP_MAX_MS = 800;
 const LOOKUP_POLL_MS = 10;
 const EXCHANGE_INTERVAL_MS = 50;
 /** Retry-After while other nodes or the store cannot be asked. */
@@ -38,6 +43,8 @@
   readonly source: "memory" | "others" | "onlyVersion" | "unknown" | "notAsked";
 }
 
+type StoreRead = "due" | "pending" | "done" | "failed";
+
 /** What the resolver needs of the node's other parts. */
 export interface TakeUpSources {
   /** Makes this node exchange with the others soon. */
@@ -107,25 +114,25 @@
     const isMixed =
       this.#state.versionsOfStreams(service, startedAtMs).length > 1;
     const lookupMs = isMixed ? LOOKUP_MS : SINGLE_LOOKUP_MS;
-    let storeRead: "pending" | "done" | "failed" = "done";
-    if (stream && isMixed) {
-      storeRead = "pending";
-      this.#reader.read().then((isRead) => {
-        storeRead = isRead ? "done" : "failed";
-      });
-    }
+    let storeRead: StoreRead = stream && isMixed ? "due" : "done";
     let exchangeAtMs = startedAtMs;
     for (;;) {
       const nowMs = core.monotonicMs();
       const origin = stream && known.find(stream, nowMs);
       if (origin) return { origin, source: "others" };
       const hasAsked = this.#state.exchangeStartedAtMs >= startedAtMs;
-      const isAnswered = hasAsked && storeRead !== "pending";
+      const isAnswered = hasAsked && isOver(storeRead);
       if (nowMs - startedAtMs >= (isAnswered ? lookupMs : LOOKUP_MAX_MS)) {
         return hasAsked && storeRead === "done"
           ? this.#inferOrigin(stream, service, nowMs)
           : { source: "notAsked" };
       }
+      if (storeRead === "due" && nowMs >= startedAtMs + STORE_READ_AFTER_MS) {
+        storeRead = "pending";
+        this.#reader.read().then((isRead) => {
+          storeRead = isRead ? "done" : "failed";
+        });
+      }
       if (nowMs >= exchangeAtMs) {
         if (stream) wantedStreams.add(stream, nowMs);
         this.#sources.wakeExchange();
@@ -166,3 +173,7 @@
       members.alive().length * 2 > members.count();
   }
 }
+
+function isOver(storeRead: StoreRead): boolean {
+  return storeRead === "done" || storeRead === "failed";
+}
