Share the exchanges of take-ups that are looked up at the same time

What callers saw: nothing wrong; processor time. Each lookup woke the exchange every 50 ms on its own. When many streams broke at once, a node exchanged without a pause, and so its parent answered without a pause.

Evidence: entry_take_ups_test, "take-ups at the same time share their exchanges with the other nodes", before the change: 320 exchanges in 0.7 s for 60 take-ups, where at most 30 are allowed.

Ruled out: a pause in the exchange task itself, as a queued request is to be reported at once.

Change: all lookups of a node together wake the exchange every 25 ms at most.

After: 17 tests of entry_take_ups_test pass.

--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -23,7 +23,8 @@
 /** Longest lookup, if a node or the store does not answer. */
 const LOOKUP_MAX_MS = 800;
 const LOOKUP_POLL_MS = 10;
-const EXCHANGE_INTERVAL_MS = 50;
+/** Interval between exchanges while streams are looked up. */
+const EXCHANGE_INTERVAL_MS = 25;
 /** Retry-After while other nodes or the store cannot be asked. */
 const NOT_ASKED_RETRY_AFTER_MS = 500;
 /** Retry-After of a stream whose origin nobody knows. */
@@ -58,6 +59,7 @@
   readonly #state: EntryState;
   readonly #reader: OriginReader;
   readonly #sources: TakeUpSources;
+  #askedAtMs = -Infinity;
 
   constructor(
     state: EntryState,
@@ -115,7 +117,6 @@
       this.#state.versionsOfStreams(service, startedAtMs).length > 1;
     const lookupMs = isMixed ? LOOKUP_MS : SINGLE_LOOKUP_MS;
     let storeRead: StoreRead = stream && isMixed ? "due" : "done";
-    let exchangeAtMs = startedAtMs;
     for (;;) {
       const nowMs = core.monotonicMs();
       const origin = stream && known.find(stream, nowMs);
@@ -133,15 +134,19 @@
           storeRead = isRead ? "done" : "failed";
         });
       }
-      if (nowMs >= exchangeAtMs) {
-        if (stream) wantedStreams.add(stream, nowMs);
-        this.#sources.wakeExchange();
-        exchangeAtMs = nowMs + EXCHANGE_INTERVAL_MS;
-      }
+      if (stream) wantedStreams.add(stream, nowMs);
+      this.#askOthers(nowMs);
       await core.sleep(LOOKUP_POLL_MS);
     }
   }
 
+  /** Exchanges soon with the other nodes, for all lookups in progress. */
+  #askOthers(nowMs: number): void {
+    if (nowMs - this.#askedAtMs < EXCHANGE_INTERVAL_MS) return;
+    this.#askedAtMs = nowMs;
+    this.#sources.wakeExchange();
+  }
+
   /** A stream of unknown origin can only be of the only version, if there is. */
   #inferOrigin(
     stream: core.StreamKey | undefined,
--- a/packages/entry/tests/unit/entry_take_ups_test.ts
+++ b/packages/entry/tests/unit/entry_take_ups_test.ts
@@ -50,6 +50,8 @@
   /** When the store last confirmed the list of upstreams. */
   confirmedAtMs = () => core.monotonicMs();
   exchanges = 0;
+  /** Streams for which an exchange asked. */
+  readonly asked = new Set<core.StreamKey>();
 
   constructor(versions: readonly core.SoftwareVersion[], others = 0) {
     this.state = new EntryState(
@@ -109,6 +111,8 @@
 
   #exchange(): void {
     this.exchanges++;
+    const wanted = this.state.wantedStreams.list(core.monotonicMs());
+    for (const stream of wanted) this.asked.add(stream);
     if (this.learns) this.state.exchangeStartedAtMs = core.monotonicMs();
   }
 }
@@ -271,3 +275,18 @@
   t.true(await second);
   t.is(await node.resolve("a"), v2);
 });
+
+// Guards against exchanges without a pause while many streams are taken up.
+test("take-ups at the same time share their exchanges with the other nodes", async (t) => {
+  const node = new ResolvingNode([v1, v2], 2);
+  const startedAtMs = core.monotonicMs();
+  const resolving: Promise<string | undefined>[] = [];
+  for (let n = 0; n < 60; n++) {
+    resolving.push(node.resolve(`s${n}`));
+    await core.sleep(7);
+  }
+  await Promise.all(resolving);
+  const tookMs = core.monotonicMs() - startedAtMs;
+  t.true(node.exchanges <= 2 + tookMs / 25, `${node.exchanges} exchanges`);
+  t.is(node.asked.size, 60);
+});
