Look up the origin of a stream for longer where nodes form groups

In a fleet of more than 16 nodes, a stream that broke off within 0.2 s of its first event, and was taken up at once at a node of another group, could be rejected as unknown, and its caller waited for a third of its time.

Cause: a lookup lasted 200 ms. A leaf exchanges every 150 ms, leaders every 50 ms, and the question goes up as well, so an origin can take 300 ms.

Evidence: entry_take_ups_test, "in a tree of nodes, a lookup lasts until an origin has passed all levels", before the change: 'origin of the stream: unknown' in place of 'v2' (a unit test: the times are from the intervals in entry_exchange_task, and were not measured in a large fleet).

Ruled out: waking the exchange for each new stream, for the few that break.

Change: 400 ms where nodes form groups, 300 ms with a single version, by when a second one is known as well.

After: entry_take_ups_test and entry_topology_test pass.

--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -7,14 +7,23 @@
 import { MEMBER_TIMEOUT_MS } from "./entry_members.ts";
 import type { OriginReader } from "./entry_origin_rows.ts";
 import type { EntryState } from "./entry_state.ts";
+import { hasGroups } from "./entry_topology.ts";
 
+/** Shortest lookups, in which other nodes tell the origin of a stream. */
+interface LookupTimes {
+  /** While streams are of several versions. */
+  readonly mixedMs: number;
+  /** While they are of one version, which the origin must be. */
+  readonly singleMs: number;
+}
+
+/** Times where all nodes exchange with the root. */
+const FLAT_LOOKUP: LookupTimes = { mixedMs: 200, singleMs: 100 };
 /**
- * Time in which other nodes tell the origin of a stream. Over two levels of the
- * tree, a new origin and the question for it take a few exchanges.
+ * Times where a new origin passes a leader on its way to the root, and another
+ * one on its way to the node that asks for it.
  */
-const LOOKUP_MS = 200;
-/** The same while a service has one version, which the origin must be. */
-const SINGLE_LOOKUP_MS = 100;
+const GROUPS_LOOKUP: LookupTimes = { mixedMs: 400, singleMs: 300 };
 /**
  * Time after which the store is asked as well. Most origins are told before by
  * the other nodes, and each read takes the whole table.
@@ -112,10 +121,13 @@
     service: core.ServiceName,
     startedAtMs: number,
   ): Promise<Lookup> {
-    const { origins: known, wantedStreams } = this.#state;
+    const { origins: known, wantedStreams, members } = this.#state;
     const isMixed =
       this.#state.versionsOfStreams(service, startedAtMs).length > 1;
-    const lookupMs = isMixed ? LOOKUP_MS : SINGLE_LOOKUP_MS;
+    const times = hasGroups(members.alive().length)
+      ? GROUPS_LOOKUP
+      : FLAT_LOOKUP;
+    const lookupMs = isMixed ? times.mixedMs : times.singleMs;
     let storeRead: StoreRead = stream && isMixed ? "due" : "done";
     for (;;) {
       const nowMs = core.monotonicMs();
--- a/packages/entry/entry_topology.ts
+++ b/packages/entry/entry_topology.ts
@@ -10,6 +10,18 @@
 /** Nodes that exchange with the same group leader. */
 const GROUP_SIZE = 20;
 
+/**
+ * Whether so many live nodes form groups, over which messages take longer.
+ *
+ * @example
+ * ```ts
+ * const isTree = hasGroups(members.alive().length);
+ * ```
+ */
+export function hasGroups(nodes: number): boolean {
+  return nodes > FLAT_NODES_MAX;
+}
+
 /** A live node and its failure domain. */
 export interface TreeNode {
   readonly node: core.InstanceId;
@@ -44,7 +56,7 @@
   isAvoided: (node: core.InstanceId) => boolean,
 ): TreePlace {
   if (self.node === root) return { role: "root", parent: root };
-  if (alive.length <= FLAT_NODES_MAX) return { role: "leaf", parent: root };
+  if (!hasGroups(alive.length)) return { role: "leaf", parent: root };
   const group = alive.filter(({ node, failureDomain }) =>
     node !== root && failureDomain === self.failureDomain && !isAvoided(node)
   ).map(({ node }) => node);
--- a/packages/entry/tests/unit/entry_take_ups_test.ts
+++ b/packages/entry/tests/unit/entry_take_ups_test.ts
@@ -229,6 +229,16 @@
   t.is(node.table.reads, 0);
 });
 
+// Guards against a lookup that ends before the origin has come from a leaf over
+// two levels, each of which exchanges at intervals.
+test("in a tree of nodes, a lookup lasts until an origin has passed all levels", async (t) => {
+  const node = new ResolvingNode([v1, v2], 40);
+  const resolving = node.resolve("a");
+  await core.sleep(300);
+  node.begin("a", v2);
+  t.is(await resolving, v2);
+});
+
 test("a stream that no node knows goes on by its row", async (t) => {
   const node = new ResolvingNode([v1, v2], 2);
   node.store("a", v2);
