Read the rows of the root before again if they could not be read

What callers saw: a node that became the root while the store refused its read never took over the rows of the one before: it did not know their streams, and if the other node was gone, nobody deleted the rows, which each later read takes along.

Cause: the rows were read once, whatever came of it.

Evidence: entry_origin_rows_test, "a new root that cannot read adopts the rows later, and writes meanwhile", on the code before with the short times of the test: "Timed out waiting until the origin is known".

Ruled out: waiting with the root's own rows until the others are read.

Change: the read is repeated every 500 ms until it succeeds. The times of deletion are a parameter, so that tests see rows deleted after they expire, and adopted ones also by a node that is no longer the root (both were right).

--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -16,17 +16,25 @@
 const ORIGIN_TABLE = "carawaywind-origins";
 /** Interval at which rows that are due are written. */
 const WRITE_INTERVAL_MS = 100;
-/** Pause after a failed write. */
+/** Pause after a failed call. */
 const RETRY_MS = 500;
 /** Origins in one row, and the time for which it is written again. */
 const ROW_ORIGINS_MAX = 1_000;
 const ROW_OPEN_MS = 1_000;
 /** Rows deleted in one transaction. */
 const DELETIONS_MAX = 50;
-/** Interval at which rows that are no longer needed are deleted. */
-const DELETION_INTERVAL_MS = 10_000;
-/** Time after which the rows of another node are no longer needed. */
-const FOREIGN_ROW_TTL_MS = 120_000;
+/** Times after which rows are deleted. */
+export interface OriginRowTimes {
+  /** Interval at which rows that are no longer needed are deleted. */
+  readonly deletionIntervalMs: number;
+  /** Time for which the rows of an earlier root are needed. */
+  readonly adoptedTtlMs: number;
+}
+
+const ORIGIN_ROW_TIMES: OriginRowTimes = {
+  deletionIntervalMs: 10_000,
+  adoptedTtlMs: 120_000,
+};
 /** Interval between the starts of reads for lookups. */
 const READ_INTERVAL_MS = 100;
 
@@ -150,7 +158,11 @@
   readonly #store: store.TableService;
   readonly #reader: OriginReader;
   readonly #isRoot: () => boolean;
+  readonly #times: OriginRowTimes;
   #wasRoot = false;
+  /** Whether the rows of the root before are known. */
+  #hasAdopted = false;
+  #readAgainAtMs = -Infinity;
   /** Position and generation of the store up to which origins are written. */
   #savedPosition = 0;
   #savedGeneration: number | undefined;
@@ -168,12 +180,14 @@
     tableService: store.TableService,
     reader: OriginReader,
     isRoot: () => boolean,
+    times = ORIGIN_ROW_TIMES,
   ) {
     super();
     this.#state = state;
     this.#store = tableService;
     this.#reader = reader;
     this.#isRoot = isRoot;
+    this.#times = times;
   }
 
   override async run(signal: AbortSignal): Promise<void> {
@@ -182,9 +196,11 @@
       const nowMs = core.monotonicMs();
       if (nowMs < this.#retryAtMs || !this.#state.hasReadMembers) continue;
       const isRoot = this.#isRoot();
-      if (isRoot && !this.#wasRoot) await this.#adoptRows();
+      if (!isRoot) this.#hasAdopted = false;
+      if (isRoot && !this.#wasRoot) this.#savedPosition = 0;
       this.#wasRoot = isRoot;
       if (isRoot) {
+        if (!this.#hasAdopted) this.#hasAdopted = await this.#adoptRows();
         await this.#writeVersions();
         await this.#writeOrigins();
       }
@@ -192,17 +208,26 @@
     }
   }
 
-  /** Takes over the rows of nodes that may be gone, to delete them later. */
-  async #adoptRows(): Promise<void> {
-    this.#savedPosition = 0;
-    const keys = await this.#reader.readRows();
+  /**
+   * Takes over the rows of nodes that may be gone, to delete them later.
+   *
+   * @returns whether the rows could be read.
+   */
+  async #adoptRows(): Promise<boolean> {
     const nowMs = core.monotonicMs();
+    if (nowMs < this.#readAgainAtMs) return false;
+    const keys = await this.#reader.readRows();
+    if (!keys) {
+      this.#readAgainAtMs = core.monotonicMs() + RETRY_MS;
+      return false;
+    }
     const own = new Set(this.#rows.map(({ key }) => key));
-    for (const key of keys ?? []) {
+    for (const key of keys) {
       if (own.has(key)) continue;
-      const expiresAtMs = nowMs + FOREIGN_ROW_TTL_MS;
+      const expiresAtMs = nowMs + this.#times.adoptedTtlMs;
       this.#rows.push({ key, openedAtMs: nowMs, expiresAtMs });
     }
+    return true;
   }
 
   async #writeVersions(): Promise<void> {
@@ -276,7 +301,7 @@
 
   async #deleteExpired(): Promise<void> {
     const nowMs = core.monotonicMs();
-    if (nowMs - this.#deletedAtMs < DELETION_INTERVAL_MS) return;
+    if (nowMs - this.#deletedAtMs < this.#times.deletionIntervalMs) return;
     this.#deletedAtMs = nowMs;
     const expired = this.#rows.filter((row) =>
       row.expiresAtMs < nowMs && row !== this.#openRow?.row
--- a/packages/entry/tests/unit/entry_origin_rows_test.ts
+++ b/packages/entry/tests/unit/entry_origin_rows_test.ts
@@ -4,7 +4,11 @@
 import * as origins from "../../../origins/mod.ts";
 import * as testing from "../../../testing/mod.ts";
 import { OriginExchange } from "../../entry_origins.ts";
-import { OriginReader, OriginRowsTask } from "../../entry_origin_rows.ts";
+import {
+  OriginReader,
+  OriginRowsTask,
+  type OriginRowTimes,
+} from "../../entry_origin_rows.ts";
 import { EntryState } from "../../entry_state.ts";
 import { makeEntrySettings } from "../entry_settings.ts";
 import { MemoryTable } from "../memory_table.ts";
@@ -59,12 +63,13 @@
     this.reader = new OriginReader(this.state, table);
   }
 
-  start(): this {
+  start(times?: OriginRowTimes): this {
     const task = new OriginRowsTask(
       this.state,
       this.table,
       this.reader,
       () => this.isRoot,
+      times,
     );
     this.#run = task.run(this.#stop.signal);
     return this;
@@ -112,8 +117,9 @@
 async function withNodes(
   nodes: readonly RowsNode[],
   run: () => Promise<unknown>,
+  times?: OriginRowTimes,
 ): Promise<void> {
-  for (const node of nodes) node.start();
+  for (const node of nodes) node.start(times);
   try {
     await run();
   } finally {
@@ -291,3 +297,82 @@
   next.begin("a");
   t.deepEqual(sentToParent(next).map(({ stream }) => stream), [stream("a")]);
 });
+
+const SHORT_TIMES: OriginRowTimes = {
+  deletionIntervalMs: 100,
+  adoptedTtlMs: 600,
+};
+
+async function waitUntilDeleted(table: MemoryTable): Promise<void> {
+  await testing.waitUntil(
+    "all rows of origins are deleted",
+    () => table.keysOf(ORIGIN_TABLE).length === 0,
+    3_000,
+  );
+}
+
+test("a row is deleted once none of its streams can be taken up", async (t) => {
+  const table = new MemoryTable();
+  const root = new RowsNode("n1", table);
+  root.begin("a", v1, 200);
+  root.begin("b", v1, 1_800);
+  const startedAtMs = core.monotonicMs();
+  await withNodes([root], async () => {
+    await waitUntilStored(table, "b");
+    // A row that is open is kept, and so the next one is opened.
+    await core.sleep(1_100);
+    root.begin("c", v1, 5_000);
+    await waitUntilStored(table, "c");
+    t.is(table.keysOf(ORIGIN_TABLE).length, 2);
+    await testing.waitUntil(
+      "the first row is deleted",
+      () => table.keysOf(ORIGIN_TABLE).length === 1,
+      3_000,
+    );
+    t.true(core.monotonicMs() - startedAtMs >= 1_800);
+  }, SHORT_TIMES);
+});
+
+test("a root deletes the rows of the one before, also once it is no longer the root", async (t) => {
+  const table = new MemoryTable();
+  const first = new RowsNode("n1", table);
+  first.begin("a");
+  await withNodes([first], () => waitUntilStored(table, "a"));
+  const next = new RowsNode("n2", table);
+  await withNodes([next], async () => {
+    await testing.waitUntil(
+      "it has read the rows",
+      () => next.versionOf("a") === v1,
+      1_000,
+    );
+    next.isRoot = false;
+    t.is(table.keysOf(ORIGIN_TABLE).length, 1);
+    await waitUntilDeleted(table);
+  }, SHORT_TIMES);
+});
+
+// Guards against rows that stay for ever, as their reader's first try failed.
+test("a new root that cannot read adopts the rows later, and writes meanwhile", async (t) => {
+  const table = new MemoryTable();
+  const first = new RowsNode("n1", table);
+  first.begin("a");
+  await withNodes([first], () => waitUntilStored(table, "a"));
+  table.refusesReads = true;
+  const next = new RowsNode("n2", table);
+  next.begin("b");
+  await withNodes([next], async () => {
+    await waitUntilStored(table, "b");
+    t.is(next.versionOf("a"), undefined);
+    table.refusesReads = false;
+    await testing.waitUntil(
+      "the origin is known",
+      () => next.versionOf("a") === v1,
+      2_000,
+    );
+    await testing.waitUntil(
+      "the row is deleted",
+      () => !storedStreams(table).includes(stream("a")),
+      2_000,
+    );
+  }, SHORT_TIMES);
+});
