Load an adapter at the software version at which a stream has to go on

What callers saw: a stream of an adapter whose engine crashed, and that its caller took up, was held until no engine was in time, and rejected, while two engines of its version served.

Cause: most adapters have one replica, on the engine with least to do. After the crash it was loaded on an engine of any version; if that was another one, the request at the stream's version waited in vain, as the adapter counted as present.

Ruled out: a replica on each version for any waiting request: in overload that would evict adapters in turn. Models are not loaded by version either, as a load takes longer than callers wait; their take-ups are rejected at once.

Change: the demand tells at which versions some queued requests have to run, and the plan gives each of these a replica first.

--- a/packages/dispatch/dispatch_demand.ts
+++ b/packages/dispatch/dispatch_demand.ts
@@ -10,6 +10,8 @@
   readonly ratePerS: number;
   /** Queued requests. */
   readonly waiting: number;
+  /** Software versions at which some of them have to run. */
+  readonly pinnedVersions: readonly core.SoftwareVersion[];
   /** Engine time that arrivals are expected to take, in ms per second. */
   readonly workMsPerS: number;
 }
@@ -26,6 +28,8 @@
   ratePerS: number;
   workMsPerS: number;
   waiting: number;
+  /** Queued requests that have to run at a software version. */
+  readonly pinned: Map<core.SoftwareVersion, number>;
   atMs: number;
 }
 
@@ -46,16 +50,23 @@
     meter.workMsPerS += workMs * MS_PER_S / WINDOW_MS;
   }
 
-  /** Counts a request as queued until the returned function is called. */
+  /**
+   * Counts a request as queued until the returned function is called.
+   *
+   * @param softwareVersion the only one at which it may run, if there is one.
+   */
   trackQueued(
     model: core.ModelName,
     adapter: string | undefined,
     nowMs: number,
+    softwareVersion?: core.SoftwareVersion,
   ): () => void {
     const meter = this.#meter(model, adapter, nowMs);
     meter.waiting++;
+    if (softwareVersion !== undefined) addPinned(meter, softwareVersion, 1);
     return () => {
       meter.waiting--;
+      if (softwareVersion !== undefined) addPinned(meter, softwareVersion, -1);
     };
   }
 
@@ -68,13 +79,14 @@
         this.#meters.delete(key);
         continue;
       }
-      const { model, adapter, ratePerS, workMsPerS, waiting } = meter;
+      const { model, adapter, ratePerS, workMsPerS, waiting, pinned } = meter;
       entries.push({
         model,
         ...(adapter === undefined ? {} : { adapter }),
         ratePerS,
         workMsPerS,
         waiting,
+        pinnedVersions: [...pinned.keys()],
       });
     }
     return entries;
@@ -88,7 +100,13 @@
     const key = toModelKey(model, adapter);
     let meter = this.#meters.get(key);
     if (!meter) {
-      const empty = { ratePerS: 0, workMsPerS: 0, waiting: 0, atMs: nowMs };
+      const empty = {
+        ratePerS: 0,
+        workMsPerS: 0,
+        waiting: 0,
+        pinned: new Map(),
+        atMs: nowMs,
+      };
       meter = adapter === undefined
         ? { model, ...empty }
         : { model, adapter, ...empty };
@@ -104,3 +122,13 @@
     meter.atMs = nowMs;
   }
 }
+
+function addPinned(
+  { pinned }: Meter,
+  softwareVersion: core.SoftwareVersion,
+  change: 1 | -1,
+): void {
+  const count = (pinned.get(softwareVersion) ?? 0) + change;
+  if (count > 0) pinned.set(softwareVersion, count);
+  else pinned.delete(softwareVersion);
+}
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -258,6 +258,19 @@
   t.deepEqual(tracker.snapshot(60_000), []);
 });
 
+test("demand tells the software versions at which queued requests have to run", (t) => {
+  const tracker = new dispatch.DemandTracker();
+  const version = core.brandId<core.SoftwareVersion>("v1");
+  const dequeue = [version, version, undefined].map((pinned) =>
+    tracker.trackQueued(model, "a1", 0, pinned)
+  );
+  t.deepEqual(tracker.snapshot(0)[0]?.pinnedVersions, [version]);
+  dequeue[0]!();
+  t.deepEqual(tracker.snapshot(0)[0]?.pinnedVersions, [version]);
+  dequeue[1]!();
+  t.like(tracker.snapshot(0)[0], { waiting: 1, pinnedVersions: [] });
+});
+
 test("a model's decode step time follows the shortest gaps", (t) => {
   const stepTimes = new dispatch.StepTimeEstimator();
   for (let n = 0; n < 30; n++) stepTimes.recordEventGap(model, 30, 3);
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -22,7 +22,10 @@
     bornMs: state.startedAtMs,
     accepts: state.isReady,
     uses,
-    demand: state.demand.snapshot(nowMs),
+    demand: state.demand.snapshot(nowMs).map((entry) => ({
+      ...entry,
+      pinnedVersions: [...entry.pinnedVersions],
+    })),
   });
 }
 
@@ -116,17 +119,25 @@
       const key = dispatch.toModelKey(entry.model, entry.adapter);
       const sum = sums.get(key);
       if (!sum) {
-        sums.set(key, { ...entry });
+        sums.set(key, {
+          ...entry,
+          pinnedVersions: [...entry.pinnedVersions],
+        });
         continue;
       }
       sum.ratePerS += entry.ratePerS;
       sum.waiting += entry.waiting;
       sum.workMsPerS += entry.workMsPerS;
+      sum.pinnedVersions = union(sum.pinnedVersions, entry.pinnedVersions);
     }
   }
   return [...sums.values()];
 }
 
+function union(a: readonly string[], b: readonly string[]): string[] {
+  return [...new Set([...a, ...b])];
+}
+
 /** Sums the queued requests of digests by model and adapter. */
 export function sumQueues(
   digests: Iterable<peers.NodeDigest>,
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -351,6 +351,7 @@
         .filter(([, { phase }]) => phase === "ready");
       return [{
         id: state.record.id,
+        softwareVersion: state.record.softwareVersion,
         isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
         canOrder: !isBlocked && !inventory.isBusy,
         slotsFree: spec.adapterSlots - inventory.adapterCount,
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -104,7 +104,7 @@
     const service = this.#serviceOf(request);
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
-    const { softwareVersion, hasStarted } = history;
+    const { softwareVersion } = history;
     if (softwareVersion !== undefined) {
       const reason = this.#whyNotContinued(request, softwareVersion);
       if (reason !== undefined) return reject(reason);
@@ -133,7 +133,7 @@
       return assigned && ok(assigned);
     };
     const selected = trySelect() ??
-      await this.#waitInQueue(request, model, trySelect, hasStarted, signal);
+      await this.#waitInQueue(request, model, trySelect, history, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
     await this.#awaitExchange(signal);
@@ -462,7 +462,7 @@
     request: relay.RelayedRequest,
     model: core.ModelName,
     trySelect: () => SelectionResult | undefined,
-    hasStarted: boolean,
+    { hasStarted, softwareVersion }: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const { queue, demand } = this.#state;
@@ -489,7 +489,8 @@
       const reason = `queue is ${Math.round(waitMs)} ms long`;
       return rejectWithReturn(reason);
     }
-    const stopTracking = demand.trackQueued(model, caller.adapter, nowMs);
+    const stopTracking = demand
+      .trackQueued(model, caller.adapter, nowMs, softwareVersion);
     this.onQueued();
     const selected = await queue.wait({
       priority: route.priority,
--- a/packages/entry/entry_totals.ts
+++ b/packages/entry/entry_totals.ts
@@ -84,5 +84,11 @@
     adapter,
     ratePerS: (known?.ratePerS ?? 0) + ratePerS,
     waiting: (known?.waiting ?? 0) + waiting,
+    pinnedVersions: new Set([
+      ...known?.pinnedVersions ?? [],
+      ...entry.pinnedVersions.map((version) =>
+        core.brandId<core.SoftwareVersion>(version)
+      ),
+    ]),
   });
 }
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -7,6 +7,7 @@
 import { EntryState } from "../../entry_state.ts";
 import * as testing from "../../../testing/mod.ts";
 import { TableNewsExchange } from "../../entry_table_news.ts";
+import { sumDigests } from "../../entry_totals.ts";
 import { makeEntrySettings } from "../entry_settings.ts";
 import { NoListener } from "../no_listener.ts";
 
@@ -257,3 +258,26 @@
     t.is(view.quarantine, undefined);
   }
 });
+
+// Guards against a lease holder that does not know which software versions lack
+// an adapter, as its demand comes from other nodes.
+test("the versions at which requests have to run reach the root, each once", (t) => {
+  const root = new TestNode("root");
+  const leader = new TestNode("leader");
+  const leaves = [0, 1, 2].map((n) => new TestNode(`leaf-${n}`));
+  const versions = ["v1", "v2", "v1"].map((name) =>
+    core.brandId<core.SoftwareVersion>(name)
+  );
+  for (const [n, leaf] of leaves.entries()) {
+    const nowMs = core.monotonicMs();
+    leaf.state.demand.trackQueued(model, "a1", nowMs, versions[n]);
+    leaf.exchangeWith(leader);
+  }
+  leader.state.demand.trackQueued(model, "a1", core.monotonicMs());
+  leader.exchangeWith(root);
+  const { adapterDemand } = sumDigests(root.hub.digests(core.monotonicMs()));
+  const [demand, ...others] = adapterDemand.values();
+  t.is(others.length, 0);
+  t.is(demand?.waiting, 4);
+  t.deepEqual([...demand?.pinnedVersions ?? []].sort(), versions.slice(0, 2));
+});
--- a/packages/placement/placement_adapters.ts
+++ b/packages/placement/placement_adapters.ts
@@ -7,6 +7,8 @@
   readonly adapter: string;
   readonly ratePerS: number;
   readonly waiting: number;
+  /** Software versions at which some of the waiting requests have to run. */
+  readonly pinnedVersions: ReadonlySet<core.SoftwareVersion>;
 }
 
 /** An adapter on an engine. */
@@ -22,6 +24,7 @@
 /** An engine, as input of the adapter plan. */
 export interface AdapterEngine {
   readonly id: core.UpstreamId;
+  readonly softwareVersion: core.SoftwareVersion;
   /** Whether new work may be planned for it. */
   readonly isUsable: boolean;
   /** Whether an order can be sent to it now. */
@@ -49,9 +52,10 @@
 
 /**
  * Plans loads of adapters, those with most waiting requests first, on the
- * engine with the model and the fewest in-flight requests. An engine that is
- * full evicts its idle adapter with the lowest rate first. Each engine gets at
- * most one action.
+ * engine with the model and the fewest in-flight requests; where requests have
+ * to run at a software version, on one of that version. An engine that is full
+ * evicts its idle adapter with the lowest rate first. Each engine gets at most
+ * one action.
  *
  * @example
  * ```ts
@@ -66,31 +70,55 @@
   const actions: AdapterAction[] = [];
   const plannedEngines = new Set<core.UpstreamId>();
   const byWaiting = [...demand].sort((a, b) => b.waiting - a.waiting);
-  for (const { model, adapter, ratePerS, waiting } of byWaiting) {
-    const replicas = engines.filter((engine) =>
-      engine.isUsable && holds(engine, model, adapter)
-    ).length;
-    const target = ratePerS >= SECOND_REPLICA_RATE_PER_S ? 2 : 1;
-    if (replicas >= target || (waiting === 0 && replicas > 0)) {
-      continue;
-    }
-    if (waiting === 0 && ratePerS < SECOND_REPLICA_RATE_PER_S) {
-      continue;
-    }
-    const engine = pickEngine(engines, plannedEngines, model, adapter);
-    if (!engine) {
-      continue;
+  for (const entry of byWaiting) {
+    const { model, adapter } = entry;
+    for (const candidates of enginesToLoadOn(engines, entry)) {
+      const engine = pickEngine(candidates, plannedEngines, model, adapter);
+      const action = engine && actionOn(engine, model, adapter, sizeMb(model));
+      if (!action) continue;
+      plannedEngines.add(engine.id);
+      actions.push(action);
     }
-    const action = actionOn(engine, model, adapter, sizeMb(model));
-    if (!action) {
-      continue;
-    }
-    plannedEngines.add(engine.id);
-    actions.push(action);
   }
   return actions;
 }
 
+/** Returns groups of engines; one of each has to load the adapter. */
+function enginesToLoadOn(
+  engines: readonly AdapterEngine[],
+  demand: AdapterDemand,
+): (readonly AdapterEngine[])[] {
+  const ofPinnedVersions = [...demand.pinnedVersions]
+    .map((version) =>
+      engines.filter(({ softwareVersion, isUsable, models }) =>
+        softwareVersion === version && isUsable && models.has(demand.model)
+      )
+    )
+    .filter((group) => group.length > 0 && countReplicas(group, demand) === 0);
+  if (ofPinnedVersions.length > 0) return ofPinnedVersions;
+  return needsReplica(engines, demand) ? [engines] : [];
+}
+
+function needsReplica(
+  engines: readonly AdapterEngine[],
+  demand: AdapterDemand,
+): boolean {
+  const { ratePerS, waiting } = demand;
+  const replicas = countReplicas(engines, demand);
+  const isBusy = ratePerS >= SECOND_REPLICA_RATE_PER_S;
+  if (replicas >= (isBusy ? 2 : 1)) return false;
+  return waiting > 0 || (replicas === 0 && isBusy);
+}
+
+function countReplicas(
+  engines: readonly AdapterEngine[],
+  { model, adapter }: AdapterDemand,
+): number {
+  return engines.filter((engine) =>
+    engine.isUsable && holds(engine, model, adapter)
+  ).length;
+}
+
 function holds(
   { adapters }: AdapterEngine,
   model: core.ModelName,
