Leave out software versions that no key of the store can hold

What callers saw: not seen. One row of an upstream with a version of hundreds of characters, or one that is no valid text, would stop the rows of all versions and of all origins, so that streams are rejected after a kill.

Cause: such a version has no key, or one that the store rejects together with the whole transaction, and it was tried again for ever.

Evidence: entry_origin_rows_test, "a version that no key can hold is left out", before the change: "URIError: URI malformed" in the task.

Ruled out: keys of a fixed length for all versions, which the operator could not read.

Change: versions without a key are left out. After all nodes were killed, such a version is known from the list of upstreams alone.

--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -14,6 +14,8 @@
 const VERSION_PREFIX = "software/";
 /** Table of origins; no node follows it, as few streams are taken up. */
 const ORIGIN_TABLE = "carawaywind-origins";
+/** Longest key that the store takes. */
+const KEY_LENGTH_MAX = 200;
 /** Interval at which rows that are due are written. */
 const WRITE_INTERVAL_MS = 100;
 /** Pause after a failed call. */
@@ -233,7 +235,8 @@
   async #writeVersions(): Promise<void> {
     const nowMs = core.monotonicMs();
     const { softwareVersions, logger } = this.#state;
-    const added = softwareVersions.unrecorded(nowMs).slice(0, DELETIONS_MAX);
+    const added = softwareVersions.unrecorded(nowMs).filter(hasKey)
+      .slice(0, DELETIONS_MAX);
     const outdated = softwareVersions.outdated(nowMs).slice(0, DELETIONS_MAX);
     if (added.length + outdated.length === 0) return;
     const isWritten = await this.#transact([
@@ -351,6 +354,12 @@
   return `${NODE_TABLE}/${VERSION_PREFIX}${parts.join("/")}`;
 }
 
+/** Whether a key can hold the version; upstreams may name any text. */
+function hasKey(version: origins.ServiceVersion): boolean {
+  return purify.Maybe.encase(() => versionKey(version))
+    .filter((key) => key.length <= KEY_LENGTH_MAX).isJust();
+}
+
 /** @param key without the name of the table. */
 function parseVersionKey(key: string): origins.ServiceVersion | undefined {
   if (!key.startsWith(VERSION_PREFIX)) return undefined;
--- a/packages/entry/tests/memory_table.ts
+++ b/packages/entry/tests/memory_table.ts
@@ -9,6 +9,9 @@
   detail: "away",
 };
 
+/** Longer keys are rejected, with the whole transaction. */
+const KEY_BYTES_MAX = 200;
+
 /** Keeps committed writes; rejects the calls that a test wants to fail. */
 export class MemoryTable extends store.TableService {
   readonly rows = new Map<string, core.JsonValue>();
@@ -45,7 +48,8 @@
   }
 
   override transact({ writes }: store.Transaction) {
-    if (this.refusesWrites) return Promise.resolve(err(AWAY));
+    const isTooLong = writes.some(({ key }) => key.length > KEY_BYTES_MAX);
+    if (this.refusesWrites || isTooLong) return Promise.resolve(err(AWAY));
     this.transactions.push([...writes]);
     for (const { key, value } of writes) {
       if (value === null) this.rows.delete(key);
--- a/packages/entry/tests/unit/entry_origin_rows_test.ts
+++ b/packages/entry/tests/unit/entry_origin_rows_test.ts
@@ -376,3 +376,16 @@
     );
   }, SHORT_TIMES);
 });
+
+// Guards against one upstream that names an odd version, without whose row no
+// other row would be written.
+test("a version that no key can hold is left out", async (t) => {
+  const table = new MemoryTable();
+  const odd = ["x".repeat(300), "\ud800"].map((name) =>
+    core.brandId<core.SoftwareVersion>(name)
+  );
+  const root = new RowsNode("n1", table, { versions: [...odd, v1] });
+  root.begin("a");
+  await withNodes([root], () => waitUntilStored(table, "a"));
+  t.deepEqual(table.keysOf(NODE_TABLE), [`${NODE_TABLE}/software/chat/v1`]);
+});
