Send all origins again to a parent that started anew unnoticed

What callers saw: not seen. Streams that were taken up elsewhere could be rejected as unknown, while the node that served them was still there.

Cause: a node sends its parent each origin once, and all of them again if an exchange failed. A node that was held up while its parent was killed and started anew sees no failure, as a new connection is made for the next call.

Evidence: entry_origins_test, "a parent that started anew between two exchanges gets all origins again", before the change: 0 in place of 2.

Ruled out: telling it by the member's row, which may arrive later.

Change: the parent's view names its run, as the rows of members do.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -154,6 +154,7 @@
       level: this.#level,
       queues: this.#currentSums(nowMs).queues,
       origins: this.#origins.exchange(digest, nowMs),
+      incarnation: this.#state.incarnation,
     });
   }
 
--- a/packages/entry/entry_origins.ts
+++ b/packages/entry/entry_origins.ts
@@ -45,6 +45,7 @@
 export class OriginExchange {
   readonly #state: EntryState;
   #parent: string | undefined;
+  #parentIncarnation = "";
   #deliveredPosition = 0;
   #sentPosition = 0;
 
@@ -69,8 +70,15 @@
   }
 
   /** The parent has answered: it has what was sent, and tells what it knows. */
-  applyFromParent({ origins: found }: peers.FleetView, nowMs: number): void {
-    this.#deliveredPosition = this.#sentPosition;
+  applyFromParent(
+    { origins: found, incarnation }: peers.FleetView,
+    nowMs: number,
+  ): void {
+    // A parent that has started anew lacks what was sent before.
+    const isSame = this.#parentIncarnation === incarnation ||
+      this.#deliveredPosition === 0;
+    this.#parentIncarnation = incarnation;
+    this.#deliveredPosition = isSame ? this.#sentPosition : 0;
     this.#record(found, nowMs);
   }
 
--- a/packages/entry/tests/unit/entry_origins_test.ts
+++ b/packages/entry/tests/unit/entry_origins_test.ts
@@ -116,6 +116,19 @@
   t.true(restarted.knows("a") && restarted.knows("b"));
 });
 
+// Guards against a node that was held up while its parent started anew, and saw
+// no exchange fail.
+test("a parent that started anew between two exchanges gets all origins again", (t) => {
+  const { leafA } = makeTree();
+  leafA.begin("a", "b");
+  leafA.exchangeWith(new TreeNode("leader-a"));
+  const restarted = new TreeNode("leader-a");
+  leafA.exchangeWith(restarted);
+  t.is(leafA.exchangeWith(restarted).origins.length, 2);
+  t.true(restarted.knows("a") && restarted.knows("b"));
+  t.is(leafA.exchangeWith(restarted).origins.length, 0);
+});
+
 // Guards against origins that are lost with the message that carried them.
 test("origins of a message without an answer are sent again", (t) => {
   const { leaderA, leafA } = makeTree();
