Continue a completion stream only at an engine of its software version

What callers saw: in the product's own interface, a stream whose engine broke off went on at any engine that held the model, also at one with other software, whose events need not follow those that the caller had.

Cause: engines did not tell their software version there.

Ruled out: the entry of the instance list, which the platform writes and which lags behind a restart; the report comes from the engine itself and names its incarnation as well.

Change: an engine's report may tell `softwareVersion`; peers pass it on with the rest of the report. The version that the report told when the attempt was sent is that of the stream; absent equals absent. If no engine of the version is left, the stream ends with an error event, as it does if none can go on.

--- a/packages/fakes/fake_engine.ts
+++ b/packages/fakes/fake_engine.ts
@@ -71,6 +71,8 @@
   memory: FakeEngineMemory;
   incarnation = randomUUID();
   role = "mixed";
+  /** Version of its software, in reports; absent if undefined. */
+  softwareVersion: string | undefined;
   leaving = false;
   leavingSinceMs = 0;
   /** Longest time after `leave` at which a request still started, in ms. */
@@ -164,6 +166,9 @@
       firstTokenMs: this.options.firstTokenMs,
       tokenMs: this.options.tokenMs,
       leaving: this.leaving,
+      ...(this.softwareVersion === undefined
+        ? {}
+        : { softwareVersion: this.softwareVersion }),
     };
   }
 
--- a/packages/gateway/gateway_completions.ts
+++ b/packages/gateway/gateway_completions.ts
@@ -126,7 +126,9 @@
       const view = await this.#selector.select(completion, progress);
       if (view.isErr()) return err(withRan(view.error, progress.ran));
       const othersInFlight = view.value.inFlight - 1;
+      const softwareVersion = view.value.load?.softwareVersion;
       const response = await this.#attempt(completion, view.value, relay);
+      if (relay.hasStarted) progress.streamOrigin ??= { softwareVersion };
       const finalFailure = response.isErr()
         ? this.#handleFailure(completion, progress, {
           view: view.value,
--- a/packages/gateway/gateway_engine_selector.ts
+++ b/packages/gateway/gateway_engine_selector.ts
@@ -24,6 +24,8 @@
   ran: core.Ran;
   lastFailure: core.Failure;
   readonly triedIds: Set<core.UpstreamId>;
+  /** What wrote the first events of a stream, if there are any. */
+  streamOrigin?: { readonly softwareVersion: core.SoftwareVersion | undefined };
 }
 
 /** Selects engines for one instance's completions. */
@@ -46,6 +48,7 @@
   /**
    * Selects an untried engine that holds the artifact, or waits for a load if
    * no engine holds it. Once all holders were tried, returns the last failure.
+   * A stream goes on only at an engine of the software version that began it.
    * The request counts in the requests of the selected engine from then on.
    */
   async select(
@@ -54,7 +57,7 @@
   ): Promise<Result<routing.EngineView, core.Failure>> {
     const { policy } = this.#dependencies;
     const { artifactId } = completion;
-    const holders = this.#holders(artifactId);
+    const holders = this.#holders(artifactId, progress);
     const untried = holders
       .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
     if (
@@ -62,7 +65,9 @@
     ) {
       return err(progress.lastFailure);
     }
-    if (untried.length === 0) return await this.#waitForLoad(completion);
+    if (untried.length === 0) {
+      return await this.#waitForLoad(completion, progress);
+    }
     const open = this.#withPlace(untried);
     const hasOpen = open.length > 0;
     // What has begun elsewhere goes first; its caller may have part of it.
@@ -78,9 +83,14 @@
     return this.#checkDeadline(completion, view, request, untried).map(reserve);
   }
 
-  #holders(artifactId: core.ArtifactId): routing.EngineView[] {
-    return this.#dependencies.fleet.usableEngines()
-      .filter((view) => view.holds(artifactId));
+  #holders(
+    artifactId: core.ArtifactId,
+    { streamOrigin }: AttemptProgress,
+  ): routing.EngineView[] {
+    return this.#dependencies.fleet.usableEngines().filter((view) =>
+      view.holds(artifactId) && (streamOrigin === undefined ||
+        view.load?.softwareVersion === streamOrigin.softwareVersion)
+    );
   }
 
   #withPlace(views: readonly routing.EngineView[]): routing.EngineView[] {
@@ -136,7 +146,7 @@
     completion: CompletionRequest,
     progress: AttemptProgress,
   ): routing.EngineView | "noHolder" | undefined {
-    const untried = this.#holders(completion.artifactId)
+    const untried = this.#holders(completion.artifactId, progress)
       .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
     if (untried.length === 0) return "noHolder";
     const view = this.#dependencies.policy
@@ -146,6 +156,7 @@
 
   async #waitForLoad(
     completion: CompletionRequest,
+    progress: AttemptProgress,
   ): Promise<Result<routing.EngineView, core.Failure>> {
     const waited = await this.#coldStart.waitForLoad(
       completion.row,
@@ -155,10 +166,11 @@
     );
     if (waited.isErr()) return err(waited.error);
     const view = this.#dependencies.policy.choose(
-      this.#holders(completion.artifactId),
+      this.#holders(completion.artifactId, progress),
       this.#toRoutedRequest(completion),
     );
     if (view) return ok(reserve(view));
+    if (progress.streamOrigin) return err(progress.lastFailure);
     return err(core.refuse(core.NO_UPSTREAM, "no engine is live"));
   }
 
--- a/packages/instance/peers/peers_digest.ts
+++ b/packages/instance/peers/peers_digest.ts
@@ -108,5 +108,10 @@
     usedBytes: Number(digest.usedBytes),
     leaving: digest.leaving,
     silent: digest.silent,
+    ...(digest.softwareVersion === undefined ? {} : {
+      softwareVersion: core.brandId<core.SoftwareVersion>(
+        digest.softwareVersion,
+      ),
+    }),
   };
 }
--- a/packages/instance/peers/peers_engine_updates.ts
+++ b/packages/instance/peers/peers_engine_updates.ts
@@ -105,8 +105,9 @@
 }
 
 function fingerprintOf(load: routing.EngineLoad): string {
-  const { incarnation, artifacts, leaving, silent } = load;
-  return `${incarnation}|${leaving}|${silent}|${artifacts.join()}`;
+  const { incarnation, softwareVersion, artifacts, leaving, silent } = load;
+  const run = `${incarnation}|${softwareVersion}`;
+  return `${run}|${leaving}|${silent}|${artifacts.join()}`;
 }
 
 function loadStepOf({ running, waiting, slots }: routing.EngineLoad): number {
--- a/packages/routing/routing_fleet.ts
+++ b/packages/routing/routing_fleet.ts
@@ -19,6 +19,8 @@
   readonly leaving: boolean;
   /** Whether the instances that watch it no longer receive its reports. */
   readonly silent: boolean;
+  /** Engines that tell none count as running the same software. */
+  readonly softwareVersion?: core.SoftwareVersion;
 }
 
 /**
@@ -305,5 +307,8 @@
     usedBytes: report.kvReserveBytes + report.roleOverheadBytes + weightBytes,
     leaving: report.leaving,
     silent: false,
+    ...(report.softwareVersion === undefined
+      ? {}
+      : { softwareVersion: report.softwareVersion }),
   };
 }
--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -1,6 +1,14 @@
 /** Client of model engines: completions, status reports and orders. */
 import { err, ok, type Result } from "neverthrow";
-import { array, boolean, Codec, enumeration, number, string } from "purify-ts";
+import {
+  array,
+  boolean,
+  Codec,
+  enumeration,
+  number,
+  optional,
+  string,
+} from "purify-ts";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
@@ -96,6 +104,7 @@
   firstTokenMs: number,
   tokenMs: number,
   leaving: boolean,
+  softwareVersion: optional(string),
 });
 
 const CompletionIdCodec = Codec.interface({ id: string });
--- a/packages/upstream/upstream_types.ts
+++ b/packages/upstream/upstream_types.ts
@@ -34,6 +34,8 @@
   readonly firstTokenMs: number;
   readonly tokenMs: number;
   readonly leaving: boolean;
+  /** Version of the engine's software, if it tells one. */
+  readonly softwareVersion?: core.SoftwareVersion;
 }
 
 export interface EngineOrder {
