Test that a node that was held up hears of new versions before it infers one

A node that wakes waits for an exchange that began after the take-up came, and refuses the stream if a second version is known by then. It passed when it was written.

--- a/packages/entry/tests/unit/entry_take_ups_test.ts
+++ b/packages/entry/tests/unit/entry_take_ups_test.ts
@@ -300,3 +300,15 @@
   t.true(node.exchanges <= 2 + tookMs / 25, `${node.exchanges} exchanges`);
   t.is(node.asked.size, 60);
 });
+
+// Guards against a node that was held up, wakes, and takes the only version that
+// it knew before for the only one.
+test("a node that was held up hears of new versions before it infers one", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  node.learns = false;
+  const resolving = node.resolve("a");
+  await core.sleep(250);
+  node.state.softwareVersions.add({ service, softwareVersion: v2 });
+  node.learns = true;
+  t.is(await resolving, UNKNOWN);
+});
