--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -3,6 +3,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import * as core from "../core/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import type { GatewayAdmission } from "./gateway_admission.ts";
 import type { GatewayContext } from "./gateway_types.ts";
 
 /** Header with the time until the caller's deadline, in milliseconds. */
@@ -122,14 +123,32 @@
 }
 
 /**
- * Returns a signal that aborts when the caller's connection closes before the
+ * Returns an aborter that aborts when the caller's connection closes before the
  * response has been sent completely.
  */
-export function callerDisconnectSignal(context: GatewayContext): AbortSignal {
-  const controller = new AbortController();
+export function makeAborter(context: GatewayContext): AbortController {
+  const aborter = new AbortController();
   const { outgoing } = context.env;
-  outgoing.once("close", () => {
-    if (!outgoing.writableFinished) controller.abort();
-  });
-  return controller.signal;
+  const onClose = () => {
+    if (!outgoing.writableFinished) aborter.abort();
+  };
+  outgoing.once("close", onClose);
+  if (outgoing.destroyed) onClose();
+  return aborter;
+}
+
+/**
+ * Closes the caller's connection after the response if the instance is leaving,
+ * unless further responses are owed on it. To be called before the head of the
+ * response is written.
+ */
+export function closeIfLeaving(
+  context: GatewayContext,
+  admission: GatewayAdmission,
+): void {
+  if (admission.phase === "serving") return;
+  if (context.env.hasLaterRequests()) return;
+  // Not by a header of the response: to add one, Hono would make another
+  // response, which throws if the status allows no body.
+  context.env.outgoing.shouldKeepAlive = false;
 }
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -15,6 +15,7 @@
 import * as table from "../table/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { makePlacement, makeRouting } from "./instance_policies.ts";
+import { PlannedStop } from "./instance_stop.ts";
 import { CallersListener } from "./callers/callers_listener.ts";
 import { LimitsReleaseTask } from "./callers/callers_limits_task.ts";
 import { DigestManager } from "./peers/peers_digest.ts";
@@ -36,8 +37,6 @@
 const CLAIM_WRITES_IN_FLIGHT_MAX = 4;
 const RETRIES_PER_REQUEST = 0.1;
 const RETRY_BALANCE_MAX = 20;
-/** How long a graceful shutdown waits for callers to close connections. */
-const CONNECTION_CLOSE_WAIT_MS = 6_000;
 /**
  * Poll interval per live member, so that all members together read the table's
  * revision about 80 times per second.
@@ -54,7 +53,6 @@
 /** An engine is unusable if its report is older than this × `silentAfterMs`. */
 const STALE_FACTOR = 12;
 const CLAIM_SETTLE_WAIT_MS = 500;
-const CLAIM_DRAIN_MAX_MS = 5_000;
 
 /** Policies that replace those named in the settings. */
 export interface InstancePolicies {
@@ -140,7 +138,7 @@
       origin: validSettings.platform.instanceListUrl,
       timeoutMs,
     });
-    this.#tableStore = new table.TableStore(this.store);
+    this.#tableStore = new table.TableStore(this.store, validSettings.table);
     this.#tablePollTask = new TablePollTask(
       this.#tableStore,
       this.tableCache,
@@ -297,27 +295,21 @@
     return { ...addresses, callerPort, peerPort };
   }
 
-  /**
-   * Shuts down gracefully: announces that the instance is leaving, stops
-   * admitting requests after a grace period, and waits up to
-   * `drain.finishMaxMs` for in-flight requests to finish.
-   */
+  /** Shuts down gracefully: see `PlannedStop`. */
   async stop(): Promise<void> {
     const { drain, peers: peerSettings } = this.#settings;
-    this.logger.info("instance_leaving", {
-      inProgress: this.admission.inProgress,
+    const plannedStop = new PlannedStop({
+      logger: this.logger,
+      admission: this.admission,
+      directory: this.directory,
+      exchange: this.#exchangeTask,
+      claims: this.claimRunner,
+      listener: this.#callersListener,
+      entriesMaxAgeMs: drain.entriesMaxAgeMs,
+      exchangeIntervalMs: peerSettings.exchangeIntervalMs,
+      finishMaxMs: drain.finishMaxMs,
     });
-    this.admission.markLeaving();
-    this.directory.markSelfLeaving();
-    await this.#exchangeTask.exchangeWithAll();
-    // Callers may use a cached /v1/entries response, which still lists this
-    // instance, until it expires.
-    const graceMs = drain.entriesMaxAgeMs + peerSettings.exchangeIntervalMs * 2;
-    await core.sleep(graceMs);
-    this.admission.startRejecting();
-    const idle = await this.admission.whenIdle(drain.finishMaxMs);
-    await this.claimRunner.settler.drain(CLAIM_DRAIN_MAX_MS);
-    await this.#callersListener.close(CONNECTION_CLOSE_WAIT_MS);
+    const idle = await plannedStop.run();
     await this.#supervisor.stop();
     // With nothing in use, the second call releases what the first one kept.
     await this.#limitShares.releaseUnused();
