Reject a queued stream once only other software versions hold its model

What callers saw: a stream whose model no engine held was queued, and stayed there to the end of its time although the model had been loaded meanwhile, on an engine of another version.

Cause: whether an engine of its version can continue it was asked only before it was queued.

Evidence: entry_selector_test, "a queued stream is rejected once only other software versions hold its model", before the change: 'no engine in time' in place of 'no engine of software version v1 holds the model'.

Ruled out: loading the model a second time, for the version of the stream; a load takes longer than most callers wait, and evicts what others use.

Change: it is asked whenever an engine is sought for the queued stream.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -107,11 +107,8 @@
     const service = this.#serviceOf(request);
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
-    const { softwareVersion } = history;
-    if (softwareVersion !== undefined) {
-      const reason = this.#candidates.whyNotContinued(request, softwareVersion);
-      if (reason !== undefined) return reject(reason);
-    }
+    const ended = this.#rejectNotContinued(request, history);
+    if (ended) return ended;
     if (!service.engine || model === undefined) {
       return this.#selectInstance(request, service, history);
     }
@@ -123,7 +120,8 @@
       this.#recordDemand(request, model, core.monotonicMs());
     }
     const trySelect = (): SelectionResult | undefined => {
-      const rejected = this.#rejectQuarantined(parts);
+      const rejected = this.#rejectQuarantined(parts) ??
+        this.#rejectNotContinued(request, history);
       if (rejected) return rejected;
       const assigned = this.#assignEngine(
         request,
@@ -167,6 +165,16 @@
     return reject(reason, QUARANTINE_RETRY_AFTER_MS);
   }
 
+  /** Rejects a stream that no upstream of its software version can continue. */
+  #rejectNotContinued(
+    request: relay.RelayedRequest,
+    { softwareVersion }: relay.AttemptHistory,
+  ): SelectionResult | undefined {
+    if (softwareVersion === undefined) return undefined;
+    const reason = this.#candidates.whyNotContinued(request, softwareVersion);
+    return reason === undefined ? undefined : reject(reason);
+  }
+
   /** Waits for an exchange with other nodes if the last one is too old. */
   async #awaitExchange(signal: AbortSignal): Promise<void> {
     const untilMs = core.monotonicMs() + EXCHANGE_WAIT_MS;
--- a/packages/entry/tests/unit/entry_selector_test.ts
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -347,6 +347,27 @@
   t.true((await selecting).isOk());
 });
 
+// Guards against a take-up that waits on after the model was loaded elsewhere.
+test("a queued stream is rejected once only other software versions hold its model", async (t) => {
+  const { state, selector } = makeNode(["e1", "e2"], ["v1", "v2"]);
+  const pinned = { ...history(false), softwareVersion: version("v1") };
+  const [, other] = state.upstreams.all();
+  for (const each of state.upstreams.all()) each.setReplicas(new Map());
+  const startedAtMs = core.monotonicMs();
+  const selecting = selector.select(makeRequest("a"), pinned, never);
+  await core.sleep(20);
+  t.is(state.queue.size, 1);
+  other!.setListedReplicas();
+  selector.selectForQueued();
+  const rejected = await selecting;
+  t.is(
+    rejected.isErr() ? rejected.error.reason : "selected",
+    "no engine of software version v1 holds the model",
+  );
+  t.true(core.monotonicMs() - startedAtMs < 150);
+  t.is(state.queue.size, 0);
+});
+
 // Guards against a stream that waits to its end, while the engine that broke it
 // off is the only one that could go on with it.
 test("a stream returns to the engine that broke it off, if no other of its version can run it", async (t) => {
