Read and write rows of origins only at nodes that know the members

What callers saw: nothing wrong; calls to the store. After a start of all nodes, half of them read all rows of origins, and some wrote the rows of the versions, each as the root.

Cause: a node that has not read the member rows takes itself for the only one, and so for the root. The task looks every 100 ms, and could find the members read and the role from the exchange before.

Evidence: entry_origins_test, "a node that does not know the members yet is not the root", before the change: isRoot is true.

Ruled out: waiting some time as the root before the first rows, which would lose the streams of that time.

Change: a node counts as the root only if it knew the members when it began the exchange.

--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -98,7 +98,7 @@
     this.#origins = new OriginExchange(state);
   }
 
-  /** Whether this node has no parent. */
+  /** Whether this node has no parent, as far as it knows the members. */
   get isRoot(): boolean {
     return this.#isRoot;
   }
@@ -312,7 +312,8 @@
     this.#parentViewAtMs = -Infinity;
     this.#parentEngineStates = undefined;
     this.#level = 0;
-    this.#isRoot = true;
+    // A node that knows no members takes itself for the only one.
+    this.#isRoot = this.#state.hasReadMembers;
     this.forgetParent();
   }
 
--- a/packages/entry/tests/unit/entry_origins_test.ts
+++ b/packages/entry/tests/unit/entry_origins_test.ts
@@ -163,6 +163,18 @@
   t.true(leaderA.knows("a"));
 });
 
+// Guards against nodes that all take themselves for the root when they start,
+// and each read and write the rows of the whole fleet.
+test("a node that does not know the members yet is not the root", (t) => {
+  const { hub, state } = makeTree().root;
+  hub.becomeRoot();
+  t.false(hub.isRoot);
+  state.hasReadMembers = true;
+  t.false(hub.isRoot);
+  hub.becomeRoot();
+  t.true(hub.isRoot);
+});
+
 test("a node asks for a limited number of streams, each for a while", (t) => {
   const { state } = makeTree().leafA;
   for (let n = 0; n < 2_000; n++) state.wantedStreams.add(stream(`s${n}`), 0);
