--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -14,20 +14,30 @@
 const VERSION_PREFIX = "software/";
 /** Table of origins; no node follows it, as few streams are taken up. */
 const ORIGIN_TABLE = "carawaywind-origins";
+/** Longest key that the store takes. */
+const KEY_LENGTH_MAX = 200;
 /** Interval at which rows that are due are written. */
 const WRITE_INTERVAL_MS = 100;
-/** Pause after a failed write. */
+/** Pause after a failed call. */
 const RETRY_MS = 500;
 /** Origins in one row, and the time for which it is written again. */
 const ROW_ORIGINS_MAX = 1_000;
 const ROW_OPEN_MS = 1_000;
 /** Rows deleted in one transaction. */
 const DELETIONS_MAX = 50;
-/** Interval at which rows that are no longer needed are deleted. */
-const DELETION_INTERVAL_MS = 10_000;
-/** Time after which the rows of another node are no longer needed. */
-const FOREIGN_ROW_TTL_MS = 120_000;
-/** Reads that follow each other more closely share the result. */
+/** Times after which rows are deleted. */
+export interface OriginRowTimes {
+  /** Interval at which rows that are no longer needed are deleted. */
+  readonly deletionIntervalMs: number;
+  /** Time for which the rows of an earlier root are needed. */
+  readonly adoptedTtlMs: number;
+}
+
+const ORIGIN_ROW_TIMES: OriginRowTimes = {
+  deletionIntervalMs: 10_000,
+  adoptedTtlMs: 120_000,
+};
+/** Interval between the starts of reads for lookups. */
 const READ_INTERVAL_MS = 100;
 
 const OriginRowCodec = purify.Codec.interface({
@@ -66,20 +76,40 @@
 export class OriginReader {
   readonly #state: EntryState;
   readonly #store: store.TableService;
-  #reading: Promise<boolean> | undefined;
+  /** The read in progress, and the one that follows it. */
+  #current: Promise<boolean> | undefined;
+  #next: Promise<boolean> | undefined;
+  #startedAtMs = -Infinity;
 
   constructor(state: EntryState, tableService: store.TableService) {
     this.#state = state;
     this.#store = tableService;
   }
 
-  /** Records the stored origins; false if the store could not be read. */
+  /**
+   * Records the origins that are stored from now on or earlier; false if the
+   * store could not be read. Reads follow each other, as each takes the whole
+   * table and one of few connections.
+   */
   read(): Promise<boolean> {
-    if (!this.#reading) {
-      this.#reading = this.readRows().then((keys) => keys !== undefined);
-      setTimeout(() => this.#reading = undefined, READ_INTERVAL_MS).unref();
+    if (!this.#current) return this.#current = this.#start();
+    // The one in progress may have passed over rows written since.
+    this.#next ??= this.#current.then(() => {
+      this.#next = undefined;
+      return this.#current ??= this.#start();
+    });
+    return this.#next;
+  }
+
+  async #start(): Promise<boolean> {
+    const sinceLastMs = core.monotonicMs() - this.#startedAtMs;
+    await core.sleep(Math.max(0, READ_INTERVAL_MS - sinceLastMs));
+    this.#startedAtMs = core.monotonicMs();
+    try {
+      return await this.readRows() !== undefined;
+    } finally {
+      this.#current = undefined;
     }
-    return this.#reading;
   }
 
   /** Records the stored origins and returns the keys of their rows. */
@@ -105,7 +135,7 @@
     const { ttlMs, groups } = row.value;
     for (const { service, softwareVersion, streams } of groups) {
       for (const stream of streams) {
-        this.#state.origins.record({
+        this.#state.origins.recordStored({
           stream: core.brandId<core.StreamKey>(stream),
           service: core.brandId<core.ServiceName>(service),
           softwareVersion: core.brandId<core.SoftwareVersion>(softwareVersion),
@@ -130,7 +160,11 @@
   readonly #store: store.TableService;
   readonly #reader: OriginReader;
   readonly #isRoot: () => boolean;
+  readonly #times: OriginRowTimes;
   #wasRoot = false;
+  /** Whether the rows of the root before are known. */
+  #hasAdopted = false;
+  #readAgainAtMs = -Infinity;
   /** Position and generation of the store up to which origins are written. */
   #savedPosition = 0;
   #savedGeneration: number | undefined;
@@ -148,12 +182,14 @@
     tableService: store.TableService,
     reader: OriginReader,
     isRoot: () => boolean,
+    times = ORIGIN_ROW_TIMES,
   ) {
     super();
     this.#state = state;
     this.#store = tableService;
     this.#reader = reader;
     this.#isRoot = isRoot;
+    this.#times = times;
   }
 
   override async run(signal: AbortSignal): Promise<void> {
@@ -162,9 +198,11 @@
       const nowMs = core.monotonicMs();
       if (nowMs < this.#retryAtMs || !this.#state.hasReadMembers) continue;
       const isRoot = this.#isRoot();
-      if (isRoot && !this.#wasRoot) await this.#adoptRows();
+      if (!isRoot) this.#hasAdopted = false;
+      if (isRoot && !this.#wasRoot) this.#savedPosition = 0;
       this.#wasRoot = isRoot;
       if (isRoot) {
+        if (!this.#hasAdopted) this.#hasAdopted = await this.#adoptRows();
         await this.#writeVersions();
         await this.#writeOrigins();
       }
@@ -172,23 +210,33 @@
     }
   }
 
-  /** Takes over the rows of nodes that may be gone, to delete them later. */
-  async #adoptRows(): Promise<void> {
-    this.#savedPosition = 0;
-    const keys = await this.#reader.readRows();
+  /**
+   * Takes over the rows of nodes that may be gone, to delete them later.
+   *
+   * @returns whether the rows could be read.
+   */
+  async #adoptRows(): Promise<boolean> {
     const nowMs = core.monotonicMs();
+    if (nowMs < this.#readAgainAtMs) return false;
+    const keys = await this.#reader.readRows();
+    if (!keys) {
+      this.#readAgainAtMs = core.monotonicMs() + RETRY_MS;
+      return false;
+    }
     const own = new Set(this.#rows.map(({ key }) => key));
-    for (const key of keys ?? []) {
+    for (const key of keys) {
       if (own.has(key)) continue;
-      const expiresAtMs = nowMs + FOREIGN_ROW_TTL_MS;
+      const expiresAtMs = nowMs + this.#times.adoptedTtlMs;
       this.#rows.push({ key, openedAtMs: nowMs, expiresAtMs });
     }
+    return true;
   }
 
   async #writeVersions(): Promise<void> {
     const nowMs = core.monotonicMs();
     const { softwareVersions, logger } = this.#state;
-    const added = softwareVersions.unrecorded(nowMs).slice(0, DELETIONS_MAX);
+    const added = softwareVersions.unrecorded(nowMs).filter(hasKey)
+      .slice(0, DELETIONS_MAX);
     const outdated = softwareVersions.outdated(nowMs).slice(0, DELETIONS_MAX);
     if (added.length + outdated.length === 0) return;
     const isWritten = await this.#transact([
@@ -207,13 +255,16 @@
 
   async #writeOrigins(): Promise<void> {
     const nowMs = core.monotonicMs();
-    const { origins: known, softwareVersions } = this.#state;
     // Without a second version, every stream is of the only one.
-    if (!softwareVersions.isMixed(nowMs)) return;
+    if (!this.#state.hasMixedStreams(nowMs)) return;
     const { generation } = this.#store;
     // A restored store may lack rows that were written.
     if (generation !== this.#savedGeneration) this.#savedPosition = 0;
-    const batch = known.since(this.#savedPosition, ROW_ORIGINS_MAX, nowMs);
+    const batch = this.#state.origins.since(
+      this.#savedPosition,
+      ROW_ORIGINS_MAX,
+      nowMs,
+    );
     if (batch.origins.length === 0) {
       this.#savedPosition = batch.position;
       return;
@@ -253,7 +304,7 @@
 
   async #deleteExpired(): Promise<void> {
     const nowMs = core.monotonicMs();
-    if (nowMs - this.#deletedAtMs < DELETION_INTERVAL_MS) return;
+    if (nowMs - this.#deletedAtMs < this.#times.deletionIntervalMs) return;
     this.#deletedAtMs = nowMs;
     const expired = this.#rows.filter((row) =>
       row.expiresAtMs < nowMs && row !== this.#openRow?.row
@@ -303,6 +354,12 @@
   return `${NODE_TABLE}/${VERSION_PREFIX}${parts.join("/")}`;
 }
 
+/** Whether a key can hold the version; upstreams may name any text. */
+function hasKey(version: origins.ServiceVersion): boolean {
+  return purify.Maybe.encase(() => versionKey(version))
+    .filter((key) => key.length <= KEY_LENGTH_MAX).isJust();
+}
+
 /** @param key without the name of the table. */
 function parseVersionKey(key: string): origins.ServiceVersion | undefined {
   if (!key.startsWith(VERSION_PREFIX)) return undefined;
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -107,11 +107,8 @@
     const service = this.#serviceOf(request);
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
-    const { softwareVersion, hasStarted } = history;
-    if (softwareVersion !== undefined) {
-      const reason = this.#candidates.whyNotContinued(request, softwareVersion);
-      if (reason !== undefined) return reject(reason);
-    }
+    const ended = this.#rejectNotContinued(request, history);
+    if (ended) return ended;
     if (!service.engine || model === undefined) {
       return this.#selectInstance(request, service, history);
     }
@@ -123,7 +120,8 @@
       this.#recordDemand(request, model, core.monotonicMs());
     }
     const trySelect = (): SelectionResult | undefined => {
-      const rejected = this.#rejectQuarantined(parts);
+      const rejected = this.#rejectQuarantined(parts) ??
+        this.#rejectNotContinued(request, history);
       if (rejected) return rejected;
       const assigned = this.#assignEngine(
         request,
@@ -136,7 +134,7 @@
       return assigned && ok(assigned);
     };
     const selected = trySelect() ??
-      await this.#waitInQueue(request, model, trySelect, hasStarted, signal);
+      await this.#waitInQueue(request, model, trySelect, history, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
     await this.#awaitExchange(signal);
@@ -167,6 +165,16 @@
     return reject(reason, QUARANTINE_RETRY_AFTER_MS);
   }
 
+  /** Rejects a stream that no upstream of its software version can continue. */
+  #rejectNotContinued(
+    request: relay.RelayedRequest,
+    { softwareVersion }: relay.AttemptHistory,
+  ): SelectionResult | undefined {
+    if (softwareVersion === undefined) return undefined;
+    const reason = this.#candidates.whyNotContinued(request, softwareVersion);
+    return reason === undefined ? undefined : reject(reason);
+  }
+
   /** Waits for an exchange with other nodes if the last one is too old. */
   async #awaitExchange(signal: AbortSignal): Promise<void> {
     const untilMs = core.monotonicMs() + EXCHANGE_WAIT_MS;
@@ -399,7 +407,7 @@
     request: relay.RelayedRequest,
     model: core.ModelName,
     trySelect: () => SelectionResult | undefined,
-    hasStarted: boolean,
+    { hasStarted, softwareVersion }: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const { queue, demand } = this.#state;
@@ -426,7 +434,8 @@
       const reason = `queue is ${Math.round(waitMs)} ms long`;
       return rejectWithReturn(reason);
     }
-    const stopTracking = demand.trackQueued(model, caller.adapter, nowMs);
+    const stopTracking = demand
+      .trackQueued(model, caller.adapter, nowMs, softwareVersion);
     this.onQueued();
     const selected = await queue.wait({
       priority: route.priority,
--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -133,7 +133,7 @@
     const takeUps = new TakeUpResolver(
       this.state,
       new OriginReader(this.state, new MemoryTable()),
-      () => {},
+      { wakeExchange: () => {}, upstreamsConfirmedAtMs: () => Infinity },
     );
     this.listener = new CallerListener(this.state, dialect, selector, takeUps);
   }
--- a/packages/origins/origins_versions.ts
+++ b/packages/origins/origins_versions.ts
@@ -4,6 +4,7 @@
  * of which the store has a row.
  */
 import type * as core from "../core/mod.ts";
+import { TAKE_UP_MAX_MS } from "./origins_types.ts";
 
 /** A software version of one service. */
 export interface ServiceVersion {
@@ -20,12 +21,6 @@
   isRecorded: boolean;
 }
 
-/**
- * Time after which no stream of a version that has left can be taken up. Longer
- * than callers wait for one stream, all their attempts included.
- */
-const TAKE_UP_MAX_MS = 120_000;
-
 /** Counts the upstreams of each version, and remembers those that left. */
 export class SoftwareVersions {
   readonly #known = new Map<string, KnownVersion>();
@@ -60,25 +55,22 @@
     for (const known of this.#known.values()) known.isRecorded = false;
   }
 
-  /** The versions of a service whose streams callers may take up. */
-  ofService(
-    service: core.ServiceName,
+  /**
+   * The versions of some services whose streams callers may take up, each once.
+   *
+   * @example
+   * ```ts
+   * const isMixed = versions.ofServices(services, nowMs).length > 1;
+   * ```
+   */
+  ofServices(
+    services: ReadonlySet<core.ServiceName>,
     nowMs: number,
   ): readonly core.SoftwareVersion[] {
-    return [...this.#known.values()]
-      .filter((known) => known.service === service && isCurrent(known, nowMs))
+    const versions = [...this.#known.values()]
+      .filter((known) => services.has(known.service) && isCurrent(known, nowMs))
       .map(({ softwareVersion }) => softwareVersion);
-  }
-
-  /** Whether a service has streams of several versions. */
-  isMixed(nowMs: number): boolean {
-    const services = new Set<core.ServiceName>();
-    for (const known of this.#known.values()) {
-      if (!isCurrent(known, nowMs)) continue;
-      if (services.has(known.service)) return true;
-      services.add(known.service);
-    }
-    return false;
+    return [...new Set(versions)];
   }
 
   /** Versions in use of which the store has no row. */
