--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -19,6 +19,8 @@
 import { makeEntrySettings } from "./entry_settings.ts";
 import { MemoryTable } from "./memory_table.ts";
 
+/** Longest wait for what a test expects, however busy the machine is. */
+const WAIT_MAX_MS = 10_000;
 const SERVICE = core.brandId<core.ServiceName>("s");
 const UPSTREAM = core.brandId<core.UpstreamId>("u1");
 const HEADER_TIMEOUT_MS = 1_000;
@@ -96,6 +98,24 @@
     return [...this.text.matchAll(/HTTP\/1\.1 (\d+) /g)]
       .map(([, status]) => Number(status));
   }
+
+  /** Waits until what it received matches. */
+  has(pattern: RegExp): Promise<void> {
+    return testing.waitUntil(
+      `a response that matches ${pattern}`,
+      () => pattern.test(this.text),
+      WAIT_MAX_MS,
+    );
+  }
+
+  /** Waits until so many responses have begun. */
+  answered(count: number): Promise<void> {
+    return testing.waitUntil(
+      `${count} responses`,
+      () => this.statuses.length >= count,
+      WAIT_MAX_MS,
+    );
+  }
 }
 
 export interface HarnessOptions {
@@ -180,6 +200,24 @@
     });
   }
 
+  /** Waits until so many requests have reached the upstream. */
+  reached(count: number): Promise<void> {
+    return testing.waitUntil(
+      `${count} requests at the upstream`,
+      () => this.received.length >= count,
+      WAIT_MAX_MS,
+    );
+  }
+
+  /** Waits until no request is in flight. */
+  idle(): Promise<void> {
+    return testing.waitUntil(
+      "no request in flight",
+      () => this.state.requestsInFlight === 0,
+      WAIT_MAX_MS,
+    );
+  }
+
   connect(): CallerConnection {
     return new CallerConnection(this.#port);
   }
