--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -20,6 +20,7 @@
 
 /** Deadline of requests that name none. */
 const DEADLINE_DEFAULT_MS = 60_000;
+const STATUS_BAD_GATEWAY = 502;
 /** Retry-After of 503 responses: not configured yet, stopping, or no target. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 /** Largest header section; stays above the limit of the configuration. */
@@ -28,6 +29,8 @@
 /** Interval at which connections with incomplete headers are timed out. */
 const HEADER_CHECK_INTERVAL_MS = 1_000;
 
+/** Why a node that stops rejects or ends requests. */
+const STOPPING = "node is stopping";
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
 /**
@@ -85,6 +88,9 @@
   #keepsAlive = true;
   #rejectFromMs = Infinity;
   #stopEndsAtMs = Infinity;
+  #hasEnded = false;
+  /** End the requests that are queued or sent to an upstream. */
+  readonly #endRunning = new Set<(reason: string) => void>();
 
   constructor(
     state: EntryState,
@@ -104,6 +110,12 @@
       },
       (request, response) => this.#handle(request, response),
     );
+    transport.finishBeforeParseErrors(this.#server);
+    transport.keepOpenAsAnnounced(this.#server);
+    state.onConfig = ({ idleTimeoutMs, headerTimeoutMs }) => {
+      this.#server.keepAliveTimeout = idleTimeoutMs;
+      this.#server.headersTimeout = headerTimeoutMs;
+    };
   }
 
   /** Starts listening; the returned cleanup closes all connections. */
@@ -126,23 +138,44 @@
     this.#stopEndsAtMs = stopEndsAtMs;
   }
 
-  #canAdmit(caller: fleet.CallerRequest, maxDurationMs: number): boolean {
+  /**
+   * Ends all requests: those that may have run with an error, the others with a
+   * rejection. Rejects new ones.
+   */
+  endAll(): void {
+    this.#hasEnded = true;
+    for (const end of this.#endRunning) end(STOPPING);
+  }
+
+  #canAdmit(
+    caller: fleet.CallerRequest,
+    { kind }: fleet.RouteSpec,
+    maxDurationMs: number,
+  ): boolean {
+    if (this.#hasEnded) return false;
     const nowMs = core.monotonicMs();
     if (nowMs < this.#rejectFromMs) return true;
     if (this.#state.members.callerAddresses().length > 0) return false;
     const remainingMs = this.#stopEndsAtMs - nowMs - STOP_MARGIN_MS;
-    return remainingMs >
-      Math.min(maxDurationMs, maxGenerationMs(this.#state.stepTimes, caller));
+    // What outlasts its estimate ends with an error, but a stream is cut off.
+    const estimatedMs = kind === "stream"
+      ? Infinity
+      : maxGenerationMs(this.#state.stepTimes, caller);
+    return remainingMs > Math.min(maxDurationMs, estimatedMs);
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
     this.#state.requestsInFlight++;
     this.#state.metrics.increment("requests");
-    this.#relay(request, response).catch((thrown) => {
+    const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
+    this.#relay(request, response, reply).catch(async (thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("request_crashed", { reason });
-      response.destroy();
-    }).finally(() => {
+      // The request may have run, so this must not be a rejection.
+      if (!request.complete) await relay.discardBody(request);
+      reply.fail(STATUS_BAD_GATEWAY, core.monotonicMs());
+      this.#state.metrics.increment("failures");
+    }).then(() => reply.flushed()).finally(() => {
       this.#state.requestsInFlight--;
     });
   }
@@ -150,9 +183,9 @@
   async #relay(
     request: IncomingMessage,
     response: ServerResponse,
+    reply: relay.CallerResponse,
   ): Promise<void> {
     const receivedAtMs = core.monotonicMs();
-    const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
     const { config, table, hasReadUpstreams, hasReadMembers } = this.#state;
     if (!config || !table || !hasReadUpstreams || !hasReadMembers) {
       return this.#reject(
@@ -162,8 +195,6 @@
         "configuration, upstream or member table not read yet",
       );
     }
-    this.#server.keepAliveTimeout = config.idleTimeoutMs;
-    this.#server.headersTimeout = config.headerTimeoutMs;
     const path = request.url ?? "/";
     const route = table.match(request.headers.host ?? "", path);
     if (!route) return this.#reject(request, reply, 404, "no route matches");
@@ -173,8 +204,8 @@
     }
     const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
     const maxDurationMs = Math.min(deadlineMs, route.timeoutMs);
-    if (!this.#canAdmit(caller.value, maxDurationMs)) {
-      return this.#reject(request, reply, 503, "node is stopping");
+    if (!this.#canAdmit(caller.value, route, maxDurationMs)) {
+      return this.#reject(request, reply, 503, STOPPING);
     }
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
@@ -189,6 +220,7 @@
       const { reason, retryAfterMs } = takenUp.error;
       return this.#reject(request, reply, 503, reason, retryAfterMs);
     }
+    if (this.#hasEnded) return this.#reject(request, reply, 503, STOPPING);
     await this.#run(
       {
         caller: caller.value,
@@ -211,13 +243,18 @@
     response: ServerResponse,
   ): Promise<void> {
     const aborter = new AbortController();
+    const end = (reason: string) => {
+      reply.stopWaiting();
+      aborter.abort(new Error(reason));
+    };
+    this.#endRunning.add(end);
     const onClose = () => {
-      if (!response.writableFinished) aborter.abort(new Error("caller left"));
+      if (!response.writableFinished) end("caller left");
     };
     response.on("close", onClose);
     if (response.destroyed) onClose();
     const timer = setTimeout(
-      () => aborter.abort(new Error("deadline passed")),
+      () => end("deadline passed"),
       request.deadlineAtMs - core.monotonicMs(),
     );
     const dependencies = {
@@ -235,6 +272,7 @@
       this.#state.metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
     } finally {
       clearTimeout(timer);
+      this.#endRunning.delete(end);
       response.off("close", onClose);
       this.#recordLatency(request, reply);
     }
@@ -280,12 +318,16 @@
     reason: string,
     retryAfterMs = status === 503 ? UNAVAILABLE_RETRY_AFTER_MS : undefined,
   ): void {
-    if (!request.complete) relay.discardBody(request);
     reply.start(status, {
       ...this.#dialect.writeRejection(retryAfterMs),
       "content-length": "0",
     }, core.monotonicMs());
-    reply.end();
+    if (request.complete) reply.end();
+    else {
+      // A connection that closes on unread bytes is reset.
+      reply.flushHeaders();
+      relay.discardBody(request).then(() => reply.end());
+    }
     this.#state.metrics.increment("refusals");
     this.#state.logger.info("request_refused", {
       request: String(request.headers["request-id"] ?? ""),
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -11,6 +11,8 @@
   #firstByteAtMs: number | undefined;
   /** Whether the body's length or chunks tell the caller that it is whole. */
   #isFramed = true;
+  #mayWait = true;
+  #endWait: (() => void) | undefined;
 
   /** @param mayKeepAlive whether the connection may be reused afterwards. */
   constructor(response: ServerResponse, mayKeepAlive: () => boolean) {
@@ -51,26 +53,79 @@
 
   /**
    * Writes a chunk of the body. If the caller reads too slowly and the socket's
-   * buffer is full, waits until it drains or the connection closes.
+   * buffer is full, waits until it drains, the connection closes or waiting is
+   * over.
    */
   async write(data: Buffer): Promise<void> {
-    if (!this.isWritable || this.#response.write(data)) return;
+    const isDrained = !this.isWritable || this.#response.write(data);
+    if (isDrained || !this.#mayWait) return;
     await new Promise<void>((resolve) => {
-      const onDrainOrClose = () => {
-        this.#response.off("drain", onDrainOrClose);
-        this.#response.off("close", onDrainOrClose);
+      const endWait = () => {
+        this.#response.off("drain", endWait);
+        this.#response.off("close", endWait);
         resolve();
       };
-      this.#response.on("drain", onDrainOrClose);
-      this.#response.on("close", onDrainOrClose);
+      this.#response.on("drain", endWait);
+      this.#response.on("close", endWait);
+      this.#endWait = endWait;
     });
   }
 
+  /** Waits no longer for the caller, as the response is to be ended or aborted. */
+  stopWaiting(): void {
+    this.#mayWait = false;
+    this.#endWait?.();
+  }
+
+  /**
+   * Sends the headers now, so that the caller has a response without a body
+   * before that is ended, which may close the connection.
+   */
+  flushHeaders(): void {
+    if (this.isWritable) this.#response.flushHeaders();
+  }
+
   /** Ends the response as complete. */
   end(data?: Buffer | string): void {
     if (this.isWritable) this.#response.end(data);
   }
 
+  /**
+   * Ends a response that could not be written as meant: with an error, or, if
+   * it has started, by an abort. One that has ended already stays as it is.
+   */
+  fail(status: number, nowMs: number): void {
+    if (!this.isWritable) return;
+    if (this.hasStarted) return this.abort();
+    // Node keeps parts of a head that it refused to write.
+    const names = this.#response.getHeaderNames();
+    for (const name of names) this.#response.removeHeader(name);
+    this.#response.statusMessage = "";
+    this.start(status, { "content-length": "0" }, nowMs);
+    this.end();
+  }
+
+  /**
+   * Waits until every byte of an ended response has been passed to the kernel,
+   * or its connection has closed.
+   */
+  async flushed(): Promise<void> {
+    const response = this.#response;
+    const { socket } = response.req;
+    if (response.closed || socket.destroyed) return;
+    await new Promise<void>((resolve) => {
+      const onClose = () => {
+        response.off("close", onClose);
+        socket.off("close", onClose);
+        resolve();
+      };
+      response.on("close", onClose);
+      // A response behind others of its connection does not see it close.
+      const isBehindOthers = !response.socket && !response.writableFinished;
+      if (isBehindOthers) socket.on("close", onClose);
+    });
+  }
+
   /**
    * Destroys the connection, so that the response cannot look complete. An
    * orderly close would complete a body that only the connection frames.
