--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -1,12 +1,10 @@
 /** An entry node: its components, task supervision and planned stop. */
-import { createServer, type Server } from "node:http";
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import * as mirror from "../mirror/mod.ts";
 import type * as store from "../store/mod.ts";
-import * as transport from "../transport/mod.ts";
 import { ExchangeHub } from "./entry_exchange.ts";
 import { ExchangeTask } from "./entry_exchange_task.ts";
 import {
@@ -40,6 +38,10 @@
 import { EntryUpstreamSelector } from "./entry_selector.ts";
 import { EntryState } from "./entry_state.ts";
 import { finishRequests } from "./entry_stop.ts";
+import {
+  DIRECTORY_TTL_MAX_MS,
+  startSystemListeners,
+} from "./entry_system_listeners.ts";
 import { TableNewsExchange } from "./entry_table_news.ts";
 import { TakeUpResolver } from "./entry_take_ups.ts";
 
@@ -51,8 +53,6 @@
   readonly store: store.ChangeFeedTableService;
 }
 
-/** Upper limit of the TTL of directory responses; settings may lower it. */
-const DIRECTORY_TTL_MAX_MS = 900;
 /**
  * Time for which a stopping node still serves new requests: callers may cache a
  * directory response for up to three TTLs.
@@ -154,7 +154,13 @@
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(new HubHandler(hub), host, port),
     );
-    await this.#startSystemListeners();
+    const { dialect } = this.#dependencies;
+    await startSystemListeners(
+      this.state,
+      dialect,
+      this.#lifecycle,
+      () => this.#lease.isHeld,
+    );
     this.#lifecycle.addCleanup(
       await this.#callerListener.listen(settings.listen.callers),
     );
@@ -344,72 +350,6 @@
     }
     this.#rowGeneration = this.#dependencies.store.generation;
   }
-
-  /** Starts the readiness, directory and metrics endpoints. */
-  async #startSystemListeners(): Promise<void> {
-    const { readiness, directory, metrics } = this.state.settings.listen;
-    const platformServer = createServer((request, response) => {
-      const endpoint = this.#dependencies.dialect.matchSystemEndpoint(
-        request.url ?? "",
-      );
-      if (endpoint === "ready") {
-        response.writeHead(this.state.isReady ? 200 : 503).end();
-      } else if (endpoint === "directory") {
-        const addresses = this.#directoryAddresses();
-        if (addresses.length === 0) return response.writeHead(503).end();
-        response.writeHead(200, { "content-type": "application/json" })
-          .end(
-            this.#dependencies.dialect.writeDirectory(
-              addresses,
-              this.#directoryTtlMs,
-            ),
-          );
-      } else response.writeHead(404).end();
-    });
-    const listen = async (server: Server, address: fleet.ListenAddress) => {
-      const { host, port } = address;
-      this.#lifecycle.addCleanup(
-        await transport.startServer(server, host, port),
-      );
-    };
-    await listen(platformServer, readiness);
-    const isShared = readiness.host === directory.host &&
-      readiness.port === directory.port;
-    if (!isShared) {
-      const directoryServer = createServer(
-        platformServer.listeners("request")[0] as () => void,
-      );
-      await listen(directoryServer, directory);
-    }
-    const metricsServer = createServer((_request, response) => {
-      response.writeHead(200, { "content-type": "text/plain" })
-        .end(this.state.metrics.render(this.#gauges()));
-    });
-    await listen(metricsServer, metrics);
-  }
-
-  get #directoryTtlMs(): number {
-    return Math.min(DIRECTORY_TTL_MAX_MS, this.state.settings.directoryTtlMs);
-  }
-
-  #directoryAddresses(): string[] {
-    const { members, isReady, settings } = this.state;
-    const { host, port } = settings.listen.callers;
-    const own = isReady ? [`${host}:${port}`] : [];
-    return [...own, ...members.callerAddresses()];
-  }
-
-  #gauges(): Record<string, number> {
-    const { config, queue, requestsInFlight, members } = this.state;
-    return {
-      config_version: config?.version ?? 0,
-      requests_in_progress: requestsInFlight,
-      requests_waiting: queue.size,
-      members_alive: members.alive().length,
-      orders_held: this.#lease.isHeld ? 1 : 0,
-      prompt_parts_held: this.state.quarantine.size,
-    };
-  }
 }
 
 /** Task that writes the member row. */
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -1,5 +1,5 @@
 /** Chooses an upstream for each request, or queues or rejects the request. */
-import { err, ok, type Result } from "neverthrow";
+import { err, ok } from "neverthrow";
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
@@ -7,6 +7,7 @@
 import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
 import { UpstreamCandidates } from "./entry_candidates.ts";
+import { EngineQueue, type SelectionResult } from "./entry_engine_queue.ts";
 import { PromptFate } from "./entry_prompt_fate.ts";
 import type { EntryState } from "./entry_state.ts";
 
@@ -26,23 +27,12 @@
 const CALLER_WAIT_DEFAULT_MS = 60_000;
 /** Time by which a take-up may arrive after the caller's deadline. */
 const TAKE_UP_SLACK_MS = 2_000;
-/** Share of an engine's time that one decoding request takes. */
-const DECODE_ENGINE_SHARE = 1 / 32;
-
-/** The wait behind other requests, and the end of the next load if any. */
-interface QueueState {
-  readonly waitMs: number;
-  readonly readyAtMs: number | undefined;
-}
-
-type SelectionResult = Result<relay.UpstreamAssignment, relay.Rejection>;
 
 /** Chooses upstreams by the state of this node. */
 export class EntryUpstreamSelector extends relay.UpstreamSelector {
   readonly #state: EntryState;
   readonly #candidates: UpstreamCandidates;
-  /** Requests counted in the demand, so that retries are not counted again. */
-  readonly #counted = new WeakSet<relay.RelayedRequest>();
+  readonly #queue: EngineQueue;
   /** Services as last configured; a configuration may drop them meanwhile. */
   readonly #services = new WeakMap<relay.RelayedRequest, fleet.ServiceSpec>();
   /** Called when a request is queued. */
@@ -52,6 +42,7 @@
     super();
     this.#state = state;
     this.#candidates = new UpstreamCandidates(state.upstreams);
+    this.#queue = new EngineQueue(state, () => this.onQueued());
   }
 
   override trySpendRetry(service: core.ServiceName): boolean {
@@ -115,10 +106,7 @@
     const parts = quarantine.sharedPartKeys(request.caller.promptParts);
     const rejected = this.#rejectQuarantined(parts);
     if (rejected) return rejected;
-    if (!this.#counted.has(request)) {
-      this.#counted.add(request);
-      this.#recordDemand(request, model, core.monotonicMs());
-    }
+    this.#queue.countDemand(request, model);
     const trySelect = (): SelectionResult | undefined => {
       const rejected = this.#rejectQuarantined(parts) ??
         this.#rejectNotContinued(request, history);
@@ -134,7 +122,7 @@
       return assigned && ok(assigned);
     };
     const selected = trySelect() ??
-      await this.#waitInQueue(request, model, trySelect, history, signal);
+      await this.#queue.wait(request, model, trySelect, history, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
     await this.#awaitExchange(signal);
@@ -190,51 +178,6 @@
     return ageMs < EXCHANGE_STALE_MS;
   }
 
-  #recordDemand(
-    { caller }: relay.RelayedRequest,
-    model: core.ModelName,
-    nowMs: number,
-  ): void {
-    const workMs = this.#estimateWorkMs(caller, model);
-    this.#state.demand.recordArrival(model, caller.adapter, workMs, nowMs);
-  }
-
-  /** Estimates the engine time that a request takes, in ms. */
-  #estimateWorkMs(caller: fleet.CallerRequest, model: core.ModelName): number {
-    const { stepTimes, outputLengths } = this.#state;
-    const tokens = outputLengths.expected(caller.outputTokensMax);
-    const decodeMs = tokens * stepTimes.stepMs(model) * DECODE_ENGINE_SHARE;
-    return stepTimes.prefillMs(model, caller.promptTokens) + decodeMs;
-  }
-
-  /** Describes the queue that a new request for a model would join. */
-  #viewQueue(
-    request: relay.RelayedRequest,
-    model: core.ModelName,
-    workMs: number,
-  ): QueueState {
-    const { upstreams, queue, fleetQueues } = this.#state;
-    const { adapter } = request.caller;
-    const modelKey = dispatch.toModelKey(model, adapter);
-    const nowMs = core.monotonicMs();
-    let replicas = 0;
-    let readyAtMs: number | undefined;
-    for (const engine of upstreams.ofService(request.service)) {
-      if (engine.canRun(model, adapter, nowMs)) replicas++;
-      const loadedAtMs = engine.replicas.get(model)?.readyAtMs;
-      if (loadedAtMs === undefined || loadedAtMs <= nowMs) continue;
-      readyAtMs = Math.min(readyAtMs ?? loadedAtMs, loadedAtMs);
-    }
-    const waitMs = dispatch.estimateQueueWaitMs({
-      localAheadMs: queue.queuedWorkMs(modelKey, request.route.priority),
-      localTotalMs: queue.queuedWorkMs(modelKey, Infinity),
-      fleetWaiting: fleetQueues.get(modelKey) ?? 0,
-      workMs,
-      replicas,
-    });
-    return { waitMs, readyAtMs };
-  }
-
   #selectInstance(
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
@@ -402,61 +345,6 @@
       ttlMs: waitsMs + TAKE_UP_SLACK_MS,
     }, nowMs);
   }
-
-  async #waitInQueue(
-    request: relay.RelayedRequest,
-    model: core.ModelName,
-    trySelect: () => SelectionResult | undefined,
-    { hasStarted, softwareVersion }: relay.AttemptHistory,
-    signal: AbortSignal,
-  ): Promise<SelectionResult> {
-    const { queue, demand } = this.#state;
-    const { caller, route, receivedAtMs, deadlineAtMs } = request;
-    const nowMs = core.monotonicMs();
-    // A started response cannot be rejected, so it is queued for all its time.
-    const waitUntilMs = hasStarted
-      ? deadlineAtMs
-      : dispatch.queueUntilMs(route, receivedAtMs, deadlineAtMs);
-    const modelKey = dispatch.toModelKey(model, caller.adapter);
-    const workMs = this.#estimateWorkMs(caller, model);
-    const rejectWithReturn = (reason: string) => {
-      const { waitMs, readyAtMs } = this.#viewQueue(request, model, workMs);
-      const readyInMs = readyAtMs === undefined
-        ? undefined
-        : readyAtMs - core.monotonicMs();
-      return reject(reason, dispatch.retryAfterMs(waitMs, readyInMs));
-    };
-    if (waitUntilMs <= nowMs) {
-      return rejectWithReturn("no engine in time");
-    }
-    const { waitMs } = this.#viewQueue(request, model, workMs);
-    if (!hasStarted && nowMs + waitMs > waitUntilMs) {
-      const reason = `queue is ${Math.round(waitMs)} ms long`;
-      return rejectWithReturn(reason);
-    }
-    const stopTracking = demand
-      .trackQueued(model, caller.adapter, nowMs, softwareVersion);
-    this.onQueued();
-    const selected = await queue.wait({
-      priority: route.priority,
-      arrivedAtMs: receivedAtMs,
-      targetAtMs: hasStarted
-        ? deadlineAtMs
-        : receivedAtMs + route.latencyTargetMs,
-      modelKey,
-      workMs,
-    }, {
-      trySelect,
-      waitUntilMs,
-      signal,
-      giveUp: () =>
-        signal.aborted
-          ? reject("request ended while queued")
-          : rejectWithReturn("no engine in time"),
-    });
-    stopTracking();
-    return selected;
-  }
 }
 
 function reject(
