--- a/review/stand_ins/store.mjs
+++ b/review/stand_ins/store.mjs
@@ -8,6 +8,7 @@
   #changes = [];
   #version = 0;
   #waiting = new Set();
+  #historyFrom = 0;
   #startedAtMs = Date.now();
   #server = createServer((request, response) => {
     this.#respond(request).then(({ status, body }) => {
@@ -41,6 +42,12 @@
     this.#wake();
   }
 
+  /** Discards the history of all changes so far. */
+  forgetHistory() {
+    this.#historyFrom = this.#version;
+    this.#changes = [];
+  }
+
   #write({ table, part, key }, value, ver) {
     const row = { table, part, key, ver };
     const stored = value === undefined
@@ -117,6 +124,7 @@
       this.#changes.filter((row) =>
         row.table === query.get("table") && row.ver > after
       );
+    if (after < this.#historyFrom) return reply(410, {});
     while (find().length === 0 && Date.now() < endsAtMs) {
       await new Promise((resolve) => {
         const finish = () => {
