--- a/review/stand_ins/node.mjs
+++ b/review/stand_ins/node.mjs
@@ -42,6 +42,15 @@
   return port;
 }
 
+/** Nodes that run, to be ended with this process however it ends. */
+const running = new Set();
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM"]) {
+  process.once(signal, () => process.exit(2));
+}
+
 /** One entry node in its own process. */
 export class EntryNode {
   log = "";
@@ -105,6 +114,9 @@
       env: { PATH, HOME, CARAWAYWIND_NODE_FILE: this.settingsPath },
       stdio: ["ignore", "pipe", "pipe"],
     });
+    const { child } = this;
+    running.add(child);
+    child.once("exit", () => running.delete(child));
     this.child.stdout.on("data", (data) => this.log += data);
     this.child.stderr.on("data", (data) => this.log += data);
   }
