Wait for addresses that cannot be bound at the moment

What was seen: on real processes, a node ended with start_failed and exit code 1 at its first attempt wherever one of its five addresses was in use for a second (5 of 5), the machine's address was not there yet, or the process before it was still in its planned stop. The metrics port, which is fixed while the platform draws its ports anew, did the same, though nothing needs it to serve.

Cause: a start took the first answer of the system as final. The ports of a deployment lie among those that the system may hand out for outgoing connections, and a replacement starts while the process before it finishes its requests.

Change: transport.listen tries an address again that is in use or not there, for the grace period and 2 s more, with one log line (listen_waiting); then the start fails as before. The listener for metrics waits on beside serving. The own interface's listeners wait for their planned stop's time. SIGTERM ends the wait.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -119,8 +119,11 @@
   }
 
   /** Starts listening; the returned cleanup closes all connections. */
-  listen({ host, port }: fleet.ListenAddress): Promise<core.Cleanup> {
-    return transport.startServer(this.#server, host, port);
+  listen(
+    { host, port }: fleet.ListenAddress,
+    patience?: transport.ListenPatience,
+  ): Promise<core.Cleanup> {
+    return transport.startServer(this.#server, host, port, patience);
   }
 
   /** Asks callers to close their connections after the next response. */
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -5,6 +5,7 @@
 import * as peers from "../peers/mod.ts";
 import * as mirror from "../mirror/mod.ts";
 import type * as store from "../store/mod.ts";
+import type * as transport from "../transport/mod.ts";
 import { ExchangeHub } from "./entry_exchange.ts";
 import { ExchangeTask } from "./entry_exchange_task.ts";
 import {
@@ -58,6 +59,11 @@
  * directory response for up to three TTLs.
  */
 const STOP_LINGER_MS = 3 * DIRECTORY_TTL_MAX_MS;
+/**
+ * Time beyond the grace period for which an address in use is waited for: the
+ * process that has it is killed when its grace period ends.
+ */
+const LISTEN_MARGIN_MS = 2_000;
 /** Interval at which the member row is written, if it has to be. */
 const MEMBER_ROW_RETRY_MS = 300;
 
@@ -152,7 +158,12 @@
     this.#lifecycle.addCleanup(() => this.state.pools.close());
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
-      await peers.startFleetListener(new HubHandler(hub), host, port),
+      await peers.startFleetListener(
+        new HubHandler(hub),
+        host,
+        port,
+        this.#listenPatience("peers"),
+      ),
     );
     const { dialect } = this.#dependencies;
     await startSystemListeners(
@@ -160,9 +171,13 @@
       dialect,
       this.#lifecycle,
       () => this.#lease.isHeld,
+      (listener) => this.#listenPatience(listener),
     );
     this.#lifecycle.addCleanup(
-      await this.#callerListener.listen(settings.listen.callers),
+      await this.#callerListener.listen(
+        settings.listen.callers,
+        this.#listenPatience("callers"),
+      ),
     );
     this.#lifecycle.addCleanup(() => this.#supervisor.stop());
     this.#startTasks(hub, clients);
@@ -175,6 +190,16 @@
     });
   }
 
+  /** Waits out the planned stop of the process that had the addresses before. */
+  #listenPatience(listener: string): transport.ListenPatience {
+    const { settings, logger } = this.state;
+    return {
+      timeoutMs: settings.graceMs + LISTEN_MARGIN_MS,
+      onWait: (reason) => logger.warn("listen_waiting", { listener, reason }),
+      signal: this.#lifecycle.signal,
+    };
+  }
+
   /** Applies changed settings; in-flight requests are not affected. */
   reload(settings: fleet.EntrySettings): void {
     this.state.reload(settings);
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -1,6 +1,6 @@
 /** The readiness, directory and metrics endpoints of an entry node. */
 import { createServer, type Server } from "node:http";
-import type * as core from "../core/mod.ts";
+import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as transport from "../transport/mod.ts";
 import type { EntryState } from "./entry_state.ts";
@@ -12,9 +12,17 @@
  * Starts the endpoints, which close with the life cycle.
  *
  * @param isOrdering whether this node sends the orders to engines.
+ * @param patienceFor how long a listener waits for an address that is in use;
+ * the one for metrics, which nothing needs to serve, waits on in the background.
  * @example
  * ```ts
- * await startSystemListeners(state, dialect, lifecycle, () => lease.isHeld);
+ * await startSystemListeners(
+ *   state,
+ *   dialect,
+ *   lifecycle,
+ *   () => lease.isHeld,
+ *   () => ({ timeoutMs: 10_000 }),
+ * );
  * ```
  */
 export async function startSystemListeners(
@@ -22,8 +30,10 @@
   dialect: fleet.HttpDialect,
   lifecycle: core.Lifecycle,
   isOrdering: () => boolean,
+  patienceFor: (listener: string) => transport.ListenPatience,
 ): Promise<void> {
-  const { readiness, directory, metrics } = state.settings.listen;
+  const { readiness, directory } = state.settings.listen;
+  startMetricsListener(state, lifecycle, isOrdering, patienceFor("metrics"));
   const platformServer = createServer((request, response) => {
     const endpoint = dialect.matchSystemEndpoint(request.url ?? "");
     if (endpoint === "ready") {
@@ -39,24 +49,49 @@
         .end(dialect.writeDirectory(addresses, ttlMs));
     } else response.writeHead(404).end();
   });
-  const listen = async (server: Server, address: fleet.ListenAddress) => {
-    const { host, port } = address;
-    lifecycle.addCleanup(await transport.startServer(server, host, port));
+  const listen = async (
+    name: string,
+    server: Server,
+    { host, port }: fleet.ListenAddress,
+  ) => {
+    const patience = patienceFor(name);
+    lifecycle.addCleanup(
+      await transport.startServer(server, host, port, patience),
+    );
   };
-  await listen(platformServer, readiness);
+  await listen("readiness", platformServer, readiness);
   const isShared = readiness.host === directory.host &&
     readiness.port === directory.port;
   if (!isShared) {
     const directoryServer = createServer(
       platformServer.listeners("request")[0] as () => void,
     );
-    await listen(directoryServer, directory);
+    await listen("directory", directoryServer, directory);
   }
+}
+
+/** Serves the metrics as soon as their address can be bound. */
+function startMetricsListener(
+  state: EntryState,
+  lifecycle: core.Lifecycle,
+  isOrdering: () => boolean,
+  patience: transport.ListenPatience,
+): void {
   const metricsServer = createServer((_request, response) => {
     response.writeHead(200, { "content-type": "text/plain" })
       .end(state.metrics.render(gauges(state, isOrdering())));
   });
-  await listen(metricsServer, metrics);
+  const { host, port } = state.settings.listen.metrics;
+  transport.startServer(metricsServer, host, port, {
+    ...patience,
+    timeoutMs: Infinity,
+  }).then((stop) => {
+    if (lifecycle.signal.aborted) return stop();
+    lifecycle.addCleanup(stop);
+  }, (thrown) => {
+    const reason = core.messageOf(thrown);
+    state.logger.error("metrics_not_served", { reason });
+  });
 }
 
 function directoryAddresses({ members, isReady, settings }: EntryState) {
--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -9,6 +9,7 @@
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import * as core from "../../core/mod.ts";
 import type * as gateway from "../../gateway/mod.ts";
+import * as transport from "../../transport/mod.ts";
 
 const CLOSE_POLL_MS = 20;
 /**
@@ -85,12 +86,17 @@
     });
   }
 
-  /** Starts listening and returns the port. */
-  async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  /**
+   * Starts listening and returns the port.
+   *
+   * @param patience how long to wait for an address that is in use.
+   */
+  async listen(
+    host: string,
+    port: number,
+    patience?: transport.ListenPatience,
+  ): Promise<number> {
+    await transport.listen(this.#server, host, port, patience);
     return (this.#server.address() as AddressInfo).port;
   }
 
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -49,6 +49,8 @@
 const PROBE_MAX_MS = 500;
 const PROBE_POLL_MS = 5;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Time beyond a planned stop for which an address in use is waited for. */
+const LISTEN_MARGIN_MS = 10_000;
 const MICROS_PER_S = 1_000_000;
 /** An engine is unusable if its report is older than this × `silentAfterMs`. */
 const STALE_FACTOR = 12;
@@ -268,12 +270,18 @@
         isPlanner: () => this.#isPlanner(),
         onDemand: () => this.#placementTask.planSoon(),
       }),
-      { host, port: listenSettings.peerPort, meter: this.#controlMeter },
+      {
+        host,
+        port: listenSettings.peerPort,
+        meter: this.#controlMeter,
+        patience: this.#listenPatience("peers"),
+      },
     );
     this.#lifecycle.addCleanup(peerListener.cleanup);
     const callerPort = await this.#callersListener.listen(
       host,
       listenSettings.callerPort,
+      this.#listenPatience("callers"),
     );
     const peerPort = peerListener.port;
     const advertisedCallerPort = listenSettings.advertiseCallerPort ||
@@ -295,6 +303,17 @@
     return { ...addresses, callerPort, peerPort };
   }
 
+  /** Waits out the planned stop of the process that had the addresses before. */
+  #listenPatience(listener: string): transport.ListenPatience {
+    const { entriesMaxAgeMs, finishMaxMs } = this.#settings.drain;
+    return {
+      timeoutMs: entriesMaxAgeMs + finishMaxMs + LISTEN_MARGIN_MS,
+      onWait: (detail) =>
+        this.logger.warn("listen_waiting", { listener, detail }),
+      signal: this.#lifecycle.signal,
+    };
+  }
+
   /** Shuts down gracefully: see `PlannedStop`. */
   async stop(): Promise<void> {
     const { drain, peers: peerSettings } = this.#settings;
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -48,6 +48,7 @@
 /**
  * Starts the listener for the exchanges of other entry nodes.
  *
+ * @param patience how long to wait for an address that is in use.
  * @returns the cleanup that stops the listener.
  * @example
  * ```ts
@@ -59,6 +60,7 @@
   handler: FleetHandler,
   host: string,
   port: number,
+  patience?: transport.ListenPatience,
 ): Promise<core.Cleanup> {
   const handleOther = connectNodeAdapter({
     routes: (router) => {
@@ -80,7 +82,7 @@
     if (isExchange) answerExchange(handler, request, response);
     else handleOther(request, response);
   });
-  return await transport.startServer(server, host, port);
+  return await transport.startServer(server, host, port, patience);
 }
 
 /** Reads a digest and answers it; a message that is too large is cut off. */
--- a/packages/peers/peers_server.ts
+++ b/packages/peers/peers_server.ts
@@ -4,7 +4,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type * as core from "../core/mod.ts";
-import type * as transport from "../transport/mod.ts";
+import * as transport from "../transport/mod.ts";
 import {
   type DemandReport,
   type Digest,
@@ -29,6 +29,8 @@
   readonly port: number;
   /** Counts the bytes of the peers' connections. */
   readonly meter: transport.SocketMeter;
+  /** How long to wait for an address that is in use. */
+  readonly patience?: transport.ListenPatience;
 }
 
 function makeRoutes(handlers: PeerHandlers): (router: ConnectRouter) => void {
@@ -65,10 +67,12 @@
     options.meter.track(socket);
     socket.on("close", () => sockets.delete(socket));
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(options.port, options.host, resolve);
-  });
+  await transport.listen(
+    server,
+    options.host,
+    options.port,
+    options.patience,
+  );
   const { port } = server.address() as AddressInfo;
   return { port, cleanup: () => closeServer(server, sockets) };
 }
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -1,5 +1,6 @@
 /** HTTP transport: requests sent at most once, typed failures, and servers. */
-export { startServer } from "./transport_listen.ts";
+export { listen, startServer } from "./transport_listen.ts";
+export type { ListenPatience } from "./transport_listen.ts";
 export {
   flattenHeaders,
   send,
