Answer each request of a connection before a stop closes it

A caller that sends a request before the response to the one before it (HTTP pipelining) lost the later one in a planned stop: every response of a stopping node said "connection: close", Node closed the connection after the first one, and the later request had been passed on already (LOST, unsafe ones too). The same with a request that arrives while the response that closes the connection is still being sent.

A response now closes the connection only if no other request has followed it, and a request that arrives after a response has announced the close is not run (RFC 9112, 9.6).

Measured before (entry_stop_test): "a stop cuts off no request that follows another one": statuses [200] in place of [200, 200]; "what arrives after a response that closes its connection": the upstream had received ["1", "2"] in place of ["1"]. Both pass now. Ruled out: the pending responses that finishBeforeParseErrors keeps; it acts on malformed bytes only.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -15,6 +15,7 @@
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { CallerConnections } from "./entry_caller_connections.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
 
@@ -88,6 +89,7 @@
   #keepsAlive = true;
   #rejectFromMs = Infinity;
   #stopEndsAtMs = Infinity;
+  readonly #connections = new CallerConnections();
   #hasEnded = false;
   /** End the requests that are queued or sent to an upstream. */
   readonly #endRunning = new Set<(reason: string) => void>();
@@ -165,9 +167,13 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#connections.add(request)) return void request.resume();
     this.#state.requestsInFlight++;
     this.#state.metrics.increment("requests");
-    const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
+    const reply = new relay.CallerResponse(
+      response,
+      () => this.#keepsAlive || !this.#connections.tryClose(request),
+    );
     this.#relay(request, response, reply).catch(async (thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("request_crashed", { reason });
--- /dev/null
+++ b/packages/entry/tests/unit/entry_stop_test.ts
@@ -0,0 +1,72 @@
+/** Requests that arrive, or are still being read, while a node stops. */
+import test from "ava";
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  ServerResponse,
+} from "node:http";
+import * as core from "../../../core/mod.ts";
+import type * as fleet from "../../../fleet/mod.ts";
+import { finishRequests } from "../../entry_stop.ts";
+import {
+  HarnessDialect,
+  type ListenerHarness,
+  respondAfter,
+  withListener,
+} from "../listener_harness.ts";
+
+function get(id: string): string {
+  return `GET /a/ HTTP/1.1\r\nHost: h\r\nX-Id: ${id}\r\n\r\n`;
+}
+
+function postHead(id: string, bytes: number): string {
+  return `POST /a/ HTTP/1.1\r\nHost: h\r\nX-Id: ${id}\r\n` +
+    `Content-Length: ${bytes}\r\n\r\n`;
+}
+
+/** Registers another node that accepts callers. */
+function addOtherNode({ state }: ListenerHarness): void {
+  const node = core.brandId<core.InstanceId>("n2");
+  state.members.setRow(node, {
+    callerAddress: "127.0.0.1:1",
+    peerAddress: "127.0.0.1:1",
+    failureDomain: "d",
+    incarnation: "in-2",
+    isLeaving: false,
+  });
+}
+
+// Guards against a connection that is closed after the response to its first
+// request, while a later one of it is still running at an upstream.
+test.serial("a stop cuts off no request that follows another one on its connection", async (t) => {
+  await withListener(respondAfter(200), async (harness) => {
+    const caller = harness.connect();
+    caller.socket.write(get("1") + get("2"));
+    await harness.reached(2);
+    harness.listener.disableKeepAlive();
+    await caller.closed;
+    t.deepEqual(caller.statuses, [200, 200]);
+    t.deepEqual(harness.received, ["1", "2"]);
+  });
+});
+
+// Guards against a request that is passed on although the response before it
+// closes the connection.
+test.serial("what arrives after a response that closes its connection is not passed on", async (t) => {
+  const events = (_: IncomingMessage, response: ServerResponse) => {
+    response.writeHead(200, { "x-id": "1" });
+    response.write("data: x\n\n");
+    setTimeout(() => response.end(), 300);
+  };
+  await withListener(events, async (harness) => {
+    harness.listener.disableKeepAlive();
+    const caller = harness.connect();
+    caller.socket.write(get("1"));
+    await caller.answered(1);
+    caller.socket.write(get("2"));
+    await caller.closed;
+    t.deepEqual(caller.statuses, [200]);
+    t.deepEqual(harness.received, ["1"]);
+    t.is(harness.state.requestsInFlight, 0);
+  }, { kind: "stream" });
+});
