End the lookups of streams when a planned stop ends

A stream that a caller took up near the end of a stop could be cut off without any answer: endAll ended requests in the relay, but not those whose origin was still being looked up, which takes up to 800 ms, while the process exits 300 ms later. The lookup takes the stop's signal now, and such a request is rejected at once.

Measured before (entry_stop_test, "a stop ends the lookups of streams that are taken up"): no answer within 150 ms of endAll.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -90,7 +90,7 @@
   #rejectFromMs = Infinity;
   #stopEndsAtMs = Infinity;
   readonly #connections = new CallerConnections();
-  #hasEnded = false;
+  readonly #ended = new AbortController();
   /** End the requests that are queued or sent to an upstream. */
   readonly #endRunning = new Set<(reason: string) => void>();
 
@@ -145,7 +145,7 @@
    * rejection. Rejects new ones.
    */
   endAll(): void {
-    this.#hasEnded = true;
+    this.#ended.abort();
     for (const end of this.#endRunning) end(STOPPING);
   }
 
@@ -154,7 +154,7 @@
     { kind }: fleet.RouteSpec,
     maxDurationMs: number,
   ): boolean {
-    if (this.#hasEnded) return false;
+    if (this.#ended.signal.aborted) return false;
     const nowMs = core.monotonicMs();
     if (nowMs < this.#rejectFromMs) return true;
     if (this.#state.members.callerAddresses().length > 0) return false;
@@ -221,12 +221,15 @@
     });
     if (!body) return;
     this.#state.retryBudget(service).recordRequest(receivedAtMs);
-    const takenUp = await this.#takeUps.resolve(caller.value, route, service);
+    const takenUp = await this.#takeUps
+      .resolve(caller.value, route, service, this.#ended.signal);
     if (takenUp.isErr()) {
       const { reason, retryAfterMs } = takenUp.error;
       return this.#reject(request, reply, 503, reason, retryAfterMs);
     }
-    if (this.#hasEnded) return this.#reject(request, reply, 503, STOPPING);
+    if (this.#ended.signal.aborted) {
+      return this.#reject(request, reply, 503, STOPPING);
+    }
     await this.#run(
       {
         caller: caller.value,
--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -85,11 +85,13 @@
    * rejected; undefined if the request begins a stream.
    *
    * @param service the service that would serve it if any could.
+   * @param signal ends the lookup, as the request is to be rejected.
    */
   async resolve(
     caller: fleet.CallerRequest,
     route: fleet.RouteSpec,
     service: core.ServiceName,
+    signal?: AbortSignal,
   ): Promise<Result<origins.StreamOrigin | undefined, relay.Rejection>> {
     if (route.kind !== "stream" || !caller.takenUpStream) return ok(undefined);
     const startedAtMs = core.monotonicMs();
@@ -98,7 +100,7 @@
     const known = stream && this.#state.origins.find(stream, startedAtMs);
     const found: Lookup = known
       ? { origin: known, source: "memory" }
-      : await this.#lookUp(stream, service, startedAtMs);
+      : await this.#lookUp(stream, service, startedAtMs, signal);
     this.#state.logger.info("take_up", {
       request: caller.requestId,
       stream: firstRequestId,
@@ -120,6 +122,7 @@
     stream: core.StreamKey | undefined,
     service: core.ServiceName,
     startedAtMs: number,
+    signal: AbortSignal | undefined,
   ): Promise<Lookup> {
     const { origins: known, wantedStreams, members } = this.#state;
     const isMixed =
@@ -148,7 +151,8 @@
       }
       if (stream) wantedStreams.add(stream, nowMs);
       this.#askOthers(nowMs);
-      await core.sleep(LOOKUP_POLL_MS);
+      await core.sleep(LOOKUP_POLL_MS, signal);
+      if (signal?.aborted) return { source: "notAsked" };
     }
   }
 
--- a/packages/entry/tests/unit/entry_stop_test.ts
+++ b/packages/entry/tests/unit/entry_stop_test.ts
@@ -70,3 +70,34 @@
     t.is(harness.state.requestsInFlight, 0);
   }, { kind: "stream" });
 });
+
+class TakeUpDialect extends HarnessDialect {
+  override readRequest(headers: IncomingHttpHeaders) {
+    return super.readRequest(headers).map((caller): fleet.CallerRequest => ({
+      ...caller,
+      takenUpStream: {
+        lastEventId: "3",
+        firstRequestId: core.brandId<core.RequestId>("0"),
+      },
+    }));
+  }
+}
+
+// Guards against a stop that does not end the lookup of a stream's origin, so
+// that the process exits without an answer to its caller.
+test.serial("a stop ends the lookups of streams that are taken up", async (t) => {
+  await withListener(respondAfter(0), async (harness) => {
+    const caller = harness.connect();
+    caller.socket.write(get("1"));
+    await core.sleep(50);
+    t.is(harness.state.requestsInFlight, 1);
+    const endedAtMs = core.monotonicMs();
+    harness.listener.endAll();
+    await caller.answered(1);
+    t.true(core.monotonicMs() - endedAtMs < 150);
+    t.deepEqual(caller.statuses, [503]);
+    t.regex(caller.text, /retry-after/i);
+    t.deepEqual(harness.received, []);
+    caller.socket.destroy();
+  }, { kind: "stream", dialect: new TakeUpDialect() });
+});
