Decide again on a request of a stopping node once its body is read

A request whose head came before a stopping node began to reject, and whose body came after that, was passed on however late it was: its upstream could not finish it in the grace period, and a stream was cut off (LOST). Whether a request can be admitted was decided on its head only; it is decided again when its body has been read and the stream that it takes up is known, with the time that is left until its deadline.

Measured before (entry_stop_test, "a body that ends after the node has begun to reject is not passed on"): 200 in place of 503, with the request at the upstream.

--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -152,7 +152,7 @@
   #canAdmit(
     caller: fleet.CallerRequest,
     { kind }: fleet.RouteSpec,
-    maxDurationMs: number,
+    deadlineAtMs: number,
   ): boolean {
     if (this.#ended.signal.aborted) return false;
     const nowMs = core.monotonicMs();
@@ -163,7 +163,7 @@
     const estimatedMs = kind === "stream"
       ? Infinity
       : maxGenerationMs(this.#state.stepTimes, caller);
-    return remainingMs > Math.min(maxDurationMs, estimatedMs);
+    return remainingMs > Math.min(deadlineAtMs - nowMs, estimatedMs);
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
@@ -210,7 +210,8 @@
     }
     const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
     const maxDurationMs = Math.min(deadlineMs, route.timeoutMs);
-    if (!this.#canAdmit(caller.value, route, maxDurationMs)) {
+    const deadlineAtMs = receivedAtMs + maxDurationMs;
+    if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
     const service = routes.pickTarget(route, Math.random());
@@ -227,7 +228,8 @@
       const { reason, retryAfterMs } = takenUp.error;
       return this.#reject(request, reply, 503, reason, retryAfterMs);
     }
-    if (this.#ended.signal.aborted) {
+    // The body, or the lookup of a stream, may have taken long.
+    if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
     await this.#run(
@@ -239,7 +241,7 @@
         path,
         body,
         receivedAtMs,
-        deadlineAtMs: receivedAtMs + maxDurationMs,
+        deadlineAtMs,
       },
       reply,
       response,
--- a/packages/entry/tests/unit/entry_stop_test.ts
+++ b/packages/entry/tests/unit/entry_stop_test.ts
@@ -71,6 +71,24 @@
   }, { kind: "stream" });
 });
 
+// Guards against a request whose head came before the node began to reject, and
+// whose body came so late that an upstream cannot finish it in the stop.
+test.serial("a body that ends after the node has begun to reject is not passed on", async (t) => {
+  await withListener(respondAfter(0), async (harness) => {
+    addOtherNode(harness);
+    const caller = harness.connect();
+    caller.socket.write(postHead("1", 4));
+    await core.sleep(50);
+    const nowMs = core.monotonicMs();
+    harness.listener.rejectNew(nowMs, nowMs + 5_000);
+    caller.socket.write("body");
+    await caller.answered(1);
+    t.deepEqual(caller.statuses, [503]);
+    t.deepEqual(harness.received, []);
+    caller.socket.destroy();
+  });
+});
+
 class TakeUpDialect extends HarnessDialect {
   override readRequest(headers: IncomingHttpHeaders) {
     return super.readRequest(headers).map((caller): fleet.CallerRequest => ({
