Scale the times of a planned stop to a short grace period

New requests are served for half of the period at the longest now, and requests are ended in its last eighth.

Measured before (entry_stop_test): of requests of 600 ms sent every 100 ms in a grace period of 2 s, those of the last 600 ms were answered 504; a stream in one of 1.2 s was cut off after 803 ms, where its last sixth begins at 1,000 ms.

--- a/packages/entry/entry_stop.ts
+++ b/packages/entry/entry_stop.ts
@@ -3,15 +3,21 @@
 import type { CallerListener } from "./entry_caller_listener.ts";
 import type { EntryState } from "./entry_state.ts";
 
-/** A request that still runs is ended this long before the grace period is. */
+/**
+ * A request that still runs is ended this long before the grace period is, or
+ * this share of it, which leaves the time in which callers accept that.
+ */
 const GRACE_MARGIN_MS = 400;
-/** A stop ends at the latest this long before the grace period is over. */
-const EXIT_MARGIN_MS = 100;
+const GRACE_MARGIN_SHARE = 1 / 8;
+/** The part of that in which responses are still written. */
+const FLUSH_SHARE = 3 / 4;
+/** New requests are served in this share of the grace period at the longest. */
+const LINGER_SHARE = 1 / 2;
 const POLL_MS = 50;
 
 /** How a node stops. */
 export interface StopOptions {
-  /** Time for which it still serves new requests, if the grace period lasts. */
+  /** Time for which it still serves new requests; less if the grace is short. */
   readonly lingerMs: number;
   /** Whether nothing but requests keeps the node from ending. */
   readonly isHandedOver: () => boolean;
@@ -36,8 +42,10 @@
 ): Promise<void> {
   const startedAtMs = core.monotonicMs();
   const { graceMs } = state.settings;
-  const endsAtMs = startedAtMs + graceMs - GRACE_MARGIN_MS;
-  const lingersUntilMs = Math.min(startedAtMs + lingerMs, endsAtMs);
+  const marginMs = Math.min(GRACE_MARGIN_MS, graceMs * GRACE_MARGIN_SHARE);
+  const endsAtMs = startedAtMs + graceMs - marginMs;
+  const lingersUntilMs = startedAtMs +
+    Math.min(lingerMs, graceMs * LINGER_SHARE);
   listener.disableKeepAlive();
   listener.rejectNew(lingersUntilMs, endsAtMs);
   await pollUntil(
@@ -47,7 +55,7 @@
   );
   listener.endAll();
   await pollUntil(
-    startedAtMs + graceMs - EXIT_MARGIN_MS,
+    endsAtMs + marginMs * FLUSH_SHARE,
     () => state.requestsInFlight === 0,
   );
 }
--- a/packages/entry/tests/unit/entry_stop_test.ts
+++ b/packages/entry/tests/unit/entry_stop_test.ts
@@ -119,3 +119,53 @@
     caller.socket.destroy();
   }, { kind: "stream", dialect: new TakeUpDialect() });
 });
+
+// Guards against a short grace period in which requests are accepted until its
+// end, so that what an upstream does for them is broken off.
+test.serial("in a short grace period, what was accepted has time to end", async (t) => {
+  await withListener(respondAfter(600), async (harness) => {
+    addOtherNode(harness);
+    harness.state.settings = { ...harness.state.settings, graceMs: 2_000 };
+    let isStopped = false;
+    const stopping = finishRequests(harness.state, harness.listener, {
+      lingerMs: 2_700,
+      isHandedOver: () => true,
+    }).then(() => isStopped = true);
+    const callers = [];
+    while (!isStopped) {
+      const caller = harness.connect();
+      caller.socket.write(get(String(callers.length)));
+      callers.push(caller);
+      await core.sleep(100);
+    }
+    await stopping;
+    const statuses = callers.flatMap((caller) => caller.statuses);
+    t.true(statuses.filter((status) => status === 200).length > 5);
+    t.deepEqual(statuses.filter((status) => status === 504), []);
+    for (const { socket } of callers) socket.destroy();
+  });
+});
+
+// Guards against streams that a short grace period cuts off before the last
+// sixth of it.
+test.serial("a stop ends no stream before the last sixth of the grace period", async (t) => {
+  await withListener((request, response) => {
+    response.writeHead(200, { "x-id": request.headers["x-id"] });
+    const timer = setInterval(() => response.write("data: x\n\n"), 50);
+    response.on("close", () => clearInterval(timer));
+  }, async (harness) => {
+    harness.state.settings = { ...harness.state.settings, graceMs: 1_200 };
+    const caller = harness.connect();
+    caller.socket.write(get("1"));
+    await caller.answered(1);
+    const startedAtMs = core.monotonicMs();
+    const closedAtMs = caller.closed.then(() => core.monotonicMs());
+    await finishRequests(harness.state, harness.listener, {
+      lingerMs: 2_700,
+      isHandedOver: () => true,
+    });
+    t.true(core.monotonicMs() - startedAtMs < 1_200);
+    const lastedMs = await closedAtMs - startedAtMs;
+    t.true(lastedMs >= 1_000, `${lastedMs} ms`);
+  }, { kind: "stream" });
+});
