Infer the version of a stream only from what the store says during the lookup

During a release, a node that was cut off (or stood still) a moment ago continued streams that other nodes had begun at an engine of another version (ORDER).

Cause: a stream of unknown origin went on at the only version that the node knew if its list of upstreams had been confirmed within 1.4 s, or most nodes had been in contact within 1.5 s. Both are ages from before the lookup. A root that was cut off has them for a second or more, and counts digests of the last 0.8 s as an answer of its followers; a node that was suspended has them for ever, as its clock stood still as well; a reply that waited in the socket while it stood still counted as new.

Now the store is asked during the lookup: the list of upstreams and the rows of versions are read once more, shared by all lookups at the same time, and only that tells the only version. If it tells of another version, the origins are read as well, where the lookup ended with "unknown" before. If the store does not answer, contacts with most nodes count that were made later than 0.1 s after the lookup began: what waited in the sockets has been read by then. Lookups also poll the end of a stop instead of adding a listener each to its signal, of which Node warned with 11 of them.

Ruled out: nodes that are not the root when they are cut off, whose exchange fails, so that they answer notAsked.

entry_take_ups_test: the two tests that set the age of the confirmation set whether the store can be read now, and contacts are those of exchanges; they ask for the same results. New ones check contacts from before a lookup, contact with a minority, digests that waited in the socket, and a version that the store tells.

Cost: one read of two tables (changes only) per lookup that no node could answer within 0.1 s, at most ten a second a node.

--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -84,6 +84,40 @@
     this.#wakeSignal.wake();
   }
 
+  /**
+   * Reads what has changed by now, whether or not this node follows the table.
+   *
+   * @returns whether the copy has all that the store had when this was called.
+   */
+  async refresh(): Promise<boolean> {
+    const startedAtMs = core.monotonicMs();
+    const { cursor } = this.copy;
+    const isCurrent = cursor?.generation === this.#store.generation;
+    if (cursor === undefined || !isCurrent) return this.#refreshWhole();
+    const result = await this.#store
+      .follow(this.copy.name, cursor.version, 0);
+    if (result.isErr()) return false;
+    const isRestored = cursor.generation !== this.#store.generation;
+    if (isRestored || result.value.outcome === "historyGone") {
+      return this.#refreshWhole();
+    }
+    const { changes, version } = result.value;
+    const toVersion = Math.max(version, cursor.version);
+    const outcome = this.copy.applyChanges(cursor, toVersion, changes);
+    if (outcome === "gap") return this.#refreshWhole();
+    this.copy.confirm(this.copy.cursor, startedAtMs);
+    return true;
+  }
+
+  async #refreshWhole(): Promise<boolean> {
+    const startedAtMs = core.monotonicMs();
+    const snapshot = await this.#store.readTable(this.copy.name);
+    if (snapshot.isErr()) return false;
+    this.copy.applySnapshot(snapshot.value);
+    this.copy.confirm(this.copy.cursor, startedAtMs);
+    return this.copy.cursor?.generation === snapshot.value.generation;
+  }
+
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const pauseMs = await this.#step();
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -132,6 +132,15 @@
     return [...others, this.#self].sort();
   }
 
+  /** Returns the number of members in contact since then, and this node. */
+  countInContact(sinceMs: number): number {
+    let count = 1;
+    for (const [node, { lastContactAtMs }] of this.#members) {
+      if (node !== this.#self && lastContactAtMs >= sinceMs) count++;
+    }
+    return count;
+  }
+
   /** Returns the number of members that are not leaving, this node included. */
   count(): number {
     let count = this.#members.has(this.#self) ? 0 : 1;
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -36,6 +36,7 @@
   QuarantineRowsTask,
 } from "./entry_quarantine.ts";
 import { EntryUpstreamSelector } from "./entry_selector.ts";
+import { SharedRead } from "./entry_shared_read.ts";
 import { EntryState } from "./entry_state.ts";
 import { finishRequests } from "./entry_stop.ts";
 import {
@@ -112,8 +113,12 @@
     this.#supervisor = new core.Supervisor("entry", logger);
     this.#followTasks = this.#createFollowTasks();
     const tables = this.#followTasks;
-    const upstreams = tables
-      .find(({ copy }) => copy.name === dependencies.source.upstreamTable);
+    const versionTables = [dependencies.source.upstreamTable, NODE_TABLE]
+      .map((name) => tables.find(({ copy }) => copy.name === name)!);
+    const versionsRead = new SharedRead(async () => {
+      const reads = versionTables.map((table) => table.refresh());
+      return (await Promise.all(reads)).every(Boolean);
+    });
     this.#hub = new ExchangeHub(this.state, new TableNewsExchange(tables));
     this.#lease = new orders.OrderLease(dependencies.store, {
       key: `${LEASE_TABLE}/holder`,
@@ -137,7 +142,7 @@
         this.#originReader,
         {
           wakeExchange: () => this.#exchangeWakeSignal.wake(),
-          upstreamsConfirmedAtMs: () => upstreams!.copy.confirmedAtMs,
+          readVersions: () => versionsRead.run(),
         },
       ),
     );
--- a/packages/entry/entry_origin_rows.ts
+++ b/packages/entry/entry_origin_rows.ts
@@ -8,6 +8,7 @@
 import type * as origins from "../origins/mod.ts";
 import type * as store from "../store/mod.ts";
 import { NODE_TABLE } from "./entry_members.ts";
+import { SharedRead } from "./entry_shared_read.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Prefix of the rows of software versions in the node table. */
@@ -37,9 +38,6 @@
   deletionIntervalMs: 10_000,
   adoptedTtlMs: 120_000,
 };
-/** Interval between the starts of reads for lookups. */
-const READ_INTERVAL_MS = 100;
-
 const OriginRowCodec = purify.Codec.interface({
   ttlMs: purify.number,
   /** Streams by what began them. */
@@ -76,10 +74,9 @@
 export class OriginReader {
   readonly #state: EntryState;
   readonly #store: store.TableService;
-  /** The read in progress, and the one that follows it. */
-  #current: Promise<boolean> | undefined;
-  #next: Promise<boolean> | undefined;
-  #startedAtMs = -Infinity;
+  readonly #sharedRead = new SharedRead(async () =>
+    await this.readRows() !== undefined
+  );
 
   constructor(state: EntryState, tableService: store.TableService) {
     this.#state = state;
@@ -88,28 +85,10 @@
 
   /**
    * Records the origins that are stored from now on or earlier; false if the
-   * store could not be read. Reads follow each other, as each takes the whole
-   * table and one of few connections.
+   * store could not be read.
    */
   read(): Promise<boolean> {
-    if (!this.#current) return this.#current = this.#start();
-    // The one in progress may have passed over rows written since.
-    this.#next ??= this.#current.then(() => {
-      this.#next = undefined;
-      return this.#current ??= this.#start();
-    });
-    return this.#next;
-  }
-
-  async #start(): Promise<boolean> {
-    const sinceLastMs = core.monotonicMs() - this.#startedAtMs;
-    await core.sleep(Math.max(0, READ_INTERVAL_MS - sinceLastMs));
-    this.#startedAtMs = core.monotonicMs();
-    try {
-      return await this.readRows() !== undefined;
-    } finally {
-      this.#current = undefined;
-    }
+    return this.#sharedRead.run();
   }
 
   /** Records the stored origins and returns the keys of their rows. */
--- a/packages/entry/entry_take_ups.ts
+++ b/packages/entry/entry_take_ups.ts
@@ -4,7 +4,6 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as origins from "../origins/mod.ts";
 import type * as relay from "../relay/mod.ts";
-import { MEMBER_TIMEOUT_MS } from "./entry_members.ts";
 import type { OriginReader } from "./entry_origin_rows.ts";
 import type { EntryState } from "./entry_state.ts";
 import { hasGroups } from "./entry_topology.ts";
@@ -25,8 +24,9 @@
  */
 const GROUPS_LOOKUP: LookupTimes = { mixedMs: 400, singleMs: 300 };
 /**
- * Time after which the store is asked as well. Most origins are told before by
- * the other nodes, and each read takes the whole table.
+ * Time after which the store is asked as well: for origins while streams are of
+ * several versions, otherwise for the versions. Most origins are told before by
+ * the other nodes.
  */
 const STORE_READ_AFTER_MS = 100;
 /** Longest lookup, if a node or the store does not answer. */
@@ -40,10 +40,10 @@
 const UNKNOWN_RETRY_AFTER_MS = 60_000;
 
 /**
- * Age of the list of upstreams from which on a node may lack a version. Below
- * the time after which a node without contact takes itself for the only one.
+ * Time after the start of a lookup from which on contacts with other nodes count
+ * as made during it. What a node was sent while it stood still is read before.
  */
-const UPSTREAMS_AGE_MAX_MS = MEMBER_TIMEOUT_MS - 100;
+const CONTACT_AFTER_MS = 100;
 /** Time for which a stream of inferred origin may be taken up again. */
 const INFERRED_TTL_MS = 60_000;
 
@@ -53,14 +53,48 @@
   readonly source: "memory" | "others" | "onlyVersion" | "unknown" | "notAsked";
 }
 
-type StoreRead = "due" | "pending" | "done" | "failed";
+type ReadStatus = "pending" | "done" | "failed";
+
+/** The reads of the store that belong to one lookup. */
+class LookupReads {
+  readonly #status = new Map<"origins" | "versions", ReadStatus>();
+
+  status(what: "origins" | "versions"): ReadStatus | undefined {
+    return this.#status.get(what);
+  }
+
+  /** What was read and how that ended, for the log. */
+  describe(): string | undefined {
+    const parts = [...this.#status].map(([what, status]) =>
+      `${what}:${status}`
+    );
+    return parts.length > 0 ? parts.join(",") : undefined;
+  }
+
+  /** Starts a read, unless it has been started before. */
+  start(what: "origins" | "versions", read: () => Promise<boolean>): void {
+    if (this.#status.has(what)) return;
+    this.#status.set(what, "pending");
+    read().then((isRead) => this.#status.set(what, isRead ? "done" : "failed"));
+  }
+}
+
+/** One lookup: when it began, its reads, and what ends it. */
+interface LookupContext {
+  readonly startedAtMs: number;
+  readonly reads: LookupReads;
+  readonly signal: AbortSignal | undefined;
+}
 
 /** What the resolver needs of the node's other parts. */
 export interface TakeUpSources {
   /** Makes this node exchange with the others soon. */
   readonly wakeExchange: () => void;
-  /** When the store last confirmed the list of upstreams to any node. */
-  readonly upstreamsConfirmedAtMs: () => number;
+  /**
+   * Reads from the store which software versions are in service from now on or
+   * earlier; false if it could not be read.
+   */
+  readonly readVersions: () => Promise<boolean>;
 }
 
 /** Finds the origins of streams that callers take up. */
@@ -98,15 +132,17 @@
     const { firstRequestId } = caller.takenUpStream;
     const stream = firstRequestId && origins.toStreamKey(firstRequestId);
     const known = stream && this.#state.origins.find(stream, startedAtMs);
+    const reads = new LookupReads();
     const found: Lookup = known
       ? { origin: known, source: "memory" }
-      : await this.#lookUp(stream, service, startedAtMs, signal);
+      : await this.#lookUp(stream, service, { startedAtMs, reads, signal });
     this.#state.logger.info("take_up", {
       request: caller.requestId,
       stream: firstRequestId,
       source: found.source,
       service: found.origin?.service,
       softwareVersion: found.origin?.softwareVersion,
+      storeReads: reads.describe(),
       tookMs: Math.round(core.monotonicMs() - startedAtMs),
     });
     if (found.origin) return ok(found.origin);
@@ -121,37 +157,40 @@
   async #lookUp(
     stream: core.StreamKey | undefined,
     service: core.ServiceName,
-    startedAtMs: number,
-    signal: AbortSignal | undefined,
+    { startedAtMs, reads, signal }: LookupContext,
   ): Promise<Lookup> {
     const { origins: known, wantedStreams, members } = this.#state;
-    const isMixed =
-      this.#state.versionsOfStreams(service, startedAtMs).length > 1;
     const times = hasGroups(members.alive().length)
       ? GROUPS_LOOKUP
       : FLAT_LOOKUP;
-    const lookupMs = isMixed ? times.mixedMs : times.singleMs;
-    let storeRead: StoreRead = stream && isMixed ? "due" : "done";
     for (;;) {
       const nowMs = core.monotonicMs();
+      const tookMs = nowMs - startedAtMs;
       const origin = stream && known.find(stream, nowMs);
       if (origin) return { origin, source: "others" };
+      const isMixed = this.#state.versionsOfStreams(service, nowMs).length > 1;
       const hasAsked = this.#state.exchangeStartedAtMs >= startedAtMs;
-      const isAnswered = hasAsked && isOver(storeRead);
-      if (nowMs - startedAtMs >= (isAnswered ? lookupMs : LOOKUP_MAX_MS)) {
-        return hasAsked && storeRead === "done"
-          ? this.#inferOrigin(stream, service, nowMs)
-          : { source: "notAsked" };
+      const isLate = tookMs >= LOOKUP_MAX_MS;
+      if (isLate || tookMs >= (isMixed ? times.mixedMs : times.singleMs)) {
+        const isKnown = isMixed
+          ? !stream || reads.status("origins") === "done"
+          : this.#knowsVersions(reads.status("versions"), startedAtMs, isLate);
+        if (hasAsked && isKnown) {
+          return isMixed
+            ? { source: "unknown" }
+            : this.#inferOrigin(stream, service, nowMs);
+        }
+        const hasFailed = isMixed && hasAsked &&
+          reads.status("origins") === "failed";
+        if (isLate || hasFailed) return { source: "notAsked" };
       }
-      if (storeRead === "due" && nowMs >= startedAtMs + STORE_READ_AFTER_MS) {
-        storeRead = "pending";
-        this.#reader.read().then((isRead) => {
-          storeRead = isRead ? "done" : "failed";
-        });
+      if (tookMs >= STORE_READ_AFTER_MS) {
+        if (!isMixed) reads.start("versions", this.#sources.readVersions);
+        else if (stream) reads.start("origins", () => this.#reader.read());
       }
       if (stream) wantedStreams.add(stream, nowMs);
       this.#askOthers(nowMs);
-      await core.sleep(LOOKUP_POLL_MS, signal);
+      await core.sleep(LOOKUP_POLL_MS);
       if (signal?.aborted) return { source: "notAsked" };
     }
   }
@@ -163,18 +202,14 @@
     this.#sources.wakeExchange();
   }
 
-  /** A stream of unknown origin can only be of the only version, if there is. */
+  /** A stream of unknown origin can only be of the only version. */
   #inferOrigin(
     stream: core.StreamKey | undefined,
     service: core.ServiceName,
     nowMs: number,
   ): Lookup {
-    const [softwareVersion, ...others] = this.#state
-      .versionsOfStreams(service, nowMs);
-    if (others.length > 0) return { source: "unknown" };
-    if (softwareVersion === undefined || !this.#knowsVersions(nowMs)) {
-      return { source: "notAsked" };
-    }
+    const [softwareVersion] = this.#state.versionsOfStreams(service, nowMs);
+    if (softwareVersion === undefined) return { source: "notAsked" };
     const origin = { service, softwareVersion };
     if (stream) {
       const ttlMs = INFERRED_TTL_MS;
@@ -184,17 +219,20 @@
   }
 
   /**
-   * Whether this node knows all versions: from the store, or while that is away
-   * from most of the nodes.
+   * Whether this node knows all versions that were in service when the lookup
+   * began: from the store, or while that is away from most of the nodes. What it
+   * knew before does not count: a node that stood still or was cut off does not
+   * notice at once, and not by its clock if that stood still as well.
    */
-  #knowsVersions(nowMs: number): boolean {
+  #knowsVersions(
+    read: ReadStatus | undefined,
+    startedAtMs: number,
+    isLate: boolean,
+  ): boolean {
+    if (read === "done") return true;
+    if (read !== "failed" && !isLate) return false;
     const { members } = this.#state;
-    const ageMs = nowMs - this.#sources.upstreamsConfirmedAtMs();
-    return ageMs < UPSTREAMS_AGE_MAX_MS ||
-      members.alive().length * 2 > members.count();
+    const inContact = members.countInContact(startedAtMs + CONTACT_AFTER_MS);
+    return inContact * 2 > members.count();
   }
 }
-
-function isOver(storeRead: StoreRead): boolean {
-  return storeRead === "done" || storeRead === "failed";
-}
--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -153,7 +153,7 @@
     const takeUps = new TakeUpResolver(
       this.state,
       new OriginReader(this.state, new MemoryTable()),
-      { wakeExchange: () => {}, upstreamsConfirmedAtMs: () => Infinity },
+      { wakeExchange: () => {}, readVersions: () => Promise.resolve(true) },
     );
     this.listener = new CallerListener(this.state, dialect, selector, takeUps);
   }
--- a/packages/entry/tests/unit/entry_take_ups_test.ts
+++ b/packages/entry/tests/unit/entry_take_ups_test.ts
@@ -47,8 +47,10 @@
   readonly resolver: TakeUpResolver;
   /** Whether exchanges tell what the other nodes know. */
   learns = true;
-  /** When the store last confirmed the list of upstreams. */
-  confirmedAtMs = () => core.monotonicMs();
+  /** Others with which each exchange brings this node in contact. */
+  inContact: number;
+  /** What a read of the versions finds; false if the store is away. */
+  readVersions: () => boolean = () => true;
   exchanges = 0;
   /** Streams for which an exchange asked. */
   readonly asked = new Set<core.StreamKey>();
@@ -58,6 +60,7 @@
       makeEntrySettings("n0"),
       new core.Logger({}, () => {}),
     );
+    this.inContact = others;
     this.state.applyConfig(makeStreamConfig());
     for (const softwareVersion of versions) {
       this.state.softwareVersions.add({ service, softwareVersion });
@@ -76,7 +79,7 @@
       new OriginReader(this.state, this.table),
       {
         wakeExchange: () => this.#exchange(),
-        upstreamsConfirmedAtMs: () => this.confirmedAtMs(),
+        readVersions: () => Promise.resolve(this.readVersions()),
       },
     );
   }
@@ -113,7 +116,12 @@
     this.exchanges++;
     const wanted = this.state.wantedStreams.list(core.monotonicMs());
     for (const stream of wanted) this.asked.add(stream);
-    if (this.learns) this.state.exchangeStartedAtMs = core.monotonicMs();
+    if (!this.learns) return;
+    this.state.exchangeStartedAtMs = core.monotonicMs();
+    for (let n = 1; n <= this.inContact; n++) {
+      const node = core.brandId<core.InstanceId>(`n${n}`);
+      this.state.members.recordContact(node, 0, true);
+    }
   }
 }
 
@@ -184,22 +192,67 @@
 // one, and the version that it knows for the only one.
 test("a node without contact to the others and the store infers no version", async (t) => {
   const node = new ResolvingNode([v1], 2);
-  const cutAtMs = core.monotonicMs();
-  node.confirmedAtMs = () => cutAtMs;
+  node.inContact = 0;
+  node.readVersions = () => false;
   await core.sleep(SILENT_MS);
   t.is(node.state.members.alive().length, 1);
   t.is(await node.resolve("a"), NOT_ASKED);
   node.begin("b", v1);
   t.is(await node.resolve("b"), v1);
   // It reaches the store again, which has the versions of all.
-  node.confirmedAtMs = () => core.monotonicMs();
+  node.readVersions = () => true;
   t.is(await node.resolve("a"), v1);
 });
 
+// Guards against a node that was suspended or cut off a moment ago: by its clock
+// its contacts and its list of upstreams are current (ORDER).
+test("what a node knew before a lookup does not tell the only version", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  await node.resolve("a");
+  t.is(node.state.members.countInContact(core.monotonicMs() - 500), 3);
+  node.inContact = 0;
+  node.readVersions = () => false;
+  t.is(await node.resolve("b"), NOT_ASKED);
+  node.inContact = 1;
+  t.is(await node.resolve("b"), v1);
+});
+
+// Guards against a minority that was cut off together.
+test("without the store, contact with a minority does not tell the only version", async (t) => {
+  const node = new ResolvingNode([v1], 3);
+  node.inContact = 1;
+  node.readVersions = () => false;
+  t.is(await node.resolve("a"), NOT_ASKED);
+});
+
+// Guards against a node that was out of step while engines of a new version
+// joined, and takes the version that it knows for the only one (ORDER).
+test("a version that the store tells of during a lookup is not passed over", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  node.readVersions = () => {
+    node.state.softwareVersions.add({ service, softwareVersion: v2 });
+    return true;
+  };
+  node.store("a", v2);
+  t.is(await node.resolve("a"), v2);
+  t.is(await node.resolve("b"), UNKNOWN);
+});
+
+// Guards against digests that waited in the connection of a node that stood
+// still, and are read right after it wakes, before it hears of anything new.
+test("contacts that are read as a lookup begins do not tell the only version", async (t) => {
+  const node = new ResolvingNode([v1], 2);
+  node.readVersions = () => false;
+  const resolving = node.resolve("a");
+  await core.sleep(30);
+  node.inContact = 0;
+  t.is(await resolving, NOT_ASKED);
+});
+
 // Guards against refusals while the store is away and all nodes are there.
 test("without the store, nodes in contact infer the version that all know", async (t) => {
   const node = new ResolvingNode([v1], 2);
-  node.confirmedAtMs = () => -Infinity;
+  node.readVersions = () => false;
   t.is(await node.resolve("a"), v1);
 });
 
