Announce the close of a connection only once no earlier response is due on it

After, a stopping node could leave a request of a pipelining caller without an answer: a later request was rejected at once, its response announced the close while the one before it was still running, and requests that followed until that had ended were dropped. A response announces the close only if it is the only one that is due on its connection.

--- a/packages/entry/entry_caller_connections.ts
+++ b/packages/entry/entry_caller_connections.ts
@@ -1,5 +1,5 @@
 /** Decides after which response the connection of a caller is closed. */
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 /**
@@ -24,18 +24,20 @@
   }
 
   /**
-   * Closes the connection after the response to a request, whose head is about
-   * to be written.
+   * Closes the connection after a response, whose head is about to be written.
    *
-   * @returns false if another request has followed.
+   * @returns false if other responses come before it, as requests may follow
+   * until these have ended, or after it.
    * @example
    * ```ts
-   * if (connections.tryClose(request)) response.setHeader("connection", "close");
+   * if (connections.tryClose(response)) response.setHeader("connection", "close");
    * ```
    */
-  tryClose(request: IncomingMessage): boolean {
+  tryClose({ req: request, socket: assigned }: ServerResponse): boolean {
     const { socket } = request;
-    if (this.#lastRequests.get(socket) !== request) return false;
+    const isOnly = assigned !== null &&
+      this.#lastRequests.get(socket) === request;
+    if (!isOnly) return false;
     this.#closing.add(socket);
     return true;
   }
--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -172,7 +172,7 @@
     this.#state.metrics.increment("requests");
     const reply = new relay.CallerResponse(
       response,
-      () => this.#keepsAlive || !this.#connections.tryClose(request),
+      () => this.#keepsAlive || !this.#connections.tryClose(response),
     );
     this.#relay(request, response, reply).catch(async (thrown) => {
       const reason = core.messageOf(thrown);
--- a/packages/entry/tests/unit/entry_stop_test.ts
+++ b/packages/entry/tests/unit/entry_stop_test.ts
@@ -50,6 +50,30 @@
   });
 });
 
+// Guards against a request that is not answered, as the response to the one
+// before it has announced the close of a connection that is still in use.
+test.serial("a stop answers all requests that follow one that still runs", async (t) => {
+  await withListener(respondAfter(300), async (harness) => {
+    const caller = harness.connect();
+    caller.socket.write(get("1"));
+    await harness.reached(1);
+    const nowMs = core.monotonicMs();
+    harness.listener.disableKeepAlive();
+    addOtherNode(harness);
+    harness.listener.rejectNew(nowMs, nowMs + 5_000);
+    for (const id of ["2", "3"]) {
+      caller.socket.write(get(id));
+      await core.sleep(50);
+    }
+    await caller.answered(3);
+    t.deepEqual(caller.statuses, [200, 503, 503]);
+    caller.socket.write(get("4"));
+    await caller.closed;
+    t.deepEqual(caller.statuses, [200, 503, 503, 503]);
+    t.deepEqual(harness.received, ["1"]);
+  });
+});
+
 // Guards against a request that is passed on although the response before it
 // closes the connection.
 test.serial("what arrives after a response that closes its connection is not passed on", async (t) => {
