--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -15,6 +15,7 @@
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { CallerConnections } from "./entry_caller_connections.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
 
@@ -88,7 +89,8 @@
   #keepsAlive = true;
   #rejectFromMs = Infinity;
   #stopEndsAtMs = Infinity;
-  #hasEnded = false;
+  readonly #connections = new CallerConnections();
+  readonly #ended = new AbortController();
   /** End the requests that are queued or sent to an upstream. */
   readonly #endRunning = new Set<(reason: string) => void>();
 
@@ -146,16 +148,16 @@
    * rejection. Rejects new ones.
    */
   endAll(): void {
-    this.#hasEnded = true;
+    this.#ended.abort();
     for (const end of this.#endRunning) end(STOPPING);
   }
 
   #canAdmit(
     caller: fleet.CallerRequest,
     { kind }: fleet.RouteSpec,
-    maxDurationMs: number,
+    deadlineAtMs: number,
   ): boolean {
-    if (this.#hasEnded) return false;
+    if (this.#ended.signal.aborted) return false;
     const nowMs = core.monotonicMs();
     if (nowMs < this.#rejectFromMs) return true;
     if (this.#state.members.callerAddresses().length > 0) return false;
@@ -164,13 +166,17 @@
     const estimatedMs = kind === "stream"
       ? Infinity
       : maxGenerationMs(this.#state.stepTimes, caller);
-    return remainingMs > Math.min(maxDurationMs, estimatedMs);
+    return remainingMs > Math.min(deadlineAtMs - nowMs, estimatedMs);
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#connections.add(request)) return void request.resume();
     this.#state.requestsInFlight++;
     this.#state.metrics.increment("requests");
-    const reply = new relay.CallerResponse(response, () => this.#keepsAlive);
+    const reply = new relay.CallerResponse(
+      response,
+      () => this.#keepsAlive || !this.#connections.tryClose(response),
+    );
     this.#relay(request, response, reply).catch(async (thrown) => {
       const reason = core.messageOf(thrown);
       this.#state.logger.error("request_crashed", { reason });
@@ -207,7 +213,8 @@
     }
     const deadlineMs = caller.value.deadlineMs ?? DEADLINE_DEFAULT_MS;
     const maxDurationMs = Math.min(deadlineMs, route.timeoutMs);
-    if (!this.#canAdmit(caller.value, route, maxDurationMs)) {
+    const deadlineAtMs = receivedAtMs + maxDurationMs;
+    if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
     const service = routes.pickTarget(route, Math.random());
@@ -218,12 +225,16 @@
     });
     if (!body) return;
     this.#state.retryBudget(service).recordRequest(receivedAtMs);
-    const takenUp = await this.#takeUps.resolve(caller.value, route, service);
+    const takenUp = await this.#takeUps
+      .resolve(caller.value, route, service, this.#ended.signal);
     if (takenUp.isErr()) {
       const { reason, retryAfterMs } = takenUp.error;
       return this.#reject(request, reply, 503, reason, retryAfterMs);
     }
-    if (this.#hasEnded) return this.#reject(request, reply, 503, STOPPING);
+    // The body, or the lookup of a stream, may have taken long.
+    if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
+      return this.#reject(request, reply, 503, STOPPING);
+    }
     await this.#run(
       {
         caller: caller.value,
@@ -233,7 +244,7 @@
         path,
         body,
         receivedAtMs,
-        deadlineAtMs: receivedAtMs + maxDurationMs,
+        deadlineAtMs,
       },
       reply,
       response,
