Send no request twice on one connection to an upstream

Cause: all sendings of a request have the caller's id, and the connection on which an answer was refused, failed or broke off was used for the next sending of the same request. A second, late copy of the first answer counted as the answer to the second sending. The same root elsewhere: a whole answer with another request's id did not close its connection (cancelling an attempt that has ended does nothing), so that the answers after it went to the wrong requests; and a copy of a refusal without an id counted for any request.

Ruled out: bytes on an idle connection. The HTTP client closes it, also for a single byte (4 tests, which fail before only as nothing reported it).

Change: a request remembers the connections on which it was sent, and the connections to an upstream, in place of undici's pool, never use one of them for it again. If all others are busy the connection is closed and opened anew. Connections with an answer to another request, or with a refusal without an id, are closed. Open connections are preferred to closed ones.

Tests: relay_second_answers_test and relay_connections_test. Of the first, on the code before, all but "few connections" fail, e.g. runs [r1, r1] in place of [r1] for the refusal, [r1, r1, r2, r2, r3, r3] without ids, and id 1 twice in the stream.

--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -319,6 +319,12 @@
         }
       },
       onFailure: (cause) => fate.recordFailure(cause, core.monotonicMs()),
+      onConnectionClosed: (reason) =>
+        this.#state.recordConnectionClosed(
+          upstream.record,
+          reason,
+          relayed.caller.requestId,
+        ),
       onEnd: (outcome) => {
         untrack();
         if (outcome === "served") fate.recordSurvival(core.monotonicMs());
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -24,7 +24,9 @@
   readonly outputLengths = new dispatch.OutputLengthEstimator();
   readonly demand = new dispatch.DemandTracker();
   readonly queue = new dispatch.RequestQueue();
-  readonly pools = new relay.UpstreamPools();
+  readonly pools = new relay.UpstreamPools((upstream, reason) =>
+    this.recordConnectionClosed(upstream, reason)
+  );
   readonly members: Members;
   readonly metrics = new metrics.MetricsRecorder();
   readonly logger: core.Logger;
@@ -76,6 +78,17 @@
       this.hasReadMembers && !this.isStopping;
   }
 
+  /** Counts and logs a connection that this node closed, other than idle ones. */
+  recordConnectionClosed(
+    upstream: fleet.UpstreamRecord,
+    reason: string,
+    request?: core.RequestId,
+  ): void {
+    this.metrics.increment("connections_closed");
+    const fields = { upstream: upstream.id, reason, request };
+    this.logger.info("connection_closed", fields);
+  }
+
   /**
    * Applies changed settings. Addresses, node name, failure domain and store
    * stay as they were at the start.
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -46,6 +46,7 @@
   | "callers_left"
   | "retries"
   | "streams_broken"
+  | "connections_closed"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -14,6 +14,12 @@
   discardBody,
   readBody,
 } from "./relay_body.ts";
+export { UpstreamConnections, UsedConnections } from "./relay_connections.ts";
+export type {
+  CloseReason,
+  RequestSender,
+  SendOptions,
+} from "./relay_connections.ts";
 export { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 export { UpstreamPools } from "./relay_pools.ts";
 export { RelayTask } from "./relay_task.ts";
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
+import type { RequestSender, UsedConnections } from "./relay_connections.ts";
 
 /** Why an attempt did not yield a complete response. */
 export interface AttemptFailure {
@@ -181,7 +182,7 @@
  * ```
  */
 export function startAttempt(
-  dispatcher: Dispatcher,
+  sender: RequestSender,
   request: {
     readonly path: string;
     readonly method: string;
@@ -189,6 +190,8 @@
     readonly body: Buffer | null;
     /** Time of the monotonic clock from which the request is not sent. */
     readonly startBeforeMs?: number;
+    /** Connections on which it was sent before; the one used is added. */
+    readonly usedConnections?: UsedConnections;
   },
 ): Attempt {
   const attempt = new Attempt(
@@ -197,12 +200,15 @@
   );
   try {
     const { handler } = attempt;
-    dispatcher.dispatch(
+    sender.dispatch(
       {
         path: request.path,
         method: request.method as Dispatcher.HttpMethod,
         headers: request.headers,
         body: request.body,
+        ...(request.usedConnections === undefined
+          ? {}
+          : { usedConnections: request.usedConnections }),
       },
       transport.guardUnframedBody(handler, request.method, UNFRAMED_BYTES_MAX),
     );
--- /dev/null
+++ b/packages/relay/relay_connections.ts
@@ -0,0 +1,255 @@
+/**
+ * The connections to one upstream. No request is sent twice on one of them, so
+ * that a second, late copy of an answer is never taken for the answer to the
+ * next sending of its request, which has the same id.
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
+import * as undici from "undici";
+
+type Handler = undici.Dispatcher.DispatchHandler;
+type Controller = undici.Dispatcher.DispatchController;
+
+/** Connections on which one request was sent. */
+export class UsedConnections {
+  readonly #sockets = new Set<Socket>();
+  #last: Socket | undefined;
+
+  /** Adds the connection on which the request is being sent. */
+  add(socket: Socket): void {
+    this.#sockets.add(socket);
+    this.#last = socket;
+  }
+
+  has(socket: Socket): boolean {
+    return this.#sockets.has(socket);
+  }
+
+  /** Closes the connection of the last sending, whose answer has ended. */
+  closeLast(): void {
+    this.#last?.destroy();
+  }
+}
+
+/** Options of a request that may be sent more than once. */
+export interface SendOptions extends undici.Dispatcher.DispatchOptions {
+  /** Connections not to be used; the one that is used is added. */
+  readonly usedConnections?: UsedConnections;
+}
+
+/** Sends requests to one upstream. */
+export interface RequestSender {
+  dispatch(options: SendOptions, handler: Handler): unknown;
+}
+
+/** Why this node closes a connection on which no request is in progress. */
+export type CloseReason =
+  /** All others are busy, and the next request was sent on it before. */
+  | "requestSentBefore"
+  /** Bytes came though no answer was due. */
+  | "unexpectedBytes";
+
+export interface ConnectionsOptions
+  extends Omit<undici.Client.Options, "connect" | "pipelining"> {
+  readonly connect: undici.buildConnector.connector;
+  readonly connectionsMax: number;
+  readonly onClose?: (reason: CloseReason) => void;
+}
+
+interface Sending {
+  readonly options: SendOptions;
+  readonly handler: Handler;
+}
+
+/** Message of undici's error for bytes that come when no answer is due. */
+const UNEXPECTED_BYTES_MESSAGE = "bad response";
+
+/** One connection at a time, which bears one request at a time. */
+class Lane {
+  readonly #client: undici.Client;
+  #socket: Socket | undefined;
+  isBusy = false;
+
+  constructor(
+    origin: string,
+    { connect, connectionsMax: _, onClose, ...options }: ConnectionsOptions,
+  ) {
+    this.#client = new undici.Client(origin, {
+      ...options,
+      // Without pipelining undici never resends a request by itself.
+      pipelining: 1,
+      connect: (target, callback) =>
+        connect(target, (...result) => {
+          this.#socket = result[1] ?? undefined;
+          callback(...result);
+        }),
+    });
+    this.#client.on("disconnect", (_origin, _targets, { message }) => {
+      if (message === UNEXPECTED_BYTES_MESSAGE) onClose?.("unexpectedBytes");
+    });
+  }
+
+  /** The open connection, if there is one. */
+  get connection(): Socket | undefined {
+    return this.#socket?.destroyed ? undefined : this.#socket;
+  }
+
+  /** Sends a request, on a new connection if none is open. */
+  send({ options, handler }: Sending, onFree: () => void): void {
+    this.isBusy = true;
+    const onStart = () => options.usedConnections?.add(this.#socket!);
+    const onEnd = () => {
+      this.isBusy = false;
+      queueMicrotask(onFree);
+    };
+    this.#client.dispatch(options, new LaneHandler(handler, onStart, onEnd));
+  }
+
+  /** Closes the connection once its request has ended; for good. */
+  async close(): Promise<void> {
+    await this.#client.close();
+  }
+
+  async destroy(): Promise<void> {
+    await this.#client.destroy();
+  }
+}
+
+/** Passes everything on, and tells when a request is written and has ended. */
+class LaneHandler implements Handler {
+  readonly #handler: Handler;
+  readonly #onStart: () => void;
+  readonly #onEnd: () => void;
+
+  constructor(handler: Handler, onStart: () => void, onEnd: () => void) {
+    this.#handler = handler;
+    this.#onStart = onStart;
+    this.#onEnd = onEnd;
+  }
+
+  onRequestStart(controller: Controller, context: unknown): void {
+    this.#onStart();
+    this.#handler.onRequestStart?.(controller, context);
+  }
+
+  onResponseStart(
+    controller: Controller,
+    status: number,
+    headers: IncomingHttpHeaders,
+    statusMessage?: string,
+  ): void {
+    this.#handler
+      .onResponseStart?.(controller, status, headers, statusMessage);
+  }
+
+  onResponseData(controller: Controller, chunk: Buffer): void {
+    this.#handler.onResponseData?.(controller, chunk);
+  }
+
+  onResponseEnd(controller: Controller, trailers: IncomingHttpHeaders): void {
+    this.#onEnd();
+    this.#handler.onResponseEnd?.(controller, trailers);
+  }
+
+  onResponseError(controller: Controller, error: Error): void {
+    this.#onEnd();
+    this.#handler.onResponseError?.(controller, error);
+  }
+}
+
+/** The open connections to one upstream, up to a limit. */
+export class UpstreamConnections implements RequestSender {
+  readonly #origin: string;
+  readonly #options: ConnectionsOptions;
+  readonly #lanes: Lane[] = [];
+  /** Requests for which no lane is free, in the order of their arrival. */
+  readonly #waiting: Sending[] = [];
+  #isClosed = false;
+
+  /**
+   * @param origin scheme and address of the upstream.
+   * @example
+   * ```ts
+   * const connections = new UpstreamConnections("http://127.0.0.1:9000", {
+   *   connect: transport.connector(600), connectionsMax: 4,
+   * });
+   * ```
+   */
+  constructor(origin: string, options: ConnectionsOptions) {
+    this.#origin = origin;
+    this.#options = options;
+  }
+
+  /**
+   * Sends a request on an open connection that may be used, else on a new one.
+   * While all connections are busy it waits for one.
+   *
+   * @throws ClientClosedError after `close` or `destroy`.
+   */
+  dispatch(options: SendOptions, handler: Handler): void {
+    if (this.#isClosed) throw new undici.errors.ClientClosedError();
+    const lane = this.#findFree(options.usedConnections);
+    if (lane) this.#send(lane, { options, handler });
+    else this.#waiting.push({ options, handler });
+  }
+
+  /** Closes each connection once the requests that were given are answered. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    if (this.#waiting.length > 0) return;
+    await Promise.all(this.#lanes.map((lane) => lane.close()));
+  }
+
+  /** Closes all connections; the requests fail. */
+  async destroy(): Promise<void> {
+    this.#isClosed = true;
+    const closed = this.#lanes.map((lane) => lane.destroy());
+    // A destroyed lane fails each request as one that was not sent.
+    for (const sending of this.#waiting.splice(0)) {
+      this.#lanes[0]!.send(sending, () => {});
+    }
+    await Promise.all(closed);
+  }
+
+  /** Prefers connections that are open, and the first ones among them. */
+  #findFree(used: UsedConnections | undefined): Lane | undefined {
+    let unopened: Lane | undefined;
+    let spent: Lane | undefined;
+    for (const lane of this.#lanes) {
+      if (lane.isBusy) continue;
+      const { connection } = lane;
+      if (connection === undefined) unopened ??= lane;
+      else if (used?.has(connection)) spent ??= lane;
+      else return lane;
+    }
+    if (unopened) return unopened;
+    return this.#lanes.length < this.#options.connectionsMax
+      ? this.#open()
+      : spent;
+  }
+
+  #open(): Lane {
+    const lane = new Lane(this.#origin, this.#options);
+    this.#lanes.push(lane);
+    return lane;
+  }
+
+  #send(lane: Lane, sending: Sending): void {
+    const { connection } = lane;
+    if (connection && sending.options.usedConnections?.has(connection)) {
+      connection.destroy();
+      this.#options.onClose?.("requestSentBefore");
+    }
+    lane.send(sending, () => this.#sendNext(lane));
+  }
+
+  /** Gives a lane that has become free to the request that waits longest. */
+  #sendNext(lane: Lane): void {
+    if (lane.isBusy) return;
+    const sending = this.#waiting.shift();
+    if (!sending) return;
+    this.#send(lane, sending);
+    if (this.#isClosed) this.close().catch(() => {});
+  }
+}
--- a/packages/relay/relay_pools.ts
+++ b/packages/relay/relay_pools.ts
@@ -1,7 +1,7 @@
 /** Connection pools to upstreams, one for each incarnation. */
-import * as undici from "undici";
 import type * as fleet from "../fleet/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { type CloseReason, UpstreamConnections } from "./relay_connections.ts";
 
 /** Connect timeout; failure domains are a millisecond apart. */
 const CONNECT_TIMEOUT_MS = 600;
@@ -18,9 +18,21 @@
 
 const connect = transport.connector(CONNECT_TIMEOUT_MS);
 
+/** Called when an idle connection to an upstream is closed. */
+export type PoolCloseListener = (
+  upstream: fleet.UpstreamRecord,
+  reason: CloseReason,
+) => void;
+
 /** Opens pools on demand and closes those of removed upstreams. */
 export class UpstreamPools {
-  readonly #pools = new Map<string, undici.Pool>();
+  readonly #onClose: PoolCloseListener;
+  readonly #pools = new Map<string, UpstreamConnections>();
+
+  /** @param onClose called when an idle connection is closed for a reason. */
+  constructor(onClose: PoolCloseListener = () => {}) {
+    this.#onClose = onClose;
+  }
 
   /**
    * Returns the pool of one incarnation of an upstream, opening it if needed.
@@ -33,21 +45,20 @@
     upstream: fleet.UpstreamRecord,
     connectionsMax: number,
     nodes: number,
-  ): undici.Pool {
+  ): UpstreamConnections {
     const key = poolKey(upstream);
     let pool = this.#pools.get(key);
     if (!pool) {
       const nodeShare = CONNECTIONS_SHARE * connectionsMax /
         Math.max(1, nodes);
-      pool = new undici.Pool(`http://${upstream.address}`, {
-        connections: Math.max(CONNECTIONS_MIN, Math.floor(nodeShare)),
-        // Without pipelining undici never resends a request by itself.
-        pipelining: 1,
+      pool = new UpstreamConnections(`http://${upstream.address}`, {
+        connectionsMax: Math.max(CONNECTIONS_MIN, Math.floor(nodeShare)),
         connect,
         headersTimeout: 0,
         bodyTimeout: 0,
         keepAliveTimeout: IDLE_TIMEOUT_DEFAULT_MS,
         keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
+        onClose: (reason) => this.#onClose(upstream, reason),
       });
       this.#pools.set(key, pool);
     }
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -5,6 +5,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
+import { UsedConnections } from "./relay_connections.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -42,6 +43,7 @@
   readonly #signal: AbortSignal;
   readonly #retries: RelayRetries;
   readonly #bodyRelay: BodyRelay;
+  readonly #usedConnections = new UsedConnections();
   #attempt: Attempt | undefined;
   #upstream: fleet.UpstreamRecord | undefined;
   #selectionFields: core.LogFields = {};
@@ -133,6 +135,7 @@
       }),
       body: body.length > 0 ? body : null,
       startBeforeMs: deadlineAtMs,
+      usedConnections: this.#usedConnections,
     });
     this.#attempt = attempt;
     const watch = this.#retries
@@ -178,16 +181,22 @@
     const { requestId, isNotRun } = upstreamResponse;
     const isAnonymousRefusal = isNotRun && requestId === undefined;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
-      attempt.cancel("response has a different request id");
+      const detail = "response has a different request id";
+      attempt.cancel(detail);
+      this.#usedConnections.closeLast();
+      assignment.onConnectionClosed(detail);
       assignment.onEnd("failed");
       this.#retries.runCount++;
-      return {
-        kind: "mayHaveRun",
-        detail: "response has a different request id",
-      };
+      return { kind: "mayHaveRun", detail };
     }
     if (upstreamResponse.isNotRun) {
       // Reading continues to the end of the body, so that the connection stays.
+      if (isAnonymousRefusal) {
+        // A copy of it would count for whatever request is sent there next.
+        attempt.cancel("refusal without a request id");
+        this.#usedConnections.closeLast();
+        assignment.onConnectionClosed("refusal without a request id");
+      }
       const lacksModel = head.status === STATUS_MISDIRECTED;
       assignment.onNotRun(lacksModel, core.monotonicMs());
       assignment.onEnd("shed");
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -1,11 +1,11 @@
 /** What a relayed request consists of, and what selects its upstreams. */
 import type { Buffer } from "node:buffer";
 import type { Result } from "neverthrow";
-import type { Dispatcher } from "undici";
 import type * as core from "../core/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type { AttemptFailure } from "./relay_attempt.ts";
+import type { RequestSender } from "./relay_connections.ts";
 
 /** A request as received, with the route that it matched. */
 export interface RelayedRequest {
@@ -30,7 +30,7 @@
  */
 export interface UpstreamAssignment {
   readonly upstream: fleet.UpstreamRecord;
-  readonly dispatcher: Dispatcher;
+  readonly dispatcher: RequestSender;
   /** Inputs of the selection, added to the request's log entry. */
   readonly logFields: core.LogFields;
   /** The first part of a stream is about to be passed to the caller. */
@@ -51,6 +51,8 @@
   onEventGap(gapMs: number): void;
   /** The attempt ended without a complete response; called before `onEnd`. */
   onFailure(cause: AttemptFailure["cause"]): void;
+  /** This node closed the connection of the attempt, whose answer it drops. */
+  onConnectionClosed(reason: string): void;
   /** The attempt has ended. */
   onEnd(outcome: dispatch.UpstreamOutcome | "shed" | "cancelled"): void;
 }
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -121,6 +121,7 @@
       onEventGap: () => {},
       onStreamLength: () => {},
       onFailure: () => {},
+      onConnectionClosed: () => {},
       onEnd: (outcome: dispatch.UpstreamOutcome | "shed" | "cancelled") => {
         this.outcomes.push(outcome);
       },
--- /dev/null
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -0,0 +1,174 @@
+import test from "ava";
+import type { Socket } from "node:net";
+import * as core from "../../../core/mod.ts";
+import {
+  type Arrival,
+  chunk,
+  chunkedHead,
+  eventOf,
+  EVENTS,
+  failure,
+  LAST_CHUNK,
+  refusal,
+  streamBytes,
+  success,
+  withFleet,
+} from "../raw_engines.ts";
+
+/** Sends a copy of an answer where the next one on its connection is due. */
+class LateCopies {
+  readonly #bySocket = new WeakMap<Socket, string>();
+  sent = 0;
+
+  /** Answers, and keeps a copy of the answer. */
+  answer(socket: Socket, bytes: string, copy = bytes): void {
+    socket.write(bytes);
+    this.#bySocket.set(socket, copy);
+  }
+
+  /** Sends the copy that was kept for a connection, if there is one. */
+  sendOn(socket: Socket): void {
+    const copy = this.#bySocket.get(socket);
+    if (copy === undefined) return;
+    this.#bySocket.delete(socket);
+    this.sent++;
+    socket.write(copy);
+  }
+}
+
+/** An engine that refuses each request once and copies that answer. */
+function refusingEngine(runs: string[], copies: LateCopies) {
+  return ({ id, socket, times }: Arrival) => {
+    copies.sendOn(socket);
+    if (times === 1) return copies.answer(socket, refusal(id));
+    runs.push(id);
+    setTimeout(() => socket.write(success(id)), 20);
+  };
+}
+
+// Guards against an unsafe request that runs twice because a second, late copy
+// of its refusal was taken for the answer to its next sending.
+test("a second copy of a refusal does not count for the next sending", async (t) => {
+  const runs: string[] = [];
+  const copies = new LateCopies();
+  await withFleet([refusingEngine(runs, copies)], {}, async (fleet) => {
+    const received = await fleet.ask("r1");
+    t.deepEqual(runs, ["r1"]);
+    t.like(received, { status: 200, body: "whole r1" });
+  });
+});
+
+// Guards against a request that fails, or runs once more, because a copy of an
+// earlier failure was taken for the answer of the run in progress.
+test("a second copy of a failure does not count for the next run", async (t) => {
+  const runs: string[] = [];
+  const copies = new LateCopies();
+  const answer = ({ id, socket, times }: Arrival) => {
+    copies.sendOn(socket);
+    runs.push(id);
+    if (times === 1) return copies.answer(socket, failure(id));
+    setTimeout(() => socket.write(success(id)), 20);
+  };
+  await withFleet([answer], { kind: "safe" }, async (fleet) => {
+    t.like(await fleet.ask("r1"), { status: 200, body: "whole r1" });
+    t.deepEqual(runs, ["r1", "r1"]);
+  });
+});
+
+// Guards against events that come twice because a late second answer to a broken
+// stream was taken for the stream that goes on.
+test("a second answer to a broken stream joins nothing", async (t) => {
+  const copies = new LateCopies();
+  const answer = ({ id, after, socket, times }: Arrival) => {
+    copies.sendOn(socket);
+    if (times > 1) return socket.write(streamBytes(id, Number(after)));
+    const broken = chunk(eventOf(id, 1)) + chunk(eventOf(id, 2).slice(0, 7));
+    copies.answer(
+      socket,
+      chunkedHead(id, 200) + broken + LAST_CHUNK,
+      streamBytes(id),
+    );
+  };
+  await withFleet([answer], { kind: "stream" }, async (fleet) => {
+    const { body } = await fleet.ask("r1");
+    let expected = "";
+    for (let n = 1; n <= EVENTS; n++) expected += eventOf("r1", n);
+    t.is(body, expected);
+  });
+});
+
+// Guards against a copy of a refusal without an id that counts for another
+// request, which then runs twice.
+test("a second copy of a refusal without an id counts for no request", async (t) => {
+  const runs: string[] = [];
+  const copies = new LateCopies();
+  const answer = ({ id, socket, times }: Arrival) => {
+    copies.sendOn(socket);
+    if (id === "r1" && times === 1) return copies.answer(socket, refusal());
+    runs.push(id);
+    setTimeout(() => socket.write(success(id)), 20);
+  };
+  await withFleet([answer], {}, async (fleet) => {
+    t.is((await fleet.ask("r1")).status, 200);
+    t.is((await fleet.ask("r2")).status, 200);
+    t.is((await fleet.ask("r3")).status, 200);
+    t.deepEqual(runs, ["r1", "r2", "r3"]);
+  });
+});
+
+// Guards against answers that go to the requests after their own because a copy
+// came first.
+test("a copy in place of another request's answer costs that request alone", async (t) => {
+  const copies = new LateCopies();
+  const answer = ({ id, socket }: Arrival) => {
+    copies.sendOn(socket);
+    if (id === "r1") return copies.answer(socket, success(id));
+    setTimeout(() => socket.write(success(id)), 20);
+  };
+  await withFleet([answer], {}, async (fleet) => {
+    t.is((await fleet.ask("r1")).status, 200);
+    t.is((await fleet.ask("r2")).status, 502);
+    t.like(await fleet.ask("r3"), { status: 200, body: "whole r3" });
+    t.deepEqual(fleet.closed, ["response has a different request id"]);
+  });
+});
+
+// Guards against bytes on an idle connection that become the next answer.
+for (const bytes of [success("r1"), success("r2"), "H", "garbage"]) {
+  test(`a connection is closed when it gets ${JSON.stringify(bytes.slice(0, 30))}${bytes.length} while idle`, async (t) => {
+    const answer = ({ id, socket }: Arrival) => {
+      socket.write(success(id));
+      if (id === "r1") setTimeout(() => socket.write(bytes), 20);
+    };
+    await withFleet([answer], {}, async (fleet, [engine]) => {
+      t.is((await fleet.ask("r1")).status, 200);
+      await core.sleep(60);
+      t.is(engine!.open.size, 0);
+      t.deepEqual(fleet.closed, ["unexpectedBytes"]);
+      t.like(await fleet.ask("r2"), { status: 200, body: "whole r2" });
+    });
+  });
+}
+
+// Guards against a storm of refusals that becomes a storm of connects.
+test("requests that are refused open few connections", async (t) => {
+  const runs: string[] = [];
+  const refusals = 3;
+  const answer = ({ id, socket, times }: Arrival) => {
+    if (times <= refusals) return socket.write(refusal(id));
+    runs.push(id);
+    socket.write(success(id));
+  };
+  await withFleet([answer], {}, async (fleet, [engine]) => {
+    const requests = 400;
+    const concurrency = 4;
+    let next = 0;
+    await Promise.all(Array.from({ length: concurrency }, async () => {
+      while (next < requests) t.is((await fleet.ask(`r${next++}`)).status, 200);
+    }));
+    t.is(runs.length, requests);
+    t.log(`${engine!.connections} connections for ${requests} requests`);
+    // Each request in progress needs a connection of its own for each sending.
+    t.true(engine!.connections <= concurrency * (refusals + 1));
+  });
+});
