Go on with a stream only after its last event

Cause: the events of a resumed answer were relayed without a look at their ids, though ids of a stream increase.

Change: the first event of an answer that goes on, also for a caller that takes a stream up itself, has to have a later id than the last one; otherwise nothing of it is relayed, its connection is closed and the request goes on elsewhere if it may. Ids that are no whole numbers only have to differ. Connections are closed only if no other request has been sent on them meanwhile.

Tests: "a stream goes on only after its last event" (two, relay) and two of the event buffer.

--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -14,21 +14,28 @@
 /** Connections on which one request was sent. */
 export class UsedConnections {
   readonly #sockets = new Set<Socket>();
-  #last: Socket | undefined;
+  #closeLast: () => void = () => {};
 
-  /** Adds the connection on which the request is being sent. */
-  add(socket: Socket): void {
+  /**
+   * Adds the connection on which the request is being sent.
+   *
+   * @param close closes it, unless another request has been sent on it since.
+   */
+  add(socket: Socket, close: () => void): void {
     this.#sockets.add(socket);
-    this.#last = socket;
+    this.#closeLast = close;
   }
 
   has(socket: Socket): boolean {
     return this.#sockets.has(socket);
   }
 
-  /** Closes the connection of the last sending, whose answer has ended. */
+  /**
+   * Closes the connection of the last sending, also if its answer has ended,
+   * unless another request has been sent on it since.
+   */
   closeLast(): void {
-    this.#last?.destroy();
+    this.#closeLast();
   }
 }
 
@@ -69,6 +76,7 @@
 class Lane {
   readonly #client: undici.Client;
   #socket: Socket | undefined;
+  #sentCount = 0;
   isBusy = false;
 
   constructor(
@@ -98,7 +106,13 @@
   /** Sends a request, on a new connection if none is open. */
   send({ options, handler }: Sending, onFree: () => void): void {
     this.isBusy = true;
-    const onStart = () => options.usedConnections?.add(this.#socket!);
+    const onStart = () => {
+      const socket = this.#socket!;
+      const count = ++this.#sentCount;
+      options.usedConnections?.add(socket, () => {
+        if (this.#sentCount === count) socket.destroy();
+      });
+    };
     const onEnd = () => {
       this.isBusy = false;
       queueMicrotask(onFree);
--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -7,6 +7,8 @@
 const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/;
 const ID_LINE = /^id: ?(.*)$/m;
 
+const WHOLE_NUMBER = /^\d+$/;
+
 /**
  * Buffers bytes until they form complete events and tracks the id of the last
  * complete event, so that a broken stream can be resumed after it on another
@@ -15,12 +17,28 @@
 export class EventStreamBuffer {
   #pending: Buffer = Buffer.alloc(0);
   #lastEventId: string | undefined;
+  /** Whether no event with an id of the current answer has come yet. */
+  #isFirst = true;
+  #isOutOfPlace = false;
+
+  /** @param lastEventId id of the last event that the caller has already. */
+  constructor(lastEventId?: string) {
+    this.#lastEventId = lastEventId;
+  }
 
   /** Id of the last complete event that has one. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
   }
 
+  /**
+   * Whether the answer does not go on after the last event: it is another one
+   * than was asked for. None of its events count.
+   */
+  get isOutOfPlace(): boolean {
+    return this.#isOutOfPlace;
+  }
+
   /** Bytes buffered of an incomplete event. */
   get pendingBytes(): number {
     return this.#pending.length;
@@ -42,8 +60,15 @@
     const end = endOfLastEvent(bytes);
     this.#pending = bytes.subarray(end);
     const complete = bytes.subarray(0, end);
-    if (end > 0) this.#recordLastId(complete);
-    return complete;
+    if (end > 0) this.#recordIds(complete);
+    return this.#isOutOfPlace ? Buffer.alloc(0) : complete;
+  }
+
+  /** Discards what is left of an answer, before that of another upstream. */
+  beginAnswer(): void {
+    this.discardPending();
+    this.#isFirst = true;
+    this.#isOutOfPlace = false;
   }
 
   /** Returns and removes the bytes after the last complete event. */
@@ -58,17 +83,31 @@
     this.#pending = Buffer.alloc(0);
   }
 
-  #recordLastId(complete: Buffer): void {
-    const text = complete.toString("utf8");
-    for (const event of text.split(EVENT_END).reverse()) {
-      const id = ID_LINE.exec(event)?.[1];
-      if (id === undefined) continue;
-      this.#lastEventId = id.trim();
-      return;
+  #recordIds(complete: Buffer): void {
+    const ids = idsOf(complete);
+    const [first] = ids;
+    if (first === undefined) return;
+    const last = this.#lastEventId;
+    if (this.#isFirst && last !== undefined) {
+      this.#isOutOfPlace = !isLaterId(first, last);
     }
+    this.#isFirst = false;
+    if (!this.#isOutOfPlace) this.#lastEventId = ids.at(-1);
   }
 }
 
+/** Ids of complete events, those without one left out. */
+function idsOf(events: Buffer): string[] {
+  return events.toString("utf8").split(EVENT_END)
+    .flatMap((event) => ID_LINE.exec(event)?.[1]?.trim() ?? []);
+}
+
+/** Whether an event comes after another; the ids of a stream increase. */
+function isLaterId(id: string, last: string): boolean {
+  const areNumbers = WHOLE_NUMBER.test(id) && WHOLE_NUMBER.test(last);
+  return areNumbers ? BigInt(id) > BigInt(last) : id !== last;
+}
+
 /** Last bytes of a stream in which a blank line is recognised. */
 const TAIL_BYTES = 4;
 const EVENT_END_AT_END = new RegExp(`${EVENT_END.source}$`);
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -27,6 +27,8 @@
   readonly contentType: string | undefined;
   /** Headers to return to the caller. */
   readonly headers: Record<string, string | string[]>;
+  /** Closes the connection, as its bytes are not the answer asked for. */
+  readonly closeConnection: (reason: string) => void;
 }
 
 /** Gaps averaged into one sample, as chunks sometimes arrive in bursts. */
@@ -42,7 +44,7 @@
   /** Whether only complete events are relayed, so that it can be resumed. */
   readonly #splitsEvents: boolean;
   readonly #signal: AbortSignal;
-  readonly #eventBuffer = new EventStreamBuffer();
+  readonly #eventBuffer: EventStreamBuffer;
   /** Version of the upstream that began the stream. */
   softwareVersion: core.SoftwareVersion | undefined;
   /** Whether the last stream ended inside an event, for the log. */
@@ -52,15 +54,20 @@
   /** Longest time from a chunk's arrival until it was read, for the log. */
   lagMaxMs = 0;
 
-  /** @param signal aborted when the caller disconnects or its time is over. */
+  /**
+   * @param signal aborted when the caller disconnects or its time is over.
+   * @param lastEventId id of the last event that the caller has already.
+   */
   constructor(
     response: CallerResponse,
     splitsEvents: boolean,
     signal: AbortSignal,
+    lastEventId?: string,
   ) {
     this.#response = response;
     this.#splitsEvents = splitsEvents;
     this.#signal = signal;
+    this.#eventBuffer = new EventStreamBuffer(lastEventId);
   }
 
   /** Id of the last event relayed, after which a stream is resumed. */
@@ -109,8 +116,10 @@
    */
   async relayEvents(
     assignment: UpstreamAssignment,
-    { attempt, watch, status, framing, contentType, headers }: ReceivedResponse,
+    received: ReceivedResponse,
   ): Promise<AttemptResult> {
+    const { attempt, watch, status, framing, contentType, headers } = received;
+    this.#eventBuffer.beginAnswer();
     const hasEvents = isEventStream(contentType);
     const splitsEvents = hasEvents && this.#splitsEvents;
     let lastChunkAtMs: number | undefined;
@@ -152,6 +161,12 @@
         this.#eventBuffer.discardPending();
         return this.#failOversized(assignment, attempt, "event is too large");
       }
+      if (this.#eventBuffer.isOutOfPlace) {
+        const detail = "stream does not go on after its last event";
+        received.closeConnection(detail);
+        assignment.onEnd("failed");
+        return { kind: "mayHaveRun", detail };
+      }
       if (data.length === 0) continue;
       if (!this.#response.hasStarted) {
         this.#startStream(assignment);
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -65,7 +65,13 @@
     this.#signal = signal;
     this.#retries = new RelayRetries(request, dependencies, signal);
     const { isResumable } = request.route;
-    this.#bodyRelay = new BodyRelay(response, isResumable, signal);
+    const { takenUpStream } = request.caller;
+    this.#bodyRelay = new BodyRelay(
+      response,
+      isResumable,
+      signal,
+      isResumable ? takenUpStream?.lastEventId : undefined,
+    );
   }
 
   /** Runs the request to its end. The response is always ended or aborted. */
@@ -182,9 +188,7 @@
     const isAnonymousRefusal = isNotRun && requestId === undefined;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       const detail = "response has a different request id";
-      attempt.cancel(detail);
-      this.#usedConnections.closeLast();
-      assignment.onConnectionClosed(detail);
+      this.#closeConnection(assignment, attempt, detail);
       assignment.onEnd("failed");
       this.#retries.runCount++;
       return { kind: "mayHaveRun", detail };
@@ -193,9 +197,8 @@
       // Reading continues to the end of the body, so that the connection stays.
       if (isAnonymousRefusal) {
         // A copy of it would count for whatever request is sent there next.
-        attempt.cancel("refusal without a request id");
-        this.#usedConnections.closeLast();
-        assignment.onConnectionClosed("refusal without a request id");
+        const reason = "refusal without a request id";
+        this.#closeConnection(assignment, attempt, reason);
       }
       const lacksModel = head.status === STATUS_MISDIRECTED;
       assignment.onNotRun(lacksModel, core.monotonicMs());
@@ -235,12 +238,25 @@
       framing: head.framing,
       contentType: contentType === undefined ? undefined : String(contentType),
       headers,
+      closeConnection: (reason: string) =>
+        this.#closeConnection(assignment, attempt, reason),
     };
     return isSuccess && this.#request.route.kind === "stream"
       ? await this.#bodyRelay.relayEvents(assignment, received)
       : await this.#bodyRelay.relayWhole(assignment, received);
   }
 
+  /** Ends an attempt whose connection is not to be used again. */
+  #closeConnection(
+    assignment: UpstreamAssignment,
+    attempt: Attempt,
+    reason: string,
+  ): void {
+    attempt.cancel(reason);
+    this.#usedConnections.closeLast();
+    assignment.onConnectionClosed(reason);
+  }
+
   /** Rejects a request that has not run; fails it if it may have run. */
   #reject({ reason, retryAfterMs }: Rejection): void {
     if (this.#retries.runCount > 0) {
--- a/packages/relay/tests/unit/relay_events_test.ts
+++ b/packages/relay/tests/unit/relay_events_test.ts
@@ -56,3 +56,39 @@
     t.is(buffer.lastEventId, "2");
   });
 }
+
+const events = (...ids: (number | string)[]) =>
+  Buffer.from(ids.map((id) => `id: ${id}\ndata: d\n\n`).join(""));
+
+// Guards against events that come twice as an answer begins anew.
+test("an answer that does not go on after the last event is out of place", (t) => {
+  const cases = [
+    { last: "4", ids: [1, 2, 9], isOutOfPlace: true },
+    { last: "4", ids: [4, 5], isOutOfPlace: true },
+    { last: "9", ids: [10], isOutOfPlace: false },
+    { last: "10", ids: [9, 11], isOutOfPlace: true },
+    { last: "4", ids: [7, 8], isOutOfPlace: false },
+    { last: "99999999999999999999", ids: ["99999999999999999998"] },
+    { last: "b", ids: ["b", "c"], isOutOfPlace: true },
+    { last: "b", ids: ["a"], isOutOfPlace: false },
+  ];
+  for (const { last, ids, isOutOfPlace = true } of cases) {
+    const buffer = new relay.EventStreamBuffer(last);
+    t.is(buffer.append(Buffer.from(": comment\n\n")).length, 11);
+    const relayed = buffer.append(events(...ids));
+    t.is(buffer.isOutOfPlace, isOutOfPlace, `${ids} after ${last}`);
+    t.is(relayed.length > 0, !isOutOfPlace);
+    t.is(buffer.lastEventId, isOutOfPlace ? last : String(ids.at(-1)));
+  }
+});
+
+test("each answer of a stream has to go on after the last event", (t) => {
+  const buffer = new relay.EventStreamBuffer();
+  t.true(buffer.append(events(1, 2)).length > 0);
+  buffer.beginAnswer();
+  t.is(buffer.append(events(1)).length, 0);
+  t.true(buffer.isOutOfPlace);
+  buffer.beginAnswer();
+  t.true(buffer.append(events(3)).length > 0);
+  t.false(buffer.isOutOfPlace);
+});
--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -97,6 +97,34 @@
   });
 });
 
+// Guards against events that come twice because an engine begins a stream anew
+// that is to go on.
+for (const status of ["whole", "cut off"]) {
+  test(`a stream goes on only after its last event; else ${status}`, async (t) => {
+    const broken = (id: string) =>
+      chunkedHead(id, 200) + chunk(eventOf(id, 1)) + chunk(eventOf(id, 2)) +
+      chunk("id: 3");
+    const arrivals: string[] = [];
+    const answer = ({ id, after, socket, times }: Arrival) => {
+      arrivals.push(after);
+      if (times === 1) {
+        return socket.write(broken(id), () => socket.destroy());
+      }
+      const isRight = times === 3 && status === "whole";
+      socket.write(streamBytes(id, isRight ? Number(after) : 0));
+    };
+    await withFleet([answer], { kind: "stream" }, async (fleet) => {
+      const received = await fleet.ask("r1");
+      const last = status === "whole" ? EVENTS : 2;
+      let expected = "";
+      for (let n = 1; n <= last; n++) expected += eventOf("r1", n);
+      t.is(received.body, expected);
+      t.is(received.isComplete, status === "whole");
+      t.deepEqual(arrivals, ["", "2", "2"]);
+    });
+  });
+}
+
 // Guards against a copy of a refusal without an id that counts for another
 // request, which then runs twice.
 test("a second copy of a refusal without an id counts for no request", async (t) => {
