Open no connection to an upstream for a cancelled request

What was seen: after each attempt that this node cancelled (the caller left, the deadline passed, an answer was dropped), a second connection to the engine was opened, on which nothing was sent. New connections are priced and may hold a slot.

Cause: undici closes the connection of an aborted request, takes the request for one that is still to be sent, connects for it, and only then sees that it was aborted. Its pool does the same.

Change: a client whose request failed after it was sent is destroyed; the next request on its lane gets a new one.

Test: "a request that is cancelled opens no connection", 5 cancelled requests one after the other.

--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -74,28 +74,16 @@
 
 /** One connection at a time, which bears one request at a time. */
 class Lane {
-  readonly #client: undici.Client;
+  readonly #origin: string;
+  readonly #options: ConnectionsOptions;
+  #client: undici.Client | undefined;
   #socket: Socket | undefined;
   #sentCount = 0;
   isBusy = false;
 
-  constructor(
-    origin: string,
-    { connect, connectionsMax: _, onClose, ...options }: ConnectionsOptions,
-  ) {
-    this.#client = new undici.Client(origin, {
-      ...options,
-      // Without pipelining undici never resends a request by itself.
-      pipelining: 1,
-      connect: (target, callback) =>
-        connect(target, (...result) => {
-          this.#socket = result[1] ?? undefined;
-          callback(...result);
-        }),
-    });
-    this.#client.on("disconnect", (_origin, _targets, { message }) => {
-      if (message === UNEXPECTED_BYTES_MESSAGE) onClose?.("unexpectedBytes");
-    });
+  constructor(origin: string, options: ConnectionsOptions) {
+    this.#origin = origin;
+    this.#options = options;
   }
 
   /** The open connection, if there is one. */
@@ -106,27 +94,55 @@
   /** Sends a request, on a new connection if none is open. */
   send({ options, handler }: Sending, onFree: () => void): void {
     this.isBusy = true;
+    const client = this.#client ??= this.#openClient();
+    let hasStarted = false;
     const onStart = () => {
+      hasStarted = true;
       const socket = this.#socket!;
       const count = ++this.#sentCount;
       options.usedConnections?.add(socket, () => {
         if (this.#sentCount === count) socket.destroy();
       });
     };
-    const onEnd = () => {
+    const onEnd = (error?: Error) => {
+      // The connection is closed; undici would open one for an aborted request.
+      const isSpent = error !== undefined && hasStarted;
+      if (isSpent) this.#client = this.#socket = undefined;
       this.isBusy = false;
-      queueMicrotask(onFree);
+      queueMicrotask(() => {
+        if (isSpent) client.destroy(error).catch(() => {});
+        onFree();
+      });
     };
-    this.#client.dispatch(options, new LaneHandler(handler, onStart, onEnd));
+    client.dispatch(options, new LaneHandler(handler, onStart, onEnd));
   }
 
   /** Closes the connection once its request has ended; for good. */
   async close(): Promise<void> {
-    await this.#client.close();
+    await this.#client?.close();
   }
 
+  /** Closes the connection; its request, and later ones, fail. */
   async destroy(): Promise<void> {
-    await this.#client.destroy();
+    await (this.#client ??= this.#openClient()).destroy();
+  }
+
+  #openClient(): undici.Client {
+    const { connect, connectionsMax: _, onClose, ...options } = this.#options;
+    const client = new undici.Client(this.#origin, {
+      ...options,
+      // Without pipelining undici never resends a request by itself.
+      pipelining: 1,
+      connect: (target, callback) =>
+        connect(target, (...result) => {
+          this.#socket = result[1] ?? undefined;
+          callback(...result);
+        }),
+    });
+    client.on("disconnect", (_origin, _targets, { message }) => {
+      if (message === UNEXPECTED_BYTES_MESSAGE) onClose?.("unexpectedBytes");
+    });
+    return client;
   }
 }
 
@@ -134,9 +150,13 @@
 class LaneHandler implements Handler {
   readonly #handler: Handler;
   readonly #onStart: () => void;
-  readonly #onEnd: () => void;
+  readonly #onEnd: (error?: Error) => void;
 
-  constructor(handler: Handler, onStart: () => void, onEnd: () => void) {
+  constructor(
+    handler: Handler,
+    onStart: () => void,
+    onEnd: (error?: Error) => void,
+  ) {
     this.#handler = handler;
     this.#onStart = onStart;
     this.#onEnd = onEnd;
@@ -167,7 +187,7 @@
   }
 
   onResponseError(controller: Controller, error: Error): void {
-    this.#onEnd();
+    this.#onEnd(error);
     this.#handler.onResponseError?.(controller, error);
   }
 }
--- a/packages/relay/tests/unit/relay_connections_test.ts
+++ b/packages/relay/tests/unit/relay_connections_test.ts
@@ -122,6 +122,26 @@
   });
 });
 
+// Guards against a new connection, which may hold a slot, for each request that
+// is cancelled.
+test("a request that is cancelled opens no connection", async (t) => {
+  await withConnections(() => {}, 4, async (connections, engine) => {
+    for (let n = 1; n <= 5; n++) {
+      const attempt = relay.startAttempt(connections, {
+        path: "/",
+        method: "GET",
+        headers: { "x-id": `r${n}` },
+        body: null,
+      });
+      await core.sleep(20);
+      attempt.cancel("test");
+      await core.sleep(20);
+      t.is(engine.connections, n);
+      t.is(engine.open.size, 0);
+    }
+  });
+});
+
 test("a connection that the upstream closes is replaced", async (t) => {
   const answer: Answer = ({ id, socket }) => socket.end(success(id));
   await withConnections(answer, 1, async (connections, engine) => {
