End an answer that is not passed on within 64 KiB and 100 ms

Cause: a refusal, or a failure that was retried, was left to be read "to the end of the body", but nobody read it: the connection was paused at 256 KiB, and no time limit applied.

Ruled out: heads without end, informational answers, and bodies that are passed on (relay_endless_test); transport.send, which the reports, orders and store calls use, bounds each exchange by time and bytes (transport_endless_test).

Change: such an answer is read to its end before the request goes on, and its connection is closed if that takes over 64 KiB or 100 ms. A whole answer keeps its connection, also where it comes in two packets.

--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -43,6 +43,13 @@
 const BUFFERED_BYTES_MAX = 256 * 1024;
 /** Largest body with neither a length nor chunks. */
 const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
+/** Bytes that are read of a response that is not passed on. */
+const DROPPED_BYTES_MAX = 64 * 1024;
+/**
+ * Time in which such a response has to end. The request goes on elsewhere only
+ * after it, so that no two upstreams work on it.
+ */
+const DROP_TIMEOUT_MS = 100;
 /** Informational (1xx) responses accepted before the final one. */
 const INFORMATIONAL_MAX = 32;
 
@@ -103,6 +110,31 @@
     return event;
   }
 
+  /**
+   * Discards the rest of the response, so that its connection can be used again.
+   * If it does not end soon, cancels the attempt.
+   *
+   * @returns why the response is not whole, if it is not.
+   */
+  async drop(): Promise<AttemptFailure | undefined> {
+    const timer = setTimeout(
+      () => this.cancel("dropped response did not end in time"),
+      DROP_TIMEOUT_MS,
+    );
+    let bytes = 0;
+    for (;;) {
+      const event = await this.next();
+      if (event.kind !== "data") {
+        clearTimeout(timer);
+        return event.kind === "broken" ? event.failure : undefined;
+      }
+      bytes += event.data.length;
+      if (bytes > DROPPED_BYTES_MAX) {
+        this.cancel("dropped response is too large");
+      }
+    }
+  }
+
   /** Handler to pass to undici's `dispatch`. */
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -79,6 +79,8 @@
   #client: undici.Client | undefined;
   #socket: Socket | undefined;
   #sentCount = 0;
+  /** Resolves when the connections of failed requests are closed. */
+  #closing: Promise<unknown> = Promise.resolve();
   isBusy = false;
 
   constructor(origin: string, options: ConnectionsOptions) {
@@ -110,7 +112,7 @@
       if (isSpent) this.#client = this.#socket = undefined;
       this.isBusy = false;
       queueMicrotask(() => {
-        if (isSpent) client.destroy(error).catch(() => {});
+        if (isSpent) this.#closing = client.destroy(error).catch(() => {});
         onFree();
       });
     };
@@ -119,12 +121,13 @@
 
   /** Closes the connection once its request has ended; for good. */
   async close(): Promise<void> {
-    await this.#client?.close();
+    await Promise.all([this.#closing, this.#client?.close()]);
   }
 
   /** Closes the connection; its request, and later ones, fail. */
   async destroy(): Promise<void> {
-    await (this.#client ??= this.#openClient()).destroy();
+    this.#client ??= this.#openClient();
+    await Promise.all([this.#closing, this.#client.destroy()]);
   }
 
   #openClient(): undici.Client {
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -194,12 +194,11 @@
       return { kind: "mayHaveRun", detail };
     }
     if (upstreamResponse.isNotRun) {
-      // Reading continues to the end of the body, so that the connection stays.
       if (isAnonymousRefusal) {
         // A copy of it would count for whatever request is sent there next.
         const reason = "refusal without a request id";
         this.#closeConnection(assignment, attempt, reason);
-      }
+      } else await this.#drop(assignment, attempt);
       const lacksModel = head.status === STATUS_MISDIRECTED;
       assignment.onNotRun(lacksModel, core.monotonicMs());
       assignment.onEnd("shed");
@@ -222,7 +221,7 @@
     if (
       !isSuccess && (this.#response.hasStarted || this.#retries.tryTakeRetry())
     ) {
-      // Reading continues to the end of the body, so that the connection stays.
+      await this.#drop(assignment, attempt);
       assignment.onEnd("failed");
       return {
         kind: "mayHaveRun",
@@ -246,6 +245,13 @@
       : await this.#bodyRelay.relayWhole(assignment, received);
   }
 
+  /** Lets a response end that is not passed on, or ends it. */
+  async #drop(assignment: UpstreamAssignment, attempt: Attempt): Promise<void> {
+    const failure = await attempt.drop();
+    if (failure?.cause !== "cancelled" || this.#signal.aborted) return;
+    assignment.onConnectionClosed(failure.detail);
+  }
+
   /** Ends an attempt whose connection is not to be used again. */
   #closeConnection(
     assignment: UpstreamAssignment,
--- a/packages/relay/tests/raw_engines.ts
+++ b/packages/relay/tests/raw_engines.ts
@@ -162,6 +162,7 @@
   /** Chooses the engine of each sending; by default the first. */
   readonly choose?: (engines: readonly RawEngine[]) => RawEngine;
   readonly connectionsMax?: number;
+  readonly deadlineMs?: number;
 }
 
 class RawSelector extends relay.UpstreamSelector {
@@ -260,7 +261,8 @@
   ): void {
     const receivedAtMs = core.monotonicMs();
     const ended = new AbortController();
-    const timer = setTimeout(() => ended.abort(new Error("late")), 3_000);
+    const { deadlineMs = 3_000 } = this.#options;
+    const timer = setTimeout(() => ended.abort(new Error("late")), deadlineMs);
     const isStream = kind === "stream";
     const task = new relay.RelayTask(
       {
@@ -276,7 +278,7 @@
           host: "h",
           pathPrefix: "/",
           kind,
-          timeoutMs: 3_000,
+          timeoutMs: deadlineMs,
           latencyTargetMs: 2_000,
           eventGapTargetMs: 300,
           priority: 0,
@@ -289,7 +291,7 @@
         path: "/",
         body: Buffer.alloc(0),
         receivedAtMs,
-        deadlineAtMs: receivedAtMs + 3_000,
+        deadlineAtMs: receivedAtMs + deadlineMs,
       },
       response,
       {
--- a/packages/relay/tests/unit/relay_connections_test.ts
+++ b/packages/relay/tests/unit/relay_connections_test.ts
@@ -125,7 +125,9 @@
 // Guards against a new connection, which may hold a slot, for each request that
 // is cancelled.
 test("a request that is cancelled opens no connection", async (t) => {
-  await withConnections(() => {}, 4, async (connections, engine) => {
+  let arrivals = 0;
+  const countArrival = () => void arrivals++;
+  await withConnections(countArrival, 4, async (connections, engine) => {
     for (let n = 1; n <= 5; n++) {
       const attempt = relay.startAttempt(connections, {
         path: "/",
@@ -133,11 +135,11 @@
         headers: { "x-id": `r${n}` },
         body: null,
       });
-      await core.sleep(20);
+      while (arrivals < n) await core.sleep(5);
       attempt.cancel("test");
-      await core.sleep(20);
+      while (engine.open.size > 0) await core.sleep(5);
+      await core.sleep(30);
       t.is(engine.connections, n);
-      t.is(engine.open.size, 0);
     }
   });
 });
