--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
+import type { RequestSender, UsedConnections } from "./relay_connections.ts";
 
 /** Why an attempt did not yield a complete response. */
 export interface AttemptFailure {
@@ -42,6 +43,13 @@
 const BUFFERED_BYTES_MAX = 256 * 1024;
 /** Largest body with neither a length nor chunks. */
 const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
+/** Bytes that are read of a response that is not passed on. */
+const DROPPED_BYTES_MAX = 64 * 1024;
+/**
+ * Time in which such a response has to end. The request goes on elsewhere only
+ * after it, so that no two upstreams work on it.
+ */
+const DROP_TIMEOUT_MS = 100;
 /** Informational (1xx) responses accepted before the final one. */
 const INFORMATIONAL_MAX = 32;
 
@@ -102,6 +110,31 @@
     return event;
   }
 
+  /**
+   * Discards the rest of the response, so that its connection can be used again.
+   * If it does not end soon, cancels the attempt.
+   *
+   * @returns why the response is not whole, if it is not.
+   */
+  async drop(): Promise<AttemptFailure | undefined> {
+    const timer = setTimeout(
+      () => this.cancel("dropped response did not end in time"),
+      DROP_TIMEOUT_MS,
+    );
+    let bytes = 0;
+    for (;;) {
+      const event = await this.next();
+      if (event.kind !== "data") {
+        clearTimeout(timer);
+        return event.kind === "broken" ? event.failure : undefined;
+      }
+      bytes += event.data.length;
+      if (bytes > DROPPED_BYTES_MAX) {
+        this.cancel("dropped response is too large");
+      }
+    }
+  }
+
   /** Handler to pass to undici's `dispatch`. */
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
@@ -181,7 +214,7 @@
  * ```
  */
 export function startAttempt(
-  dispatcher: Dispatcher,
+  sender: RequestSender,
   request: {
     readonly path: string;
     readonly method: string;
@@ -189,6 +222,8 @@
     readonly body: Buffer | null;
     /** Time of the monotonic clock from which the request is not sent. */
     readonly startBeforeMs?: number;
+    /** Connections on which it was sent before; the one used is added. */
+    readonly usedConnections?: UsedConnections;
   },
 ): Attempt {
   const attempt = new Attempt(
@@ -197,12 +232,15 @@
   );
   try {
     const { handler } = attempt;
-    dispatcher.dispatch(
+    sender.dispatch(
       {
         path: request.path,
         method: request.method as Dispatcher.HttpMethod,
         headers: request.headers,
         body: request.body,
+        ...(request.usedConnections === undefined
+          ? {}
+          : { usedConnections: request.usedConnections }),
       },
       transport.guardUnframedBody(handler, request.method, UNFRAMED_BYTES_MAX),
     );
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -5,6 +5,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
+import { UsedConnections } from "./relay_connections.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -42,6 +43,7 @@
   readonly #signal: AbortSignal;
   readonly #retries: RelayRetries;
   readonly #bodyRelay: BodyRelay;
+  readonly #usedConnections = new UsedConnections();
   #attempt: Attempt | undefined;
   #upstream: fleet.UpstreamRecord | undefined;
   #selectionFields: core.LogFields = {};
@@ -63,7 +65,13 @@
     this.#signal = signal;
     this.#retries = new RelayRetries(request, dependencies, signal);
     const { isResumable } = request.route;
-    this.#bodyRelay = new BodyRelay(response, isResumable, signal);
+    const { takenUpStream } = request.caller;
+    this.#bodyRelay = new BodyRelay(
+      response,
+      isResumable,
+      signal,
+      isResumable ? takenUpStream?.lastEventId : undefined,
+    );
   }
 
   /** Runs the request to its end. The response is always ended or aborted. */
@@ -133,6 +141,7 @@
       }),
       body: body.length > 0 ? body : null,
       startBeforeMs: deadlineAtMs,
+      usedConnections: this.#usedConnections,
     });
     this.#attempt = attempt;
     const watch = this.#retries
@@ -178,16 +187,18 @@
     const { requestId, isNotRun } = upstreamResponse;
     const isAnonymousRefusal = isNotRun && requestId === undefined;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
-      attempt.cancel("response has a different request id");
+      const detail = "response has a different request id";
+      this.#closeConnection(assignment, attempt, detail);
       assignment.onEnd("failed");
       this.#retries.runCount++;
-      return {
-        kind: "mayHaveRun",
-        detail: "response has a different request id",
-      };
+      return { kind: "mayHaveRun", detail };
     }
     if (upstreamResponse.isNotRun) {
-      // Reading continues to the end of the body, so that the connection stays.
+      if (isAnonymousRefusal) {
+        // A copy of it would count for whatever request is sent there next.
+        const reason = "refusal without a request id";
+        this.#closeConnection(assignment, attempt, reason);
+      } else await this.#drop(assignment, attempt);
       const lacksModel = head.status === STATUS_MISDIRECTED;
       assignment.onNotRun(lacksModel, core.monotonicMs());
       assignment.onEnd("shed");
@@ -210,7 +221,7 @@
     if (
       !isSuccess && (this.#response.hasStarted || this.#retries.tryTakeRetry())
     ) {
-      // Reading continues to the end of the body, so that the connection stays.
+      await this.#drop(assignment, attempt);
       assignment.onEnd("failed");
       return {
         kind: "mayHaveRun",
@@ -226,12 +237,32 @@
       framing: head.framing,
       contentType: contentType === undefined ? undefined : String(contentType),
       headers,
+      closeConnection: (reason: string) =>
+        this.#closeConnection(assignment, attempt, reason),
     };
     return isSuccess && this.#request.route.kind === "stream"
       ? await this.#bodyRelay.relayEvents(assignment, received)
       : await this.#bodyRelay.relayWhole(assignment, received);
   }
 
+  /** Lets a response end that is not passed on, or ends it. */
+  async #drop(assignment: UpstreamAssignment, attempt: Attempt): Promise<void> {
+    const failure = await attempt.drop();
+    if (failure?.cause !== "cancelled" || this.#signal.aborted) return;
+    assignment.onConnectionClosed(failure.detail);
+  }
+
+  /** Ends an attempt whose connection is not to be used again. */
+  #closeConnection(
+    assignment: UpstreamAssignment,
+    attempt: Attempt,
+    reason: string,
+  ): void {
+    attempt.cancel(reason);
+    this.#usedConnections.closeLast();
+    assignment.onConnectionClosed(reason);
+  }
+
   /** Rejects a request that has not run; fails it if it may have run. */
   #reject({ reason, retryAfterMs }: Rejection): void {
     if (this.#retries.runCount > 0) {
