Bind late orders to the incarnation they were sent to

Cause: an order without a reply may be carried out seconds later. The order count that it names makes it harmless within one incarnation only: the next one counts from 0 and knows no fencing token, while the holder went on with the old token. Found beside it, with the same effect: a sender went on sending an order after its engine had started again, with the then current token; and several late orders together can overfill an engine that starts empty, before any other order reaches it.

Ruled out: the report (it names the start of the incarnation and is not used for another one), and the count within an incarnation (also where it was too high for a while: such orders name a higher count than the engine's, and are treated as those to an earlier incarnation).

Where engines check fences, the holder takes a token above theirs with its next renewal, and orders to that engine wait for it. Where they do not, the room of late loads is kept free. A load is ordered only if it fits beside the late ones that a restarted engine could accept one after the other.

A new lease holder does not know yet which orders of the one before are late; its token is higher.

--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -8,6 +8,7 @@
 import * as placement from "../placement/mod.ts";
 import type { EngineOrderState } from "./entry_engine_states.ts";
 import type { ExchangeHub } from "./entry_exchange.ts";
+import { ManagedEngines } from "./entry_managed_engines.ts";
 import type { EntryState } from "./entry_state.ts";
 import {
   inFlightForModel,
@@ -33,24 +34,6 @@
 const RESERVATION_TTL_MS = 2_000;
 const MS_PER_S = 1_000;
 
-/** An engine to which this node sends orders. */
-interface ManagedEngine {
-  readonly sender: orders.OrderSender;
-  /** When replicas on this engine began to drain. */
-  readonly drainingSinceMs: Map<core.ModelName, number>;
-  /** When the last load of each model was ordered. */
-  readonly loadPlannedAtMs: Map<core.ModelName, number>;
-  /**
-   * Model for which memory is being freed, since when, and when the unload that
-   * frees it was ordered.
-   */
-  reservation:
-    | { model: core.ModelName; sinceMs: number; freedAtMs?: number }
-    | undefined;
-  /** When the last load from the weight store is expected to end. */
-  storeLoadUntilMs: number;
-}
-
 /**
  * Loads and unloads models and adapters on the engines to follow the demand.
  */
@@ -59,8 +42,7 @@
   readonly #state: EntryState;
   readonly #hub: ExchangeHub;
   readonly #lease: orders.OrderLease;
-  readonly #control: fleet.EngineControl;
-  readonly #managed = new Map<core.UpstreamId, ManagedEngine>();
+  readonly #managed: ManagedEngines;
   readonly #recency = new placement.RequestRecency();
   readonly #unservedSinceMs = new Map<core.ModelName, number>();
   readonly #peakWork = new placement.PeakWork();
@@ -78,13 +60,13 @@
     this.#state = state;
     this.#hub = hub;
     this.#lease = lease;
-    this.#control = control;
+    this.#managed = new ManagedEngines(state, lease, control);
   }
 
   /** Returns the state of the engines; undefined if not the lease holder. */
   engineStates(): readonly EngineOrderState[] | undefined {
     if (!this.#lease.isHeld || this.#limiter === undefined) return undefined;
-    return [...this.#managed.values()].map(({ sender }) => ({
+    return [...this.#managed.all()].map(({ sender }) => ({
       record: sender.record,
       inventory: sender.inventory,
       lastOrderAtMs: sender.lastOrderAtMs,
@@ -108,15 +90,16 @@
 
   #tick(nowMs: number): void {
     this.#limiter ??= new orders.LoadRateLimiter(nowMs);
-    this.#syncEngines();
+    this.#managed.sync(nowMs);
     const totals = sumDigests(this.#hub.digests(nowMs));
     this.#recency.record(totals.modelDemand.keys(), nowMs);
-    for (const { sender } of this.#managed.values()) {
+    for (const { sender } of this.#managed.all()) {
       const isSuspect = this.#state.upstreams.get(sender.record.id)
         ?.isSuspect(nowMs) ?? false;
       const needsReport = sender.mustReconcile(nowMs) ||
         (isSuspect && sender.mustProbe(nowMs));
       if (needsReport) this.#runDetached(sender.reconcile());
+      sender.raiseToken(nowMs);
     }
     if (this.#lease.fencingToken !== undefined) {
       for (const service of this.#state.config?.services.values() ?? []) {
@@ -126,50 +109,6 @@
     this.#updateUpstreams(nowMs);
   }
 
-  /**
-   * Keeps one sender for each incarnation of an engine in the upstream table.
-   */
-  #syncEngines(): void {
-    const listed = new Set<core.UpstreamId>();
-    for (const { record } of this.#state.upstreams.all()) {
-      if (!this.#state.config?.services.get(record.service)?.engine) continue;
-      listed.add(record.id);
-      const old = this.#managed.get(record.id);
-      if (old && old.sender.record.startedAtMs === record.startedAtMs) continue;
-      const sender = new orders.OrderSender(
-        record,
-        new orders.EngineInventory(record),
-        {
-          control: this.#control,
-          lease: this.#lease,
-          self: this.#state.settings.nodeName,
-          leaseMs: this.#state.settings.orders.leaseMs,
-          logger: this.#state.logger,
-          onContact: (isReached) => this.#recordContact(record, isReached),
-        },
-        this.#state.upstreams.get(record.id)?.reportedOrders,
-      );
-      this.#managed.set(record.id, {
-        sender,
-        drainingSinceMs: new Map(),
-        loadPlannedAtMs: new Map(),
-        reservation: undefined,
-        storeLoadUntilMs: 0,
-      });
-    }
-    for (const id of this.#managed.keys()) {
-      if (!listed.has(id)) this.#managed.delete(id);
-    }
-  }
-
-  /** Records in the engine's health whether an order or report reached it. */
-  #recordContact(record: fleet.UpstreamRecord, isReached: boolean): void {
-    const engine = this.#state.upstreams.get(record.id);
-    if (!engine || engine.record.startedAtMs !== record.startedAtMs) return;
-    if (isReached) engine.health.markReachable();
-    else engine.health.markUnreachable(core.monotonicMs());
-  }
-
   #plan(
     service: fleet.ServiceSpec,
     spec: fleet.EngineSpec,
@@ -177,7 +116,7 @@
     nowMs: number,
   ): void {
     const states = [...this.#state.upstreams.ofService(service.name)];
-    this.#unloadDrained(states, totals, nowMs);
+    this.#unloadDrained(states, spec, totals, nowMs);
     this.#trackUnserved(states, totals, nowMs);
     this.#planAdapters(states, spec, totals, nowMs);
     const view: placement.ReplicaView = {
@@ -224,7 +163,6 @@
     const managed = this.#managed.get(state.record.id);
     if (!managed) return [];
     const { inventory } = managed.sender;
-    const isBlocked = managed.sender.isBlocked(nowMs);
     const inFlight = totals.inFlight.get(state.record.id);
     const { reservation } = managed;
     const isReservationValid = reservation &&
@@ -238,8 +176,8 @@
         : {}),
       id: state.record.id,
       isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
-      canOrder: !isBlocked && !inventory.isBusy,
-      freeMb: spec.weightMemoryMb - inventory.usedMb(spec),
+      canOrder: managed.sender.mayOrder(spec, nowMs),
+      freeMb: managed.sender.freeRoom(spec, nowMs).mb,
       models: new Map(
         [...inventory.models].map(([model, { phase }]) => [model, {
           phase,
@@ -296,7 +234,7 @@
     const sumMs = models.reduce((sum, { loadMs }) => sum + loadMs, 0);
     const meanS = sumMs / Math.max(1, models.length) / MS_PER_S;
     let available = Math.max(1, Math.floor(spec.loadsPerS * meanS));
-    for (const { storeLoadUntilMs } of this.#managed.values()) {
+    for (const { storeLoadUntilMs } of this.#managed.all()) {
       if (storeLoadUntilMs > nowMs) available--;
     }
     return Math.min(
@@ -308,14 +246,14 @@
   /** Orders unloads of drained models, or of those that drain for too long. */
   #unloadDrained(
     states: readonly dispatch.UpstreamState[],
+    spec: fleet.EngineSpec,
     totals: TotalLoad,
     nowMs: number,
   ): void {
     for (const { record } of states) {
       const managed = this.#managed.get(record.id);
-      if (!managed || managed.sender.isBlocked(nowMs)) continue;
+      if (!managed?.sender.mayOrder(spec, nowMs)) continue;
       const { inventory } = managed.sender;
-      if (inventory.isBusy) continue;
       for (const [model, { phase }] of inventory.models) {
         if (phase !== "draining") continue;
         const sinceMs = nowMs - (managed.drainingSinceMs.get(model) ?? nowMs);
@@ -345,7 +283,7 @@
       const managed = this.#managed.get(state.record.id);
       if (!managed) return [];
       const { inventory } = managed.sender;
-      const isBlocked = managed.sender.isBlocked(nowMs);
+      const free = managed.sender.freeRoom(spec, nowMs);
       const inFlight = totals.inFlight.get(state.record.id);
       const ready = [...inventory.models]
         .filter(([, { phase }]) => phase === "ready");
@@ -353,9 +291,9 @@
         id: state.record.id,
         softwareVersion: state.record.softwareVersion,
         isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
-        canOrder: !isBlocked && !inventory.isBusy,
-        slotsFree: spec.adapterSlots - inventory.adapterCount,
-        freeMb: spec.weightMemoryMb - inventory.usedMb(spec),
+        canOrder: managed.sender.mayOrder(spec, nowMs),
+        slotsFree: free.adapterSlots,
+        freeMb: free.mb,
         models: new Set(ready.map(([model]) => model)),
         adapters: ready.flatMap(([model, { adapters }]) =>
           [...adapters].map(([adapter, readyAtMs]) => {
@@ -384,7 +322,7 @@
 
   #updateUpstreams(nowMs: number): void {
     for (
-      const { sender: { record, inventory } } of this.#managed.values()
+      const { sender: { record, inventory } } of this.#managed.all()
     ) {
       const engine = this.#state.upstreams.get(record.id);
       if (!engine || engine.record.startedAtMs !== record.startedAtMs) continue;
--- a/packages/orders/orders_inventory.ts
+++ b/packages/orders/orders_inventory.ts
@@ -90,6 +90,13 @@
     return count;
   }
 
+  /** Whether the model or adapter of an order is held, or being loaded. */
+  holds({ model, adapter }: fleet.Order): boolean {
+    const held = this.models.get(model);
+    if (adapter === undefined) return held !== undefined;
+    return held?.adapters.has(adapter) ?? false;
+  }
+
   /** Models that requests may be sent to, now or once they are loaded. */
   availability(nowMs: number): Map<core.ModelName, ModelAvailability> {
     return new Map(
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -129,6 +129,8 @@
   readonly #logger: core.Logger;
   #observed: ObservedRow | undefined;
   #fencingToken: number | undefined;
+  /** The fencing token has to be above this one. */
+  #tokenFloor = 0;
   #ordersAllowedFromMs = 0;
   #renewedAtMs = -Infinity;
   #renewedAtWallMs = 0;
@@ -169,6 +171,13 @@
     return this.isHeld ? this.#fencingToken : undefined;
   }
 
+  /** Takes a fencing token above this one with the next renewal. */
+  raiseTokenAbove(token: number, upstream: core.UpstreamId): void {
+    if (token <= this.#tokenFloor) return;
+    this.#tokenFloor = token;
+    this.#logger.info("orders_fence_low", { upstream, late: token });
+  }
+
   /**
    * Earliest time, on the monotonic clock, for orders to an engine for which
    * the time of the previous holder's last order is not known.
@@ -424,12 +433,21 @@
       this.#renewedAtWallMs = sentAtWallMs;
       this.#followersAtRenewal = this.#options.followers();
       this.#observe(this.#ownRow(false), outcome.value.version);
+      this.#raiseToken();
       return true;
     }
     this.#observeConflict(outcome.value.rows);
     return false;
   }
 
+  /** Takes the version of the last renewal as the token if it is too low. */
+  #raiseToken(): void {
+    const token = this.#fencingToken;
+    if (token === undefined || token > this.#tokenFloor) return;
+    this.#fencingToken = toOrdinal(this.#observed!);
+    this.#logger.info("orders_fence_raised", { fence: this.#fencingToken });
+  }
+
   /** Records a conflicting row; after a lost reply it is this node's own. */
   #observeConflict(rows: readonly store.StoredRow[]): void {
     const current = rows.find(({ key }) => key === this.#options.key);
--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -2,6 +2,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type { EngineInventory } from "./orders_inventory.ts";
+import type { EngineRoom, LateOrders } from "./orders_late.ts";
 import type { OrderLease } from "./orders_lease.ts";
 
 /** Time for an engine to answer an order. */
@@ -34,6 +35,10 @@
   readonly self: core.InstanceId;
   /** Minimum time between orders of two lease holders. */
   readonly leaseMs: number;
+  /** Whether engines reject orders whose fencing token is too low. */
+  readonly enginesCheckFences: boolean;
+  /** Orders without a reply to all incarnations with the engine's id. */
+  readonly late: LateOrders;
   readonly logger: core.Logger;
   /** Called when the engine has answered or could not be reached. */
   readonly onContact: (isReached: boolean) => void;
@@ -59,6 +64,7 @@
   #lastOrderAtMs: number | undefined;
   #hasOrdered = false;
   #isActive = false;
+  #isRetired = false;
   // The list of upstreams does not contain an engine's order count.
   #needsReport = true;
   #reportFromMs = 0;
@@ -81,11 +87,50 @@
     this.#options = options;
   }
 
-  /** Whether no order may be sent now: one is in flight or unconfirmed. */
+  /**
+   * Whether no order may be sent now: one is in flight or unconfirmed, or the
+   * fencing token would not stop a late one.
+   */
   isBlocked(nowMs: number): boolean {
     return this.#isActive || this.#needsReport ||
       nowMs < this.#ordersAllowedFromMs ||
-      nowMs < this.#pausedUntilMs;
+      nowMs < this.#pausedUntilMs || this.#mustRaiseToken(nowMs);
+  }
+
+  /** Whether an order may be sent that takes no more than the free room. */
+  mayOrder(spec: fleet.EngineSpec, nowMs: number): boolean {
+    return !this.isBlocked(nowMs) && !this.inventory.isBusy &&
+      this.#hasRoomForLate(spec, nowMs);
+  }
+
+  /** Memory and adapter slots that an order may take. */
+  freeRoom(spec: fleet.EngineSpec, nowMs: number): EngineRoom {
+    const late = this.#roomForLate(spec, nowMs);
+    const fromStart = this.#options.late
+      .roomFromStart(this.#orderCount, nowMs, spec);
+    const { weightMemoryMb, adapterSlots } = spec;
+    const usedMb = this.inventory.usedMb(spec) + late.mb;
+    const usedSlots = this.inventory.adapterCount + late.adapterSlots;
+    return {
+      mb: weightMemoryMb - Math.max(usedMb, fromStart.mb),
+      adapterSlots: adapterSlots - Math.max(usedSlots, fromStart.adapterSlots),
+    };
+  }
+
+  /**
+   * Requests a fencing token above those of late orders, so that the engine
+   * rejects them once it has accepted another order.
+   */
+  raiseToken(nowMs: number): void {
+    if (!this.#mustRaiseToken(nowMs)) return;
+    const { late, lease } = this.#options;
+    const token = late.highestToken(this.#orderCount, nowMs)!;
+    lease.raiseTokenAbove(token, this.record.id);
+  }
+
+  /** Sends no further orders, as another sender takes the engine over. */
+  retire(): void {
+    this.#isRetired = true;
   }
 
   /**
@@ -178,6 +223,37 @@
     if (!this.#hasOrdered) this.#lastOrderAtMs = lastOrderAtMs;
   }
 
+  get #orderCount(): number {
+    return this.inventory.orderCount ?? 0;
+  }
+
+  #mustRaiseToken(nowMs: number): boolean {
+    const { enginesCheckFences, late, lease } = this.#options;
+    const token = late.highestToken(this.#orderCount, nowMs);
+    return enginesCheckFences && token !== undefined &&
+      token >= (lease.fencingToken ?? Infinity);
+  }
+
+  /** Room to keep for late orders where a fencing token does not stop them. */
+  #roomForLate(spec: fleet.EngineSpec, nowMs: number): EngineRoom {
+    const { enginesCheckFences, late } = this.#options;
+    if (enginesCheckFences) return { mb: 0, adapterSlots: 0 };
+    return late.roomAfter(
+      this.#orderCount,
+      nowMs,
+      spec,
+      (order) => this.inventory.holds(order),
+    );
+  }
+
+  #hasRoomForLate(spec: fleet.EngineSpec, nowMs: number): boolean {
+    const late = this.#roomForLate(spec, nowMs);
+    const mb = this.inventory.usedMb(spec) + late.mb;
+    const slots = this.inventory.adapterCount + late.adapterSlots;
+    return (late.mb === 0 || mb <= spec.weightMemoryMb) &&
+      (late.adapterSlots === 0 || slots <= spec.adapterSlots);
+  }
+
   #hasOverdueModel(nowMs: number): boolean {
     for (const { phase, readyAtMs } of this.inventory.models.values()) {
       const isChanging = phase === "loading" || phase === "unloading";
@@ -190,12 +266,12 @@
     request: OrderRequest,
     expectedMs: number,
   ): Promise<boolean> {
-    const { control, lease, self, logger, onContact } = this.#options;
+    const { control, lease, self, late, logger, onContact } = this.#options;
     const expectedOrderCount = this.inventory.orderCount;
     if (expectedOrderCount === undefined) return false;
     for (let attempt = 1; attempt <= ATTEMPTS_MAX; attempt++) {
       const fencingToken = lease.fencingToken;
-      if (fencingToken === undefined) break;
+      if (fencingToken === undefined || this.#isRetired) break;
       this.#lastOrderAtMs = core.monotonicMs();
       this.#hasOrdered = true;
       const order = {
@@ -204,6 +280,7 @@
         holder: self,
         fencingToken,
       };
+      const settle = late.record(order, this.#lastOrderAtMs);
       const reply = await control.sendOrder(
         this.record,
         order,
@@ -224,6 +301,7 @@
         this.#requireReport();
         continue;
       }
+      settle();
       onContact(reply !== "unreachable");
       if (PAUSING_REPLIES.has(reply)) {
         this.#pausedUntilMs = nowMs + UNAVAILABLE_PAUSE_MS;
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -105,6 +105,31 @@
   });
 });
 
+// Guards against late orders to an earlier incarnation of an engine with the
+// token of the orders to the present one.
+test("a holder takes a higher fencing token with a renewal when it has to", async (t) => {
+  const table = new MemoryTable();
+  const lease = makeLease(table, "a", true);
+  const upstream = core.brandId<core.UpstreamId>("u");
+  await withLeases([lease], async () => {
+    await waitUntil(() => lease.isHeld);
+    await waitUntil(() => table.version >= 2);
+    t.is(lease.fencingToken, 1);
+    lease.raiseTokenAbove(1, upstream);
+    table.losesReplies = true;
+    await waitUntil(() => table.version >= 3);
+    await core.sleep(20);
+    // Another node may have taken over: the version is not known to be its own.
+    t.is(lease.fencingToken, 1);
+    table.losesReplies = false;
+    await waitUntil(() => lease.fencingToken !== 1);
+    t.is(lease.fencingToken, table.version);
+    await waitUntil(() => table.version > lease.fencingToken!);
+    await core.sleep(20);
+    t.true(lease.fencingToken! < table.version);
+  });
+});
+
 test("a holder that is cut off stops before another one starts", async (t) => {
   const table = new MemoryTable();
   const first = makeLease(table, "a");
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -54,13 +54,19 @@
 ) {
   let lost = "";
   const contacts: boolean[] = [];
-  const lease = {
+  let raisedAbove = 0;
+  const late = new orders.LateOrders();
+  const stub = {
     fencingToken: 7,
     ordersAllowedFromMs,
     lose: (reason: string) => {
       lost = reason;
     },
-  } as unknown as orders.OrderLease;
+    raiseTokenAbove: (token: number) => {
+      raisedAbove = token;
+    },
+  };
+  const lease = stub as unknown as orders.OrderLease;
   const sender = new orders.OrderSender(
     record,
     new orders.EngineInventory(record),
@@ -69,12 +75,23 @@
       lease,
       self: core.brandId<core.InstanceId>("n"),
       leaseMs: 3_000,
+      enginesCheckFences: true,
+      late,
       logger: silentLogger,
       onContact: (isReached) => contacts.push(isReached),
     },
     previous,
   );
-  return { sender, contacts, lossReason: () => lost };
+  return {
+    sender,
+    late,
+    contacts,
+    lossReason: () => lost,
+    raisedAbove: () => raisedAbove,
+    setToken: (token: number) => {
+      stub.fencingToken = token;
+    },
+  };
 }
 
 test("no order is sent before the engine's first report", async (t) => {
@@ -207,3 +224,41 @@
   t.true(sender.isBlocked(core.monotonicMs()));
   t.false(sender.isBlocked(core.monotonicMs() + 1_000));
 });
+
+// Guards against a sender that goes on with an order to an engine that has
+// started again in the meantime, beside its successor.
+test("a retired sender does not send an order again", async (t) => {
+  const control = new ScriptedControl();
+  const { sender } = makeSender(control);
+  await sender.reconcile();
+  control.replies.push("dropped");
+  const sent = sender.send({ kind: "load", model }, 10);
+  sender.retire();
+  t.false(await sent);
+  t.is(control.sent.length, 1);
+});
+
+// Guards against a late order to an earlier incarnation that an engine accepts
+// because it knows no higher fencing token.
+test("orders wait for a fencing token above those of late ones", async (t) => {
+  const control = new ScriptedControl();
+  const { sender, late, raisedAbove, setToken } = makeSender(control);
+  late.record({
+    kind: "load",
+    model,
+    expectedOrderCount: 2,
+    holder: core.brandId<core.InstanceId>("n"),
+    fencingToken: 7,
+  }, core.monotonicMs());
+  await sender.reconcile();
+  t.true(sender.isBlocked(core.monotonicMs()));
+  sender.raiseToken(core.monotonicMs());
+  t.is(raisedAbove(), 7);
+  setToken(8);
+  t.false(sender.isBlocked(core.monotonicMs()));
+  // Once the engine has counted further, it rejects that order in any case.
+  setToken(7);
+  control.orderCount = 2;
+  await sender.reconcile();
+  t.false(sender.isBlocked(core.monotonicMs()));
+});
--- a/packages/testing/mod.ts
+++ b/packages/testing/mod.ts
@@ -29,3 +29,4 @@
   TestClusterOptions,
 } from "./testing_cluster.ts";
 export { findFreePorts } from "./testing_ports.ts";
+export { makeEngineSpec, OrderedEngine } from "./testing_ordered_engine.ts";
