Pass late orders on to the next lease holder

Cause: a late order of one lease holder and one of the next, which knows nothing of the first, can both reach an engine that has started again, one after the other from count 0, and overfill it before any other order. The higher fencing token does not help: they come in its order.

Ruled out: late orders on an engine that has accepted an order of the new holder; its token is higher there.

Conclusion: what nobody else can know is not covered: orders of the holder's last exchange interval, or of one that is cut off from the next.

--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -3,7 +3,7 @@
 import * as core from "../core/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import type * as orders from "../orders/mod.ts";
+import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 
@@ -13,6 +13,8 @@
   readonly inventory: orders.EngineInventory;
   /** When the last order was sent, in ms of the monotonic clock. */
   readonly lastOrderAtMs: number | undefined;
+  /** Orders to it without a reply. */
+  readonly late?: orders.LateOrders | undefined;
 }
 
 /** Engine states at one time, with a tag that changes when they do. */
@@ -31,11 +33,15 @@
 ): TaggedEngineStates {
   const engines = states.map((state) => toEngineState(state, nowMs));
   const signature = states.map(({ lastOrderAtMs }, index) => {
-    const { upstreamId, bornMs, models, orderCount } = engines[index]!;
+    const { upstreamId, bornMs, models, orderCount, late } = engines[index]!;
     const held = models.map(({ model, isUsable, adapters }) =>
       `${model}:${isUsable}:${adapters.join(",")}`
     );
-    return [upstreamId, bornMs, orderCount, lastOrderAtMs, ...held].join(" ");
+    const lost = late.map((order) =>
+      `${order.fencingToken}:${order.expectedOrderCount}:${order.model}`
+    );
+    return [upstreamId, bornMs, orderCount, lastOrderAtMs, ...held, ...lost]
+      .join(" ");
   });
   const hash = core.hash32(signature.join("\n")).toString(36);
   return { tag: `${incarnation}:${hash}`, engines, atMs: nowMs };
@@ -60,6 +66,10 @@
           ? 0
           : Math.max(1, model.readyInMs - ageMs),
       })),
+      late: engine.late.map((order) => ({
+        ...order,
+        sentAgeMs: order.sentAgeMs + ageMs,
+      })),
     })
   );
 }
@@ -76,6 +86,7 @@
   for (const reported of engines) {
     const { upstreamId, bornMs, models, orderCount, lastOrderAgeMs } = reported;
     const id = core.brandId<core.UpstreamId>(upstreamId);
+    addLateOrders(state, id, reported.late, nowMs);
     const engine = state.upstreams.get(id);
     if (!engine || engine.record.startedAtMs !== bornMs) continue;
     const replicas = models.map((
@@ -100,8 +111,32 @@
   }
 }
 
+/** They matter to later incarnations, and if this node takes the lease over. */
+function addLateOrders(
+  { lateOrders }: EntryState,
+  id: core.UpstreamId,
+  reported: readonly peers.LateOrder[],
+  nowMs: number,
+): void {
+  if (reported.length === 0) return;
+  const late = lateOrders.get(id) ?? new orders.LateOrders();
+  lateOrders.set(id, late);
+  for (const { isLoad, model, adapter, sentAgeMs, ...order } of reported) {
+    late.add({
+      order: {
+        kind: isLoad ? "load" : "unload",
+        model: core.brandId<core.ModelName>(model),
+        ...(adapter === "" ? {} : { adapter }),
+        expectedOrderCount: order.expectedOrderCount,
+        fencingToken: order.fencingToken,
+      },
+      sentAtMs: nowMs - sentAgeMs,
+    });
+  }
+}
+
 function toEngineState(
-  { record, inventory, lastOrderAtMs }: EngineOrderState,
+  { record, inventory, lastOrderAtMs, late }: EngineOrderState,
   nowMs: number,
 ): peers.EngineState {
   return create(peers.EngineStateSchema, {
@@ -119,5 +154,13 @@
       adapters: [...replica.adapters],
       readyInMs: Math.max(0, Math.round((replica.readyAtMs ?? 0) - nowMs)),
     })),
+    late: (late?.all(nowMs) ?? []).map(({ order, sentAtMs }) => ({
+      isLoad: order.kind === "load",
+      model: order.model,
+      adapter: order.adapter ?? "",
+      expectedOrderCount: order.expectedOrderCount,
+      fencingToken: order.fencingToken,
+      sentAgeMs: Math.max(0, Math.round(nowMs - sentAtMs)),
+    })),
   });
 }
--- a/packages/entry/entry_managed_engines.ts
+++ b/packages/entry/entry_managed_engines.ts
@@ -28,8 +28,6 @@
   readonly #lease: orders.OrderLease;
   readonly #control: fleet.EngineControl;
   readonly #managed = new Map<core.UpstreamId, ManagedEngine>();
-  /** Kept beyond the incarnation and the lease, as late orders are. */
-  readonly #late = new Map<core.UpstreamId, orders.LateOrders>();
 
   constructor(
     state: EntryState,
@@ -50,8 +48,9 @@
   }
 
   /** Ends all senders, as this node is not the lease holder. */
-  clear(): void {
+  clear(nowMs: number): void {
     for (const id of this.#managed.keys()) this.#remove(id);
+    this.#forgetOldOrders(nowMs);
   }
 
   /** Follows the upstream table. */
@@ -74,8 +73,14 @@
     for (const id of this.#managed.keys()) {
       if (!listed.has(id)) this.#remove(id);
     }
-    for (const [id, late] of this.#late) {
-      if (!listed.has(id) && late.isEmpty(nowMs)) this.#late.delete(id);
+    this.#forgetOldOrders(nowMs);
+  }
+
+  #forgetOldOrders(nowMs: number): void {
+    const { lateOrders } = this.#state;
+    for (const [id, late] of lateOrders) {
+      const isInUse = this.#managed.has(id);
+      if (!isInUse && late.isEmpty(nowMs)) lateOrders.delete(id);
     }
   }
 
@@ -85,9 +90,9 @@
   }
 
   #makeSender(record: fleet.UpstreamRecord): orders.OrderSender {
-    const { settings, logger, upstreams } = this.#state;
-    const late = this.#late.get(record.id) ?? new orders.LateOrders();
-    this.#late.set(record.id, late);
+    const { lateOrders, settings, logger, upstreams } = this.#state;
+    const late = lateOrders.get(record.id) ?? new orders.LateOrders();
+    lateOrders.set(record.id, late);
     return new orders.OrderSender(
       record,
       new orders.EngineInventory(record),
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -70,6 +70,7 @@
       record: sender.record,
       inventory: sender.inventory,
       lastOrderAtMs: sender.lastOrderAtMs,
+      late: this.#state.lateOrders.get(sender.record.id),
     }));
   }
 
@@ -84,7 +85,7 @@
   }
 
   #reset(): void {
-    this.#managed.clear();
+    this.#managed.clear(core.monotonicMs());
     this.#limiter = undefined;
   }
 
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -3,6 +3,7 @@
 import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as metrics from "../metrics/mod.ts";
+import type * as orders from "../orders/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
@@ -21,6 +22,11 @@
   readonly startedAtMs: number;
   readonly upstreams = new dispatch.UpstreamRegistry();
   readonly stepTimes = new dispatch.StepTimeEstimator();
+  /**
+   * Orders without a reply, by the engine's id: beyond its incarnations and
+   * those who hold the order lease.
+   */
+  readonly lateOrders = new Map<core.UpstreamId, orders.LateOrders>();
   readonly outputLengths = new dispatch.OutputLengthEstimator();
   readonly demand = new dispatch.DemandTracker();
   readonly queue = new dispatch.RequestQueue();
--- a/packages/entry/tests/unit/entry_engine_states_test.ts
+++ b/packages/entry/tests/unit/entry_engine_states_test.ts
@@ -1,7 +1,16 @@
 import test from "ava";
 import { create } from "@bufbuild/protobuf";
 import * as peers from "../../../peers/mod.ts";
-import { ageEngineStates } from "../../entry_engine_states.ts";
+import * as core from "../../../core/mod.ts";
+import * as orders from "../../../orders/mod.ts";
+import * as testing from "../../../testing/mod.ts";
+import {
+  ageEngineStates,
+  applyEngineStates,
+  tagEngineStates,
+} from "../../entry_engine_states.ts";
+import { EntryState } from "../../entry_state.ts";
+import { makeEntrySettings } from "../entry_settings.ts";
 
 const models = [
   { model: "loading", isUsable: false, adapters: [], readyInMs: 100 },
@@ -21,3 +30,38 @@
   t.deepEqual(readyAfter(40), [60, 0]);
   t.deepEqual(readyAfter(250), [1, 0]);
 });
+
+// Guards against a new lease holder that knows nothing of the late orders of
+// the one before it.
+test("late orders are passed on, also those to an earlier incarnation", (t) => {
+  const record = testing.makeUpstreamRecord({ startedAtMs: 1 });
+  const inventory = new orders.EngineInventory(record);
+  const late = new orders.LateOrders();
+  const holder = { record, inventory, lastOrderAtMs: undefined, late };
+  const before = tagEngineStates("in", [holder], 1_000);
+  late.record({
+    kind: "load",
+    model: core.brandId<core.ModelName>("m"),
+    adapter: "a",
+    expectedOrderCount: 3,
+    fencingToken: 2 ** 41 + 7,
+  }, 400);
+  const states = tagEngineStates("in", [holder], 1_000);
+  t.not(states.tag, before.tag);
+
+  const logger = new core.Logger({}, () => {});
+  const node = new EntryState(makeEntrySettings("n"), logger);
+  node.setUpstream({ ...record, startedAtMs: 2 });
+  applyEngineStates(node, ageEngineStates(states, 1_200), 50_200);
+  const [known] = node.lateOrders.get(record.id)?.all(50_200) ?? [];
+  t.deepEqual(known, {
+    order: {
+      kind: "load",
+      model: core.brandId<core.ModelName>("m"),
+      adapter: "a",
+      expectedOrderCount: 3,
+      fencingToken: 2 ** 41 + 7,
+    },
+    sentAtMs: 49_400,
+  });
+});
--- a/packages/orders/mod.ts
+++ b/packages/orders/mod.ts
@@ -2,7 +2,7 @@
 export { EngineInventory, isUsable } from "./orders_inventory.ts";
 export type { ModelPhase, TrackedModel } from "./orders_inventory.ts";
 export { LateOrders } from "./orders_late.ts";
-export type { EngineRoom } from "./orders_late.ts";
+export type { EngineRoom, LateOrder } from "./orders_late.ts";
 export { OrderLease } from "./orders_lease.ts";
 export type {
   LeaseRenewal,
--- a/packages/orders/orders_inventory.ts
+++ b/packages/orders/orders_inventory.ts
@@ -91,7 +91,9 @@
   }
 
   /** Whether the model or adapter of an order is held, or being loaded. */
-  holds({ model, adapter }: fleet.Order): boolean {
+  holds(
+    { model, adapter }: Pick<fleet.Order, "model" | "adapter">,
+  ): boolean {
     const held = this.models.get(model);
     if (adapter === undefined) return held !== undefined;
     return held?.adapters.has(adapter) ?? false;
--- a/packages/orders/orders_late.ts
+++ b/packages/orders/orders_late.ts
@@ -18,10 +18,20 @@
   readonly adapterSlots: number;
 }
 
+/** An order, whoever sent it. */
+export type UnsignedOrder = Omit<fleet.Order, "holder">;
+
+/** An order without a reply, and when it was last sent. */
+export interface LateOrder {
+  readonly order: UnsignedOrder;
+  /** On the monotonic clock. */
+  readonly sentAtMs: number;
+}
+
 /** The orders without a reply to all incarnations with one engine's id. */
 export class LateOrders {
-  /** When each of them was sent, on the monotonic clock. */
-  readonly #sentAtMs = new Map<fleet.Order, number>();
+  /** By what the engine is to do at which count, and the token. */
+  readonly #orders = new Map<string, LateOrder>();
 
   /**
    * Records an order that is about to be sent.
@@ -33,9 +43,30 @@
    * if (await control.sendOrder(engine, order, timeoutMs) !== "lost") settle();
    * ```
    */
-  record(order: fleet.Order, nowMs: number): () => void {
-    this.#sentAtMs.set(order, nowMs);
-    return () => this.#sentAtMs.delete(order);
+  record(order: UnsignedOrder, nowMs: number): () => void {
+    const key = keyOf(order);
+    // The reply is to the last sending alone.
+    const before = this.#orders.get(key);
+    this.add({ order, sentAtMs: nowMs });
+    return () => {
+      if (before) this.#orders.set(key, before);
+      else this.#orders.delete(key);
+    };
+  }
+
+  /** Adds an order that another node has sent. */
+  add(late: LateOrder): void {
+    const key = keyOf(late.order);
+    const known = this.#orders.get(key);
+    if (!known || known.sentAtMs < late.sentAtMs) this.#orders.set(key, late);
+  }
+
+  /** The orders that may still be carried out. */
+  all(nowMs: number): LateOrder[] {
+    for (const [key, { sentAtMs }] of this.#orders) {
+      if (nowMs - sentAtMs > LATE_MAX_MS) this.#orders.delete(key);
+    }
+    return [...this.#orders.values()];
   }
 
   /** Whether all orders were answered, or are too old to be carried out. */
@@ -64,7 +95,7 @@
     orderCount: number,
     nowMs: number,
     spec: fleet.EngineSpec,
-    isHeld: (order: fleet.Order) => boolean,
+    isHeld: (order: UnsignedOrder) => boolean,
   ): EngineRoom {
     const loads = this.#acceptable(orderCount, nowMs)
       .filter((order) => !isHeld(order));
@@ -82,7 +113,7 @@
     spec: fleet.EngineSpec,
   ): EngineRoom {
     const pending = this.#pending(nowMs);
-    let held: fleet.Order[] = [];
+    let held: UnsignedOrder[] = [];
     let most: EngineRoom = { mb: 0, adapterSlots: 0 };
     for (let count = 0;; count++) {
       if (count !== orderCount) {
@@ -96,24 +127,27 @@
   }
 
   /** Orders with the present count compete with the next one, and are safe. */
-  #acceptable(orderCount: number, nowMs: number): fleet.Order[] {
+  #acceptable(orderCount: number, nowMs: number): UnsignedOrder[] {
     return this.#pending(nowMs)
       .filter(({ expectedOrderCount }) => expectedOrderCount > orderCount);
   }
 
-  #pending(nowMs: number): fleet.Order[] {
-    for (const [order, sentAtMs] of this.#sentAtMs) {
-      if (nowMs - sentAtMs > LATE_MAX_MS) this.#sentAtMs.delete(order);
-    }
-    return [...this.#sentAtMs.keys()];
+  #pending(nowMs: number): UnsignedOrder[] {
+    return this.all(nowMs).map(({ order }) => order);
   }
 }
 
+function keyOf(order: UnsignedOrder): string {
+  const { kind, model, adapter, expectedOrderCount, fencingToken } = order;
+  return [kind, model, adapter ?? "", expectedOrderCount, fencingToken]
+    .join(" ");
+}
+
 /** The loads that may be held after any one of some orders. */
 function afterOneOf(
-  held: readonly fleet.Order[],
-  orders: readonly fleet.Order[],
-): fleet.Order[] {
+  held: readonly UnsignedOrder[],
+  orders: readonly UnsignedOrder[],
+): UnsignedOrder[] {
   const loads = orders.filter(({ kind }) => kind === "load");
   if (loads.length > 0) return [...held, ...loads];
   return held.filter((load) =>
@@ -133,7 +167,7 @@
 
 /** The room that all loads together take, each model and adapter once. */
 function roomOf(
-  orders: readonly fleet.Order[],
+  orders: readonly UnsignedOrder[],
   spec: fleet.EngineSpec,
 ): EngineRoom {
   const models = new Set<core.ModelName>();
--- a/packages/orders/tests/unit/orders_late_test.ts
+++ b/packages/orders/tests/unit/orders_late_test.ts
@@ -110,6 +110,8 @@
       for (const answer of this.#hanging.splice(0)) answer();
     }
     this.#drawEvent();
+    this.#exchange();
+    if (this.#holders.length > 2) this.#dropSender(this.#holders.shift()!);
     const holder = this.#holders[this.#below(this.#holders.length)]!;
     this.#work(holder);
     await core.nextPoll();
@@ -124,14 +126,21 @@
         for (const holder of this.#holders) this.#dropSender(holder);
       }
     } else if (event < 40) this.#renew();
-    else if (!this.#play.changesHolder) return;
-    else if (event < 43) this.#holders.push(this.#makeHolder());
-    else if (event < 45) {
+    else if (event < 43 && this.#play.changesHolder) {
+      this.#holders.push(this.#makeHolder());
+    } else if (event < 45 && this.#play.changesHolder) {
       this.#generation++;
       this.#version = this.#below(this.#version);
       this.#holders.push(this.#makeHolder());
     }
-    if (this.#holders.length > 2) this.#dropSender(this.#holders.shift()!);
+  }
+
+  /** The nodes exchange what they know, those that have lost the lease too. */
+  #exchange(): void {
+    const known = this.#holders.flatMap(({ late }) => late.all(this.nowMs));
+    for (const { late } of this.#holders) {
+      known.forEach((each) => late.add(each));
+    }
   }
 
   /** The last holder renews; it alone can. */
@@ -300,6 +309,11 @@
   await playRuns(t, { checksFences: true, changesHolder: false });
 });
 
+// Guards against the same after the lease changed hands or the store went back.
+test.serial("nor do they beside new holders and restores", async (t) => {
+  await playRuns(t, { checksFences: true, changesHolder: true });
+});
+
 // Guards against the same where a fencing token does not stop a late order.
 test.serial("late orders overfill no engine without fences", async (t) => {
   await playRuns(t, { checksFences: false, changesHolder: false });
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -247,7 +247,6 @@
     kind: "load",
     model,
     expectedOrderCount: 2,
-    holder: core.brandId<core.InstanceId>("n"),
     fencingToken: 7,
   }, core.monotonicMs());
   await sender.reconcile();
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -44,6 +44,7 @@
   EngineState,
   EngineUse,
   FleetView,
+  LateOrder,
   MemberState,
   NodeDigest,
   QuarantineNews,
