Log what a node knew of the versions when it did not go on with a stream

'not_continued' names the versions in service with their numbers, and for the stream's version how many engines leave, are suspect, hold the model and are usable. No logic changes.

--- a/packages/entry/entry_candidates.ts
+++ b/packages/entry/entry_candidates.ts
@@ -4,6 +4,10 @@
 import type * as fleet from "../fleet/mod.ts";
 import type * as relay from "../relay/mod.ts";
 
+/** Versions, and characters of each, in a log line. */
+const LOGGED_VERSIONS_MAX = 4;
+const LOGGED_VERSION_LENGTH = 16;
+
 /** Upstreams of a service that are left out of a selection. */
 type Excluded = ReadonlySet<dispatch.UpstreamState>;
 
@@ -70,6 +74,36 @@
     return this.exclude(service, { ...history, failed: new Set() });
   }
 
+  /**
+   * What is known of the upstreams that could continue a stream, for the log:
+   * the number of each software version, and how many of the one that began it
+   * leave, are suspect, hold the model and could run the request.
+   */
+  describeVersion(
+    { service, caller }: relay.RelayedRequest,
+    softwareVersion: core.SoftwareVersion,
+  ): core.LogFields {
+    const { model, adapter } = caller;
+    const nowMs = core.monotonicMs();
+    const upstreams = [...this.#upstreams.ofService(service)];
+    const ofVersion = upstreams
+      .filter(({ record }) => isOfVersion(record, softwareVersion));
+    const count = (holds: (upstream: dispatch.UpstreamState) => boolean) =>
+      ofVersion.filter(holds).length;
+    return {
+      versions: countVersions(upstreams),
+      ofVersion: ofVersion.length,
+      leaving: count(({ record }) => record.isLeaving),
+      suspect: count((upstream) => upstream.isSuspect(nowMs)),
+      holding: model === undefined
+        ? undefined
+        : count(({ replicas }) => replicas.has(model)),
+      usable: model === undefined
+        ? undefined
+        : count((upstream) => upstream.canRun(model, adapter, nowMs)),
+    };
+  }
+
   /**
    * Why no upstream can continue a stream that a software version began, however
    * long it waits; undefined if one may. Replicas are not placed by version, so
@@ -96,6 +130,19 @@
   }
 }
 
+/** Names the most frequent software versions with the number of upstreams. */
+function countVersions(upstreams: readonly dispatch.UpstreamState[]): string {
+  const counts = new Map<string, number>();
+  for (const { record: { softwareVersion = "none" } } of upstreams) {
+    counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1);
+  }
+  return [...counts].sort(([, a], [, b]) => b - a)
+    .slice(0, LOGGED_VERSIONS_MAX)
+    .map(([version, count]) =>
+      `${version.slice(0, LOGGED_VERSION_LENGTH)}:${count}`
+    ).join(",");
+}
+
 function isOfVersion(
   record: fleet.UpstreamRecord,
   softwareVersion: core.SoftwareVersion | undefined,
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -94,6 +94,24 @@
     request: relay.RelayedRequest,
     history: relay.AttemptHistory,
     signal: AbortSignal,
+  ): Promise<SelectionResult> {
+    const selected = await this.#select(request, history, signal);
+    const { softwareVersion } = history;
+    if (selected.isErr() && softwareVersion !== undefined) {
+      this.#state.logger.info("not_continued", {
+        request: request.caller.requestId,
+        softwareVersion,
+        reason: selected.error.reason,
+        ...this.#candidates.describeVersion(request, softwareVersion),
+      });
+    }
+    return selected;
+  }
+
+  async #select(
+    request: relay.RelayedRequest,
+    history: relay.AttemptHistory,
+    signal: AbortSignal,
   ): Promise<SelectionResult> {
     const service = this.#serviceOf(request);
     const { model } = request.caller;
