--- a/packages/entry/entry_stop.ts
+++ b/packages/entry/entry_stop.ts
@@ -9,8 +9,8 @@
  */
 const GRACE_MARGIN_MS = 400;
 const GRACE_MARGIN_SHARE = 1 / 8;
-/** The part of that in which responses are still written. */
-const FLUSH_SHARE = 3 / 4;
+/** The part of that in which responses are still written; then it exits. */
+const FLUSH_SHARE = 1 / 2;
 /** New requests are served in this share of the grace period at the longest. */
 const LINGER_SHARE = 1 / 2;
 const POLL_MS = 50;
