--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -12,6 +12,7 @@
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { readDropped } from "./upstream_dropped.ts";
 import { readEvents } from "./upstream_stream.ts";
 import type {
   AttemptFailure,
@@ -186,7 +187,7 @@
     if (
       resumedAfter > 0 && headers[RESUMED_AFTER_HEADER] !== String(resumedAfter)
     ) {
-      await body.dump().catch(() => undefined);
+      await readDropped(body).catch(() => undefined);
       const detail = "the engine does not resume streams";
       return err({ fault: "broke", ran: "unknown", detail });
     }
@@ -258,12 +259,12 @@
     if (echoedId === attempt.attemptId) this.#reportLoad(attempt, response);
     if (echoedId !== attempt.attemptId) {
       this.#options.dropped.foreign++;
-      await response.body.dump().catch(() => undefined);
+      await readDropped(response.body).catch(() => undefined);
       const detail = `answer for attempt ${String(echoedId)}`;
       return err({ fault: "foreign", ran: "unknown", detail });
     }
     if (response.statusCode === 200) return ok(response);
-    const bodyText = await response.body.text();
+    const bodyText = await readDropped(response.body).catch(core.messageOf);
     return err(toStatusFailure(response.statusCode, bodyText));
   }
 
