--- a/packages/transport/tests/unit/transport_endless_test.ts
+++ b/packages/transport/tests/unit/transport_endless_test.ts
@@ -8,6 +8,7 @@
 async function withEndlessServer(
   start: string,
   more: string,
+  everyMs: number,
   run: (origin: string, open: ReadonlySet<Socket>) => Promise<void>,
 ): Promise<void> {
   const open = new Set<Socket>();
@@ -19,7 +20,9 @@
       socket.write(start);
       const write = () => {
         if (socket.destroyed) return;
-        if (socket.write(more)) setImmediate(write);
+        const isWritable = socket.write(more);
+        if (everyMs > 0) setTimeout(write, everyMs);
+        else if (isWritable) setImmediate(write);
         else socket.once("drain", write);
       };
       write();
@@ -36,7 +39,7 @@
   }
 }
 
-const cases: [name: string, start: string, more: string][] = [
+const cases: [name: string, start: string, more: string, everyMs?: number][] = [
   ["a head", "HTTP/1.1 200 OK\r\n", "x-more: y\r\n"],
   [
     "a body",
@@ -48,11 +51,24 @@
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
     "1\r\nx\r\n",
   ],
+  [
+    "a body of one byte a second",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "1\r\nx\r\n",
+    1_000,
+  ],
+  [
+    "a list of trailers",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+    "x-more: y\r\n",
+    50,
+  ],
+  ["a body without framing", "HTTP/1.1 200 OK\r\n\r\n", "x", 50],
 ];
 
-for (const [name, start, more] of cases) {
+for (const [name, start, more, everyMs = 0] of cases) {
   test.serial(`an exchange ends when ${name} does not`, async (t) => {
-    await withEndlessServer(start, more, async (origin, open) => {
+    await withEndlessServer(start, more, everyMs, async (origin, open) => {
       const agent = new undici.Agent();
       const startedAtMs = performance.now();
       const result = await transport.send(agent, {
