Bound the memory of bodies that arrive in very small pieces

What callers saw: bodies whose HTTP chunks hold one byte each end the process. All other requests of that machine end with it. This is the fault of the endless bytes in another form: the limits count bytes, but each piece is an object of a hundred bytes and more.

Cause: request bodies, whole responses and responses of the store and of engines were kept as a list of pieces until their end, and the queue of an attempt is paused by its bytes alone.

Change: a collector copies small pieces into blocks; the three places use it. The queue counts an overhead for each piece.

The new case in relay_endless_test shows the bound while the bytes come; it passed on memory before, as its deadline is 1.5 s.

--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -41,6 +41,8 @@
  * Bytes buffered for a slow caller before reading from the upstream is paused.
  */
 const BUFFERED_BYTES_MAX = 256 * 1024;
+/** Memory that a buffered piece takes beside its bytes, which may be few. */
+const PIECE_OVERHEAD_BYTES = 256;
 /** Largest body with neither a length nor chunks. */
 const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
 /** Bytes that are read of a response that is not passed on. */
@@ -104,7 +106,7 @@
     }
     const event = this.#bodyEvents.shift()!;
     if (event.kind === "data") {
-      this.#bufferedBytes -= event.data.length;
+      this.#bufferedBytes -= event.data.length + PIECE_OVERHEAD_BYTES;
       if (this.#controller?.paused) this.#controller.resume();
     }
     return event;
@@ -153,7 +155,7 @@
       this.#settleHead(ok({ status, headers, framing }));
     },
     onResponseData: (controller, data) => {
-      this.#bufferedBytes += data.length;
+      this.#bufferedBytes += data.length + PIECE_OVERHEAD_BYTES;
       if (this.#bufferedBytes > BUFFERED_BYTES_MAX) controller.pause();
       this.#push({ kind: "data", data, atMs: core.monotonicMs() });
     },
--- a/packages/relay/relay_body.ts
+++ b/packages/relay/relay_body.ts
@@ -1,8 +1,9 @@
 /**
  * Buffers a caller's request body, so that a retry can send it again unchanged.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import * as transport from "../transport/mod.ts";
 
 /** Thrown when a body exceeds the configured limit. */
 export class BodyTooLargeError extends Error {}
@@ -28,8 +29,7 @@
   timeoutMs: number,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new transport.ByteCollector();
     const stop = () => {
       clearTimeout(timer);
       request.off("data", onData).off("end", onEnd).off("error", fail);
@@ -40,13 +40,12 @@
       reject(error);
     };
     const onData = (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > bytesMax) return fail(new BodyTooLargeError());
-      chunks.push(chunk);
+      body.append(chunk);
+      if (body.length > bytesMax) fail(new BodyTooLargeError());
     };
     const onEnd = () => {
       stop();
-      resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+      resolve(body.take());
     };
     const onClose = () => fail(new Error("the caller closed the connection"));
     const timer = setTimeout(() => fail(new BodyTimeoutError()), timeoutMs);
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -1,7 +1,6 @@
 /** Relays the body of an upstream's response to the caller. */
-import { Buffer } from "node:buffer";
 import * as core from "../core/mod.ts";
-import type * as transport from "../transport/mod.ts";
+import * as transport from "../transport/mod.ts";
 import { type Attempt, outcomeOf } from "./relay_attempt.ts";
 import { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 import type { CallerResponse } from "./relay_response.ts";
@@ -80,8 +79,7 @@
     assignment: UpstreamAssignment,
     { attempt, watch, status, headers }: ReceivedResponse,
   ): Promise<AttemptResult> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collector = new transport.ByteCollector();
     for (;;) {
       const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
@@ -90,16 +88,15 @@
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
       if (event.kind === "end") break;
-      bytes += event.data.length;
-      if (bytes > WHOLE_BODY_BYTES_MAX) {
+      collector.append(event.data);
+      if (collector.length > WHOLE_BODY_BYTES_MAX) {
         return this.#failOversized(assignment, attempt, "body is too large");
       }
-      chunks.push(event.data);
     }
     const nowMs = core.monotonicMs();
     if (status < 300) assignment.onFirstEvent(nowMs);
     assignment.onEnd(status < 500 ? "served" : "failed");
-    const body = Buffer.concat(chunks);
+    const body = collector.take();
     this.#response.start(status, {
       ...headers,
       "content-length": String(body.length),
--- a/packages/relay/tests/unit/relay_endless_test.ts
+++ b/packages/relay/tests/unit/relay_endless_test.ts
@@ -108,6 +108,14 @@
     route: unsafe,
     expected: { status: 502 },
   },
+  {
+    name: "a body without end in chunks of one byte",
+    start: HEAD + CHUNKED,
+    more: chunk(1).repeat(10_000),
+    route: unsafe,
+    // The time is over before the limit of bytes is reached.
+    expected: { status: 504 },
+  },
   {
     name: "a body without length or end",
     start: `${HEAD}\r\n`,
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -1,4 +1,5 @@
 /** HTTP transport: requests sent at most once, typed failures, and servers. */
+export { ByteCollector } from "./transport_byte_collector.ts";
 export { listen, startServer } from "./transport_listen.ts";
 export type { ListenPatience } from "./transport_listen.ts";
 export {
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -1,8 +1,8 @@
 /** Sends HTTP requests once, without retries. */
-import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
+import { ByteCollector } from "./transport_byte_collector.ts";
 import { limitStart } from "./transport_start_limit.ts";
 import { guardUnframedBodies } from "./transport_unframed.ts";
 
@@ -140,14 +140,14 @@
   body: AsyncIterable<Uint8Array>,
   bytesMax: number,
 ): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const collector = new ByteCollector();
   for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > bytesMax) throw new Error(`body exceeds ${bytesMax} bytes`);
-    chunks.push(chunk);
+    collector.append(chunk);
+    if (collector.length > bytesMax) {
+      throw new Error(`body exceeds ${bytesMax} bytes`);
+    }
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return collector.take().toString("utf8");
 }
 
 /**
