Make the cost of a chunk independent of its event's length

EventStreamBuffer copied and searched the whole incomplete event for each chunk, up to 1 MB, and split all complete events by a pattern to find the last id.

It now searches only what is new, keeps the rest in a ChunkBuffer, which copies small chunks into blocks, and looks for the last id from the end.

A property test compares random chunks with the stream as a whole.

--- /dev/null
+++ b/packages/relay/relay_chunk_buffer.ts
@@ -0,0 +1,70 @@
+/** Buffers bytes that arrive in chunks of any size. */
+import { Buffer } from "node:buffer";
+
+/** Smaller chunks are copied, as keeping one costs more than its bytes. */
+const SMALL_CHUNK_BYTES = 1_024;
+const BLOCK_BYTES = 4_096;
+
+/** Buffers chunks in order. */
+export class ChunkBuffer {
+  readonly #chunks: Buffer[] = [];
+  /** Receives small chunks after the last one of `#chunks`. */
+  #block: Buffer | undefined;
+  #blockBytes = 0;
+  #length = 0;
+
+  /** Bytes buffered. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /**
+   * Appends a chunk.
+   *
+   * @example
+   * ```ts
+   * chunks.append(Buffer.from("ab"));
+   * chunks.append(Buffer.from("c"));
+   * chunks.take().toString(); // "abc"
+   * ```
+   */
+  append(chunk: Buffer): void {
+    if (chunk.length === 0) return;
+    const isFirst = this.#length === 0;
+    this.#length += chunk.length;
+    // Most responses and events arrive in one chunk, which is not copied.
+    if (isFirst || chunk.length >= SMALL_CHUNK_BYTES) {
+      this.#closeBlock();
+      this.#chunks.push(chunk);
+      return;
+    }
+    if (this.#blockBytes + chunk.length > BLOCK_BYTES) this.#closeBlock();
+    this.#block ??= Buffer.allocUnsafe(BLOCK_BYTES);
+    chunk.copy(this.#block, this.#blockBytes);
+    this.#blockBytes += chunk.length;
+  }
+
+  /** Removes and returns all bytes; a single chunk is not copied. */
+  take(): Buffer {
+    this.#closeBlock();
+    const bytes = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks);
+    this.clear();
+    return bytes;
+  }
+
+  clear(): void {
+    this.#chunks.length = 0;
+    this.#block = undefined;
+    this.#blockBytes = 0;
+    this.#length = 0;
+  }
+
+  #closeBlock(): void {
+    if (!this.#block) return;
+    this.#chunks.push(this.#block.subarray(0, this.#blockBytes));
+    this.#block = undefined;
+    this.#blockBytes = 0;
+  }
+}
--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -1,11 +1,15 @@
 /** Splits a server-sent event stream at event boundaries. */
 import { Buffer } from "node:buffer";
+import { ChunkBuffer } from "./relay_chunk_buffer.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** A blank line: two line ends, each CRLF, LF or CR. */
-const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/;
-const ID_LINE = /^id: ?(.*)$/m;
+const EVENT_END_AT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)$/;
+const ID_FIELD = "id:";
+/** Last bytes of a stream in which a blank line is recognised. */
+const TAIL_BYTES = 4;
+const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /**
  * Buffers bytes until they form complete events and tracks the id of the last
@@ -13,7 +17,9 @@
  * upstream.
  */
 export class EventStreamBuffer {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #pending = new ChunkBuffer();
+  /** The last bytes of the incomplete event. */
+  #pendingTail = NO_BYTES;
   #lastEventId: string | undefined;
 
   /** Id of the last complete event that has one. */
@@ -36,42 +42,54 @@
    * ```
    */
   append(data: Buffer): Buffer {
-    const bytes = this.#pending.length > 0
-      ? Buffer.concat([this.#pending, data])
-      : data;
-    const end = endOfLastEvent(bytes);
-    this.#pending = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
-    if (end > 0) this.#recordLastId(complete);
+    const tail = this.#pendingTail;
+    const bytes = tail.length > 0 ? Buffer.concat([tail, data]) : data;
+    const end = endOfLastEvent(bytes, tail.length) - tail.length;
+    if (end <= 0) {
+      this.#pending.append(data);
+      this.#pendingTail = Buffer.from(bytes.subarray(-TAIL_BYTES));
+      return NO_BYTES;
+    }
+    this.#pending.append(data.subarray(0, end));
+    const complete = this.#pending.take();
+    this.#recordLastId(complete);
+    const rest = data.subarray(end);
+    this.#pending.append(rest);
+    this.#pendingTail = Buffer.from(rest.subarray(-TAIL_BYTES));
     return complete;
   }
 
   /** Returns and removes the bytes after the last complete event. */
   takePending(): Buffer {
-    const pending = this.#pending;
+    const pending = this.#pending.take();
     this.discardPending();
     return pending;
   }
 
   /** Discards an incomplete event, which a resumed stream sends again whole. */
   discardPending(): void {
-    this.#pending = Buffer.alloc(0);
+    this.#pending.clear();
+    this.#pendingTail = NO_BYTES;
   }
 
+  /** Searches from the end, as the other ids are of no use. */
   #recordLastId(complete: Buffer): void {
-    const text = complete.toString("utf8");
-    for (const event of text.split(EVENT_END).reverse()) {
-      const id = ID_LINE.exec(event)?.[1];
-      if (id === undefined) continue;
-      this.#lastEventId = id.trim();
-      return;
-    }
+    let at = complete.length;
+    do {
+      if (at === 0) return;
+      at = complete.lastIndexOf(ID_FIELD, at - 1);
+      if (at < 0) return;
+    } while (at > 0 && !isLineEnd(complete[at - 1]));
+    const start = at + ID_FIELD.length;
+    let end = start;
+    while (end < complete.length && !isLineEnd(complete[end])) end++;
+    this.#lastEventId = complete.toString("utf8", start, end).trim();
   }
 }
 
-/** Last bytes of a stream in which a blank line is recognised. */
-const TAIL_BYTES = 4;
-const EVENT_END_AT_END = new RegExp(`${EVENT_END.source}$`);
+function isLineEnd(byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
 
 /**
  * Tells whether the bytes of a stream so far end at the end of an event, for
@@ -107,10 +125,10 @@
 }
 
 /**
- * Offset after the last blank line, which ends an event; 0 if there is none.
+ * Offset after the last blank line that ends after `from`; 0 if there is none.
  */
-function endOfLastEvent(bytes: Buffer): number {
-  for (let end = bytes.length; end > 1; end--) {
+function endOfLastEvent(bytes: Buffer, from: number): number {
+  for (let end = bytes.length; end > Math.max(1, from); end--) {
     const last = bytes[end - 1];
     if (last !== LINE_FEED && last !== CARRIAGE_RETURN) continue;
     // Most streams end their lines so; the pattern costs more.
--- a/packages/relay/tests/unit/relay_events_test.ts
+++ b/packages/relay/tests/unit/relay_events_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import fc from "fast-check";
 import { Buffer } from "node:buffer";
 import * as relay from "../../mod.ts";
 
@@ -56,3 +57,46 @@
     t.is(buffer.lastEventId, "2");
   });
 }
+
+// Guards against bytes that are lost or reordered where a stream is split.
+test("a stream is split alike, whatever chunks it arrives in", (t) => {
+  const piece = fc.constantFrom(
+    "\n",
+    "\r",
+    "\r\n",
+    "id: 7",
+    "id:",
+    "data: a",
+    "i",
+  );
+  const part = fc.string({ unit: piece, minLength: 1, maxLength: 6 });
+  fc.assert(
+    fc.property(fc.array(part, { maxLength: 12 }), (parts) => {
+      const buffer = new relay.EventStreamBuffer();
+      const passedOn = parts.map((text) => buffer.append(Buffer.from(text)));
+      const complete = Buffer.concat(passedOn).toString();
+      const whole = new relay.EventStreamBuffer();
+      const text = parts.join("");
+      const pending = buffer.takePending().toString();
+      t.is(complete + pending, text);
+      const wholeComplete = whole.append(Buffer.from(text)).toString();
+      t.is(
+        complete.replace(/[\r\n]+$/, ""),
+        wholeComplete.replace(/[\r\n]+$/, ""),
+      );
+      t.is(buffer.lastEventId, whole.lastEventId);
+    }),
+    { numRuns: 2_000 },
+  );
+});
+
+// Guards against a node that is held up by an event that arrives in small chunks.
+test("the cost of a chunk does not grow with its event", (t) => {
+  const buffer = new relay.EventStreamBuffer();
+  const chunk = Buffer.from("0123456789");
+  const startedAtMs = performance.now();
+  for (let n = 0; n < 100_000; n++) buffer.append(chunk);
+  const tookMs = performance.now() - startedAtMs;
+  t.is(buffer.pendingBytes, 1_000_000);
+  t.true(tookMs < 2_000, `took ${tookMs} ms`);
+});
