End connections that send without a response, and parse them in small pieces

What callers saw in trials with 60 requests at an engine that sent endless bytes at the speed of a machine's link, to a node with the deploy file's options: sound requests of other callers were answered after up to 18 s (endless trailers) and 7.4 s (zeros of a chunk's size).

Two causes. undici parses all that it has read (64 KB and more at once), also after a limit was exceeded, and creates an error with a stack for each further line: 142 ms for one connection with endless trailers, 1.6 s for 20 with nothing else run. And it skips, until the deadline, what is no part of a response: empty lines before a head, a status line, spaces, chunk extensions, zeros of a size. Ruled out: memory (peak 145 MB in these forms).

Connections now hand over at most 4 KB at once and nothing after they were destroyed, and one that reads 256 KB in a row of which nothing is passed on is destroyed. Clients that use these connections record their progress; the engines of the completion interface did not use the guard and now do so.

Before: the five new tests in transport_endless_test fail on the unfixed code.

--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -16,6 +16,7 @@
 export { limitStart } from "./transport_start_limit.ts";
 export { keepOpenAsAnnounced } from "./transport_keep_alive.ts";
 export { finishBeforeParseErrors } from "./transport_parse_errors.ts";
+export { trackProgress } from "./transport_read_limit.ts";
 export { SocketMeter } from "./transport_meter.ts";
 export {
   framingOf,
--- a/packages/transport/tests/unit/transport_endless_test.ts
+++ b/packages/transport/tests/unit/transport_endless_test.ts
@@ -50,6 +50,74 @@
   ],
 ];
 
+const skipped: [name: string, start: string, more: string][] = [
+  ["empty lines before a head", "", "\r\n"],
+  ["a status line", "HTTP/1.1 200 ", "OK"],
+  ["spaces in a header", "HTTP/1.1 200 OK\r\nx-more:", " "],
+  [
+    "a chunk extension",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;a=",
+    "x",
+  ],
+  [
+    "zeros of a chunk's size",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+    "0",
+  ],
+];
+
+for (const [name, start, more] of skipped) {
+  // Guards against a node that parses bytes that it skips until the deadline.
+  test.serial(`a connection that sends only ${name} is closed`, async (t) => {
+    await withEndlessServer(
+      start,
+      more.repeat(10_000),
+      async (origin, open) => {
+        const agent = new undici.Agent({ connect: transport.connector(1_000) });
+        const startedAtMs = performance.now();
+        const result = await transport.send(agent, {
+          origin,
+          path: "/",
+          method: "GET",
+          timeoutMs: 5_000,
+        });
+        t.is(result._unsafeUnwrapErr().sent, "maybe");
+        t.true(performance.now() - startedAtMs < 2_500);
+        await new Promise((resolve) => setTimeout(resolve, 100));
+        t.is(open.size, 0, "the connection is still open");
+        await agent.destroy();
+      },
+    );
+  });
+}
+
+// Guards against a limit that ends long bodies which are passed on.
+test("a long body in small chunks is whole", async (t) => {
+  const chunk = `64;ext=1\r\n${"x".repeat(100)}\r\n`;
+  const body = `${chunk.repeat(20_000)}0\r\n\r\n`;
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.end(
+        `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${body}`,
+      );
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const agent = new undici.Agent({ connect: transport.connector(1_000) });
+  const result = await transport.send(agent, {
+    origin: `http://127.0.0.1:${port}`,
+    path: "/",
+    method: "GET",
+    timeoutMs: 10_000,
+  });
+  t.is(result._unsafeUnwrap().bodyText.length, 2_000_000);
+  await agent.destroy();
+  server.close();
+});
+
 for (const [name, start, more] of cases) {
   test.serial(`an exchange ends when ${name} does not`, async (t) => {
     await withEndlessServer(start, more, async (origin, open) => {
--- a/packages/transport/transport_reset.ts
+++ b/packages/transport/transport_reset.ts
@@ -4,11 +4,15 @@
  * body is incomplete.
  */
 
+import type { Socket } from "node:net";
 import * as undici from "undici";
+import { limitReads } from "./transport_read_limit.ts";
 
 /**
- * Returns a connector that changes the error code of resets, because undici
- * treats ECONNRESET as the regular end of a body without framing.
+ * Returns a connector that limits reads and changes the error code of resets,
+ * because undici treats ECONNRESET as the regular end of a body without framing.
+ * Requests on its connections are sent by `send`, `guardUnframedBody` or
+ * `trackProgress`, as a connection that shows no progress is destroyed.
  *
  * @param timeoutMs limit for opening a connection.
  * @example
@@ -21,6 +25,7 @@
   return (options, callback) => {
     openConnection(options, (...result) => {
       const [, socket] = result;
+      if (socket) limitReads(socket as Socket);
       socket?.on("error", (error: NodeJS.ErrnoException) => {
         if (error.code === "ECONNRESET") error.code = "UPSTREAM_RESET";
       });
--- a/packages/transport/transport_unframed.ts
+++ b/packages/transport/transport_unframed.ts
@@ -5,6 +5,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { noteProgress } from "./transport_read_limit.ts";
 import { ResetDetector, ResetError } from "./transport_reset.ts";
 
 /**
@@ -124,6 +125,7 @@
     headers: IncomingHttpHeaders,
     statusMessage?: string,
   ): void {
+    noteProgress();
     this.#isUnframed = framingOf(this.#method, status, headers) === "close";
     this.#controller.mayPause = !this.#isUnframed;
     if (this.#isUnframed) this.#resetDetector.onBytes();
@@ -135,6 +137,7 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    noteProgress();
     if (this.#isUnframed && !this.#acceptUnframed(chunk)) return;
     this.#handler.onResponseData?.(this.#controller, chunk);
   }
--- a/packages/upstream/upstream_engine.ts
+++ b/packages/upstream/upstream_engine.ts
@@ -227,7 +227,8 @@
     attempt: CompletionAttempt,
   ): Promise<Result<Dispatcher.ResponseData, AttemptFailure>> {
     try {
-      const response = await this.#options.dispatcher.request({
+      const dispatcher = transport.trackProgress(this.#options.dispatcher);
+      const response = await dispatcher.request({
         origin: this.#options.origin,
         path: "/v1/chat/completions",
         method: "POST",
