Send all rows of a table to nodes that a full read may have overtaken

A node that read a whole table again, within a generation, sent deltas from before that read to other nodes, although it never learned of rows that came and went in between. A node that had seen such a row kept it for good, and with it an engine that had left.

Deltas now start at the read, as they do after a restore; nodes that are behind it receive all rows. Ruled out: reads older than the copy, which miss nothing.

Before: "a row that came and went between two reads is removed at other nodes" fails on the unfixed code, the other node keeps row b. After: all tests of the mirror pass.

--- a/packages/mirror/mirror_table.ts
+++ b/packages/mirror/mirror_table.ts
@@ -120,6 +120,8 @@
       if (!isMissing || row.value === undefined) continue;
       this.#applyRow({ key, version: to.version, value: undefined }, true);
     }
+    // Rows that came and went since the last position are not known here.
+    if (to.version > known.version) this.#deltasFromVersion = to.version;
     this.#advance(to);
   }
 
--- a/packages/mirror/tests/unit/mirror_test.ts
+++ b/packages/mirror/tests/unit/mirror_test.ts
@@ -265,3 +265,20 @@
   const first = mirror.staleReadTimes({ rank: 3, nodes: 78 }, 1_000);
   t.true(first.afterMs + first.intervalMs <= 2_000);
 });
+
+// Guards against a row that stays at other nodes after it was removed, as the
+// node that passes changes on read the table in between.
+test("a row that came and went between two reads is removed at other nodes", (t) => {
+  const source = makeCopy();
+  const target = makeCopy();
+  source.copy.applySnapshot(snapshot(1, { a: 1 }));
+  target.copy.applySnapshot(snapshot(1, { a: 1 }));
+  target.copy.applyChanges({ generation: 1, version: 1 }, 3, [
+    { key: "b", version: 2, value: 2 },
+  ]);
+  t.true(target.listener.rows.has("b"));
+  // The row is removed in version 4.
+  source.copy.applySnapshot(snapshot(5, { a: 1 }));
+  t.is(transfer(source.copy, target.copy), "applied");
+  t.deepEqual([...target.listener.rows.keys()], ["a"]);
+});
