--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -7,6 +7,14 @@
 /** Load by upstream id. */
 export type UsesById = Map<string, peers.EngineUse>;
 
+/** Largest number that a field of 32 bits of a digest holds. */
+const UINT32_MAX = 0xffff_ffff;
+
+/** Limits a sum to what a digest holds; what is above means "very much". */
+function toUint32(sum: number): number {
+  return Math.min(UINT32_MAX, Math.max(0, Math.round(sum)));
+}
+
 /** Returns this node's own digest: its in-flight requests and its demand. */
 export function makeDigest(
   state: EntryState,
@@ -86,11 +94,10 @@
 }
 
 function addLoad(sum: peers.EngineUse, use: peers.EngineUse, sign: 1 | -1) {
-  sum.inFlight = Math.max(0, sum.inFlight + sign * use.inFlight);
+  sum.inFlight = toUint32(sum.inFlight + sign * use.inFlight);
   sum.prefillMs = Math.max(0, sum.prefillMs + sign * use.prefillMs);
-  sum.tokens = Math.max(0, sum.tokens + sign * use.tokens);
-  sum.suspectingNodes = Math.max(
-    0,
+  sum.tokens = toUint32(sum.tokens + sign * use.tokens);
+  sum.suspectingNodes = toUint32(
     sum.suspectingNodes + sign * use.suspectingNodes,
   );
 }
@@ -104,7 +111,7 @@
       sum.models.push({ ...model });
       continue;
     }
-    known.inFlight += model.inFlight;
+    known.inFlight = toUint32(known.inFlight + model.inFlight);
     known.drainMs = Math.max(known.drainMs, model.drainMs);
   }
 }
@@ -126,7 +133,7 @@
         continue;
       }
       sum.ratePerS += entry.ratePerS;
-      sum.waiting += entry.waiting;
+      sum.waiting = toUint32(sum.waiting + entry.waiting);
       sum.workMsPerS += entry.workMsPerS;
       sum.pinnedVersions = union(sum.pinnedVersions, entry.pinnedVersions);
     }
@@ -182,7 +189,7 @@
       request,
       nowMs,
     );
-    use.drainMs = Math.max(use.drainMs, Math.round(remainingMs));
+    use.drainMs = Math.max(use.drainMs, toUint32(remainingMs));
     models.set(request.modelKey, use);
     if (!request.hasOutput) prefillMs += request.prefillMs;
     tokens += request.reservedTokens;
@@ -191,7 +198,7 @@
     upstreamId: upstream.record.id,
     inFlight: upstream.localRequests.size,
     prefillMs,
-    tokens,
+    tokens: toUint32(tokens),
     suspectingNodes: upstream.health.isSuspect(nowMs) ? 1 : 0,
     models: [...models].map(([modelKey, use]) => {
       const [model, adapter] = modelKey.split("/");
