Send nothing new to an upstream that says it is leaving

What callers saw: nothing yet; the word is new on the users' pages (`Server-Leaving: 1` in all answers of an engine that leaves; DRAIN counts from the moment at which a node has passed such an answer on).

Cause: only the list of upstreams told that one leaves.

An upstream is leaving by the list, by its answers or by other nodes; dispatch keeps that by incarnation, also while it is not listed, and the next exchange tells the other nodes. It gets no requests (new, retried, resumed, queued, or granted and not yet sent), no orders and no reports.

Ruled out: answers to cancelled requests; their connection is closed before the head arrives.

Not covered: a request that waits in the pool for a connection is sent. No run of several nodes and engines beside store outages and cuts was made.

--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -2,6 +2,7 @@
 import type * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import { UpstreamHealth } from "./dispatch_health.ts";
+import { LeavingUpstreams } from "./dispatch_leaving.ts";
 import { toModelKey } from "./dispatch_model_key.ts";
 import { PrefixCacheTracker } from "./dispatch_prefixes.ts";
 
@@ -79,9 +80,16 @@
   #replicas = new Map<core.ModelName, ModelReplica>();
   readonly #skippedUntilMs = new Map<string, number>();
   #isSuspectedByPeers = false;
+  readonly #leaving: LeavingUpstreams;
 
-  constructor(record: fleet.UpstreamRecord, kvCacheTokens: number) {
+  /** @param leaving the incarnations that say that they are leaving. */
+  constructor(
+    record: fleet.UpstreamRecord,
+    kvCacheTokens: number,
+    leaving = new LeavingUpstreams(),
+  ) {
     this.record = record;
+    this.#leaving = leaving;
     this.prefixCache = new PrefixCacheTracker(kvCacheTokens);
     this.setListedReplicas();
   }
@@ -214,6 +222,11 @@
     return (this.#skippedUntilMs.get(modelKey) ?? 0) <= nowMs;
   }
 
+  /** Whether it gets nothing new: by the list, its answers or other nodes. */
+  isLeaving(nowMs: number): boolean {
+    return this.record.isLeaving || this.#leaving.has(this.record, nowMs);
+  }
+
   /** Whether requests should avoid it if possible, by any node's judgement. */
   isSuspect(nowMs: number): boolean {
     return this.health.isSuspect(nowMs) || this.#isSuspectedByPeers;
@@ -237,6 +250,8 @@
 export class UpstreamRegistry {
   readonly #upstreams = new Map<core.UpstreamId, UpstreamState>();
   readonly #byService = new Map<core.ServiceName, Set<UpstreamState>>();
+  /** Those that say so themselves, in addition to the list. */
+  readonly leaving = new LeavingUpstreams();
   #listings = 0;
 
   /** Times that an upstream was listed with fresh state; rises with each. */
@@ -261,7 +276,7 @@
       return known;
     }
     if (known) this.remove(record.id);
-    const upstream = new UpstreamState(record, kvCacheTokens);
+    const upstream = new UpstreamState(record, kvCacheTokens, this.leaving);
     this.#upstreams.set(record.id, upstream);
     this.#listings++;
     let group = this.#byService.get(record.service);
--- a/packages/dispatch/dispatch_services.ts
+++ b/packages/dispatch/dispatch_services.ts
@@ -26,7 +26,7 @@
   let best: UpstreamState | undefined;
   let bestCost = Infinity;
   for (const instance of instances) {
-    if (instance.record.isLeaving || excluded.has(instance)) continue;
+    if (instance.isLeaving(nowMs) || excluded.has(instance)) continue;
     const { health, record, inFlight, latencyFactor } = instance;
     const cost = (inFlight + 1) / Math.max(1, record.slots) * latencyFactor +
       health.failureShare(nowMs) * FAILURE_PENALTY +
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -20,6 +20,8 @@
 export { RequestQueue } from "./dispatch_queue.ts";
 export type { QueuedRequest, QueueWait } from "./dispatch_queue.ts";
 export { SharedRetryBudget } from "./dispatch_retry_budget.ts";
+export { LeavingUpstreams } from "./dispatch_leaving.ts";
+export type { LeavingUpstream } from "./dispatch_leaving.ts";
 export { chooseEngine } from "./dispatch_choice.ts";
 export type { EngineChoice, RequestNeeds } from "./dispatch_choice.ts";
 export { chooseInstance } from "./dispatch_services.ts";
--- a/packages/entry/entry_candidates.ts
+++ b/packages/entry/entry_candidates.ts
@@ -63,7 +63,7 @@
     const nowMs = core.monotonicMs();
     const hasOther = [...this.#upstreams.ofService(service)]
       .some((engine) =>
-        !excluded.has(engine) && !engine.record.isLeaving &&
+        !excluded.has(engine) && !engine.isLeaving(nowMs) &&
         engine.canRun(model, caller.adapter, nowMs)
       );
     if (hasOther) return excluded;
@@ -80,8 +80,9 @@
     softwareVersion: core.SoftwareVersion,
   ): string | undefined {
     const { model } = caller;
+    const nowMs = core.monotonicMs();
     const upstreams = [...this.#upstreams.ofService(service)]
-      .filter(({ record }) => !record.isLeaving);
+      .filter((upstream) => !upstream.isLeaving(nowMs));
     const ofVersion = upstreams
       .filter(({ record }) => isOfVersion(record, softwareVersion));
     if (ofVersion.length === 0) {
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -23,6 +23,7 @@
   tagEngineStates,
   type TaggedEngineStates,
 } from "./entry_engine_states.ts";
+import { applyLeavingNews, leavingNews } from "./entry_leaving.ts";
 import { OriginExchange } from "./entry_origins.ts";
 import type { EntryState } from "./entry_state.ts";
 import { QuarantineExchange } from "./entry_quarantine.ts";
@@ -131,6 +132,7 @@
     }
     this.#news.apply(digest.tables, nowMs);
     this.#quarantine.apply(digest.quarantine, nowMs);
+    applyLeavingNews(this.#state.upstreams, digest.leaving, nowMs);
     if (digest.demand.some(({ waiting }) => waiting > 0)) {
       this.#sources.onQueued();
     }
@@ -155,6 +157,7 @@
       queues: this.#currentSums(nowMs).queues,
       origins: this.#origins.exchange(digest, nowMs),
       incarnation: this.#state.incarnation,
+      leaving: leavingNews(this.#state.upstreams, nowMs),
     });
   }
 
@@ -177,6 +180,7 @@
       tables: this.#news.forParent(parent, nowMs),
       ...this.#quarantine.forParent(parent, nowMs),
       ...this.#origins.forParent(parent, nowMs),
+      leaving: leavingNews(this.#state.upstreams, nowMs),
     });
   }
 
@@ -196,6 +200,7 @@
     this.#news.applyFromParent(view.tables, nowMs);
     this.#quarantine.applyFromParent(view, nowMs);
     this.#origins.applyFromParent(view, nowMs);
+    applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
     this.#isRoot = false;
     if (!view.hasOrders) {
       this.#parentEngineStates = undefined;
--- a/packages/entry/entry_managed_engines.ts
+++ b/packages/entry/entry_managed_engines.ts
@@ -104,6 +104,8 @@
         enginesCheckFences: settings.orders.enginesCheckFences,
         late,
         logger,
+        isLeaving: () =>
+          upstreams.get(record.id)?.isLeaving(core.monotonicMs()) ?? true,
         onContact: (isReached) => this.#recordContact(record, isReached),
       },
       upstreams.get(record.id)?.reportedOrders,
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -263,12 +263,10 @@
   #startTasks(hub: ExchangeHub, clients: peers.FleetClients): void {
     const { state } = this;
     const lease = this.#lease;
-    const ordersTask = new OrdersTask(
-      state,
-      hub,
-      lease,
-      this.#dependencies.control,
-    );
+    const { control } = this.#dependencies;
+    control.onLeaving = (engine) =>
+      state.recordLeaving(engine, false, core.monotonicMs());
+    const ordersTask = new OrdersTask(state, hub, lease, control);
     const exchange = new ExchangeTask(
       state,
       hub,
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -176,7 +176,7 @@
         }
         : {}),
       id: state.record.id,
-      isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
+      isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs),
       canOrder: managed.sender.mayOrder(spec, nowMs),
       freeMb: managed.sender.freeRoom(spec, nowMs).mb,
       models: new Map(
@@ -291,7 +291,7 @@
       return [{
         id: state.record.id,
         softwareVersion: state.record.softwareVersion,
-        isUsable: !state.record.isLeaving && !state.isSuspect(nowMs),
+        isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs),
         canOrder: managed.sender.mayOrder(spec, nowMs),
         slotsFree: free.adapterSlots,
         freeMb: free.mb,
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -311,6 +311,9 @@
       },
       onNotRun: (lacksModel, nowMs) =>
         upstream.recordRejection(request.modelKey, lacksModel, nowMs),
+      isLeaving: () => upstream.isLeaving(core.monotonicMs()),
+      onLeaving: (isPassedOn, nowMs) =>
+        this.#state.recordLeaving(upstream.record, isPassedOn, nowMs),
       onStreamLength: (events) =>
         outputLengths.record(events * tokensPerEvent, request.outputTokensMax),
       onEventGap: (gapMs) => {
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -148,6 +148,24 @@
     this.logger.info("upstream_gone", { upstream: id, reason });
   }
 
+  /**
+   * Records that an upstream says that it is leaving.
+   *
+   * @param isPassedOn whether a caller is about to receive that answer.
+   */
+  recordLeaving(
+    upstream: fleet.UpstreamRecord,
+    isPassedOn: boolean,
+    nowMs: number,
+  ): void {
+    const { leaving } = this.upstreams;
+    const isNew = leaving.record(upstream, 0, nowMs);
+    if (isPassedOn) leaving.recordPassedOn(upstream, nowMs);
+    if (!isNew) return;
+    this.metrics.increment("upstreams_leaving");
+    this.logger.info("upstream_says_leaving", { upstream: upstream.id });
+  }
+
   /** An incarnation is no longer listed, or was replaced by another one. */
   #noteEnded(record: fleet.UpstreamRecord): void {
     const nowMs = core.monotonicMs();
--- a/packages/entry/tests/crashing_fleet.ts
+++ b/packages/entry/tests/crashing_fleet.ts
@@ -50,6 +50,7 @@
       ...(requestId === undefined ? {} : { requestId: String(requestId) }),
       isSigned: true,
       isNotRun: false,
+      isLeaving: false,
       isEncoded: false,
       returnedHeaders: {},
     };
--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -53,6 +53,7 @@
       requestId: String(headers["x-id"]),
       isSigned: true,
       isNotRun: false,
+      isLeaving: false,
       isEncoded: false,
       returnedHeaders: { "x-seal": String(headers["x-seal"]) },
     };
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -281,3 +281,25 @@
   t.is(demand?.waiting, 4);
   t.deepEqual([...demand?.pinnedVersions ?? []].sort(), versions.slice(0, 2));
 });
+
+// Guards against nodes that go on sending to an upstream that has told another
+// node that it is leaving, and against news that never age as they go round.
+test("an upstream that says it is leaving is left by all nodes, for a while", async (t) => {
+  const root = new TestNode("root");
+  const leader = new TestNode("leader");
+  const leaves = [new TestNode("a"), new TestNode("b")] as const;
+  const links = [
+    [leaves[0], leader],
+    [leader, root],
+    [leaves[1], leader],
+  ] as const;
+  const nowMs = core.monotonicMs();
+  leaves[0].state.recordLeaving(record, false, nowMs);
+  await exchangeRounds(links);
+  const later = { ...record, startedAtMs: record.startedAtMs + 1 };
+  for (const { name, state, upstream } of [root, leader, ...leaves]) {
+    t.true(upstream.isLeaving(core.monotonicMs()), name);
+    t.false(upstream.isLeaving(nowMs + 30_500), name);
+    t.false(state.upstreams.leaving.has(later, core.monotonicMs()), name);
+  }
+});
--- a/packages/fleet/fleet_control.ts
+++ b/packages/fleet/fleet_control.ts
@@ -58,6 +58,9 @@
 
 /** Client for the control endpoints of engines. */
 export abstract class EngineControl {
+  /** Called when an engine states in an answer that it is leaving. */
+  onLeaving: (engine: UpstreamRecord) => void = () => {};
+
   /** Sends an order once; transport errors are part of the reply. */
   abstract sendOrder(
     engine: UpstreamRecord,
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -51,6 +51,8 @@
   readonly isSigned: boolean;
   /** Whether the upstream states that it did not execute the request. */
   readonly isNotRun: boolean;
+  /** Whether the upstream states that it is leaving. */
+  readonly isLeaving: boolean;
   /** Whether the body has a content encoding. */
   readonly isEncoded: boolean;
   /** Headers to return to the caller, without hop-by-hop headers. */
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -46,6 +46,7 @@
   | "callers_left"
   | "retries"
   | "streams_broken"
+  | "upstreams_leaving"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/orders/orders_sender.ts
+++ b/packages/orders/orders_sender.ts
@@ -40,6 +40,8 @@
   /** Orders without a reply to all incarnations with the engine's id. */
   readonly late: LateOrders;
   readonly logger: core.Logger;
+  /** Whether the engine gets no calls any more, as it is leaving. */
+  readonly isLeaving: () => boolean;
   /** Called when the engine has answered or could not be reached. */
   readonly onContact: (isReached: boolean) => void;
 }
@@ -92,7 +94,7 @@
    * fencing token would not stop a late one.
    */
   isBlocked(nowMs: number): boolean {
-    return this.#isActive || this.#needsReport ||
+    return this.#isActive || this.#needsReport || this.#options.isLeaving() ||
       nowMs < this.#ordersAllowedFromMs ||
       nowMs < this.#pausedUntilMs || this.#mustRaiseToken(nowMs);
   }
@@ -159,13 +161,15 @@
 
   /** Whether the inventory needs the engine's report now. */
   mustReconcile(nowMs: number): boolean {
-    if (this.#isActive || nowMs < this.#reportFromMs) return false;
+    if (this.#isActive || this.#options.isLeaving()) return false;
+    if (nowMs < this.#reportFromMs) return false;
     return this.#needsReport || this.#hasOverdueModel(nowMs);
   }
 
   /** Whether a report is due for an engine that may be unavailable. */
   mustProbe(nowMs: number): boolean {
-    return !this.#isActive && nowMs - this.#probedAtMs >= PROBE_INTERVAL_MS;
+    return !this.#isActive && !this.#options.isLeaving() &&
+      nowMs - this.#probedAtMs >= PROBE_INTERVAL_MS;
   }
 
   /** Fetches the engine's report and applies it to the inventory. */
@@ -272,6 +276,7 @@
     for (let attempt = 1; attempt <= ATTEMPTS_MAX; attempt++) {
       const fencingToken = lease.fencingToken;
       if (fencingToken === undefined || this.#isRetired) break;
+      if (this.#options.isLeaving()) break;
       this.#lastOrderAtMs = core.monotonicMs();
       this.#hasOrdered = true;
       const order = {
--- a/packages/orders/tests/unit/orders_late_test.ts
+++ b/packages/orders/tests/unit/orders_late_test.ts
@@ -229,6 +229,7 @@
       enginesCheckFences: this.#play.checksFences,
       late: holder.late,
       logger: silentLogger,
+      isLeaving: () => false,
       onContact: () => {},
     });
   }
--- a/packages/orders/tests/unit/orders_sender_test.ts
+++ b/packages/orders/tests/unit/orders_sender_test.ts
@@ -55,6 +55,7 @@
   let lost = "";
   const contacts: boolean[] = [];
   let raisedAbove = 0;
+  let isLeaving = false;
   const late = new orders.LateOrders();
   const stub = {
     fencingToken: 7,
@@ -78,6 +79,7 @@
       enginesCheckFences: true,
       late,
       logger: silentLogger,
+      isLeaving: () => isLeaving,
       onContact: (isReached) => contacts.push(isReached),
     },
     previous,
@@ -88,6 +90,9 @@
     contacts,
     lossReason: () => lost,
     raisedAbove: () => raisedAbove,
+    setLeaving: () => {
+      isLeaving = true;
+    },
     setToken: (token: number) => {
       stub.fencingToken = token;
     },
@@ -261,3 +266,19 @@
   await sender.reconcile();
   t.false(sender.isBlocked(core.monotonicMs()));
 });
+
+// Guards against calls to an engine that has said that it is leaving.
+test("an engine that is leaving gets no order again and no report call", async (t) => {
+  const control = new ScriptedControl();
+  const { sender, setLeaving } = makeSender(control);
+  await sender.reconcile();
+  control.replies.push("dropped");
+  const sent = sender.send({ kind: "load", model }, 10);
+  setLeaving();
+  t.false(await sent);
+  t.is(control.sent.length, 1);
+  const laterMs = core.monotonicMs() + 10_000;
+  t.true(sender.isBlocked(laterMs));
+  t.false(sender.mustReconcile(laterMs));
+  t.false(sender.mustProbe(laterMs));
+});
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -101,6 +101,10 @@
         return this.#finishAborted();
       }
       if (assignment.isErr()) return this.#reject(assignment.error);
+      if (assignment.value.isLeaving()) {
+        assignment.value.onEnd("cancelled");
+        continue;
+      }
       const result = await this.#send(assignment.value);
       if (result.kind === "done") return this.#logEnd("done", result.status);
       if (this.#signal.aborted) return this.#finishAborted();
@@ -175,7 +179,8 @@
       head.status,
       head.headers,
     );
-    const { requestId, isNotRun } = upstreamResponse;
+    const { requestId, isNotRun, isLeaving } = upstreamResponse;
+    if (isLeaving) assignment.onLeaving(false, core.monotonicMs());
     const isAnonymousRefusal = isNotRun && requestId === undefined;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       attempt.cancel("response has a different request id");
@@ -217,6 +222,7 @@
         detail: `upstream failed: status ${head.status}`,
       };
     }
+    if (isLeaving) assignment.onLeaving(true, core.monotonicMs());
     const headers = upstreamResponse.returnedHeaders;
     const contentType = head.headers["content-type"];
     const received = {
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -45,6 +45,14 @@
    * @param lacksModel whether it stated that it does not hold the model.
    */
   onNotRun(lacksModel: boolean, nowMs: number): void;
+  /** Whether the upstream was found to be leaving since it was selected. */
+  isLeaving(): boolean;
+  /**
+   * The upstream stated that it is leaving.
+   *
+   * @param isPassedOn whether the caller is about to receive that answer.
+   */
+  onLeaving(isPassedOn: boolean, nowMs: number): void;
   /** A stream ended complete, with this number of chunks, taken as events. */
   onStreamLength(events: number): void;
   /** Mean time between some consecutive chunks of a stream. */
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -37,6 +37,7 @@
         : { requestId: String(headers["x-id"]) }),
       isSigned: headers["x-seal"] !== undefined,
       isNotRun: headers["x-not-run"] !== undefined,
+      isLeaving: false,
       isEncoded: false,
       returnedHeaders: { "x-seal": String(headers["x-seal"] ?? "") },
     };
@@ -71,19 +72,26 @@
   readonly #pools: relay.UpstreamPools;
   readonly #selectionMs: number;
   readonly #isFirstBlocked: boolean;
+  readonly #isFirstLeaving: boolean;
   #next = 0;
   budget: number;
 
   constructor(
     upstreams: fleet.UpstreamRecord[],
     pools: relay.UpstreamPools,
-    { budget = 10, selectionMs = 0, isFirstBlocked = false }: RelayOptions,
+    {
+      budget = 10,
+      selectionMs = 0,
+      isFirstBlocked = false,
+      isFirstLeaving = false,
+    }: RelayOptions,
   ) {
     super();
     this.#upstreams = upstreams;
     this.#pools = pools;
     this.#selectionMs = selectionMs;
     this.#isFirstBlocked = isFirstBlocked;
+    this.#isFirstLeaving = isFirstLeaving;
     this.budget = budget;
   }
 
@@ -106,6 +114,7 @@
 
   #nextAssignment(): relay.UpstreamAssignment | undefined {
     const isBlocked = this.#isFirstBlocked && this.#next === 0;
+    const isLeaving = this.#isFirstLeaving && this.#next === 0;
     const upstream = this.#upstreams[this.#next++];
     if (!upstream) return undefined;
     return {
@@ -118,6 +127,8 @@
       onFirstEvent: () => {},
       onBytesReceived: () => {},
       onNotRun: () => {},
+      isLeaving: () => isLeaving,
+      onLeaving: () => {},
       onEventGap: () => {},
       onStreamLength: () => {},
       onFailure: () => {},
@@ -156,6 +167,8 @@
   readonly selectionMs?: number;
   /** Whether the first upstream has no connection free, so nothing is sent. */
   readonly isFirstBlocked?: boolean;
+  /** Whether the first upstream is found to be leaving once it is selected. */
+  readonly isFirstLeaving?: boolean;
 }
 
 /** Relays one request to upstreams with the given behaviours. */
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -315,3 +315,14 @@
   t.deepEqual(result.outcomes, ["cancelled"]);
   t.deepEqual(result.runs, []);
 });
+
+// Guards against a request that is sent to an upstream which has said that it is
+// leaving since the request was granted.
+test("a request that was granted a leaving upstream goes to another one", async (t) => {
+  const result = await relayTo([respondError, respondOk], { kind: "unsafe" }, {
+    budget: 0,
+    isFirstLeaving: true,
+  });
+  t.is(result.body, "whole");
+  t.deepEqual(result.outcomes, ["cancelled", "served"]);
+});
