Send nothing to an upstream that asks for quiet until its time is over

Cause: `Retry-After` of an upstream was not read; a refusal keeps an engine from being chosen for 50 ms.

The incarnation gets no request until the time is over: none is chosen for it, and one that was granted, or that waits in the pool for a connection, is not begun (guardStart; that also holds for an upstream that is leaving, and says nothing of its health). Then one may be in flight, and one more for each that was answered. Requests that only quiet engines can run wait if that ends in their time, and are rejected at once otherwise. Other nodes avoid it as a suspect one.

--- a/packages/dispatch/dispatch_choice.ts
+++ b/packages/dispatch/dispatch_choice.ts
@@ -77,7 +77,7 @@
   let best: EngineChoice | undefined;
   let bestCost = Infinity;
   for (const engine of engines) {
-    if (engine.isLeaving(nowMs) || excluded.has(engine)) continue;
+    if (!engine.maySend(nowMs) || excluded.has(engine)) continue;
     if (!engine.canRun(model, adapter, nowMs)) continue;
     if (engine.health.isInBackoff(nowMs)) continue;
     if (engine.inFlight >= spec.slots) continue;
--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -1,10 +1,11 @@
 /** Tracks load, replicas and health of every upstream known to this node. */
-import type * as core from "../core/mod.ts";
+import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import { UpstreamHealth } from "./dispatch_health.ts";
 import { LeavingUpstreams } from "./dispatch_leaving.ts";
 import { toModelKey } from "./dispatch_model_key.ts";
 import { PrefixCacheTracker } from "./dispatch_prefixes.ts";
+import { QuietTime } from "./dispatch_quiet.ts";
 
 /** A request that this node has sent to an upstream and that has not ended. */
 export interface InFlightRequest {
@@ -60,6 +61,8 @@
 /** State of one incarnation of an upstream, as seen by this node. */
 export class UpstreamState {
   readonly health = new UpstreamHealth();
+  /** For how long it has asked for no requests. */
+  readonly quiet: QuietTime;
   readonly prefixCache: PrefixCacheTracker;
   record: fleet.UpstreamRecord;
   /**
@@ -82,13 +85,18 @@
   #isSuspectedByPeers = false;
   readonly #leaving: LeavingUpstreams;
 
-  /** @param leaving the incarnations that say that they are leaving. */
+  /**
+   * @param leaving the incarnations that say that they are leaving.
+   * @param quiet what the incarnation has asked for, if it was listed before.
+   */
   constructor(
     record: fleet.UpstreamRecord,
     kvCacheTokens: number,
     leaving = new LeavingUpstreams(),
+    quiet = new QuietTime(),
   ) {
     this.record = record;
+    this.quiet = quiet;
     this.#leaving = leaving;
     this.prefixCache = new PrefixCacheTracker(kvCacheTokens);
     this.setListedReplicas();
@@ -126,7 +134,9 @@
   trackRequest(request: InFlightRequest): () => void {
     this.#local.add(request);
     this.#updateOldestInFlight();
+    const uncount = this.quiet.countSent(request.sentAtMs);
     return () => {
+      uncount();
       this.#local.delete(request);
       this.#updateOldestInFlight();
     };
@@ -144,6 +154,7 @@
     nowMs: number,
   ): void {
     request.hasOutput = true;
+    this.quiet.recordAnswer(this.record.slots, nowMs);
     if (estimatedMs <= 0) return;
     // The estimate has the factor applied, so multiplying takes it out again.
     const ratio = (nowMs - request.sentAtMs) / estimatedMs * this.latencyFactor;
@@ -227,6 +238,11 @@
     return this.record.isLeaving || this.#leaving.has(this.record, nowMs);
   }
 
+  /** Whether requests may be sent to it now. */
+  maySend(nowMs: number): boolean {
+    return !this.isLeaving(nowMs) && this.quiet.maySend(nowMs);
+  }
+
   /** Whether requests should avoid it if possible, by any node's judgement. */
   isSuspect(nowMs: number): boolean {
     return this.health.isSuspect(nowMs) || this.#isSuspectedByPeers;
@@ -239,6 +255,10 @@
   }
 }
 
+function incarnationKey({ id, startedAtMs }: fleet.UpstreamRecord): string {
+  return `${id}@${startedAtMs}`;
+}
+
 function isReplicaUsable(
   { isUsable, readyAtMs }: ModelReplica,
   nowMs: number,
@@ -252,6 +272,8 @@
   readonly #byService = new Map<core.ServiceName, Set<UpstreamState>>();
   /** Those that say so themselves, in addition to the list. */
   readonly leaving = new LeavingUpstreams();
+  /** Those of incarnations that are not listed any more. */
+  readonly #unlistedQuiet = new Map<string, QuietTime>();
   #listings = 0;
 
   /** Times that an upstream was listed with fresh state; rises with each. */
@@ -276,7 +298,12 @@
       return known;
     }
     if (known) this.remove(record.id);
-    const upstream = new UpstreamState(record, kvCacheTokens, this.leaving);
+    const upstream = new UpstreamState(
+      record,
+      kvCacheTokens,
+      this.leaving,
+      this.#unlistedQuiet.get(incarnationKey(record)),
+    );
     this.#upstreams.set(record.id, upstream);
     this.#listings++;
     let group = this.#byService.get(record.service);
@@ -291,6 +318,12 @@
     if (!upstream) return;
     this.#upstreams.delete(id);
     this.#byService.get(upstream.record.service)?.delete(upstream);
+    const nowMs = core.monotonicMs();
+    for (const [key, quiet] of this.#unlistedQuiet) {
+      if (!quiet.isActive(nowMs)) this.#unlistedQuiet.delete(key);
+    }
+    if (!upstream.quiet.isActive(nowMs)) return;
+    this.#unlistedQuiet.set(incarnationKey(upstream.record), upstream.quiet);
   }
 
   get(id: core.UpstreamId): UpstreamState | undefined {
--- a/packages/dispatch/dispatch_services.ts
+++ b/packages/dispatch/dispatch_services.ts
@@ -8,7 +8,7 @@
  * Selects the instance with the fewest in-flight requests per slot, scaled by
  * its latency factor, plus penalties for recent failures and suspicion.
  *
- * @returns undefined when every instance is leaving or excluded.
+ * @returns undefined when every instance is leaving, quiet or excluded.
  * @example
  * ```ts
  * const instance = dispatch.chooseInstance(
@@ -26,7 +26,7 @@
   let best: UpstreamState | undefined;
   let bestCost = Infinity;
   for (const instance of instances) {
-    if (instance.isLeaving(nowMs) || excluded.has(instance)) continue;
+    if (!instance.maySend(nowMs) || excluded.has(instance)) continue;
     const { health, record, inFlight, latencyFactor } = instance;
     const cost = (inFlight + 1) / Math.max(1, record.slots) * latencyFactor +
       health.failureShare(nowMs) * FAILURE_PENALTY +
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -17,6 +17,7 @@
 export type { UpstreamOutcome } from "./dispatch_health.ts";
 export { toModelKey } from "./dispatch_model_key.ts";
 export { PrefixCacheTracker } from "./dispatch_prefixes.ts";
+export { QuietTime } from "./dispatch_quiet.ts";
 export { RequestQueue } from "./dispatch_queue.ts";
 export type { QueuedRequest, QueueWait } from "./dispatch_queue.ts";
 export { SharedRetryBudget } from "./dispatch_retry_budget.ts";
--- a/packages/entry/entry_candidates.ts
+++ b/packages/entry/entry_candidates.ts
@@ -70,6 +70,15 @@
     return this.exclude(service, { ...history, failed: new Set() });
   }
 
+  /** When the first upstream that asks for no requests takes some again. */
+  quietUntilMs(service: core.ServiceName): number | undefined {
+    const nowMs = core.monotonicMs();
+    const endsAtMs = [...this.#upstreams.ofService(service)]
+      .filter(({ quiet }) => quiet.isActive(nowMs))
+      .map(({ quiet }) => quiet.untilMs);
+    return endsAtMs.length === 0 ? undefined : Math.min(...endsAtMs);
+  }
+
   /**
    * Why no upstream can continue a stream that a software version began, however
    * long it waits; undefined if one may. Replicas are not placed by version, so
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -13,8 +13,8 @@
   nowMs: number,
 ): peers.NodeDigest {
   const uses = [...state.upstreams.all()]
-    .filter(({ localRequests, health }) =>
-      localRequests.size > 0 || health.isSuspect(nowMs)
+    .filter((upstream) =>
+      upstream.localRequests.size > 0 || isAvoided(upstream, nowMs)
     )
     .map((upstream) => toEngineUse(state, upstream, nowMs));
   return create(peers.NodeDigestSchema, {
@@ -29,6 +29,14 @@
   });
 }
 
+/** Whether other nodes should avoid an upstream if possible. */
+function isAvoided(
+  { health, quiet }: dispatch.UpstreamState,
+  nowMs: number,
+): boolean {
+  return health.isSuspect(nowMs) || quiet.isActive(nowMs);
+}
+
 /** Sums the load of digests by upstream, with that of each model. */
 export function sumUses(digests: Iterable<peers.NodeDigest>): UsesById {
   const sums: UsesById = new Map();
@@ -192,7 +200,7 @@
     inFlight: upstream.localRequests.size,
     prefillMs,
     tokens,
-    suspectingNodes: upstream.health.isSuspect(nowMs) ? 1 : 0,
+    suspectingNodes: isAvoided(upstream, nowMs) ? 1 : 0,
     models: [...models].map(([modelKey, use]) => {
       const [model, adapter] = modelKey.split("/");
       return { model: model ?? "", adapter: adapter ?? "", ...use };
--- a/packages/entry/entry_engine_queue.ts
+++ b/packages/entry/entry_engine_queue.ts
@@ -15,6 +15,8 @@
 interface QueueState {
   readonly waitMs: number;
   readonly readyAtMs: number | undefined;
+  /** Whether all engines that can run it ask for no requests until then. */
+  readonly isQuiet: boolean;
 }
 
 /** Share of an engine's time that one decoding request takes. */
@@ -74,7 +76,10 @@
       return err({ reason, retryAfterMs });
     };
     if (waitUntilMs <= nowMs) return rejectWithReturn("no engine in time");
-    const { waitMs } = this.#view(request, model, workMs);
+    const { waitMs, readyAtMs, isQuiet } = this.#view(request, model, workMs);
+    if (!hasStarted && isQuiet && (readyAtMs ?? 0) > waitUntilMs) {
+      return rejectWithReturn("all engines with the model ask for quiet");
+    }
     if (!hasStarted && nowMs + waitMs > waitUntilMs) {
       return rejectWithReturn(`queue is ${Math.round(waitMs)} ms long`);
     }
@@ -119,11 +124,17 @@
     const nowMs = core.monotonicMs();
     let replicas = 0;
     let readyAtMs: number | undefined;
+    let quietUntilMs = Infinity;
     for (const engine of upstreams.ofService(request.service)) {
-      if (engine.canRun(model, adapter, nowMs)) replicas++;
-      const loadedAtMs = engine.replicas.get(model)?.readyAtMs;
-      if (loadedAtMs === undefined || loadedAtMs <= nowMs) continue;
-      readyAtMs = Math.min(readyAtMs ?? loadedAtMs, loadedAtMs);
+      const isQuiet = engine.quiet.isActive(nowMs);
+      const canRun = engine.canRun(model, adapter, nowMs);
+      if (canRun && !isQuiet) replicas++;
+      const freeAtMs = canRun && isQuiet
+        ? engine.quiet.untilMs
+        : engine.replicas.get(model)?.readyAtMs;
+      if (freeAtMs === undefined || freeAtMs <= nowMs) continue;
+      readyAtMs = Math.min(readyAtMs ?? freeAtMs, freeAtMs);
+      if (canRun) quietUntilMs = Math.min(quietUntilMs, engine.quiet.untilMs);
     }
     const waitMs = dispatch.estimateQueueWaitMs({
       localAheadMs: queue.queuedWorkMs(modelKey, request.route.priority),
@@ -132,6 +143,8 @@
       workMs,
       replicas,
     });
-    return { waitMs, readyAtMs };
+    // What only quiet engines can run waits for the first of them.
+    const isQuiet = replicas === 0 && quietUntilMs === readyAtMs;
+    return { waitMs, readyAtMs, isQuiet };
   }
 }
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -6,6 +6,7 @@
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as relay from "../relay/mod.ts";
+import * as transport from "../transport/mod.ts";
 import { UpstreamCandidates } from "./entry_candidates.ts";
 import { EngineQueue, type SelectionResult } from "./entry_engine_queue.ts";
 import { PromptFate } from "./entry_prompt_fate.ts";
@@ -191,9 +192,14 @@
     });
     const assigned = this.#assignInstance(request, service, excluded) ??
       this.#assignInstance(request, service, others);
-    return assigned
-      ? ok(assigned)
-      : reject("no upstream of the service is known");
+    if (assigned) return ok(assigned);
+    const quietUntilMs = this.#candidates.quietUntilMs(request.service);
+    return quietUntilMs === undefined
+      ? reject("no upstream of the service is known")
+      : reject(
+        "all upstreams of the service ask for quiet",
+        Math.max(0, quietUntilMs - core.monotonicMs()),
+      );
   }
 
   #assignInstance(
@@ -281,6 +287,12 @@
     const { pools, members, stepTimes, outputLengths } = this.#state;
     const { model } = request;
     const untrack = upstream.trackRequest(request);
+    const isWithdrawn = () => {
+      const nowMs = core.monotonicMs();
+      return upstream.isLeaving(nowMs) || upstream.quiet.isActive(nowMs);
+    };
+    // Says nothing of the upstream's health.
+    let isStartRefused = false;
     const fate = new PromptFate(
       this.#state.quarantine,
       quarantine.toRunKey(upstream.record),
@@ -296,8 +308,10 @@
         slowness: upstream.latencyFactor.toFixed(2),
         othersAgeMs: Math.round(upstream.peerLoadAgeMs(request.sentAtMs)),
       },
-      dispatcher: pools
-        .get(upstream.record, service.connectionsMax, members.count()),
+      dispatcher: transport.guardStart(
+        pools.get(upstream.record, service.connectionsMax, members.count()),
+        () => !(isStartRefused = isWithdrawn()),
+      ),
       onStreamStart: (nowMs) =>
         this.#recordOrigin(relayed, upstream.record, nowMs),
       onFirstEvent: (nowMs) => {
@@ -311,7 +325,9 @@
       },
       onNotRun: (lacksModel, nowMs) =>
         upstream.recordRejection(request.modelKey, lacksModel, nowMs),
-      isLeaving: () => upstream.isLeaving(core.monotonicMs()),
+      isWithdrawn,
+      onQuiet: (quietMs, nowMs) =>
+        this.#state.recordQuiet(upstream, quietMs, nowMs),
       onLeaving: (isPassedOn, nowMs) =>
         this.#state.recordLeaving(upstream.record, isPassedOn, nowMs),
       onStreamLength: (events) =>
@@ -321,11 +337,14 @@
           stepTimes.recordEventGap(model, gapMs, tokensPerEvent);
         }
       },
-      onFailure: (cause) => fate.recordFailure(cause, core.monotonicMs()),
+      onFailure: (cause) => {
+        if (!isStartRefused) fate.recordFailure(cause, core.monotonicMs());
+      },
       onEnd: (outcome) => {
         untrack();
         if (outcome === "served") fate.recordSurvival(core.monotonicMs());
-        if (outcome !== "shed" && outcome !== "cancelled") {
+        const isJudged = outcome !== "shed" && outcome !== "cancelled";
+        if (isJudged && !isStartRefused) {
           upstream.health.recordOutcome(outcome, core.monotonicMs());
         }
         this.selectForQueued();
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -166,6 +166,22 @@
     this.logger.info("upstream_says_leaving", { upstream: upstream.id });
   }
 
+  /** Records that an upstream wants no requests for a time. */
+  recordQuiet(
+    { quiet, record }: dispatch.UpstreamState,
+    quietMs: number,
+    nowMs: number,
+  ): void {
+    const isNew = !quiet.isActive(nowMs);
+    quiet.start(quietMs, nowMs);
+    if (!isNew) return;
+    this.metrics.increment("quiet_times");
+    this.logger.info("upstream_asks_for_quiet", {
+      upstream: record.id,
+      forMs: Math.round(quietMs),
+    });
+  }
+
   /** An incarnation is no longer listed, or was replaced by another one. */
   #noteEnded(record: fleet.UpstreamRecord): void {
     const nowMs = core.monotonicMs();
--- a/packages/entry/tests/unit/entry_leaving_test.ts
+++ b/packages/entry/tests/unit/entry_leaving_test.ts
@@ -20,9 +20,9 @@
   await core.sleep(20);
   const granted = first._unsafeUnwrap();
   t.is(granted.upstream.id, "e1" as core.UpstreamId);
-  t.false(granted.isLeaving());
+  t.false(granted.isWithdrawn());
   granted.onLeaving(true, core.monotonicMs());
-  t.true(granted.isLeaving());
+  t.true(granted.isWithdrawn());
   granted.onEnd("served");
   t.is(state.queue.size, 100);
   let ended = second._unsafeUnwrap();
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -53,6 +53,8 @@
   readonly isNotRun: boolean;
   /** Whether the upstream states that it is leaving. */
   readonly isLeaving: boolean;
+  /** For how long the upstream wants no requests, if it asks for that. */
+  readonly quietMs?: number;
   /** Whether the body has a content encoding. */
   readonly isEncoded: boolean;
   /** Headers to return to the caller, without hop-by-hop headers. */
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -47,6 +47,7 @@
   | "retries"
   | "streams_broken"
   | "upstreams_leaving"
+  | "quiet_times"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -101,7 +101,7 @@
         return this.#finishAborted();
       }
       if (assignment.isErr()) return this.#reject(assignment.error);
-      if (assignment.value.isLeaving()) {
+      if (assignment.value.isWithdrawn()) {
         assignment.value.onEnd("cancelled");
         continue;
       }
@@ -179,8 +179,9 @@
       head.status,
       head.headers,
     );
-    const { requestId, isNotRun, isLeaving } = upstreamResponse;
+    const { requestId, isNotRun, isLeaving, quietMs } = upstreamResponse;
     if (isLeaving) assignment.onLeaving(false, core.monotonicMs());
+    if (quietMs !== undefined) assignment.onQuiet(quietMs, core.monotonicMs());
     const isAnonymousRefusal = isNotRun && requestId === undefined;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       attempt.cancel("response has a different request id");
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -45,8 +45,10 @@
    * @param lacksModel whether it stated that it does not hold the model.
    */
   onNotRun(lacksModel: boolean, nowMs: number): void;
-  /** Whether the upstream was found to be leaving since it was selected. */
-  isLeaving(): boolean;
+  /** Whether the upstream must not get it, by what it said meanwhile. */
+  isWithdrawn(): boolean;
+  /** The upstream turned a request away, and wants none for a time. */
+  onQuiet(quietMs: number, nowMs: number): void;
   /**
    * The upstream stated that it is leaving.
    *
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -13,6 +13,7 @@
   TransportResponse,
 } from "./transport_request.ts";
 export { connector, ResetError } from "./transport_reset.ts";
+export { guardStart } from "./transport_start_guard.ts";
 export { limitStart } from "./transport_start_limit.ts";
 export { keepOpenAsAnnounced } from "./transport_keep_alive.ts";
 export { finishBeforeParseErrors } from "./transport_parse_errors.ts";
