--- a/packages/entry/entry_candidates.ts
+++ b/packages/entry/entry_candidates.ts
@@ -67,13 +67,22 @@
     const nowMs = core.monotonicMs();
     const hasOther = [...this.#upstreams.ofService(service)]
       .some((engine) =>
-        !excluded.has(engine) && !engine.record.isLeaving &&
+        !excluded.has(engine) && !engine.isLeaving(nowMs) &&
         engine.canRun(model, caller.adapter, nowMs)
       );
     if (hasOther) return excluded;
     return this.exclude(service, { ...history, failed: new Set() });
   }
 
+  /** When the first upstream that asks for no requests takes some again. */
+  quietUntilMs(service: core.ServiceName): number | undefined {
+    const nowMs = core.monotonicMs();
+    const endsAtMs = [...this.#upstreams.ofService(service)]
+      .filter(({ quiet }) => quiet.isActive(nowMs))
+      .map(({ quiet }) => quiet.untilMs);
+    return endsAtMs.length === 0 ? undefined : Math.min(...endsAtMs);
+  }
+
   /**
    * What is known of the upstreams that could continue a stream, for the log:
    * the number of each software version, and how many of the one that began it
@@ -114,8 +123,9 @@
     softwareVersion: core.SoftwareVersion,
   ): string | undefined {
     const { model } = caller;
+    const nowMs = core.monotonicMs();
     const upstreams = [...this.#upstreams.ofService(service)]
-      .filter(({ record }) => !record.isLeaving);
+      .filter((upstream) => !upstream.isLeaving(nowMs));
     const ofVersion = upstreams
       .filter(({ record }) => isOfVersion(record, softwareVersion));
     if (ofVersion.length === 0) {
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -161,6 +161,40 @@
     this.logger.info("upstream_gone", { upstream: id, reason });
   }
 
+  /**
+   * Records that an upstream says that it is leaving.
+   *
+   * @param isPassedOn whether a caller is about to receive that answer.
+   */
+  recordLeaving(
+    upstream: fleet.UpstreamRecord,
+    isPassedOn: boolean,
+    nowMs: number,
+  ): void {
+    const { leaving } = this.upstreams;
+    const isNew = leaving.record(upstream, 0, nowMs);
+    if (isPassedOn) leaving.recordPassedOn(upstream, nowMs);
+    if (!isNew) return;
+    this.metrics.increment("upstreams_leaving");
+    this.logger.info("upstream_says_leaving", { upstream: upstream.id });
+  }
+
+  /** Records that an upstream wants no requests for a time. */
+  recordQuiet(
+    { quiet, record }: dispatch.UpstreamState,
+    quietMs: number,
+    nowMs: number,
+  ): void {
+    const isNew = !quiet.isActive(nowMs);
+    quiet.start(quietMs, nowMs);
+    if (!isNew) return;
+    this.metrics.increment("quiet_times");
+    this.logger.info("upstream_asks_for_quiet", {
+      upstream: record.id,
+      forMs: Math.round(quietMs),
+    });
+  }
+
   /** An incarnation is no longer listed, or was replaced by another one. */
   #noteEnded(record: fleet.UpstreamRecord): void {
     const nowMs = core.monotonicMs();
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -47,6 +47,8 @@
   | "retries"
   | "streams_broken"
   | "connections_closed"
+  | "upstreams_leaving"
+  | "quiet_times"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -14,7 +14,12 @@
   discardBody,
   readBody,
 } from "./relay_body.ts";
-export { UpstreamConnections, UsedConnections } from "./relay_connections.ts";
+export {
+  guardStart,
+  StartRefusedError,
+  UpstreamConnections,
+  UsedConnections,
+} from "./relay_connections.ts";
 export type {
   CloseReason,
   RequestSender,
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -137,6 +137,11 @@
     }
   }
 
+  /** Whether it is complete, or was cancelled. */
+  get hasEnded(): boolean {
+    return this.#isFinished;
+  }
+
   /** Handler to pass to undici's `dispatch`. */
   readonly handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
@@ -243,6 +248,7 @@
         ...(request.usedConnections === undefined
           ? {}
           : { usedConnections: request.usedConnections }),
+        mayStart: () => !attempt.hasEnded,
       },
       transport.guardUnframedBody(handler, request.method, UNFRAMED_BYTES_MAX),
     );
--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -43,6 +43,8 @@
 export interface SendOptions extends undici.Dispatcher.DispatchOptions {
   /** Connections not to be used; the one that is used is added. */
   readonly usedConnections?: UsedConnections;
+  /** Asked right before the request is sent, as it may wait until then. */
+  readonly mayStart?: () => boolean;
 }
 
 /** Sends requests to one upstream. */
@@ -50,6 +52,36 @@
   dispatch(options: SendOptions, handler: Handler): unknown;
 }
 
+/** A request must not be sent any more; no byte of it was. */
+export class StartRefusedError extends Error {
+  override readonly name = "StartRefusedError";
+
+  constructor() {
+    super("the request must not be sent any more");
+  }
+}
+
+/**
+ * Returns a sender that asks right before it sends a request.
+ *
+ * @example
+ * ```ts
+ * const guarded = relay.guardStart(connections, () => !upstream.isLeaving);
+ * ```
+ */
+export function guardStart(
+  sender: RequestSender,
+  mayStart: () => boolean,
+): RequestSender {
+  return {
+    dispatch: (options, handler) =>
+      sender.dispatch({
+        ...options,
+        mayStart: () => mayStart() && (options.mayStart?.() ?? true),
+      }, handler),
+  };
+}
+
 /** Why this node closes a connection on which no request is in progress. */
 export type CloseReason =
   /** All others are busy, and the next request was sent on it before. */
@@ -69,6 +101,29 @@
   readonly handler: Handler;
 }
 
+/** Controller of a request that has no connection. */
+class RefusedController implements Controller {
+  readonly aborted = true;
+  readonly paused = false;
+  readonly reason: Error;
+
+  constructor(reason: Error) {
+    this.reason = reason;
+  }
+
+  abort(): void {}
+  pause(): void {}
+  resume(): void {}
+}
+
+/** Whether a request may be sent; one that may not fails. */
+function mayStart({ options, handler }: Sending): boolean {
+  if (options.mayStart?.() ?? true) return true;
+  const error = new StartRefusedError();
+  handler.onResponseError?.(new RefusedController(error), error);
+  return false;
+}
+
 /** Message of undici's error for bytes that come when no answer is due. */
 const UNEXPECTED_BYTES_MESSAGE = "bad response";
 
@@ -116,7 +171,8 @@
         onFree();
       });
     };
-    client.dispatch(options, new LaneHandler(handler, onStart, onEnd));
+    const laneHandler = new LaneHandler(handler, onStart, onEnd, options);
+    client.dispatch(options, laneHandler);
   }
 
   /** Closes the connection once its request has ended; for good. */
@@ -154,18 +210,24 @@
   readonly #handler: Handler;
   readonly #onStart: () => void;
   readonly #onEnd: (error?: Error) => void;
+  readonly #options: SendOptions;
 
   constructor(
     handler: Handler,
     onStart: () => void,
     onEnd: (error?: Error) => void,
+    options: SendOptions,
   ) {
     this.#handler = handler;
     this.#onStart = onStart;
     this.#onEnd = onEnd;
+    this.#options = options;
   }
 
   onRequestStart(controller: Controller, context: unknown): void {
+    if (this.#options.mayStart?.() === false) {
+      return controller.abort(new StartRefusedError());
+    }
     this.#onStart();
     this.#handler.onRequestStart?.(controller, context);
   }
@@ -226,9 +288,10 @@
    */
   dispatch(options: SendOptions, handler: Handler): void {
     if (this.#isClosed) throw new undici.errors.ClientClosedError();
+    const sending = { options, handler };
     const lane = this.#findFree(options.usedConnections);
-    if (lane) this.#send(lane, { options, handler });
-    else this.#waiting.push({ options, handler });
+    if (!lane) this.#waiting.push(sending);
+    else if (mayStart(sending)) this.#send(lane, sending);
   }
 
   /** Closes each connection once the requests that were given are answered. */
@@ -284,9 +347,10 @@
   /** Gives a lane that has become free to the request that waits longest. */
   #sendNext(lane: Lane): void {
     if (lane.isBusy) return;
-    const sending = this.#waiting.shift();
-    if (!sending) return;
-    this.#send(lane, sending);
+    let sending = this.#waiting.shift();
+    // Its connection is not used up by a request that must not be sent.
+    while (sending && !mayStart(sending)) sending = this.#waiting.shift();
+    if (sending) this.#send(lane, sending);
     if (this.#isClosed) this.close().catch(() => {});
   }
 }
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -45,6 +45,16 @@
    * @param lacksModel whether it stated that it does not hold the model.
    */
   onNotRun(lacksModel: boolean, nowMs: number): void;
+  /** Whether the upstream must not get it, by what it said meanwhile. */
+  isWithdrawn(): boolean;
+  /** The upstream turned a request away, and wants none for a time. */
+  onQuiet(quietMs: number, nowMs: number): void;
+  /**
+   * The upstream stated that it is leaving.
+   *
+   * @param isPassedOn whether the caller is about to receive that answer.
+   */
+  onLeaving(isPassedOn: boolean, nowMs: number): void;
   /** A stream ended complete, with this number of chunks, taken as events. */
   onStreamLength(events: number): void;
   /** Mean time between some consecutive chunks of a stream. */
--- a/packages/relay/tests/unit/relay_connections_test.ts
+++ b/packages/relay/tests/unit/relay_connections_test.ts
@@ -178,3 +178,35 @@
     t.is(engine.open.size, 0);
   });
 });
+
+// Guards against connections that are used up by requests that nobody waits for.
+test("a request that was cancelled while it waited takes no connection", async (t) => {
+  let answer: (() => void) | undefined;
+  const hold: Answer = ({ id, socket }) => {
+    answer = () => socket.write(success(id));
+  };
+  await withConnections(hold, 1, async (connections, engine) => {
+    const first = send(connections, "r1");
+    const start = (id: string, mayStart = true) =>
+      relay.startAttempt(relay.guardStart(connections, () => mayStart), {
+        path: "/",
+        method: "GET",
+        headers: { "x-id": id },
+        body: null,
+      });
+    const left = start("r2");
+    const withdrawn = start("r3", false);
+    while (!answer) await core.sleep(5);
+    left.cancel("caller left");
+    answer();
+    t.is(await first, 200);
+    t.is((await left.head)._unsafeUnwrapErr().sent, "no");
+    t.is((await withdrawn.head)._unsafeUnwrapErr().sent, "no");
+    answer = undefined;
+    const last = send(connections, "r4");
+    while (!answer) await core.sleep(5);
+    (answer as () => void)();
+    t.is(await last, 200);
+    t.is(engine.connections, 1);
+  });
+});
