Skip rows that are nested too deep to be handled

What callers saw: one row of 40 kB that consists of brackets, in any of the tables that nodes follow, stops every node from following that table: changes of the configuration, of engines or of members are not seen any more. A node that starts afterwards never becomes ready and answers 503: the system does not start until the row is gone.

Cause: JSON.parse has no limit of nesting, but JSON.stringify, with which rows are compared and passed on, overflows the stack. The error ends the follow task, which is restarted and reads the same row again. Rows that are no JSON at all are skipped and logged, which these were not.

Change: a value of more than 100 levels is unreadable, like one that is no JSON: skipped, with the log line `row_unreadable`.

Failed before: "rows that are nested very deep keep no node from starting or following": timed out waiting for the change after these rows.

--- a/packages/core/json.ts
+++ b/packages/core/json.ts
@@ -11,6 +11,35 @@
   | JsonValue[]
   | { [key: string]: JsonValue };
 
+/** Far above what messages use, far below what overflows the stack. */
+const NESTING_MAX = 100;
+
+function isNestedDeeper(value: JsonValue, levels: number): boolean {
+  if (typeof value !== "object" || value === null) return false;
+  if (levels === 0) return true;
+  return Object.values(value).some((inner) =>
+    isNestedDeeper(inner, levels - 1)
+  );
+}
+
+/**
+ * Parses JSON text of another process. Parsing has no limit of nesting, but
+ * whatever reads or writes the value later calls itself for each level.
+ *
+ * @throws an error if the text is not JSON, or has more than 100 levels.
+ * @example
+ * ```ts
+ * const value = core.parseJson(Buffer.from(row.value, "base64").toString());
+ * ```
+ */
+export function parseJson(text: string): JsonValue {
+  const value = JSON.parse(text) as JsonValue;
+  if (isNestedDeeper(value, NESTING_MAX)) {
+    throw new Error(`nested deeper than ${NESTING_MAX} levels`);
+  }
+  return value;
+}
+
 /**
  * Parses JSON text and decodes it with a codec.
  *
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -84,5 +84,5 @@
 export { Supervisor, Task } from "./supervisor.ts";
 export { hash32, rendezvous } from "./rendezvous.ts";
 export { invariant, INVARIANT_MESSAGES, InvariantError } from "./invariants.ts";
-export { decodeJson, decodeValue, toJsonValue } from "./json.ts";
+export { decodeJson, decodeValue, parseJson, toJsonValue } from "./json.ts";
 export type { JsonValue } from "./json.ts";
