Continue a stream only while the list of upstreams is current

A node that was cut off from the store and the other nodes, or stood still, continued streams whose version it knew (its own ones, inside the response or taken up) at engines that had started again under their ids and addresses with another version: the version of an engine is known from its row alone, its answers do not name it, and Expect-Instance holds only for the id (ORDER).

A continuation is sent now only if the list was confirmed within 1.4 s, or most of the nodes were in contact within 1.5 s, and both after the last time that the node was held up. That is seen by gaps of over 0.5 s between readings of the clock, and by its difference to the time of day where a suspended machine's clock stands still; what waited in the connections does not count. Otherwise the store is read for 0.4 s at the longest, and the request rejected if nothing came of it. New streams are not held up. In step, nothing is read or waited for.

Still open: the first 1.4 s of a cut of which nothing tells the node, and a new stream that begins at an engine whose row is outdated, whose origin is then recorded with the version of the row.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -38,6 +38,7 @@
 import { EntryUpstreamSelector } from "./entry_selector.ts";
 import { SharedRead } from "./entry_shared_read.ts";
 import { EntryState } from "./entry_state.ts";
+import { StepWatch } from "./entry_step_watch.ts";
 import { finishRequests } from "./entry_stop.ts";
 import {
   DIRECTORY_TTL_MAX_MS,
@@ -95,6 +96,7 @@
   readonly #hub: ExchangeHub;
   readonly #followTasks: readonly FollowTask[];
   readonly #lease: orders.OrderLease;
+  readonly #stepWatch: StepWatch;
   readonly #selector: EntryUpstreamSelector;
   readonly #callerListener: CallerListener;
   readonly #originReader: OriginReader;
@@ -130,7 +132,11 @@
       rank: () => this.state.members.alive().indexOf(settings.nodeName),
       followers: () => this.#hub.followers(),
     }, logger);
-    this.#selector = new EntryUpstreamSelector(this.state);
+    this.#stepWatch = new StepWatch(this.state, {
+      listConfirmedAtMs: () => versionTables[0]!.copy.confirmedAtMs,
+      readList: () => versionsRead.run(),
+    });
+    this.#selector = new EntryUpstreamSelector(this.state, this.#stepWatch);
     this.#originReader = new OriginReader(this.state, dependencies.store);
     this.#exchangeWakeSignal = new core.WakeSignal();
     this.#callerListener = new CallerListener(
@@ -155,6 +161,7 @@
     const clients = new peers.FleetClients(logger);
     this.#lifecycle.addCleanup(() => clients.close());
     this.#lifecycle.addCleanup(() => this.state.pools.close());
+    this.#lifecycle.addCleanup(this.#stepWatch.start());
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(new HubHandler(hub), host, port),
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -10,6 +10,7 @@
 import { EngineQueue, type SelectionResult } from "./entry_engine_queue.ts";
 import { PromptFate } from "./entry_prompt_fate.ts";
 import type { EntryState } from "./entry_state.ts";
+import type { StepWatch } from "./entry_step_watch.ts";
 
 /** Retry-After when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
@@ -33,14 +34,17 @@
   readonly #state: EntryState;
   readonly #candidates: UpstreamCandidates;
   readonly #queue: EngineQueue;
+  readonly #stepWatch: StepWatch | undefined;
   /** Services as last configured; a configuration may drop them meanwhile. */
   readonly #services = new WeakMap<relay.RelayedRequest, fleet.ServiceSpec>();
   /** Called when a request is queued. */
   onQueued: () => void = () => {};
 
-  constructor(state: EntryState) {
+  /** @param stepWatch tells whether the listed software versions are current. */
+  constructor(state: EntryState, stepWatch?: StepWatch) {
     super();
     this.#state = state;
+    this.#stepWatch = stepWatch;
     this.#candidates = new UpstreamCandidates(state.upstreams);
     this.#queue = new EngineQueue(state, () => this.onQueued());
   }
@@ -59,6 +63,9 @@
     const canRetry = this.#state.retryBudget(request.service)
       .canSpend(this.#state.members.count(), core.monotonicMs());
     if (!canRetry) return undefined;
+    const isOutOfStep = history.softwareVersion !== undefined &&
+      this.#stepWatch?.isInStep() === false;
+    if (isOutOfStep) return undefined;
     const selected = this.#selectResponsive(request, history);
     if (selected) this.trySpendRetry(request.service);
     return selected;
@@ -98,6 +105,10 @@
     const service = this.#serviceOf(request);
     const { model } = request.caller;
     if (!service) return reject("service is not configured");
+    // An engine may have started again under its id with another version.
+    const isOutOfStep = history.softwareVersion !== undefined &&
+      await this.#stepWatch?.awaitStep(signal) === false;
+    if (isOutOfStep) return reject("node is out of step");
     const ended = this.#rejectNotContinued(request, history);
     if (ended) return ended;
     if (!service.engine || model === undefined) {
--- /dev/null
+++ b/packages/entry/entry_step_watch.ts
@@ -0,0 +1,125 @@
+/**
+ * Tells whether what this node knows of the upstreams is current: it may have
+ * stood still, or be cut off from the store and from the other nodes.
+ */
+import * as core from "../core/mod.ts";
+import { MEMBER_TIMEOUT_MS } from "./entry_members.ts";
+import type { EntryState } from "./entry_state.ts";
+
+/** Interval at which the clocks are read. */
+const TICK_MS = 100;
+/** Time between two readings, or difference of the clocks, of a node held up. */
+const HELD_UP_MS = 500;
+/** What waited in the connections of a node is read in this time. */
+const DRAINED_AFTER_MS = 100;
+/** Age of the list of upstreams from which on it may be outdated. */
+const LIST_AGE_MAX_MS = 1_400;
+/** Longest wait for the store or the other nodes, and its checks. */
+const STEP_WAIT_MS = 400;
+const STEP_POLL_MS = 10;
+
+/** The clocks of a machine, of which the monotonic one may stand still. */
+export interface Clocks {
+  readonly monotonicMs: () => number;
+  readonly wallMs: () => number;
+}
+
+const SYSTEM_CLOCKS: Clocks = {
+  monotonicMs: core.monotonicMs,
+  wallMs: Date.now,
+};
+
+/** What the watch needs of the node's other parts. */
+export interface StepSources {
+  /** When the store last confirmed the list of upstreams to any node. */
+  readonly listConfirmedAtMs: () => number;
+  /** Reads the list from the store; false if it could not be read. */
+  readonly readList: () => Promise<boolean>;
+}
+
+export class StepWatch {
+  readonly #state: EntryState;
+  readonly #sources: StepSources;
+  readonly #clocks: Clocks;
+  #monotonicMs: number;
+  #wallMs: number;
+  /** From when on the node has heard of what happened while it was held up. */
+  #heldUpUntilMs = -Infinity;
+  /** Start of the last read of the list that the store answered. */
+  #listReadAtMs = -Infinity;
+
+  constructor(
+    state: EntryState,
+    sources: StepSources,
+    clocks: Clocks = SYSTEM_CLOCKS,
+  ) {
+    this.#state = state;
+    this.#sources = sources;
+    this.#clocks = clocks;
+    this.#monotonicMs = clocks.monotonicMs();
+    this.#wallMs = clocks.wallMs();
+  }
+
+  /** Starts reading the clocks; the returned cleanup stops it. */
+  start(): core.Cleanup {
+    const timer = setInterval(() => this.#readClocks(), TICK_MS);
+    return () => clearInterval(timer);
+  }
+
+  /** Whether the list of upstreams is current, as far as this node can tell. */
+  isInStep(): boolean {
+    const nowMs = this.#readClocks();
+    const { members } = this.#state;
+    const confirmedAtMs = Math.max(
+      this.#listReadAtMs + DRAINED_AFTER_MS,
+      this.#sources.listConfirmedAtMs(),
+    );
+    const isConfirmed = confirmedAtMs > this.#heldUpUntilMs &&
+      nowMs - confirmedAtMs < LIST_AGE_MAX_MS;
+    if (isConfirmed) return true;
+    const sinceMs = Math.max(nowMs - MEMBER_TIMEOUT_MS, this.#heldUpUntilMs);
+    return members.countInContact(sinceMs) * 2 > members.count();
+  }
+
+  /**
+   * Waits for a short time until the list is current.
+   *
+   * @returns whether it is.
+   * @example
+   * ```ts
+   * if (!await stepWatch.awaitStep(signal)) return reject("out of step");
+   * ```
+   */
+  async awaitStep(signal: AbortSignal): Promise<boolean> {
+    if (this.isInStep()) return true;
+    const startedAtMs = this.#clocks.monotonicMs();
+    this.#sources.readList().then((isRead) => {
+      if (isRead) this.#listReadAtMs = startedAtMs;
+    });
+    const deadline = new core.Deadline(STEP_WAIT_MS);
+    while (!deadline.isOver() && !signal.aborted) {
+      await core.sleep(STEP_POLL_MS);
+      if (this.isInStep()) return true;
+    }
+    return false;
+  }
+
+  /** Notes whether the node was held up since the last reading. */
+  #readClocks(): number {
+    const monotonicMs = this.#clocks.monotonicMs();
+    const wallMs = this.#clocks.wallMs();
+    const elapsedMs = monotonicMs - this.#monotonicMs;
+    const differenceMs = Math.abs(wallMs - this.#wallMs - elapsedMs);
+    this.#monotonicMs = monotonicMs;
+    this.#wallMs = wallMs;
+    if (elapsedMs > HELD_UP_MS || differenceMs > HELD_UP_MS) {
+      this.#heldUpUntilMs = monotonicMs + DRAINED_AFTER_MS;
+      const { logger } = this.#state;
+      logger.warn("held_up", {
+        elapsedMs: Math.round(elapsedMs),
+        clockDifferenceMs: Math.round(differenceMs),
+      });
+    }
+    return monotonicMs;
+  }
+}
