Let a process end while its step watch runs

The timer that reads the clocks kept a test process alive whose node was not closed, as after a failed start; the node's listeners keep a serving process running.

--- a/packages/entry/entry_step_watch.ts
+++ b/packages/entry/entry_step_watch.ts
@@ -63,6 +63,7 @@
   /** Starts reading the clocks; the returned cleanup stops it. */
   start(): core.Cleanup {
     const timer = setInterval(() => this.#readClocks(), TICK_MS);
+    timer.unref();
     return () => clearInterval(timer);
   }
 
