Bound the memory of all responses together

What callers saw: with 60 requests at an engine that sent bodies without end, the process of the node ended, and the requests of all other callers with it.

Limits held for each response alone and counted bytes only. Sixty bodies of up to 16 MB add up, as do bodies without framing that wait for slow callers; and a body in chunks of one byte costs some hundred times its bytes, since each chunk was kept as an object together with the 64 KB in which it was read.

All buffered responses now draw on one budget of 64 MB (core.MemoryBudget). A response that exceeds it costs the largest one its buffer, so that small ones are served; that one ends as broken off. Small chunks are copied into blocks (core.ChunkBuffer), those that arrive together are read as one, chunks count 512 bytes each towards the limit at which reading pauses, and reading resumes in the next turn of the event loop. The counts of chunks, which serve as estimates of events, stay as they were.

--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -81,6 +81,8 @@
 } from "./clock.ts";
 export { Logger, renderEvent, writeToStandardOutput } from "./log.ts";
 export type { LogFields, LogOutput, LogValue } from "./log.ts";
+export { ChunkBuffer } from "./chunk_buffer.ts";
+export { MemoryBudget, MemoryShare } from "./memory_budget.ts";
 export { Supervisor, Task } from "./supervisor.ts";
 export { hash32, rendezvous } from "./rendezvous.ts";
 export { invariant, INVARIANT_MESSAGES, InvariantError } from "./invariants.ts";
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -7,6 +7,8 @@
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
 
+import { responseMemory } from "./relay_memory.ts";
+
 /** Why an attempt did not yield a complete response. */
 export interface AttemptFailure {
   /** "no" only if it is certain that no byte of the request was sent. */
@@ -28,11 +30,16 @@
 }
 
 /**
- * A chunk of a response body, the end of the body, or the failure that cut it
- * off.
+ * Bytes of a response body, the end of the body, or the failure that cut it off.
  */
 export type BodyEvent =
-  | { readonly kind: "data"; readonly data: Buffer; readonly atMs: number }
+  | {
+    readonly kind: "data";
+    readonly data: Buffer;
+    /** Chunks in which the bytes arrived, at about the same time. */
+    readonly chunks: number;
+    readonly atMs: number;
+  }
   | { readonly kind: "end" }
   | { readonly kind: "broken"; readonly failure: AttemptFailure };
 
@@ -40,11 +47,24 @@
  * Bytes buffered for a slow caller before reading from the upstream is paused.
  */
 const BUFFERED_BYTES_MAX = 256 * 1024;
+/** Counted for each buffered chunk in addition to its bytes. */
+const CHUNK_OVERHEAD_BYTES = 512;
+/** Chunks that arrive within this time are read as one. */
+const CHUNK_MERGE_MS = 1;
 /** Largest body with neither a length nor chunks. */
 const UNFRAMED_BYTES_MAX = 16 * 1024 * 1024;
+/** Why a response ended that took most of the memory for responses. */
+export const MEMORY_EXHAUSTED = "no memory is left for the response";
 /** Informational (1xx) responses accepted before the final one. */
 const INFORMATIONAL_MAX = 32;
 
+/** Chunks that arrived at about the same time. */
+interface UnreadChunks {
+  readonly data: core.ChunkBuffer;
+  readonly atMs: number;
+  chunks: number;
+}
+
 /** An in-flight attempt and the response received so far. */
 export class Attempt {
   /** Resolves to the response head, or to the failure if none arrived. */
@@ -57,9 +77,14 @@
   #isFinished = false;
   #cancelError: Error | undefined;
   #cancelCause: AttemptFailure["cause"] = "cancelled";
-  #bufferedBytes = 0;
   #informationalCount = 0;
-  readonly #bodyEvents: BodyEvent[] = [];
+  /** What has arrived of the body and has not been read yet. */
+  readonly #unread: UnreadChunks[] = [];
+  #unreadBytes = 0;
+  #hasReader = false;
+  readonly #memory = responseMemory.open(() => this.#evict());
+  #end: Exclude<BodyEvent, { kind: "data" }> | undefined;
+  #isResuming = false;
   #wakeReader: (() => void) | undefined;
 
   /** @param startBeforeMs time of the monotonic clock from which not to send. */
@@ -81,6 +106,8 @@
     if (this.#isFinished) return;
     this.#cancelError = new Error(reason);
     this.#cancelCause = cause;
+    this.#discardUnread();
+    this.#memory.set(0);
     this.#controller?.abort(this.#cancelError);
     this.#fail(this.#cancelError);
   }
@@ -89,17 +116,20 @@
    * Waits for the next event of the body; reading resumes a paused upstream.
    */
   async next(): Promise<BodyEvent> {
-    while (this.#bodyEvents.length === 0) {
+    this.#hasReader = true;
+    while (this.#unread.length === 0 && this.#end === undefined) {
       await new Promise<void>((resolve) => {
         this.#wakeReader = resolve;
       });
     }
-    const event = this.#bodyEvents.shift()!;
-    if (event.kind === "data") {
-      this.#bufferedBytes -= event.data.length;
-      if (this.#controller?.paused) this.#controller.resume();
-    }
-    return event;
+    const unread = this.#unread.shift();
+    if (!unread) return this.#end!;
+    const { chunks, atMs } = unread;
+    const data = unread.data.take();
+    this.#unreadBytes -= data.length + chunks * CHUNK_OVERHEAD_BYTES;
+    this.#memory.set(this.#unreadBytes);
+    this.#resumeSoon();
+    return { kind: "data", data, chunks, atMs };
   }
 
   /** Handler to pass to undici's `dispatch`. */
@@ -120,14 +150,12 @@
       this.#settleHead(ok({ status, headers, framing }));
     },
     onResponseData: (controller, data) => {
-      this.#bufferedBytes += data.length;
-      if (this.#bufferedBytes > BUFFERED_BYTES_MAX) controller.pause();
-      this.#push({ kind: "data", data, atMs: core.monotonicMs() });
-    },
-    onResponseEnd: () => {
-      this.#isFinished = true;
-      this.#push({ kind: "end" });
+      this.#append(data);
+      if (this.#unreadBytes > BUFFERED_BYTES_MAX) controller.pause();
+      this.#wake();
+      this.#memory.set(this.#unreadBytes);
     },
+    onResponseEnd: () => this.#finish({ kind: "end" }),
     onResponseError: (_controller, error) => this.#fail(error),
   };
 
@@ -136,9 +164,48 @@
     this.cancel("too many informational responses", "broken");
   }
 
+  #append(data: Buffer): void {
+    this.#unreadBytes += data.length + CHUNK_OVERHEAD_BYTES;
+    const nowMs = core.monotonicMs();
+    let last = this.#unread.at(-1);
+    if (!last || nowMs - last.atMs > CHUNK_MERGE_MS) {
+      last = { data: new core.ChunkBuffer(), atMs: nowMs, chunks: 0 };
+      this.#unread.push(last);
+    }
+    last.data.append(data);
+    last.chunks++;
+  }
+
+  /** Reads on in the next turn of the event loop, after other connections. */
+  #resumeSoon(): void {
+    if (!this.#controller?.paused || this.#isResuming) return;
+    this.#isResuming = true;
+    setImmediate(() => {
+      this.#isResuming = false;
+      if (!this.#isFinished) this.#controller?.resume();
+    });
+  }
+
+  /** Drops what was not read, so that the response ends as broken off. */
+  #evict(): void {
+    this.#discardUnread();
+    this.cancel(MEMORY_EXHAUSTED, "broken");
+    if (this.#end?.kind !== "end") return;
+    const failure = {
+      sent: "maybe",
+      cause: "broken",
+      detail: MEMORY_EXHAUSTED,
+    } as const;
+    this.#end = { kind: "broken", failure };
+  }
+
+  #discardUnread(): void {
+    this.#unread.length = 0;
+    this.#unreadBytes = 0;
+  }
+
   #fail(error: Error): void {
     if (this.#isFinished) return;
-    this.#isFinished = true;
     const { code } = error as NodeJS.ErrnoException;
     const failure: AttemptFailure = {
       sent: this.#isSent ? "maybe" : "no",
@@ -150,11 +217,18 @@
       detail: core.messageOf(error),
     };
     this.#settleHead(err(failure));
-    this.#push({ kind: "broken", failure });
+    this.#finish({ kind: "broken", failure });
+  }
+
+  #finish(end: Exclude<BodyEvent, { kind: "data" }>): void {
+    this.#isFinished = true;
+    this.#end = end;
+    // A response that was dropped is never read.
+    if (!this.#hasReader) this.#memory.set(0);
+    this.#wake();
   }
 
-  #push(event: BodyEvent): void {
-    this.#bodyEvents.push(event);
+  #wake(): void {
     this.#wakeReader?.();
     this.#wakeReader = undefined;
   }
--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -1,6 +1,6 @@
 /** Splits a server-sent event stream at event boundaries. */
 import { Buffer } from "node:buffer";
-import { ChunkBuffer } from "./relay_chunk_buffer.ts";
+import * as core from "../core/mod.ts";
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -17,7 +17,7 @@
  * upstream.
  */
 export class EventStreamBuffer {
-  readonly #pending = new ChunkBuffer();
+  readonly #pending = new core.ChunkBuffer();
   /** The last bytes of the incomplete event. */
   #pendingTail = NO_BYTES;
   #lastEventId: string | undefined;
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -1,9 +1,10 @@
 /** Relays the body of an upstream's response to the caller. */
-import { Buffer } from "node:buffer";
 import * as core from "../core/mod.ts";
 import type * as transport from "../transport/mod.ts";
-import { type Attempt, outcomeOf } from "./relay_attempt.ts";
+import { type Attempt, MEMORY_EXHAUSTED, outcomeOf } from "./relay_attempt.ts";
+
 import { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
+import { responseMemory } from "./relay_memory.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import type { UpstreamAssignment } from "./relay_types.ts";
 import type { WaitWatch } from "./relay_wait_watch.ts";
@@ -43,6 +44,8 @@
   readonly #splitsEvents: boolean;
   readonly #signal: AbortSignal;
   readonly #eventBuffer = new EventStreamBuffer();
+  /** Whether a part of a stream is being written to the caller. */
+  #isWriting = false;
   /** Version of the upstream that began the stream. */
   softwareVersion: core.SoftwareVersion | undefined;
   /** Whether the last stream ended inside an event, for the log. */
@@ -73,31 +76,44 @@
     assignment: UpstreamAssignment,
     { attempt, watch, status, headers }: ReceivedResponse,
   ): Promise<AttemptResult> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const chunks = new core.ChunkBuffer();
+    let isEvicted = false;
+    const memory = responseMemory.open(() => {
+      isEvicted = true;
+      chunks.clear();
+      // Once it is being passed on, nothing but an abort frees its memory.
+      if (this.#response.hasStarted) this.#response.abort();
+      else attempt.cancel(MEMORY_EXHAUSTED, "broken");
+    });
     for (;;) {
       const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
+        memory.set(0);
         assignment.onFailure(event.failure.cause);
         assignment.onEnd(outcomeOf(event.failure, this.#signal));
         return { kind: "mayHaveRun", detail: event.failure.detail };
       }
+      if (isEvicted) {
+        return this.#failOversized(assignment, attempt, MEMORY_EXHAUSTED);
+      }
       if (event.kind === "end") break;
-      bytes += event.data.length;
-      if (bytes > WHOLE_BODY_BYTES_MAX) {
+      chunks.append(event.data);
+      memory.set(chunks.length);
+      if (chunks.length > WHOLE_BODY_BYTES_MAX) {
+        memory.set(0);
         return this.#failOversized(assignment, attempt, "body is too large");
       }
-      chunks.push(event.data);
     }
     const nowMs = core.monotonicMs();
     if (status < 300) assignment.onFirstEvent(nowMs);
     assignment.onEnd(status < 500 ? "served" : "failed");
-    const body = Buffer.concat(chunks);
+    const body = chunks.take();
     this.#response.start(status, {
       ...headers,
       "content-length": String(body.length),
     }, nowMs);
     this.#response.end(body);
+    this.#response.flushed().finally(() => memory.set(0));
     return { kind: "done", status };
   }
 
@@ -108,8 +124,27 @@
    * was closed in order and nothing else marks the end.
    */
   async relayEvents(
+    assignment: UpstreamAssignment,
+    received: ReceivedResponse,
+  ): Promise<AttemptResult> {
+    const { attempt } = received;
+    const memory = responseMemory.open(() => {
+      this.#eventBuffer.discardPending();
+      // What waits for a slow caller is freed by an abort alone.
+      if (this.#isWriting) this.#response.abort();
+      else attempt.cancel(MEMORY_EXHAUSTED, "broken");
+    });
+    try {
+      return await this.#relayEvents(assignment, received, memory);
+    } finally {
+      memory.set(0);
+    }
+  }
+
+  async #relayEvents(
     assignment: UpstreamAssignment,
     { attempt, watch, status, framing, contentType, headers }: ReceivedResponse,
+    memory: core.MemoryShare,
   ): Promise<AttemptResult> {
     const hasEvents = isEventStream(contentType);
     const splitsEvents = hasEvents && this.#splitsEvents;
@@ -135,20 +170,24 @@
       if (lastChunkAtMs === undefined) {
         assignment.onFirstEvent(event.atMs);
         gapsStartedAtMs = event.atMs;
+        gapCount = event.chunks - 1;
       } else {
         this.gapMaxMs = Math.max(this.gapMaxMs, event.atMs - lastChunkAtMs);
-        if (++gapCount === GAP_SAMPLE_COUNT) {
+        gapCount += event.chunks;
+        if (gapCount >= GAP_SAMPLE_COUNT) {
           assignment.onEventGap((event.atMs - gapsStartedAtMs) / gapCount);
           gapCount = 0;
           gapsStartedAtMs = event.atMs;
         }
       }
       lastChunkAtMs = event.atMs;
-      chunkCount++;
+      chunkCount += event.chunks;
       const data = splitsEvents
         ? this.#eventBuffer.append(event.data)
         : event.data;
-      if (this.#eventBuffer.pendingBytes > EVENT_BYTES_MAX) {
+      const { pendingBytes } = this.#eventBuffer;
+      memory.set(pendingBytes);
+      if (pendingBytes > EVENT_BYTES_MAX) {
         this.#eventBuffer.discardPending();
         return this.#failOversized(assignment, attempt, "event is too large");
       }
@@ -157,7 +196,10 @@
         this.#startStream(assignment);
         this.#response.start(status, headers, event.atMs);
       }
+      this.#isWriting = true;
+      memory.set(pendingBytes + data.length);
       await this.#response.write(data);
+      this.#isWriting = false;
     }
     // Without framing, a head alone may be all that an engine could send.
     const isCutBeforeEvents = chunkCount === 0 && framing === "close";
