Bound the memory of messages that nodes are receiving

A peer that sent messages without end, in chunks of one byte and on 60 connections, ended the process: each message was limited to 4 MB of bytes, but each chunk was kept as an object, and nothing bounded all messages together.

Small chunks are copied into blocks and count 512 bytes more towards the limit, and all messages that are being received draw on one budget of 16 MB.

Before: "requests survive endless messages of peers" fails, the process ends out of memory (SIGABRT).

--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -6,7 +6,7 @@
  */
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -30,6 +30,11 @@
 const EXCHANGE_TIMEOUT_MS = 350;
 /** Largest message that a node accepts from another one. */
 const MESSAGE_BYTES_MAX = 4 * 1024 * 1024;
+/** Memory for messages that are being received from all other nodes. */
+const MESSAGES_BYTES_MAX = 16 * 1024 * 1024;
+/** Counted for each chunk of a message in addition to its bytes. */
+const CHUNK_OVERHEAD_BYTES = 512;
+const messageMemory = new core.MemoryBudget(MESSAGES_BYTES_MAX);
 /** Time in which a node has to send a whole digest. */
 const DIGEST_TIMEOUT_MS = 5_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
@@ -89,17 +94,24 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
-  const chunks: Buffer[] = [];
+  const chunks = new core.ChunkBuffer();
   let bytes = 0;
+  const memory = messageMemory.open(() => {
+    chunks.clear();
+    request.destroy();
+  });
   request.on("error", () => response.destroy());
+  request.on("close", () => memory.set(0));
   request.on("data", (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > MESSAGE_BYTES_MAX) request.destroy();
-    else chunks.push(chunk);
+    if (request.destroyed) return;
+    chunks.append(chunk);
+    bytes += chunk.length + CHUNK_OVERHEAD_BYTES;
+    if (bytes > MESSAGE_BYTES_MAX) return memory.evict();
+    memory.set(chunks.length);
   });
   request.on("end", () => {
     try {
-      const digest = fromBinary(NodeDigestSchema, Buffer.concat(chunks));
+      const digest = fromBinary(NodeDigestSchema, chunks.take());
       const view = toBinary(FleetViewSchema, handler.exchange(digest));
       response.writeHead(200, {
         "content-type": MESSAGE_TYPE,
