--- a/packages/transport/transport_read_limit.ts
+++ b/packages/transport/transport_read_limit.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from "undici";
 
 /** Bytes parsed at once. */
-const READ_BYTES_MAX = 4_096;
+const READ_BYTES_MAX = 8 * 1024;
 /** Bytes read in a row of which nothing was passed on. */
 const IDLE_BYTES_MAX = 256 * 1024;
 
