--- a/packages/transport/tests/unit/transport_byte_collector_test.ts
+++ b/packages/core/tests/unit/chunk_buffer_test.ts
@@ -1,9 +1,9 @@
 import test from "ava";
 import { Buffer } from "node:buffer";
-import * as transport from "../../mod.ts";
+import * as core from "../../mod.ts";
 
 test("pieces of all sizes are collected in order", (t) => {
-  const collector = new transport.ByteCollector();
+  const collector = new core.ChunkBuffer();
   t.is(collector.take().length, 0);
   const pieces: Buffer[] = [];
   for (let n = 0; n < 3_000; n++) {
@@ -18,7 +18,7 @@
 });
 
 test("bytes that were taken stay as they are", (t) => {
-  const collector = new transport.ByteCollector();
+  const collector = new core.ChunkBuffer();
   for (const text of ["a", "b", "c"]) collector.append(Buffer.from(text));
   const first = collector.take();
   for (const text of ["d", "e", "f"]) collector.append(Buffer.from(text));
--- a/packages/relay/relay_body.ts
+++ b/packages/relay/relay_body.ts
@@ -3,7 +3,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import * as transport from "../transport/mod.ts";
+import * as core from "../core/mod.ts";
 
 /** Thrown when a body exceeds the configured limit. */
 export class BodyTooLargeError extends Error {}
@@ -29,7 +29,7 @@
   timeoutMs: number,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const body = new transport.ByteCollector();
+    const body = new core.ChunkBuffer();
     const stop = () => {
       clearTimeout(timer);
       request.off("data", onData).off("end", onEnd).off("error", fail);
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -2,7 +2,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
-import { ByteCollector } from "./transport_byte_collector.ts";
 import { limitStart } from "./transport_start_limit.ts";
 import { guardUnframedBodies } from "./transport_unframed.ts";
 
@@ -140,7 +139,7 @@
   body: AsyncIterable<Uint8Array>,
   bytesMax: number,
 ): Promise<string> {
-  const collector = new ByteCollector();
+  const collector = new core.ChunkBuffer();
   for await (const chunk of body) {
     collector.append(chunk);
     if (collector.length > bytesMax) {
