--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -43,6 +43,7 @@
 import { finishRequests } from "./entry_stop.ts";
 import {
   DIRECTORY_TTL_MAX_MS,
+  startMetricsListener,
   startSystemListeners,
 } from "./entry_system_listeners.ts";
 import { TableNewsExchange } from "./entry_table_news.ts";
@@ -182,7 +183,6 @@
       this.state,
       dialect,
       this.#lifecycle,
-      () => this.#lease.isHeld,
       (listener) => this.#listenPatience(listener),
     );
     this.#lifecycle.addCleanup(
@@ -191,6 +191,12 @@
         this.#listenPatience("callers"),
       ),
     );
+    startMetricsListener(
+      this.state,
+      this.#lifecycle,
+      () => this.#lease.isHeld,
+      this.#listenPatience("metrics"),
+    );
     this.#lifecycle.addCleanup(() => this.#supervisor.stop());
     this.#startTasks(hub, clients);
     logger.info("started", {
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -11,29 +11,21 @@
 /**
  * Starts the endpoints, which close with the life cycle.
  *
- * @param isOrdering whether this node sends the orders to engines.
- * @param patienceFor how long a listener waits for an address that is in use;
- * the one for metrics, which nothing needs to serve, waits on in the background.
+ * @param patienceFor how long a listener waits for an address that is in use.
  * @example
  * ```ts
- * await startSystemListeners(
- *   state,
- *   dialect,
- *   lifecycle,
- *   () => lease.isHeld,
- *   () => ({ timeoutMs: 10_000 }),
- * );
+ * await startSystemListeners(state, dialect, lifecycle, () => ({
+ *   timeoutMs: 10_000,
+ * }));
  * ```
  */
 export async function startSystemListeners(
   state: EntryState,
   dialect: fleet.HttpDialect,
   lifecycle: core.Lifecycle,
-  isOrdering: () => boolean,
   patienceFor: (listener: string) => transport.ListenPatience,
 ): Promise<void> {
   const { readiness, directory } = state.settings.listen;
-  startMetricsListener(state, lifecycle, isOrdering, patienceFor("metrics"));
   const platformServer = createServer((request, response) => {
     const endpoint = dialect.matchSystemEndpoint(request.url ?? "");
     if (endpoint === "ready") {
@@ -70,8 +62,17 @@
   }
 }
 
-/** Serves the metrics as soon as their address can be bound. */
-function startMetricsListener(
+/**
+ * Serves the metrics as soon as their address can be bound. To be called after
+ * all other listeners are started, as one of them may have the same address.
+ *
+ * @param isOrdering whether this node sends the orders to engines.
+ * @example
+ * ```ts
+ * startMetricsListener(state, lifecycle, () => lease.isHeld, patience);
+ * ```
+ */
+export function startMetricsListener(
   state: EntryState,
   lifecycle: core.Lifecycle,
   isOrdering: () => boolean,
