Place replicas for the software version that queued streams need

Cause: replicas were planned without regard to versions. The first replica of a model went to any engine, a replica at another version counted as enough, and the last replica at a version could be evicted. The selector knew that no load would come and rejected the stream.

Change: the demand for a model names the versions that its queued requests need, as that for adapters does. A version in service whose engines neither hold the model nor load it gets a replica, worth one queued request per queue time; it goes by the usual comparison of gains, so it evicts nothing that serves more and takes its turn at the weight store. The last replica at a version stays while requests are queued for it. A stream is rejected at once only if no engine of its version is in service, and waits in the queue otherwise, as long as its time allows.

Ruled out: a lookup of the origin, which takes 100 ms at least.

The types of the plan move to a file of their own.

--- a/packages/entry/entry_candidates.ts
+++ b/packages/entry/entry_candidates.ts
@@ -115,28 +115,22 @@
 
   /**
    * Why no upstream can continue a stream that a software version began, however
-   * long it waits; undefined if one may. Replicas are not placed by version, so
-   * a model that other versions hold is not loaded for this one.
+   * long it waits; undefined if one may. A model that none of them holds is
+   * loaded on one while the request is queued.
    */
   whyNotContinued(
-    { service, caller }: relay.RelayedRequest,
+    { service }: relay.RelayedRequest,
     softwareVersion: core.SoftwareVersion,
   ): string | undefined {
-    const { model } = caller;
     const nowMs = core.monotonicMs();
-    const upstreams = [...this.#upstreams.ofService(service)]
-      .filter((upstream) => !upstream.isLeaving(nowMs));
-    const ofVersion = upstreams
-      .filter(({ record }) => isOfVersion(record, softwareVersion));
-    if (ofVersion.length === 0) {
-      return `no upstream of software version ${softwareVersion}`;
-    }
-    if (model === undefined) return undefined;
-    const holdsModel = ({ replicas }: dispatch.UpstreamState) =>
-      replicas.has(model);
-    return upstreams.some(holdsModel) && !ofVersion.some(holdsModel)
-      ? `no engine of software version ${softwareVersion} holds the model`
-      : undefined;
+    const isInService = [...this.#upstreams.ofService(service)]
+      .some((upstream) =>
+        isOfVersion(upstream.record, softwareVersion) &&
+        !upstream.isLeaving(nowMs)
+      );
+    return isInService
+      ? undefined
+      : `no upstream of software version ${softwareVersion}`;
   }
 }
 
--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -176,6 +176,7 @@
         }
         : {}),
       id: state.record.id,
+      softwareVersion: state.record.softwareVersion,
       isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs),
       canOrder: managed.sender.mayOrder(spec, nowMs),
       freeMb: managed.sender.freeRoom(spec, nowMs).mb,
--- a/packages/entry/entry_totals.ts
+++ b/packages/entry/entry_totals.ts
@@ -70,11 +70,18 @@
 ): void {
   const { ratePerS, waiting, workMsPerS, adapter } = entry;
   const model = core.brandId<core.ModelName>(entry.model);
+  const pinnedVersions = entry.pinnedVersions.map((version) =>
+    core.brandId<core.SoftwareVersion>(version)
+  );
   const sum = totals.modelDemand.get(model);
   totals.modelDemand.set(model, {
     ratePerS: (sum?.ratePerS ?? 0) + ratePerS,
     waiting: (sum?.waiting ?? 0) + waiting,
     workMsPerS: (sum?.workMsPerS ?? 0) + workMsPerS,
+    pinnedVersions: new Set([
+      ...sum?.pinnedVersions ?? [],
+      ...pinnedVersions,
+    ]),
   });
   if (adapter === "") return;
   const key = dispatch.toModelKey(model, adapter);
@@ -86,9 +93,7 @@
     waiting: (known?.waiting ?? 0) + waiting,
     pinnedVersions: new Set([
       ...known?.pinnedVersions ?? [],
-      ...entry.pinnedVersions.map((version) =>
-        core.brandId<core.SoftwareVersion>(version)
-      ),
+      ...pinnedVersions,
     ]),
   });
 }
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -27,6 +27,6 @@
   ReplicaAction,
   ReplicaEngine,
   ReplicaView,
-} from "./placement_replicas.ts";
+} from "./placement_replica_view.ts";
 export { RequestRecency } from "./placement_recency.ts";
 export { PeakWork } from "./placement_peak_work.ts";
--- a/packages/placement/placement_peak_work.ts
+++ b/packages/placement/placement_peak_work.ts
@@ -3,7 +3,7 @@
  * waves, and a short lull must not evict a replica that the next wave needs.
  */
 import type * as core from "../core/mod.ts";
-import type { ModelDemand } from "./placement_replicas.ts";
+import type { ModelDemand } from "./placement_replica_view.ts";
 
 /** Peak work counts for this long. */
 const PEAK_WORK_WINDOW_MS = 4_000;
--- a/packages/placement/placement_replicas.ts
+++ b/packages/placement/placement_replicas.ts
@@ -1,65 +1,13 @@
 /** Decides how many replicas each model has, and on which engines. */
 import type * as core from "../core/mod.ts";
-
-/** Demand for one model, over all nodes. */
-export interface ModelDemand {
-  readonly ratePerS: number;
-  /** Queued requests. */
-  readonly waiting: number;
-  /** Engine time that its requests need, in milliseconds per second. */
-  readonly workMsPerS: number;
-}
-
-/** A replica of a model on an engine. */
-export interface ModelReplica {
-  readonly phase: "loading" | "ready" | "draining" | "unloading";
-  /** Expected time until its in-flight requests end, in ms. */
-  readonly drainMs: number;
-  /** Time since the replica was planned, in ms. */
-  readonly ageMs: number;
-}
-
-/** An engine, as input of the plan. */
-export interface ReplicaEngine {
-  readonly id: core.UpstreamId;
-  /** Whether new work may be planned for it. */
-  readonly isUsable: boolean;
-  /** Whether an order can be sent to it now. */
-  readonly canOrder: boolean;
-  readonly freeMb: number;
-  readonly models: ReadonlyMap<core.ModelName, ModelReplica>;
-  /** Model for which memory is being freed or kept free on this engine. */
-  readonly reservedFor?: core.ModelName;
-  /** Time since that reservation was made, in ms. */
-  readonly reservedMs?: number;
-  /** Time that a load of the model would take on this engine, in ms. */
-  readonly loadMs: (model: core.ModelName) => number;
-  /** Whether a load of the model would read from the weight store. */
-  readonly needsStore: (model: core.ModelName) => boolean;
-}
-
-/** Input of a replica plan. */
-export interface ReplicaView {
-  readonly engines: readonly ReplicaEngine[];
-  /** Sizes of all models that may be requested, in MB. */
-  readonly sizesMb: ReadonlyMap<core.ModelName, number>;
-  readonly demand: ReadonlyMap<core.ModelName, ModelDemand>;
-  /** Time since a model was last requested, in ms; Infinity if never. */
-  readonly idleMs: (model: core.ModelName) => number;
-  /** Time for which an unserved model has been requested, in ms. */
-  readonly unservedMs: (model: core.ModelName) => number;
-  /** Loads from the weight store that may start now. */
-  readonly storeLoadsAvailable: number;
-}
-
-/** The load of a model, or the drain of one that is evicted for another. */
-export interface ReplicaAction {
-  readonly kind: "load" | "drain";
-  readonly engine: core.UpstreamId;
-  readonly model: core.ModelName;
-  /** Model for which the drained one is evicted. */
-  readonly inFavourOf?: core.ModelName;
-}
+import {
+  hasDraining,
+  isServing,
+  type ModelReplica,
+  type ReplicaAction,
+  type ReplicaEngine,
+  type ReplicaView,
+} from "./placement_replica_view.ts";
 
 /** Work planned for one replica, in ms per second; the rest is headroom. */
 const WORK_PER_REPLICA_MS = 800;
@@ -80,6 +28,11 @@
 const HORIZON_SHARE_MIN = 0.1;
 /** Time in which the backlog of a model is assumed to have arrived. */
 const QUEUE_TIME_S = 2;
+/**
+ * Gain of a first replica at a version at which requests have to run, while
+ * other versions hold the model: at least one request is queued.
+ */
+const PINNED_RATE_PER_S = 1 / QUEUE_TIME_S;
 /** Time in which the gain of an unserved model grows by its initial value. */
 const UNSERVED_AGING_MS = 3_000;
 /** Rate assumed for a model that was requested just now; it falls when idle. */
@@ -118,6 +71,8 @@
   readonly model: core.ModelName;
   /** Further requests per second that the replica would serve. */
   readonly gainPerS: number;
+  /** The only version whose engines can serve them; undefined for any. */
+  readonly softwareVersion?: core.SoftwareVersion;
 }
 
 /** An action that leads to a replica, and its net gain. */
@@ -212,19 +167,25 @@
   #countReplicas(engine: ReplicaEngine): void {
     const { isUsable, models, reservedFor } = engine;
     if (!isUsable) return;
-    const isExpected = reservedFor !== undefined && !models.has(reservedFor) &&
-      !this.#isReservationLate(engine, reservedFor);
-    if (isExpected) {
+    if (
+      reservedFor !== undefined && this.#expectsReserved(engine, reservedFor)
+    ) {
       this.#replicas.set(reservedFor, this.replicas(reservedFor) + 1);
     }
-    for (const [model, { phase }] of models) {
-      if (phase !== "ready" && phase !== "loading") continue;
+    for (const [model, replica] of models) {
+      if (!isServing(replica)) continue;
       this.#replicas.set(model, this.replicas(model) + 1);
-      if (phase !== "ready") continue;
+      if (replica.phase !== "ready") continue;
       this.#readyReplicas.set(model, (this.#readyReplicas.get(model) ?? 0) + 1);
     }
   }
 
+  /** Whether an engine will get a model for which its memory is reserved. */
+  #expectsReserved(engine: ReplicaEngine, model: core.ModelName): boolean {
+    return engine.reservedFor === model && !engine.models.has(model) &&
+      !this.#isReservationLate(engine, model);
+  }
+
   /** Whether memory reserved for a model with a backlog is not free in time. */
   #isReservationLate(
     { reservedMs, freeMb }: ReplicaEngine,
@@ -238,10 +199,8 @@
 
   #workMsOn({ models }: ReplicaEngine): number {
     let workMs = 0;
-    for (const [model, { phase }] of models) {
-      if (phase === "ready" || phase === "loading") {
-        workMs += this.#workMsPerReplica(model);
-      }
+    for (const [model, replica] of models) {
+      if (isServing(replica)) workMs += this.#workMsPerReplica(model);
     }
     return workMs;
   }
@@ -284,11 +243,37 @@
       const gainPerS = unservedFactor *
         (this.#servedPerS(model, replicas + 1) -
           this.#servedPerS(model, replicas));
+      const missing = this.#missingVersions(model);
+      for (const softwareVersion of missing) {
+        const pinnedPerS = replicas === 0 ? gainPerS : PINNED_RATE_PER_S;
+        deficits.push({ model, gainPerS: pinnedPerS, softwareVersion });
+      }
+      // The first replica is placed where it serves all queued requests.
+      if (replicas === 0 && missing.length > 0) continue;
       if (gainPerS > 0) deficits.push({ model, gainPerS });
     }
     return deficits.sort((a, b) => b.gainPerS - a.gainPerS);
   }
 
+  /**
+   * Versions in service at which queued requests for a model have to run, and
+   * whose engines neither hold it nor will.
+   */
+  #missingVersions(model: core.ModelName): core.SoftwareVersion[] {
+    const pinned = this.#view.demand.get(model)?.pinnedVersions ?? [];
+    return [...pinned].filter((version) => {
+      const engines = this.#view.engines.filter(
+        ({ isUsable, softwareVersion }) =>
+          isUsable && softwareVersion === version,
+      );
+      return engines.length > 0 &&
+        !engines.some((engine) =>
+          isServing(engine.models.get(model)) ||
+          this.#expectsReserved(engine, model)
+        );
+    });
+  }
+
   #place(deficit: Deficit): ReplicaAction | undefined {
     let best: Candidate | undefined;
     for (const engine of this.#view.engines) {
@@ -301,10 +286,18 @@
 
   /**
    * The best action for a model on an engine, if one gains. The gain of a first
-   * replica does not depend on the engine's spare capacity, that of others does.
+   * replica, of all or of a version, does not depend on the engine's spare
+   * capacity, that of others does.
    */
-  #candidateOn(engine: ReplicaEngine, { model, gainPerS }: Deficit) {
+  #candidateOn(
+    engine: ReplicaEngine,
+    { model, gainPerS, softwareVersion }: Deficit,
+  ): Candidate | undefined {
     if (!engine.isUsable || !engine.canOrder) return undefined;
+    const isPinned = softwareVersion !== undefined;
+    if (isPinned && engine.softwareVersion !== softwareVersion) {
+      return undefined;
+    }
     if (this.#plannedEngines.has(engine.id) || engine.models.has(model)) {
       return undefined;
     }
@@ -316,7 +309,7 @@
     const loadMs = engine.loadMs(model);
     const workLeftMs = WORK_PER_ENGINE_MS -
       (this.#workMsByEngine.get(engine.id) ?? 0);
-    const useShare = this.replicas(model) === 0
+    const useShare = isPinned || this.replicas(model) === 0
       ? 1
       : Math.min(1, workLeftMs / WORK_PER_REPLICA_MS);
     const engineGainPerS = gainPerS *
@@ -342,6 +335,7 @@
     let best: Candidate | undefined;
     for (const [victim, replica] of engine.models) {
       if (replica.phase !== "ready") continue;
+      if (this.#isLastOfPinned(engine, victim)) continue;
       const victimMb = this.#view.sizesMb.get(victim) ?? 0;
       if (victimMb < sizeMb - engine.freeMb) continue;
       const lossPerS = this.#evictionLossPerS(victim, replica);
@@ -363,6 +357,19 @@
     return best;
   }
 
+  /** Whether queued requests can run on no other replica, by their version. */
+  #isLastOfPinned(engine: ReplicaEngine, model: core.ModelName): boolean {
+    const { id, softwareVersion } = engine;
+    const { pinnedVersions } = this.#view.demand.get(model) ?? {};
+    if (!pinnedVersions?.has(softwareVersion)) return false;
+    return !this.#view.engines.some((other) =>
+      other.id !== id && other.isUsable &&
+      other.softwareVersion === softwareVersion &&
+      !this.#plannedEngines.has(other.id) &&
+      other.models.get(model)?.phase === "ready"
+    );
+  }
+
   /** Requests per second lost with a replica; undefined if it must stay. */
   #evictionLossPerS(
     model: core.ModelName,
@@ -386,10 +393,3 @@
 function targetModel(action: ReplicaAction): core.ModelName {
   return action.inFavourOf ?? action.model;
 }
-
-function hasDraining(engine: ReplicaEngine): boolean {
-  for (const { phase } of engine.models.values()) {
-    if (phase === "draining" || phase === "unloading") return true;
-  }
-  return false;
-}
--- a/packages/placement/tests/unit/placement_recency_test.ts
+++ b/packages/placement/tests/unit/placement_recency_test.ts
@@ -10,6 +10,7 @@
   const ready = { phase: "ready", drainMs: 0, ageMs: 60_000 } as const;
   const engine = (id: string, names: string[]): placement.ReplicaEngine => ({
     id: core.brandId<core.UpstreamId>(id),
+    softwareVersion: core.brandId<core.SoftwareVersion>("v1"),
     isUsable: true,
     canOrder: true,
     freeMb: 0,
@@ -24,6 +25,7 @@
       ratePerS: 1,
       waiting: 0,
       workMsPerS: 900,
+      pinnedVersions: new Set(),
     }]]),
     idleMs: (name) => recency.idleMs(name, nowMs),
     unservedMs: () => 0,
--- a/packages/placement/tests/unit/placement_replicas_test.ts
+++ b/packages/placement/tests/unit/placement_replicas_test.ts
@@ -3,6 +3,7 @@
 import * as placement from "../../mod.ts";
 
 const model = (name: string) => core.brandId<core.ModelName>(name);
+const version = (name: string) => core.brandId<core.SoftwareVersion>(name);
 const engineId = (name: string) => core.brandId<core.UpstreamId>(name);
 
 const SIZE_MB = 60;
@@ -25,6 +26,7 @@
 ): placement.ReplicaEngine {
   return {
     id: engineId(id),
+    softwareVersion: version("v1"),
     isUsable: true,
     canOrder: true,
     freeMb: ENGINE_MB - held.length * SIZE_MB,
@@ -55,6 +57,7 @@
         ratePerS: 0,
         waiting: 0,
         workMsPerS: 0,
+        pinnedVersions: new Set(),
         ...modelDemand,
       }]),
     ),
