Queue continued responses before new ones of their priority

Cause: the queue ordered by priority, then by whether the latency target can still be met, then by arrival. A take-up is a new request to the node.

Change: requests that continue a response (one that has begun here, or one that a software version began elsewhere) go before new ones of the same priority. More urgent requests still go first.

Before, with the old queue: the order was new, first, second, late instead of first, second, late, new (dispatch_test), and new, takenUp instead of takenUp, new (entry_selector_test).

--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -5,6 +5,8 @@
 export interface QueuedRequest {
   /** Priority class; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether its caller has the first part of the response already. */
+  readonly isContinuation?: boolean;
   readonly arrivedAtMs: number;
   /** Time by which its first event meets the latency target. */
   readonly targetAtMs: number;
@@ -29,9 +31,9 @@
 }
 
 /**
- * Orders requests by priority, then those that can still meet their latency
- * target before those that cannot, then by arrival, so that no request starves
- * within its priority class.
+ * Orders requests by priority, then those that continue a response before new
+ * ones, then those that can still meet their latency target before those that
+ * cannot, then by arrival, so that no request starves within its class.
  */
 export class RequestQueue {
   readonly #queued = new Set<QueuedRequest>();
@@ -99,6 +101,9 @@
     if (this.#queued.size === 0) return;
     const ordered = [...this.#queued].sort((a, b) => {
       if (a.priority !== b.priority) return a.priority - b.priority;
+      const aNew = a.isContinuation ? 0 : 1;
+      const bNew = b.isContinuation ? 0 : 1;
+      if (aNew !== bNew) return aNew - bNew;
       const aLate = a.targetAtMs <= nowMs ? 1 : 0;
       const bLate = b.targetAtMs <= nowMs ? 1 : 0;
       return aLate - bLate || a.arrivedAtMs - b.arrivedAtMs;
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -246,6 +246,39 @@
   t.is(queue.size, 0);
 });
 
+// Guards against a stream whose caller has a part of it already, and that ends
+// because new streams get the places before it.
+test("the queue takes continued responses before new ones of their priority", (t) => {
+  const queue = new dispatch.RequestQueue();
+  const selected: string[] = [];
+  const add = (
+    name: string,
+    priority: number,
+    arrivedAtMs: number,
+    targetAtMs: number,
+    isContinuation: boolean,
+  ) =>
+    queue.add({
+      priority,
+      isContinuation,
+      arrivedAtMs,
+      targetAtMs,
+      modelKey: "m",
+      workMs: 100,
+      trySelect: () => {
+        selected.push(name);
+        return true;
+      },
+    });
+  add("new", 1, 0, 1_500, false);
+  add("late", 1, 100, 500, true);
+  add("second", 1, 300, 1_500, true);
+  add("first", 1, 200, 1_500, true);
+  add("urgent", 0, 400, 1_500, false);
+  queue.trySelectAll(1_000);
+  t.deepEqual(selected, ["urgent", "first", "second", "late", "new"]);
+});
+
 test("demand decays, and queued requests keep an entry alive", (t) => {
   const tracker = new dispatch.DemandTracker();
   tracker.recordArrival(model, undefined, 100, 0);
--- a/packages/entry/entry_engine_queue.ts
+++ b/packages/entry/entry_engine_queue.ts
@@ -88,6 +88,7 @@
     this.#onQueued();
     const selected = await queue.wait({
       priority: route.priority,
+      isContinuation: hasStarted || softwareVersion !== undefined,
       arrivedAtMs: receivedAtMs,
       targetAtMs: hasStarted
         ? deadlineAtMs
--- a/packages/entry/tests/unit/entry_selector_test.ts
+++ b/packages/entry/tests/unit/entry_selector_test.ts
@@ -3,6 +3,7 @@
 import * as core from "../../../core/mod.ts";
 import * as dispatch from "../../../dispatch/mod.ts";
 import * as quarantine from "../../../quarantine/mod.ts";
+import type * as relay from "../../../relay/mod.ts";
 import type { EntryUpstreamSelector } from "../../entry_selector.ts";
 import {
   history,
@@ -176,6 +177,28 @@
   t.deepEqual(order, ["begun", "late"]);
 });
 
+// Guards against a take-up that waits behind new streams, whose callers have
+// nothing yet.
+test("a stream that is taken up goes before new streams", async (t) => {
+  const { selector } = makeNode(["e1"]);
+  const first = await selector.select(makeRequest("a"), history(false), never);
+  const order: string[] = [];
+  const queue = (name: string, part: Partial<relay.AttemptHistory>) =>
+    selector
+      .select(makeRequest(name), { ...history(false), ...part }, never)
+      .then((selected) => {
+        order.push(name);
+        selected._unsafeUnwrap().onEnd("served");
+      });
+  const waiting = [
+    queue("new", {}),
+    queue("takenUp", { softwareVersion: version("v1") }),
+  ];
+  first._unsafeUnwrap().onEnd("served");
+  await Promise.all(waiting);
+  t.deepEqual(order, ["takenUp", "new"]);
+});
+
 // Guards against a stream that is cut off because many requests wait before it.
 test("a stream that has begun is queued however long the queue is", async (t) => {
   const { state, selector } = makeNode(["e1"]);
