Estimate the wait of a take-up from the work and replicas of its version

Cause: the estimate counted the replicas of all versions, all queued requests of this node at the stream's priority, and the queues of all other nodes as ahead of it if this node had none. With many new streams queued elsewhere, every take-up was rejected. The other way round, replicas of other versions made the queue of its own look short.

Change: for a request that has to run at a version, the estimate counts the replicas of that version, and of this node's queue the more urgent requests and other continuations that may run there. Other nodes tell only the sum of their queues, so these are not counted; nor are engines of other versions that ask for quiet. New streams are estimated as before.

--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -7,6 +7,8 @@
   readonly priority: number;
   /** Whether its caller has the first part of the response already. */
   readonly isContinuation?: boolean;
+  /** The only software version at which it may run, if there is one. */
+  readonly softwareVersion?: core.SoftwareVersion;
   readonly arrivedAtMs: number;
   /** Time by which its first event meets the latency target. */
   readonly targetAtMs: number;
@@ -52,6 +54,28 @@
     return sumMs;
   }
 
+  /**
+   * Engine time of queued requests for a model that go before one that continues
+   * a response of a software version: of those that may run at that version, the
+   * more urgent ones and other continuations.
+   */
+  workBeforeContinuationMs(
+    modelKey: string,
+    priority: number,
+    softwareVersion: core.SoftwareVersion,
+  ): number {
+    let sumMs = 0;
+    for (const queued of this.#queued) {
+      const mayRun = queued.softwareVersion === undefined ||
+        queued.softwareVersion === softwareVersion;
+      const isBefore = queued.priority < priority ||
+        (queued.priority === priority && queued.isContinuation);
+      const counts = queued.modelKey === modelKey && mayRun && isBefore;
+      if (counts) sumMs += queued.workMs;
+    }
+    return sumMs;
+  }
+
   /** Adds a request; the returned function removes it. */
   add(request: QueuedRequest): () => void {
     this.#queued.add(request);
--- a/packages/entry/entry_engine_queue.ts
+++ b/packages/entry/entry_engine_queue.ts
@@ -67,8 +67,9 @@
       : dispatch.queueUntilMs(route, receivedAtMs, deadlineAtMs);
     const modelKey = dispatch.toModelKey(model, caller.adapter);
     const workMs = this.#estimateWorkMs(caller, model);
+    const view = () => this.#view(request, model, workMs, softwareVersion);
     const rejectWithReturn = (reason: string): SelectionResult => {
-      const { waitMs, readyAtMs } = this.#view(request, model, workMs);
+      const { waitMs, readyAtMs } = view();
       const readyInMs = readyAtMs === undefined
         ? undefined
         : readyAtMs - core.monotonicMs();
@@ -76,7 +77,7 @@
       return err({ reason, retryAfterMs });
     };
     if (waitUntilMs <= nowMs) return rejectWithReturn("no engine in time");
-    const { waitMs, readyAtMs, isQuiet } = this.#view(request, model, workMs);
+    const { waitMs, readyAtMs, isQuiet } = view();
     if (!hasStarted && isQuiet && (readyAtMs ?? 0) > waitUntilMs) {
       return rejectWithReturn("all engines with the model ask for quiet");
     }
@@ -89,6 +90,7 @@
     const selected = await queue.wait({
       priority: route.priority,
       isContinuation: hasStarted || softwareVersion !== undefined,
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
       arrivedAtMs: receivedAtMs,
       targetAtMs: hasStarted
         ? deadlineAtMs
@@ -113,13 +115,18 @@
     return stepTimes.prefillMs(model, caller.promptTokens) + decodeMs;
   }
 
-  /** Describes the queue that a new request for a model would join. */
+  /**
+   * Describes the queue that a request for a model would join.
+   *
+   * @param softwareVersion the only one at which it may run, if there is one.
+   */
   #view(
     request: relay.RelayedRequest,
     model: core.ModelName,
     workMs: number,
+    softwareVersion: core.SoftwareVersion | undefined,
   ): QueueState {
-    const { upstreams, queue, fleetQueues } = this.#state;
+    const { upstreams } = this.#state;
     const { adapter } = request.caller;
     const modelKey = dispatch.toModelKey(model, adapter);
     const nowMs = core.monotonicMs();
@@ -127,6 +134,9 @@
     let readyAtMs: number | undefined;
     let quietUntilMs = Infinity;
     for (const engine of upstreams.ofService(request.service)) {
+      const isOfVersion = softwareVersion === undefined ||
+        engine.record.softwareVersion === softwareVersion;
+      if (!isOfVersion) continue;
       const isQuiet = engine.quiet.isActive(nowMs);
       const canRun = engine.canRun(model, adapter, nowMs);
       if (canRun && !isQuiet) replicas++;
@@ -138,9 +148,7 @@
       if (canRun) quietUntilMs = Math.min(quietUntilMs, engine.quiet.untilMs);
     }
     const waitMs = dispatch.estimateQueueWaitMs({
-      localAheadMs: queue.queuedWorkMs(modelKey, request.route.priority),
-      localTotalMs: queue.queuedWorkMs(modelKey, Infinity),
-      fleetWaiting: fleetQueues.get(modelKey) ?? 0,
+      ...this.#workAhead(modelKey, request.route.priority, softwareVersion),
       workMs,
       replicas,
     });
@@ -148,4 +156,32 @@
     const isQuiet = replicas === 0 && quietUntilMs === readyAtMs;
     return { waitMs, readyAtMs, isQuiet };
   }
+
+  /**
+   * What goes before a request. Other nodes don't tell which of their queued
+   * requests continue a response, and at which version.
+   */
+  #workAhead(
+    modelKey: string,
+    priority: number,
+    softwareVersion: core.SoftwareVersion | undefined,
+  ): Pick<
+    dispatch.QueueView,
+    "localAheadMs" | "localTotalMs" | "fleetWaiting"
+  > {
+    const { queue, fleetQueues } = this.#state;
+    const localTotalMs = queue.queuedWorkMs(modelKey, Infinity);
+    return softwareVersion === undefined
+      ? {
+        localAheadMs: queue.queuedWorkMs(modelKey, priority),
+        localTotalMs,
+        fleetWaiting: fleetQueues.get(modelKey) ?? 0,
+      }
+      : {
+        localAheadMs: queue
+          .workBeforeContinuationMs(modelKey, priority, softwareVersion),
+        localTotalMs,
+        fleetWaiting: 0,
+      };
+  }
 }
