--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -5,6 +5,10 @@
 export interface QueuedRequest {
   /** Priority class; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether its caller has the first part of the response already. */
+  readonly isContinuation?: boolean;
+  /** The only software version at which it may run, if there is one. */
+  readonly softwareVersion?: core.SoftwareVersion;
   readonly arrivedAtMs: number;
   /** Time by which its first event meets the latency target. */
   readonly targetAtMs: number;
@@ -29,9 +33,9 @@
 }
 
 /**
- * Orders requests by priority, then those that can still meet their latency
- * target before those that cannot, then by arrival, so that no request starves
- * within its priority class.
+ * Orders requests by priority, then those that continue a response before new
+ * ones, then those that can still meet their latency target before those that
+ * cannot, then by arrival, so that no request starves within its class.
  */
 export class RequestQueue {
   readonly #queued = new Set<QueuedRequest>();
@@ -50,6 +54,28 @@
     return sumMs;
   }
 
+  /**
+   * Engine time of queued requests for a model that go before one that continues
+   * a response of a software version: of those that may run at that version, the
+   * more urgent ones and other continuations.
+   */
+  workBeforeContinuationMs(
+    modelKey: string,
+    priority: number,
+    softwareVersion: core.SoftwareVersion,
+  ): number {
+    let sumMs = 0;
+    for (const queued of this.#queued) {
+      const mayRun = queued.softwareVersion === undefined ||
+        queued.softwareVersion === softwareVersion;
+      const isBefore = queued.priority < priority ||
+        (queued.priority === priority && queued.isContinuation);
+      const counts = queued.modelKey === modelKey && mayRun && isBefore;
+      if (counts) sumMs += queued.workMs;
+    }
+    return sumMs;
+  }
+
   /** Adds a request; the returned function removes it. */
   add(request: QueuedRequest): () => void {
     this.#queued.add(request);
@@ -99,6 +125,9 @@
     if (this.#queued.size === 0) return;
     const ordered = [...this.#queued].sort((a, b) => {
       if (a.priority !== b.priority) return a.priority - b.priority;
+      const aNew = a.isContinuation ? 0 : 1;
+      const bNew = b.isContinuation ? 0 : 1;
+      if (aNew !== bNew) return aNew - bNew;
       const aLate = a.targetAtMs <= nowMs ? 1 : 0;
       const bLate = b.targetAtMs <= nowMs ? 1 : 0;
       return aLate - bLate || a.arrivedAtMs - b.arrivedAtMs;
