--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -19,12 +19,8 @@
   UpstreamListener,
 } from "./entry_listeners.ts";
 import { CallerListener } from "./entry_caller_listener.ts";
-import {
-  LEASE_TABLE,
-  MEMBER_PREFIX,
-  type MemberRow,
-  NODE_TABLE,
-} from "./entry_members.ts";
+import { MemberRowTask } from "./entry_member_row.ts";
+import { LEASE_TABLE, NODE_TABLE } from "./entry_members.ts";
 import { OrdersTask } from "./entry_orders_task.ts";
 import {
   OriginReader,
@@ -67,8 +63,6 @@
  * process that has it is killed when its grace period ends.
  */
 const LISTEN_MARGIN_MS = 2_000;
-/** Interval at which the member row is written, if it has to be. */
-const MEMBER_ROW_RETRY_MS = 300;
 
 /**
  * Options for following the tables. The platform's rules tolerate an
@@ -108,8 +102,7 @@
   readonly #callerListener: CallerListener;
   readonly #originReader: OriginReader;
   readonly #exchangeWakeSignal: core.WakeSignal;
-  /** Generation of the store in which the member row was written. */
-  #rowGeneration: number | undefined;
+  readonly #memberRow: MemberRowTask;
   #stopping: Promise<void> | undefined;
 
   constructor(
@@ -120,6 +113,7 @@
     this.state = new EntryState(settings, logger);
     this.#dependencies = dependencies;
     this.#supervisor = new core.Supervisor("entry", logger);
+    this.#memberRow = new MemberRowTask(this.state, dependencies.store);
     this.#followTasks = this.#createFollowTasks();
     const tables = this.#followTasks;
     const versionTables = [dependencies.source.upstreamTable, NODE_TABLE]
@@ -239,7 +233,7 @@
     const startedAtMs = core.monotonicMs();
     state.logger.info("stopping", { requests: state.requestsInFlight });
     let isHandedOver = false;
-    Promise.allSettled([this.#lease.release(), this.#writeMemberRow(true)])
+    Promise.allSettled([this.#lease.release(), this.#memberRow.write(true)])
       .then(() => isHandedOver = true);
     await finishRequests(state, this.#callerListener, {
       lingerMs: STOP_LINGER_MS,
@@ -333,9 +327,7 @@
     lease.onAcquired = () => ordersTask.wakeSignal.wake();
     const follow = this.#supervisor.child("follow");
     for (const task of this.#followTasks) follow.start(task);
-    this.#supervisor.start(
-      new MemberRowTask((signal) => this.#keepMemberRow(signal)),
-    );
+    this.#supervisor.start(this.#memberRow);
     this.#supervisor.start(exchange);
     this.#supervisor.start(lease);
     this.#supervisor.start(ordersTask);
@@ -351,59 +343,4 @@
       ),
     );
   }
-
-  /**
-   * Writes this node's member row, and again after each restore of the store,
-   * whose copy may lack it. Retries until the store has committed it.
-   */
-  async #keepMemberRow(signal: AbortSignal): Promise<void> {
-    const { store } = this.#dependencies;
-    while (!signal.aborted) {
-      const isWritten = this.#rowGeneration === store.generation;
-      if (!isWritten && !this.state.isStopping) {
-        await this.#writeMemberRow(false);
-      }
-      await core.sleep(core.jitterMs(MEMBER_ROW_RETRY_MS), signal);
-    }
-  }
-
-  async #writeMemberRow(isLeaving: boolean): Promise<void> {
-    const { settings, incarnation, logger } = this.state;
-    const { callers, peers: peerAddress } = settings.listen;
-    const row: MemberRow = {
-      callerAddress: `${callers.host}:${callers.port}`,
-      peerAddress: `${peerAddress.host}:${peerAddress.port}`,
-      failureDomain: settings.failureDomain,
-      incarnation,
-      isLeaving,
-    };
-    const outcome = await this.#dependencies.store.transact({
-      checks: [],
-      writes: [{
-        key: `${NODE_TABLE}/${MEMBER_PREFIX}${settings.nodeName}`,
-        value: core.toJsonValue(row),
-      }],
-    });
-    if (outcome.isErr()) {
-      const { detail } = outcome.error;
-      logger.warn("member_row_not_written", { isLeaving, detail });
-      return;
-    }
-    this.#rowGeneration = this.#dependencies.store.generation;
-  }
-}
-
-/** Task that writes the member row. */
-class MemberRowTask extends core.Task {
-  override readonly name = "member-row";
-  readonly #work: (signal: AbortSignal) => Promise<void>;
-
-  constructor(work: (signal: AbortSignal) => Promise<void>) {
-    super();
-    this.#work = work;
-  }
-
-  override run(signal: AbortSignal): Promise<void> {
-    return this.#work(signal);
-  }
 }
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -9,21 +9,12 @@
 import { UpstreamCandidates } from "./entry_candidates.ts";
 import { EngineQueue, type SelectionResult } from "./entry_engine_queue.ts";
 import { PromptFate } from "./entry_prompt_fate.ts";
+import { PromptGate } from "./entry_prompt_gate.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { StepWatch } from "./entry_step_watch.ts";
 
 /** Retry-After when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
-/**
- * Age of the last exchange from which this node, which may be new or was held
- * up, waits for the next one before it sends prompts with shared parts.
- */
-const EXCHANGE_STALE_MS = 1_000;
-/** Longest wait for that exchange. */
-const EXCHANGE_WAIT_MS = 400;
-const EXCHANGE_POLL_MS = 10;
-/** Retry-After of a request with a quarantined prompt part. */
-const QUARANTINE_RETRY_AFTER_MS = 60_000;
 /** Time that callers wait for a stream if they name none. */
 const CALLER_WAIT_DEFAULT_MS = 60_000;
 /** Time by which a take-up may arrive after the caller's deadline. */
@@ -34,6 +25,7 @@
   readonly #state: EntryState;
   readonly #candidates: UpstreamCandidates;
   readonly #queue: EngineQueue;
+  readonly #promptGate: PromptGate;
   readonly #stepWatch: StepWatch | undefined;
   /** Services as last configured; a configuration may drop them meanwhile. */
   readonly #services = new WeakMap<relay.RelayedRequest, fleet.ServiceSpec>();
@@ -47,6 +39,7 @@
     this.#stepWatch = stepWatch;
     this.#candidates = new UpstreamCandidates(state.upstreams);
     this.#queue = new EngineQueue(state, () => this.onQueued());
+    this.#promptGate = new PromptGate(state);
   }
 
   override trySpendRetry(service: core.ServiceName): boolean {
@@ -84,8 +77,8 @@
       return this.#assignInstance(request, service, excluded);
     }
     const parts = quarantine.sharedPartKeys(promptParts);
-    const isHeld = this.#rejectQuarantined(parts) !== undefined ||
-      (parts.length > 0 && !this.#isExchangeFresh());
+    const isHeld = this.#promptGate.reject(parts) !== undefined ||
+      (parts.length > 0 && !this.#promptGate.isExchangeFresh());
     if (isHeld) return undefined;
     return this.#assignEngine(
       request,
@@ -133,11 +126,11 @@
       return this.#selectInstance(request, service, history);
     }
     const parts = quarantine.sharedPartKeys(request.caller.promptParts);
-    const rejected = this.#rejectQuarantined(parts);
+    const rejected = this.#promptGate.reject(parts);
     if (rejected) return rejected;
     this.#queue.countDemand(request, model);
     const trySelect = (): SelectionResult | undefined => {
-      const rejected = this.#rejectQuarantined(parts) ??
+      const rejected = this.#promptGate.reject(parts) ??
         this.#rejectNotContinued(request, history);
       if (rejected) return rejected;
       const assigned = this.#assignEngine(
@@ -154,8 +147,8 @@
       await this.#queue.wait(request, model, trySelect, history, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
-    await this.#awaitExchange(signal);
-    const rejectedLate = this.#rejectQuarantined(parts);
+    await this.#promptGate.awaitExchange(signal);
+    const rejectedLate = this.#promptGate.reject(parts);
     if (rejectedLate) selected.value.onEnd("cancelled");
     return rejectedLate ?? selected;
   }
@@ -172,16 +165,6 @@
     this.#state.queue.trySelectAll(core.monotonicMs());
   }
 
-  /** Rejects a request that would end the engine to which it is sent. */
-  #rejectQuarantined(
-    parts: readonly core.PromptPartKey[],
-  ): SelectionResult | undefined {
-    const part = this.#state.quarantine.find(parts, core.monotonicMs());
-    if (part === undefined) return undefined;
-    const reason = `prompt part ${part} is quarantined`;
-    return reject(reason, QUARANTINE_RETRY_AFTER_MS);
-  }
-
   /** Rejects a stream that no upstream of its software version can continue. */
   #rejectNotContinued(
     request: relay.RelayedRequest,
@@ -192,21 +175,6 @@
     return reason === undefined ? undefined : reject(reason);
   }
 
-  /** Waits for an exchange with other nodes if the last one is too old. */
-  async #awaitExchange(signal: AbortSignal): Promise<void> {
-    const untilMs = core.monotonicMs() + EXCHANGE_WAIT_MS;
-    for (;;) {
-      const isOver = core.monotonicMs() >= untilMs || signal.aborted;
-      if (isOver || this.#isExchangeFresh()) return;
-      await core.sleep(EXCHANGE_POLL_MS, signal);
-    }
-  }
-
-  #isExchangeFresh(): boolean {
-    const ageMs = core.monotonicMs() - this.#state.exchangedAtMs;
-    return ageMs < EXCHANGE_STALE_MS;
-  }
-
   #selectInstance(
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
