Read only the first and the last id of the events in a chunk

Each chunk was split into its events by a pattern to find their ids. And an id of a megabyte of digits was parsed as a number, which takes quadratic time.

Change: the first id is sought from the start, as long as none was seen, and the last one from the end; numbers are compared as digits.

--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -5,7 +5,7 @@
 const CARRIAGE_RETURN = 0x0d;
 /** A blank line: two line ends, each CRLF, LF or CR. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/;
-const ID_LINE = /^id: ?(.*)$/m;
+const ID_FIELD = "id:";
 
 const WHOLE_NUMBER = /^\d+$/;
 const EMPTY = Buffer.alloc(0);
@@ -100,28 +100,61 @@
   }
 
   #recordIds(complete: Buffer): void {
-    const ids = idsOf(complete);
-    const [first] = ids;
-    if (first === undefined) return;
-    const last = this.#lastEventId;
-    if (this.#isFirst && last !== undefined) {
-      this.#isOutOfPlace = !isLaterId(first, last);
+    if (this.#isFirst) {
+      const first = firstIdOf(complete);
+      if (first === undefined) return;
+      const last = this.#lastEventId;
+      this.#isOutOfPlace = last !== undefined && !isLaterId(first, last);
+      this.#isFirst = false;
     }
-    this.#isFirst = false;
-    if (!this.#isOutOfPlace) this.#lastEventId = ids.at(-1);
+    if (this.#isOutOfPlace) return;
+    this.#lastEventId = lastIdOf(complete) ?? this.#lastEventId;
   }
 }
 
-/** Ids of complete events, those without one left out. */
-function idsOf(events: Buffer): string[] {
-  return events.toString("utf8").split(EVENT_END)
-    .flatMap((event) => ID_LINE.exec(event)?.[1]?.trim() ?? []);
+/** Id of the first event that has one. */
+function firstIdOf(events: Buffer): string | undefined {
+  let at = events.indexOf(ID_FIELD);
+  while (at >= 0 && !isLineStart(events, at)) {
+    at = events.indexOf(ID_FIELD, at + 1);
+  }
+  return at < 0 ? undefined : idAt(events, at);
+}
+
+/** Id of the last event that has one. */
+function lastIdOf(events: Buffer): string | undefined {
+  let at = events.lastIndexOf(ID_FIELD);
+  while (at > 0 && !isLineStart(events, at)) {
+    at = events.lastIndexOf(ID_FIELD, at - 1);
+  }
+  return at < 0 ? undefined : idAt(events, at);
+}
+
+function isLineEnd(byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
+function isLineStart(events: Buffer, at: number): boolean {
+  return at === 0 || isLineEnd(events[at - 1]);
+}
+
+/** The value of the id field that begins at an offset. */
+function idAt(events: Buffer, at: number): string {
+  const start = at + ID_FIELD.length;
+  let end = start;
+  while (end < events.length && !isLineEnd(events[end])) end++;
+  return events.toString("utf8", start, end).trim();
 }
 
 /** Whether an event comes after another; the ids of a stream increase. */
 function isLaterId(id: string, last: string): boolean {
   const areNumbers = WHOLE_NUMBER.test(id) && WHOLE_NUMBER.test(last);
-  return areNumbers ? BigInt(id) > BigInt(last) : id !== last;
+  if (!areNumbers) return id !== last;
+  // An upstream chooses their length, and parsing a long one takes long.
+  const [digits, lastDigits] = [id, last].map((n) => n.replace(/^0+/, ""));
+  return digits!.length === lastDigits!.length
+    ? digits! > lastDigits!
+    : digits!.length > lastDigits!.length;
 }
 
 /** Last bytes of a stream in which a blank line is recognised. */
