--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -118,7 +118,8 @@
     if (!service) return reject("service is not configured");
     // An engine may have started again under its id with another version.
     const isOutOfStep = history.softwareVersion !== undefined &&
-      await this.#stepWatch?.awaitStep(signal) === false;
+      this.#stepWatch?.isInStep() === false &&
+      !await this.#stepWatch.awaitStep(signal);
     if (isOutOfStep) return reject("node is out of step");
     const ended = this.#rejectNotContinued(request, history);
     if (ended) return ended;
