--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -42,6 +42,11 @@
    * A request is not sent after it, also by a process that was held up.
    */
   readonly timeoutMs: number;
+  /**
+   * Time limit for the body alone, for large ones over slow links. `timeoutMs`
+   * then limits the time until the head, and between two pieces of the body.
+   */
+  readonly bodyTimeoutMs?: number;
   /** Largest response body; a larger one fails the exchange. */
   readonly bodyBytesMax?: number;
   /** Aborts the exchange before the time limit. */
@@ -134,13 +139,57 @@
   return controller.signal;
 }
 
+/** Time limits of an exchange whose body has a limit of its own. */
+class BodyDeadline {
+  readonly #aborter = new AbortController();
+  readonly #intervalMs: number;
+  readonly #signal: AbortSignal | undefined;
+  readonly #onAbort = () => this.#aborter.abort(this.#signal?.reason);
+  #endsAtMs = Infinity;
+  #timer: ReturnType<typeof setTimeout> | undefined;
+
+  constructor(intervalMs: number, signal: AbortSignal | undefined) {
+    this.#intervalMs = intervalMs;
+    this.#signal = signal;
+    if (signal?.aborted) this.#onAbort();
+    else signal?.addEventListener("abort", this.#onAbort, { once: true });
+    this.noteProgress();
+  }
+
+  get signal(): AbortSignal {
+    return this.#aborter.signal;
+  }
+
+  /** Starts the time of the body. */
+  startBody(timeoutMs: number): void {
+    this.#endsAtMs = core.monotonicMs() + timeoutMs;
+    this.noteProgress();
+  }
+
+  noteProgress(): void {
+    clearTimeout(this.#timer);
+    const leftMs = this.#endsAtMs - core.monotonicMs();
+    this.#timer = setTimeout(() => {
+      const message = "The operation was aborted due to timeout";
+      this.#aborter.abort(new DOMException(message, "TimeoutError"));
+    }, Math.max(0, Math.min(this.#intervalMs, leftMs)));
+  }
+
+  close(): void {
+    clearTimeout(this.#timer);
+    this.#signal?.removeEventListener("abort", this.#onAbort);
+  }
+}
+
 /** Reads a body to its end; leaving the loop closes the connection. */
 async function readText(
   body: AsyncIterable<Uint8Array>,
   bytesMax: number,
+  deadline: BodyDeadline | undefined,
 ): Promise<string> {
   const collector = new core.ChunkBuffer();
   for await (const chunk of body) {
+    deadline?.noteProgress();
     collector.append(chunk);
     if (collector.length > bytesMax) {
       throw new Error(`body exceeds ${bytesMax} bytes`);
@@ -165,8 +214,12 @@
   dispatcher: Dispatcher,
   request: TransportRequest,
 ): Promise<Result<TransportResponse, TransportFailure>> {
+  const { timeoutMs, bodyTimeoutMs } = request;
+  const deadline = bodyTimeoutMs === undefined
+    ? undefined
+    : new BodyDeadline(timeoutMs, request.signal);
   try {
-    const startBeforeMs = core.monotonicMs() + request.timeoutMs;
+    const startBeforeMs = core.monotonicMs() + timeoutMs;
     const bytesMax = request.bodyBytesMax ?? BODY_BYTES_MAX;
     const limited = limitStart(dispatcher, startBeforeMs);
     const response = await guardUnframedBodies(limited, bytesMax).request({
@@ -175,13 +228,16 @@
       method: request.method,
       headers: { ...request.headers },
       body: request.bodyText ?? null,
-      signal: timeoutSignal(request.timeoutMs, request.signal),
+      signal: deadline?.signal ?? timeoutSignal(timeoutMs, request.signal),
       reset: request.closeConnection ?? false,
     });
-    const bodyText = await readText(response.body, bytesMax);
+    if (bodyTimeoutMs !== undefined) deadline?.startBody(bodyTimeoutMs);
+    const bodyText = await readText(response.body, bytesMax, deadline);
     const headers = flattenHeaders(response.headers);
     return ok({ status: response.statusCode, headers, bodyText });
   } catch (thrown) {
     return err(toTransportFailure(thrown));
+  } finally {
+    deadline?.close();
   }
 }
