--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -130,7 +130,7 @@
         child.accepts,
       );
     }
-    this.#news.apply(digest.tables, nowMs);
+    this.#news.apply(node, digest.tables, nowMs);
     this.#quarantine.apply(digest.quarantine, nowMs);
     applyLeavingNews(this.#state.upstreams, digest.leaving, nowMs);
     if (digest.demand.some(({ waiting }) => waiting > 0)) {
@@ -161,6 +161,11 @@
     });
   }
 
+  /** Returns what another node's copy of a table lacks. */
+  readTable(request: peers.ReadTableRequest): peers.ReadTableReply {
+    return this.#news.readTable(request, core.monotonicMs());
+  }
+
   /** Returns the digest for the parent: of this node and of its children. */
   digestForParent(parent: string, nowMs: number): peers.NodeDigest {
     const digests = this.#ownDigests(nowMs);
@@ -189,6 +194,7 @@
    * holder's engine states, if the parent has them.
    */
   applyParentView(
+    parent: core.InstanceId,
     view: peers.FleetView,
     nowMs: number,
   ): TaggedEngineStates | undefined {
@@ -197,7 +203,7 @@
     this.#parentUses = hasRoot ? view.uses : [];
     this.#parentQueues = hasRoot ? view.queues : undefined;
     this.#parentViewAtMs = nowMs;
-    this.#news.applyFromParent(view.tables, nowMs);
+    this.#news.applyFromParent(parent, view.tables, nowMs);
     this.#quarantine.applyFromParent(view, nowMs);
     this.#origins.applyFromParent(view, nowMs);
     applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -173,7 +173,7 @@
       const member = core.brandId<core.InstanceId>(node);
       members.recordContact(member, ageMs, accepts);
     }
-    const states = this.#hub.applyParentView(view, nowMs);
+    const states = this.#hub.applyParentView(parent, view, nowMs);
     this.#hub.applyLoad(nowMs);
     if (view.leaseHolder !== "") {
       this.#lease.noteRenewal({
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -4,7 +4,9 @@
  */
 import * as core from "../core/mod.ts";
 import * as mirror from "../mirror/mod.ts";
+import type * as peers from "../peers/mod.ts";
 import type * as store from "../store/mod.ts";
+import { mergeNews, type TableOffer } from "./entry_table_news.ts";
 
 /** Options for following a table. */
 export interface FollowOptions {
@@ -46,16 +48,39 @@
   }
 }
 
-/** Keeps one table's copy up to date from the store. */
+/** Reads tables from other nodes. */
+export abstract class PeerTables {
+  /**
+   * Returns what a copy at `position` lacks; undefined if the node did not
+   * answer, or has no copy.
+   */
+  abstract read(
+    holder: core.InstanceId,
+    table: string,
+    position: mirror.Cursor | undefined,
+  ): Promise<peers.TableNews | undefined>;
+}
+
+/** Where a table is read from. */
+export interface TableSources {
+  readonly store: store.ChangeFeedTableService;
+  readonly peers: PeerTables;
+}
+
+/** Keeps one table's copy up to date, from the store and from other nodes. */
 export class FollowTask extends core.Task {
   override readonly name: string;
   readonly copy: mirror.TableMirror;
   readonly #store: store.ChangeFeedTableService;
+  readonly #peers: PeerTables;
+  readonly #logger: core.Logger;
   readonly #storeHealth: StoreHealth;
   readonly #options: FollowOptions;
   readonly #rank: () => mirror.ReaderRank;
   readonly #wakeSignal = new core.WakeSignal();
   #isReadRequested = false;
+  /** Whether a read from another node is in progress. */
+  #isReadingFromPeer = false;
   #failures = 0;
   /** Times in a row that the store lacked the history after a snapshot. */
   #historyLosses = 0;
@@ -63,23 +88,52 @@
 
   /** @param rank this node's position among those that may read the store. */
   constructor(
-    store: store.ChangeFeedTableService,
+    sources: TableSources,
     copy: mirror.TableMirror,
     storeHealth: StoreHealth,
     options: FollowOptions,
     rank: () => mirror.ReaderRank,
+    logger: core.Logger,
   ) {
     super();
     this.name = `follow-${copy.name}`;
     this.copy = copy;
     this.#options = options;
-    this.#store = store;
+    this.#store = sources.store;
+    this.#peers = sources.peers;
+    this.#logger = logger;
     this.#storeHealth = storeHealth;
     this.#rank = rank;
   }
 
-  /** Makes the task read the whole table, as changes were missed. */
-  requestRead(): void {
+  /**
+   * Makes the task read what another node has and this one lacks: from that
+   * node, and from the store if that fails. Offers that arrive meanwhile are
+   * ignored, as they are repeated at the next exchange.
+   */
+  requestRead(offer: TableOffer): void {
+    if (this.#isReadingFromPeer) return;
+    this.#isReadingFromPeer = true;
+    this.#readFromPeer(offer).catch((thrown) => {
+      const reason = core.messageOf(thrown);
+      this.#logger.error("table_read_crashed", { table: this.name, reason });
+    }).finally(() => this.#isReadingFromPeer = false);
+  }
+
+  async #readFromPeer({ holder, position }: TableOffer): Promise<void> {
+    const startedAtMs = core.monotonicMs();
+    const news = await this.#peers
+      .read(holder, this.copy.name, this.copy.cursor);
+    const outcome = news && mergeNews(this.copy, news, core.monotonicMs());
+    const isBehind = mirror.compareCursors(this.copy.cursor, position) < 0;
+    this.#logger.info("table_read", {
+      table: this.copy.name,
+      from: holder,
+      outcome: outcome ?? "failed",
+      version: this.copy.cursor?.version,
+      tookMs: Math.round(core.monotonicMs() - startedAtMs),
+    });
+    if (!isBehind) return;
     this.#isReadRequested = true;
     this.#wakeSignal.wake();
   }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -11,6 +11,7 @@
 import {
   type FollowOptions,
   FollowTask,
+  PeerTables,
   StoreHealth,
 } from "./entry_follow_task.ts";
 import {
@@ -86,6 +87,32 @@
   override exchange(digest: peers.NodeDigest): peers.FleetView {
     return this.#hub.exchange(digest);
   }
+
+  override readTable(request: peers.ReadTableRequest): peers.ReadTableReply {
+    return this.#hub.readTable(request);
+  }
+}
+
+/** Reads tables from other nodes at the addresses of their member rows. */
+class MemberTables extends PeerTables {
+  readonly #state: EntryState;
+  readonly #clients: peers.FleetClients;
+
+  constructor(state: EntryState, clients: peers.FleetClients) {
+    super();
+    this.#state = state;
+    this.#clients = clients;
+  }
+
+  override async read(
+    holder: core.InstanceId,
+    table: string,
+    position: mirror.Cursor | undefined,
+  ): Promise<peers.TableNews | undefined> {
+    const address = this.#state.members.row(holder)?.peerAddress;
+    if (address === undefined) return undefined;
+    return await this.#clients.readTable(address, table, position);
+  }
 }
 
 /** An entry node; start it once, then stop or close it. */
@@ -95,6 +122,7 @@
   readonly #lifecycle = new core.Lifecycle();
   readonly #supervisor: core.Supervisor;
   readonly #hub: ExchangeHub;
+  readonly #clients: peers.FleetClients;
   readonly #followTasks: readonly FollowTask[];
   readonly #lease: orders.OrderLease;
   readonly #stepWatch: StepWatch;
@@ -114,6 +142,7 @@
     this.#dependencies = dependencies;
     this.#supervisor = new core.Supervisor("entry", logger);
     this.#memberRow = new MemberRowTask(this.state, dependencies.store);
+    this.#clients = new peers.FleetClients(logger);
     this.#followTasks = this.#createFollowTasks();
     const tables = this.#followTasks;
     const versionTables = [dependencies.source.upstreamTable, NODE_TABLE]
@@ -159,7 +188,7 @@
   async start(): Promise<void> {
     const { settings, logger } = this.state;
     const hub = this.#hub;
-    const clients = new peers.FleetClients(logger);
+    const clients = this.#clients;
     this.#lifecycle.addCleanup(() => clients.close());
     this.#lifecycle.addCleanup(() => this.state.pools.close());
     this.#lifecycle.addCleanup(this.#stepWatch.start());
@@ -286,13 +315,15 @@
     ];
     const rank = () =>
       mirror.rankReader(state.settings.nodeName, state.members.alive());
+    const peerTables = new MemberTables(state, this.#clients);
     return tables.map(([options, followOptions]) =>
       new FollowTask(
-        store,
+        { store, peers: peerTables },
         new mirror.TableMirror(options),
         storeHealth,
         followOptions,
         rank,
+        state.logger,
       )
     );
   }
--- a/packages/entry/entry_table_news.ts
+++ b/packages/entry/entry_table_news.ts
@@ -1,21 +1,30 @@
 /** Passes changes of the store's tables between nodes. */
 import { create } from "@bufbuild/protobuf";
+import type * as core from "../core/mod.ts";
 import * as mirror from "../mirror/mod.ts";
 import * as peers from "../peers/mod.ts";
 
 /**
- * Size of the changes of one table in a message. A node that lacks more reads
- * the store, as links between nodes are slower.
+ * Size of the changes of one table in a digest or view. A node that lacks more
+ * reads them in a call of its own, as it would be told the same at each exchange
+ * meanwhile.
  */
 const CHANGES_BYTES_MAX = 32_768;
 /** Upper limit of the age in a message; a copy of this age is stale. */
 const CONFIRMED_AGE_MAX_MS = 600_000;
 
+/** A node that has changes of a table which this node lacks. */
+export interface TableOffer {
+  readonly holder: core.InstanceId;
+  /** Position of the holder's copy. */
+  readonly position: mirror.Cursor;
+}
+
 /** A table whose changes are passed on. */
 export interface SharedTable {
   readonly copy: mirror.TableMirror;
-  /** Makes this node read the table from the store. */
-  requestRead(): void;
+  /** Makes this node read the table, from that node or from the store. */
+  requestRead(offer: TableOffer): void;
 }
 
 /** The tables of this node, and what it knows of its parent's copies. */
@@ -49,36 +58,76 @@
   }
 
   /** Applies news of the parent and remembers its positions. */
-  applyFromParent(news: readonly peers.TableNews[], nowMs: number): void {
+  applyFromParent(
+    parent: core.InstanceId,
+    news: readonly peers.TableNews[],
+    nowMs: number,
+  ): void {
     for (const { table, position } of news) {
       const cursor = toCursor(position);
       if (cursor) this.#parentCursors.set(table, cursor);
     }
-    this.apply(news, nowMs);
+    this.apply(parent, news, nowMs);
   }
 
   /** Applies news of another node. */
-  apply(news: readonly peers.TableNews[], nowMs: number): void {
+  apply(
+    node: core.InstanceId,
+    news: readonly peers.TableNews[],
+    nowMs: number,
+  ): void {
     for (const each of news) {
       const table = this.#tables.find(({ copy }) => copy.name === each.table);
-      const to = toCursor(each.position);
-      if (!table || !to) continue;
-      if (each.mustRead) table.requestRead();
-      if (each.changes) {
-        const outcome = table.copy.merge({
-          from: toCursor(each.changes.from),
-          to,
-          rows: each.changes.rows.map(({ key, version, valueJson }) => ({
-            key,
-            version,
-            valueJson,
-          })),
-        });
-        if (outcome === "gap") table.requestRead();
+      const position = toCursor(each.position);
+      if (!table || !position) continue;
+      const outcome = mergeNews(table.copy, each, nowMs);
+      // A copy may have come to the position since it sent its own.
+      const isBehind = mirror.compareCursors(table.copy.cursor, position) < 0;
+      if (outcome === "gap" || each.mustRead && isBehind) {
+        table.requestRead({ holder: node, position });
       }
-      table.copy.confirm(to, nowMs - each.confirmedAgeMs);
     }
   }
+
+  /** Returns all that another node's copy of a table lacks. */
+  readTable(
+    { table, position }: peers.ReadTableRequest,
+    nowMs: number,
+  ): peers.ReadTableReply {
+    const shared = this.#tables.find(({ copy }) => copy.name === table);
+    const [news] = shared
+      ? makeNews(shared.copy, toCursor(position), nowMs, Infinity)
+      : [];
+    return create(peers.ReadTableReplySchema, news ? { news } : {});
+  }
+}
+
+/**
+ * Applies another node's news of a table to a copy.
+ *
+ * @example
+ * ```ts
+ * const isApplied = mergeNews(copy, news, core.monotonicMs()) === "applied";
+ * ```
+ */
+export function mergeNews(
+  copy: mirror.TableMirror,
+  { position, changes, confirmedAgeMs }: peers.TableNews,
+  nowMs: number,
+): mirror.MergeOutcome {
+  const to = toCursor(position);
+  if (!to) return "alreadyKnown";
+  const outcome = changes === undefined ? "alreadyKnown" : copy.merge({
+    from: toCursor(changes.from),
+    to,
+    rows: changes.rows.map(({ key, version, valueJson }) => ({
+      key,
+      version,
+      valueJson,
+    })),
+  });
+  copy.confirm(to, nowMs - confirmedAgeMs);
+  return outcome;
 }
 
 function toCursor(
@@ -93,9 +142,10 @@
   copy: mirror.TableMirror,
   theirs: mirror.Cursor | undefined,
   nowMs: number,
+  bytesMax = CHANGES_BYTES_MAX,
 ): peers.TableNews[] {
   if (!copy.cursor) return [];
-  const delta = copy.deltaSince(theirs, CHANGES_BYTES_MAX);
+  const delta = copy.deltaSince(theirs, bytesMax);
   const ageMs = Math.min(nowMs - copy.confirmedAtMs, CONFIRMED_AGE_MAX_MS);
   return [create(peers.TableNewsSchema, {
     table: copy.name,
--- a/packages/entry/tests/crashing_fleet.ts
+++ b/packages/entry/tests/crashing_fleet.ts
@@ -306,7 +306,7 @@
         if (this.cutOff.has(node)) continue;
         const digest = node.hub.digestForParent(root!.name, nowMs);
         const view = root!.hub.exchange(digest);
-        node.hub.applyParentView(view, nowMs);
+        node.hub.applyParentView(core.brandId(root!.name), view, nowMs);
         node.hub.applyLoad(nowMs);
         node.state.exchangedAtMs = nowMs;
       }
--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -1,12 +1,18 @@
+import { create } from "@bufbuild/protobuf";
 import test from "ava";
 import * as core from "../../../core/mod.ts";
 import * as orders from "../../../orders/mod.ts";
 import * as mirror from "../../../mirror/mod.ts";
+import * as peers from "../../../peers/mod.ts";
 import type * as store from "../../../store/mod.ts";
 import { ExchangeHub } from "../../entry_exchange.ts";
 import { EntryState } from "../../entry_state.ts";
 import * as testing from "../../../testing/mod.ts";
-import { TableNewsExchange } from "../../entry_table_news.ts";
+import {
+  mergeNews,
+  TableNewsExchange,
+  type TableOffer,
+} from "../../entry_table_news.ts";
 import { sumDigests } from "../../entry_totals.ts";
 import { makeEntrySettings } from "../entry_settings.ts";
 import { NoListener } from "../no_listener.ts";
@@ -29,16 +35,14 @@
     name: "t",
     listener: new NoListener(),
   });
-  readsRequested = 0;
+  readonly offers: TableOffer[] = [];
 
   constructor(readonly name: string) {
     this.state = new EntryState(makeEntrySettings(name), silentLogger);
     this.state.upstreams.upsert(record, 1_000);
     const news = new TableNewsExchange([{
       copy: this.copy,
-      requestRead: () => {
-        this.readsRequested++;
-      },
+      requestRead: (offer) => this.offers.push(offer),
     }]);
     this.hub = new ExchangeHub(this.state, news);
   }
@@ -62,11 +66,27 @@
     }
   }
 
+  /** Reads the table from another node. */
+  readFrom({ hub }: TestNode): void {
+    const position = this.copy.cursor;
+    const { news } = hub.readTable(
+      create(peers.ReadTableRequestSchema, {
+        table: "t",
+        ...(position ? { position } : {}),
+      }),
+    );
+    mergeNews(this.copy, news!, core.monotonicMs());
+  }
+
   exchangeWith(parent: TestNode) {
     const nowMs = core.monotonicMs();
     const digest = this.hub.digestForParent(parent.name, nowMs);
     const view = parent.hub.exchange(digest);
-    const states = this.hub.applyParentView(view, nowMs);
+    const states = this.hub.applyParentView(
+      core.brandId(parent.name),
+      view,
+      nowMs,
+    );
     this.hub.applyLoad(nowMs);
     return { digest, view, states };
   }
@@ -199,12 +219,12 @@
   }
   for (const node of nodes) {
     t.is(node.copy.cursor?.version, 2, node.name);
-    t.is(node.readsRequested, 0);
+    t.deepEqual(node.offers, []);
     t.true(core.monotonicMs() - node.copy.confirmedAtMs < 1_000, node.name);
   }
 });
 
-test("a table that is too large for a message is read from the store", (t) => {
+test("a table that is too large for a message is offered, and read apart", (t) => {
   const root = new TestNode("root");
   const leaf = new TestNode("leaf");
   leaf.copy.applySnapshot(rows(1));
@@ -214,8 +234,36 @@
     rows: [{ key: "x", version: 2, value: "x".repeat(100_000) }],
   });
   leaf.exchangeWith(root);
-  t.is(leaf.readsRequested, 1);
+  t.deepEqual(leaf.offers, [
+    {
+      holder: core.brandId<core.InstanceId>("root"),
+      position: { generation: 1, version: 2 },
+    },
+  ]);
   t.is(leaf.copy.cursor?.version, 1);
+  leaf.readFrom(root);
+  t.is(leaf.copy.cursor?.version, 2);
+  leaf.exchangeWith(root);
+  t.is(leaf.offers.length, 1);
+});
+
+// Guards against a node that reads again, at each exchange, what it has read
+// while the exchange was on its way.
+test("an offer that has been overtaken by a read is no reason to read", (t) => {
+  const root = new TestNode("root");
+  const leaf = new TestNode("leaf");
+  leaf.copy.applySnapshot(rows(1));
+  root.copy.applySnapshot({
+    generation: 1,
+    version: 2,
+    rows: [{ key: "x", version: 2, value: "x".repeat(100_000) }],
+  });
+  const nowMs = core.monotonicMs();
+  const digest = leaf.hub.digestForParent(root.name, nowMs);
+  const view = root.hub.exchange(digest);
+  leaf.readFrom(root);
+  leaf.hub.applyParentView(core.brandId(root.name), view, nowMs);
+  t.deepEqual(leaf.offers, []);
 });
 
 test("a node that has read nothing gets its tables from its parent", (t) => {
--- a/packages/entry/tests/unit/entry_follow_test.ts
+++ b/packages/entry/tests/unit/entry_follow_test.ts
@@ -1,13 +1,21 @@
+import { create } from "@bufbuild/protobuf";
 import test from "ava";
 import { err, ok, type Result } from "neverthrow";
 import * as core from "../../../core/mod.ts";
 import * as mirror from "../../../mirror/mod.ts";
 import * as store from "../../../store/mod.ts";
-import { FollowTask, StoreHealth } from "../../entry_follow_task.ts";
+import * as peers from "../../../peers/mod.ts";
+import {
+  FollowTask,
+  PeerTables,
+  StoreHealth,
+} from "../../entry_follow_task.ts";
 import { NoListener } from "../no_listener.ts";
 
 const silentLogger = new core.Logger({}, () => {});
 const WAIT_MS = 300;
+const PEER_READ_MS = 60;
+const HOLDER = core.brandId<core.InstanceId>("holder");
 
 /** A store with one row, which counts its calls and can be away. */
 class CountingStore extends store.ChangeFeedTableService {
@@ -55,26 +63,53 @@
   }
 }
 
+/** Another node with a copy of the table, which counts its reads. */
+class CountingPeer extends PeerTables {
+  reads = 0;
+  isAway = false;
+  version = 1;
+
+  override async read(): Promise<peers.TableNews | undefined> {
+    this.reads++;
+    const { version } = this;
+    await core.sleep(PEER_READ_MS);
+    if (this.isAway) return undefined;
+    const row = { key: "x", version, valueJson: String(version) };
+    return create(peers.TableNewsSchema, {
+      table: "t",
+      position: { generation: 0, version },
+      changes: { rows: [row] },
+    });
+  }
+}
+
 async function withTask(
   rank: mirror.ReaderRank,
-  run: (copy: mirror.TableMirror, service: CountingStore) => Promise<void>,
+  run: (
+    copy: mirror.TableMirror,
+    service: CountingStore,
+    task: FollowTask,
+    peer: CountingPeer,
+  ) => Promise<void>,
 ): Promise<void> {
   const service = new CountingStore();
+  const peer = new CountingPeer();
   const copy = new mirror.TableMirror({
     name: "t",
     listener: new NoListener(),
   });
   const task = new FollowTask(
-    service,
+    { store: service, peers: peer },
     copy,
     new StoreHealth(silentLogger),
     { waitMs: WAIT_MS, coalesceMs: 0 },
     () => rank,
+    silentLogger,
   );
   const stop = new AbortController();
   const running = task.run(stop.signal);
   try {
-    await run(copy, service);
+    await run(copy, service, task, peer);
   } finally {
     stop.abort();
     await running;
@@ -137,3 +172,33 @@
     t.is(copy.cursor?.version, 3);
   });
 });
+
+// Guards against a large change that never reaches a node which the store turns
+// away, though its neighbours have it.
+test("what another node offers is read from it while the store is away", async (t) => {
+  await withTask({ rank: 40, nodes: 78 }, async (copy, service, task, peer) => {
+    await core.sleep(100);
+    service.isAway = true;
+    peer.version = 2;
+    const position = { generation: 0, version: 2 };
+    for (let exchange = 0; exchange < 5; exchange++) {
+      task.requestRead({ holder: HOLDER, position });
+    }
+    await core.sleep(2 * PEER_READ_MS);
+    t.is(copy.cursor?.version, 2);
+    t.is(peer.reads, 1);
+  });
+});
+
+test("what another node offers and does not send is read from the store", async (t) => {
+  await withTask({ rank: 40, nodes: 78 }, async (copy, service, task, peer) => {
+    await core.sleep(100);
+    service.version = 2;
+    peer.isAway = true;
+    const position = { generation: 0, version: 2 };
+    task.requestRead({ holder: HOLDER, position });
+    await core.sleep(PEER_READ_MS + 100);
+    t.is(copy.cursor?.version, 2);
+    t.is(service.calls, 2);
+  });
+});
--- a/packages/entry/tests/unit/entry_origins_test.ts
+++ b/packages/entry/tests/unit/entry_origins_test.ts
@@ -54,7 +54,7 @@
     toBinary(peers.NodeDigestSchema, digest);
     const view = parent.hub.exchange(digest);
     toBinary(peers.FleetViewSchema, view);
-    this.hub.applyParentView(view, nowMs);
+    this.hub.applyParentView(core.brandId(parent.name), view, nowMs);
     return digest;
   }
 }
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -38,6 +38,8 @@
   NodeDigestSchema,
   QuarantineNewsSchema,
   QueueLengthSchema,
+  ReadTableReplySchema,
+  ReadTableRequestSchema,
   StreamOriginSchema,
   TableNewsSchema,
 } from "./gen/fleet_pb.ts";
@@ -50,6 +52,8 @@
   MemberState,
   NodeDigest,
   QuarantineNews,
+  ReadTableReply,
+  ReadTableRequest,
   StreamOrigin,
   TableNews,
 } from "./gen/fleet_pb.ts";
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -5,9 +5,15 @@
  * directly; other calls and clients are served by the connect library.
  */
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createClient } from "@connectrpc/connect";
+import {
+  compressionGzip,
+  connectNodeAdapter,
+  createConnectTransport,
+} from "@connectrpc/connect-node";
 import type { Buffer } from "node:buffer";
 import {
+  Agent,
   createServer,
   type IncomingMessage,
   type ServerResponse,
@@ -21,6 +27,9 @@
   FleetViewSchema,
   type NodeDigest,
   NodeDigestSchema,
+  type ReadTableReply,
+  type ReadTableRequest,
+  type TableNews,
 } from "./gen/fleet_pb.ts";
 
 /**
@@ -28,6 +37,10 @@
  * milliseconds.
  */
 const EXCHANGE_TIMEOUT_MS = 350;
+/** Timeout of a read of a whole table, which may have several megabytes. */
+const TABLE_TIMEOUT_MS = 2_000;
+/** Largest table that a node accepts from another one. */
+const TABLE_BYTES_MAX = 32 * 1024 * 1024;
 /** Largest message that a node accepts from another one. */
 const MESSAGE_BYTES_MAX = 4 * 1024 * 1024;
 /** Memory for messages that are being received from all other nodes. */
@@ -45,9 +58,11 @@
   `/${FleetService.typeName}/${FleetService.method.exchange.name}`;
 const MESSAGE_TYPE = "application/proto";
 
-/** Answers a digest of another node with the hub's view of the fleet. */
+/** Answers digests and reads of other nodes. */
 export abstract class FleetHandler {
   abstract exchange(digest: NodeDigest): FleetView;
+  /** Returns what the caller's copy of a table lacks. */
+  abstract readTable(request: ReadTableRequest): ReadTableReply;
 }
 
 /**
@@ -71,9 +86,11 @@
     routes: (router) => {
       router.service(FleetService, {
         exchange: (digest) => handler.exchange(digest),
+        readTable: (request) => handler.readTable(request),
       });
     },
-    acceptCompression: [],
+    // Tables compress to a fraction; links between nodes are narrow.
+    acceptCompression: [compressionGzip],
     readMaxBytes: MESSAGE_BYTES_MAX,
   });
   const server = createServer({
@@ -130,6 +147,7 @@
 /** Clients for other entry nodes, cached by address. */
 export class FleetClients {
   readonly #pools = new Map<string, undici.Pool>();
+  readonly #tableAgent = new Agent();
   readonly #logger: core.Logger;
 
   constructor(logger: core.Logger) {
@@ -171,8 +189,39 @@
     return undefined;
   }
 
+  /**
+   * Reads what a copy at `position` lacks of a table from another node, or
+   * returns undefined if the call failed or the node has no copy.
+   */
+  async readTable(
+    address: string,
+    table: string,
+    position: { generation: number; version: number } | undefined,
+  ): Promise<TableNews | undefined> {
+    const client = createClient(
+      FleetService,
+      createConnectTransport({
+        baseUrl: `http://${address}`,
+        httpVersion: "1.1",
+        nodeOptions: { agent: this.#tableAgent },
+        acceptCompression: [compressionGzip],
+        readMaxBytes: TABLE_BYTES_MAX,
+        defaultTimeoutMs: TABLE_TIMEOUT_MS,
+      }),
+    );
+    try {
+      const request = { table, ...(position ? { position } : {}) };
+      return (await client.readTable(request)).news;
+    } catch (thrown) {
+      const reason = core.messageOf(thrown);
+      this.#logger.warn("table_read_failed", { table, address, reason });
+      return undefined;
+    }
+  }
+
   /** Closes every connection. */
   async close(): Promise<void> {
+    this.#tableAgent.destroy();
     const pools = [...this.#pools.values()];
     this.#pools.clear();
     await Promise.all(pools.map((pool) => pool.destroy()));
--- a/packages/peers/tests/unit/peers_fleet_test.ts
+++ b/packages/peers/tests/unit/peers_fleet_test.ts
@@ -10,14 +10,49 @@
 import { FleetService } from "../../gen/fleet_pb.ts";
 import * as peers from "../../mod.ts";
 
+const LARGE_JSON = JSON.stringify("x".repeat(6 * 1024 * 1024));
 const silentLogger = new core.Logger({}, () => {});
 
 class EchoHandler extends peers.FleetHandler {
   override exchange(): peers.FleetView {
     return create(peers.FleetViewSchema, { enginesTag: "answered" });
   }
+
+  override readTable(
+    { table, position }: peers.ReadTableRequest,
+  ): peers.ReadTableReply {
+    if (table === "unknown") return create(peers.ReadTableReplySchema);
+    const row = { key: "x", version: 7, valueJson: LARGE_JSON };
+    return create(peers.ReadTableReplySchema, {
+      news: create(peers.TableNewsSchema, {
+        table,
+        position: { generation: 1, version: 7 },
+        changes: { ...(position ? { from: position } : {}), rows: [row] },
+      }),
+    });
+  }
 }
 
+// Guards against tables that no node can pass on, as they are too large.
+test("a table of several megabytes is read from another node", async (t) => {
+  const [port] = await testing.findFreePorts(1);
+  const address = `127.0.0.1:${port}`;
+  const stop = await peers.startFleetListener(
+    new EchoHandler(),
+    "127.0.0.1",
+    port!,
+  );
+  const clients = new peers.FleetClients(silentLogger);
+  const position = { generation: 1, version: 3 };
+  const news = await clients.readTable(address, "op", position);
+  t.like(news?.changes?.from, position);
+  t.is(news?.changes?.rows[0]?.valueJson, LARGE_JSON);
+  t.is(await clients.readTable(address, "unknown", undefined), undefined);
+  await stop();
+  t.is(await clients.readTable(address, "op", undefined), undefined);
+  await clients.close();
+});
+
 test("a peer whose answer never ends is given up", async (t) => {
   let open = 0;
   const server = createServer((socket) => {
