--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -222,6 +222,29 @@
     return this.#parentEngineStates;
   }
 
+  /**
+   * Applies what a node that is neither parent nor child knows of the store's
+   * tables and of leaving upstreams.
+   */
+  applyStrangerView(
+    node: core.InstanceId,
+    view: peers.FleetView,
+    nowMs: number,
+  ): void {
+    this.#news.apply(node, view.tables, nowMs);
+    applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
+  }
+
+  /** Returns the members that neither exchange with this node nor leave. */
+  strangers(nowMs: number): core.InstanceId[] {
+    const known = new Set<string>([this.#state.settings.nodeName]);
+    for (const { digest } of this.#freshChildren(nowMs)) {
+      known.add(digest.node);
+      for (const { node } of digest.children) known.add(node);
+    }
+    return this.#state.members.registered().filter((node) => !known.has(node));
+  }
+
   /** The engine states to pass on: own ones if this node holds the lease. */
   engineStates(nowMs: number): TaggedEngineStates | undefined {
     const own = this.#sources.engineStates();
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -33,6 +33,8 @@
  * and the end of a load is known in advance.
  */
 const LEAF_INTERVALS: ExchangeIntervals = { idleMs: 150, queuedMs: 100 };
+/** Interval at which a root without the lease asks another member for news. */
+const ASK_INTERVAL_MS = 300;
 /** An unresponsive parent is not chosen again for this long. */
 const PARENT_AVOIDANCE_MS = 600;
 /** After this, the upstream table replaces the lease holder's engine states. */
@@ -53,6 +55,9 @@
   #place: TreePlace | undefined;
   #engineStatesAtMs = -Infinity;
   #hasQueuedBelow = false;
+  #askedAtMs = -Infinity;
+  /** Members asked so far, so that each gets its turn. */
+  #asked = 0;
   /** The engine states in use, and the listings that they were applied to. */
   #applied:
     | {
@@ -144,6 +149,7 @@
       this.#hub.becomeRoot();
       this.#hub.applyLoad(nowMs);
       this.#fallBack(nowMs);
+      this.#askStranger(nowMs);
       const isAlone = this.#state.members.alive().length === 1;
       return isAlone || this.#hub.followers() > 0;
     }
@@ -162,27 +168,61 @@
     return true;
   }
 
+  /**
+   * Asks a member that does not exchange with this root. A node that the store
+   * turns away cannot see that another one holds the lease, and those that
+   * follow it hear of nothing either.
+   */
+  #askStranger(nowMs: number): void {
+    if (this.#lease.isHeld || nowMs - this.#askedAtMs < ASK_INTERVAL_MS) return;
+    const strangers = this.#hub.strangers(nowMs);
+    const stranger = strangers[this.#asked++ % strangers.length];
+    const address = stranger && this.#state.members.row(stranger)?.peerAddress;
+    if (address === undefined) return;
+    this.#askedAtMs = nowMs;
+    this.#clients
+      .exchange(address, this.#hub.digestForParent(stranger!, nowMs))
+      .then((view) => {
+        if (!view) return;
+        this.#applyMembers(stranger!, view);
+        this.#hub.applyStrangerView(stranger!, view, core.monotonicMs());
+        this.#noteLease(view);
+      }).catch((thrown) =>
+        this.#state.logger.error("exchange_crashed", {
+          member: stranger,
+          reason: core.messageOf(thrown),
+        })
+      );
+  }
+
+  #noteLease(view: peers.FleetView): void {
+    if (view.leaseHolder === "") return;
+    this.#lease.noteRenewal({
+      holder: core.brandId<core.InstanceId>(view.leaseHolder),
+      generation: view.leaseGeneration,
+      version: view.leaseVersion,
+      ageMs: view.leaseAgeMs,
+    });
+  }
+
+  #applyMembers(member: core.InstanceId, view: peers.FleetView): void {
+    const { members } = this.#state;
+    members.recordContact(member, 0, members.accepts(member));
+    for (const { node, ageMs, accepts } of view.members) {
+      const other = core.brandId<core.InstanceId>(node);
+      members.recordContact(other, ageMs, accepts);
+    }
+  }
+
   #applyView(
     parent: core.InstanceId,
     view: peers.FleetView,
     nowMs: number,
   ): void {
-    const { members } = this.#state;
-    members.recordContact(parent, 0, members.accepts(parent));
-    for (const { node, ageMs, accepts } of view.members) {
-      const member = core.brandId<core.InstanceId>(node);
-      members.recordContact(member, ageMs, accepts);
-    }
+    this.#applyMembers(parent, view);
     const states = this.#hub.applyParentView(parent, view, nowMs);
     this.#hub.applyLoad(nowMs);
-    if (view.leaseHolder !== "") {
-      this.#lease.noteRenewal({
-        holder: core.brandId<core.InstanceId>(view.leaseHolder),
-        generation: view.leaseGeneration,
-        version: view.leaseVersion,
-        ageMs: view.leaseAgeMs,
-      });
-    }
+    this.#noteLease(view);
     if (!states) return this.#fallBack(nowMs);
     this.#engineStatesAtMs = nowMs;
     const { listings } = this.#state.upstreams;
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -132,6 +132,15 @@
     return [...others, this.#self].sort();
   }
 
+  /** Returns the members that are not leaving, alive or not, sorted by name. */
+  registered(): core.InstanceId[] {
+    const nodes: core.InstanceId[] = [];
+    for (const [node, { row }] of this.#members) {
+      if (!row.isLeaving) nodes.push(node);
+    }
+    return nodes.sort();
+  }
+
   /** Returns the number of members in contact since then, and this node. */
   countInContact(sinceMs: number): number {
     let count = 1;
