--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -14,6 +14,11 @@
    * Longest wait of one call; bounds how long a dead connection goes unnoticed.
    */
   readonly waitMs: number;
+  /**
+   * As `waitMs`, in a fleet in which a few nodes read for all: the others take
+   * over only when a wait should have ended. Absent if the same.
+   */
+  readonly sharedWaitMs?: number;
   /** Pause after a change, so that further changes arrive in one batch. */
   readonly coalesceMs: number;
 }
@@ -188,13 +193,12 @@
       return await this.#readSnapshot();
     }
     const rank = this.#rank();
+    const { waitMs: ownWaitMs, sharedWaitMs = ownWaitMs } = this.#options;
+    const longestMs = mirror.readsForOthers(rank) ? sharedWaitMs : ownWaitMs;
     if (mirror.isReader(rank)) {
-      return await this.#readChanges(cursor, this.#options.waitMs);
+      return await this.#readChanges(cursor, longestMs);
     }
-    const { afterMs, intervalMs } = mirror.staleReadTimes(
-      rank,
-      this.#options.waitMs,
-    );
+    const { afterMs, intervalMs } = mirror.staleReadTimes(rank, longestMs);
     const dueAtMs = Math.max(
       this.copy.confirmedAtMs + afterMs,
       this.#readAtMs + intervalMs,
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -71,7 +71,7 @@
  * the upstream table come in bursts and must be applied within 2 s. Member rows
  * may be later, because members exchange most of their state directly.
  */
-const CONFIG_FOLLOW = { waitMs: 2_000, coalesceMs: 0 };
+const CONFIG_FOLLOW = { waitMs: 2_000, sharedWaitMs: 1_000, coalesceMs: 0 };
 const UPSTREAM_FOLLOW = { waitMs: 1_000, coalesceMs: 300 };
 const MEMBER_FOLLOW = { waitMs: 8_000, coalesceMs: 100 };
 
--- a/packages/mirror/mirror_readers.ts
+++ b/packages/mirror/mirror_readers.ts
@@ -51,6 +51,18 @@
   return nodes <= ALL_READ_UP_TO || rank < READERS;
 }
 
+/**
+ * Whether a few nodes follow the store for a fleet of this size.
+ *
+ * @example
+ * ```ts
+ * mirror.readsForOthers({ rank: 2, nodes: 78 }); // true
+ * ```
+ */
+export function readsForOthers({ nodes }: ReaderRank): boolean {
+  return nodes > ALL_READ_UP_TO;
+}
+
 /**
  * Returns when a node that is no reader reads its copy from the store, as time
  * since the store last confirmed the copy, and since the node's last read, in
