--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -8,6 +8,8 @@
 const ID_FIELD = "id:";
 
 const WHOLE_NUMBER = /^\d+$/;
+/** Below this number of digits, numbers are exact. */
+const DIGITS_MAX = 16;
 const EMPTY = Buffer.alloc(0);
 
 /**
@@ -23,6 +25,8 @@
   /** Whether no event with an id of the current answer has come yet. */
   #isFirst = true;
   #isOutOfPlace = false;
+  /** Whether the ids so far are numbers without gaps; undefined if not known. */
+  #isGapless: boolean | undefined;
 
   /** @param lastEventId id of the last event that the caller has already. */
   constructor(lastEventId?: string) {
@@ -42,6 +46,11 @@
     return this.#isOutOfPlace;
   }
 
+  /** Whether an event with an id of the current answer has been passed on. */
+  get hasGoneOn(): boolean {
+    return !this.#isFirst && !this.#isOutOfPlace;
+  }
+
   /** Bytes buffered of an incomplete event. */
   get pendingBytes(): number {
     return this.#pending.length;
@@ -63,9 +72,36 @@
     this.#pending = bytes.subarray(end);
     if (end === 0) return EMPTY;
     this.#storage = EMPTY;
-    const complete = bytes.subarray(0, end);
+    const complete = this.#checkSeam(bytes.subarray(0, end));
     this.#recordIds(complete);
-    return this.#isOutOfPlace ? EMPTY : complete;
+    return complete;
+  }
+
+  /**
+   * Returns the events that go on after the last one; nothing else of another
+   * answer is to join them, such as an error without an id.
+   */
+  #checkSeam(complete: Buffer): Buffer {
+    const last = this.#lastEventId;
+    if (this.#isOutOfPlace) return EMPTY;
+    if (!this.#isFirst || last === undefined) return complete;
+    for (let at = 0; at < complete.length;) {
+      const end = at + endOfFirstEvent(complete.subarray(at));
+      const event = complete.subarray(at, end);
+      const id = firstIdOf(event);
+      if (id !== undefined) {
+        this.#isOutOfPlace = this.#isGapless === true
+          ? !isNextId(id, last)
+          : !isLaterId(id, last);
+        return this.#isOutOfPlace ? EMPTY : complete;
+      }
+      if (!isIgnorable(event)) {
+        this.#isOutOfPlace = true;
+        return EMPTY;
+      }
+      at = end;
+    }
+    return complete;
   }
 
   /** Joins the pending bytes and the next ones, in time linear in the latter. */
@@ -100,15 +136,15 @@
   }
 
   #recordIds(complete: Buffer): void {
-    if (this.#isFirst) {
-      const first = firstIdOf(complete);
-      if (first === undefined) return;
-      const last = this.#lastEventId;
-      this.#isOutOfPlace = last !== undefined && !isLaterId(first, last);
-      this.#isFirst = false;
-    }
-    if (this.#isOutOfPlace) return;
-    this.#lastEventId = lastIdOf(complete) ?? this.#lastEventId;
+    const first = firstIdOf(complete);
+    if (first === undefined) return;
+    const last = lastIdOf(complete)!;
+    if (this.#lastEventId !== undefined) {
+      this.#isGapless = this.#isGapless !== false &&
+        isNextId(first, this.#lastEventId);
+    } else if (first !== last) this.#isGapless = hasNoGaps(complete);
+    this.#isFirst = false;
+    this.#lastEventId = last;
   }
 }
 
@@ -157,6 +193,33 @@
     : digits!.length > lastDigits!.length;
 }
 
+/** Whether an event is the one right after another, by their numbers. */
+function isNextId(id: string, last: string): boolean {
+  const areNumbers = WHOLE_NUMBER.test(id) && WHOLE_NUMBER.test(last);
+  return areNumbers && id.length < DIGITS_MAX &&
+    Number(id) === Number(last) + 1;
+}
+
+/** Whether the ids of several events follow each other. */
+function hasNoGaps(events: Buffer): boolean {
+  const ids = events.toString("latin1").split(/[\r\n]+/)
+    .filter((line) => line.startsWith(ID_FIELD))
+    .map((line) => line.slice(ID_FIELD.length).trim());
+  return ids.every((id, index) => index === 0 || isNextId(id, ids[index - 1]!));
+}
+
+/** Length of the first event, its blank line included. */
+function endOfFirstEvent(events: Buffer): number {
+  const match = EVENT_END.exec(events.toString("latin1"));
+  return match ? match.index + match[0].length : events.length;
+}
+
+/** Whether a block has only comments and reconnection times. */
+function isIgnorable(block: Buffer): boolean {
+  return block.toString("latin1").split(/[\r\n]+/)
+    .every((line) => line === "" || /^(:|retry:)/.test(line));
+}
+
 /** Last bytes of a stream in which a blank line is recognised. */
 const TAIL_BYTES = 4;
 const EVENT_END_AT_END = new RegExp(`${EVENT_END.source}$`);
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -47,6 +47,8 @@
   readonly #eventBuffer: EventStreamBuffer;
   /** Whether a part of a stream is being written to the caller. */
   #isWriting = false;
+  /** Status with which the response was started. */
+  #startedStatus: number | undefined;
   /** Version of the upstream that began the stream. */
   softwareVersion: core.SoftwareVersion | undefined;
   /** Whether the last stream ended inside an event, for the log. */
@@ -155,6 +157,14 @@
     const { attempt, watch, status, framing, contentType, headers } = received;
     this.#eventBuffer.beginAnswer();
     const hasEvents = isEventStream(contentType);
+    const isContinuation = this.#response.hasStarted;
+    if (isContinuation && (!hasEvents || status !== this.#startedStatus)) {
+      const detail = `stream does not go on with status ${status}` +
+        (hasEvents ? "" : ` and type ${contentType}`);
+      received.closeConnection(detail);
+      assignment.onEnd("failed");
+      return { kind: "mayHaveRun", detail };
+    }
     const splitsEvents = hasEvents && this.#splitsEvents;
     let lastChunkAtMs: number | undefined;
     let chunkCount = 0;
@@ -208,6 +218,7 @@
       if (data.length === 0) continue;
       if (!this.#response.hasStarted) {
         this.#startStream(assignment);
+        this.#startedStatus = status;
         this.#response.start(status, headers, event.atMs);
       }
       this.#isWriting = true;
@@ -226,6 +237,10 @@
         : "stream ended inside an event";
       return { kind: "mayHaveRun", detail };
     }
+    if (isContinuation && !this.#eventBuffer.hasGoneOn) {
+      assignment.onEnd("failed");
+      return { kind: "mayHaveRun", detail: "stream goes on with no event" };
+    }
     assignment.onEnd("served");
     assignment.onStreamLength(chunkCount);
     // The line feed of a CRLF can arrive after the event has been passed on.
--- a/packages/relay/tests/raw_engines.ts
+++ b/packages/relay/tests/raw_engines.ts
@@ -114,7 +114,7 @@
     `${extra}content-length: ${body.length}\r\n\r\n${body}`;
 }
 
-const SEAL = "x-seal: s\r\n";
+export const SEAL = "x-seal: s\r\n";
 
 export const refusal = (id?: string) =>
   answerBytes(id, 503, "", "x-not-run: 1\r\n");
--- a/packages/relay/tests/unit/relay_events_test.ts
+++ b/packages/relay/tests/unit/relay_events_test.ts
@@ -95,6 +95,37 @@
   t.false(buffer.isOutOfPlace);
 });
 
+// Guards against events that are missing where an answer joins another one.
+test("where events are numbered without gaps, an answer goes on with the next", (t) => {
+  const buffer = new relay.EventStreamBuffer();
+  for (const id of [1, 2, 3, 4]) buffer.append(events(id));
+  buffer.beginAnswer();
+  t.is(buffer.append(events(7)).length, 0);
+  t.true(buffer.isOutOfPlace);
+  buffer.beginAnswer();
+  t.true(buffer.append(events(5, 6)).length > 0);
+  t.is(buffer.lastEventId, "6");
+});
+
+// Guards against an error, or a head, in the middle of a stream.
+for (
+  const text of [
+    "event: error\ndata: overloaded\n\n",
+    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n",
+    "data: text\n\n",
+  ]
+) {
+  test(`an answer that begins with ${text.slice(0, 12)} does not go on`, (t) => {
+    const buffer = new relay.EventStreamBuffer();
+    buffer.append(events(1, 2));
+    buffer.beginAnswer();
+    t.is(buffer.append(Buffer.from(text)).length, 0);
+    t.true(buffer.isOutOfPlace);
+    t.false(buffer.hasGoneOn);
+    t.is(buffer.lastEventId, "2");
+  });
+}
+
 /** Processor time of a function, in ms. */
 function cpuMsOf(run: () => void): number {
   const before = process.cpuUsage();
--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import * as core from "../../../core/mod.ts";
 import {
+  answerBytes,
   type Arrival,
   chunk,
   chunkedHead,
@@ -10,6 +11,7 @@
   failure,
   LAST_CHUNK,
   refusal,
+  SEAL,
   streamBytes,
   success,
   withFleet,
@@ -125,6 +127,55 @@
   });
 }
 
+const SEAM_HEADS = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n\r\n";
+
+/** Answers that do not go on with a stream, though their status is a success. */
+const SEAMS: Readonly<Record<string, (id: string) => string>> = {
+  "plain text": (id) =>
+    answerBytes(
+      id,
+      200,
+      "out of memory",
+      SEAL + "content-type: text/plain\r\n",
+    ),
+  "JSON": (id) =>
+    answerBytes(id, 200, "{}\n\n", SEAL + "content-type: application/json\r\n"),
+  "no content": (id) => `HTTP/1.1 204 No Content\r\nx-id: ${id}\r\n${SEAL}\r\n`,
+  "length 0": (id) => answerBytes(id, 200, "", SEAL),
+  "no events": (id) => chunkedHead(id, 200) + LAST_CHUNK,
+  "a later event": (id) =>
+    chunkedHead(id, 200) + chunk(eventOf(id, 6)) + chunk(eventOf(id, 7)) +
+    LAST_CHUNK,
+  "an error event": (id) =>
+    chunkedHead(id, 200) + chunk("event: error\ndata: full\n\n") + LAST_CHUNK,
+  "a head inside": (id) =>
+    chunkedHead(id, 200) + chunk(SEAM_HEADS) + LAST_CHUNK,
+};
+
+for (const [name, answerOf] of Object.entries(SEAMS)) {
+  // Guards against what is no part of a stream in its middle, and against a
+  // stream that ends as complete where it broke off.
+  test(`a broken stream is not joined with ${name}`, async (t) => {
+    const arrivals: string[] = [];
+    const answer = ({ id, after, socket, times }: Arrival) => {
+      arrivals.push(after);
+      if (times === 2) return socket.write(answerOf(id));
+      if (times === 3) return socket.write(streamBytes(id, Number(after)));
+      let bytes = chunkedHead(id, 200);
+      for (const n of [1, 2, 3, 4]) bytes += chunk(eventOf(id, n));
+      socket.write(bytes, () => setTimeout(() => socket.destroy(), 20));
+    };
+    await withFleet([answer], { kind: "stream" }, async (fleet) => {
+      const received = await fleet.ask("r1");
+      let expected = "";
+      for (let n = 1; n <= EVENTS; n++) expected += eventOf("r1", n);
+      t.is(received.body, expected);
+      t.true(received.isComplete);
+      t.deepEqual(arrivals, ["", "4", "4"]);
+    });
+  });
+}
+
 // Guards against a copy of a refusal without an id that counts for another
 // request, which then runs twice.
 test("a second copy of a refusal without an id counts for no request", async (t) => {
