--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -10,9 +10,12 @@
 /** Largest number that a field of 32 bits of a digest holds. */
 const UINT32_MAX = 0xffff_ffff;
 
-/** Limits a sum to what a digest holds; what is above means "very much". */
-function toUint32(sum: number): number {
-  return Math.min(UINT32_MAX, Math.max(0, Math.round(sum)));
+/**
+ * Limits a sum or an age to what a message holds; what is above means "very
+ * much".
+ */
+export function toUint32(value: number): number {
+  return Math.min(UINT32_MAX, Math.max(0, Math.round(value)));
 }
 
 /** Returns this node's own digest: its in-flight requests and its demand. */
--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -5,6 +5,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
+import { toUint32 } from "./entry_digest.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** What an engine holds, as the lease holder knows it. */
@@ -58,7 +59,7 @@
       ...engine,
       ...(engine.lastOrderAgeMs === undefined
         ? {}
-        : { lastOrderAgeMs: engine.lastOrderAgeMs + ageMs }),
+        : { lastOrderAgeMs: toUint32(engine.lastOrderAgeMs + ageMs) }),
       models: engine.models.map((model) => ({
         ...model,
         // 0 means that it is not being loaded.
@@ -68,7 +69,7 @@
       })),
       late: engine.late.map((order) => ({
         ...order,
-        sentAgeMs: order.sentAgeMs + ageMs,
+        sentAgeMs: toUint32(order.sentAgeMs + ageMs),
       })),
     })
   );
@@ -145,14 +146,14 @@
       : { orderCount: inventory.orderCount }),
     ...(lastOrderAtMs === undefined
       ? {}
-      : { lastOrderAgeMs: Math.max(0, Math.round(nowMs - lastOrderAtMs)) }),
+      : { lastOrderAgeMs: toUint32(nowMs - lastOrderAtMs) }),
     upstreamId: record.id,
     bornMs: record.startedAtMs,
     models: [...inventory.availability(nowMs)].map(([model, replica]) => ({
       model,
       isUsable: replica.isUsable,
       adapters: [...replica.adapters],
-      readyInMs: Math.max(0, Math.round((replica.readyAtMs ?? 0) - nowMs)),
+      readyInMs: toUint32((replica.readyAtMs ?? 0) - nowMs),
     })),
     late: (late?.all(nowMs) ?? []).map(({ order, sentAtMs }) => ({
       isLoad: order.kind === "load",
@@ -160,7 +161,7 @@
       adapter: order.adapter ?? "",
       expectedOrderCount: order.expectedOrderCount,
       fencingToken: order.fencingToken,
-      sentAgeMs: Math.max(0, Math.round(nowMs - sentAtMs)),
+      sentAgeMs: toUint32(nowMs - sentAtMs),
     })),
   });
 }
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -14,6 +14,7 @@
   sumDemand,
   sumQueues,
   sumUses,
+  toUint32,
   type UsesById,
   usesWithout,
 } from "./entry_digest.ts";
@@ -144,7 +145,7 @@
       leaseHolder: lease?.holder ?? "",
       leaseGeneration: lease?.generation ?? 0,
       leaseVersion: lease?.version ?? 0,
-      leaseAgeMs: Math.round(lease?.ageMs ?? 0),
+      leaseAgeMs: toUint32(lease?.ageMs ?? 0),
       members: isMembersDue ? this.#memberStates(nowMs) : [],
       uses: this.#usesOfOthers(digest.node, nowMs),
       enginesTag: engineStates?.tag ?? "",
--- a/packages/entry/tests/unit/entry_engine_states_test.ts
+++ b/packages/entry/tests/unit/entry_engine_states_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import * as peers from "../../../peers/mod.ts";
 import * as core from "../../../core/mod.ts";
 import * as orders from "../../../orders/mod.ts";
@@ -65,3 +65,16 @@
     sentAtMs: 49_400,
   });
 });
+
+// Guards against a lease holder whose answers cannot be written any more, some
+// weeks after its last order to an engine.
+test("ages beyond what a message holds are passed on as very old", (t) => {
+  const record = testing.makeUpstreamRecord({ startedAtMs: 1 });
+  const inventory = new orders.EngineInventory(record);
+  const weeksMs = 2 ** 33;
+  const holder = { record, inventory, lastOrderAtMs: 0 };
+  const states = tagEngineStates("in", [holder], weeksMs);
+  const [engine] = ageEngineStates(states, weeksMs + 1_000);
+  t.true(toBinary(peers.EngineStateSchema, engine!).length > 0);
+  t.is(engine!.lastOrderAgeMs, 2 ** 32 - 1);
+});
