--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -198,18 +198,18 @@
     table: string,
     position: { generation: number; version: number } | undefined,
   ): Promise<TableNews | undefined> {
-    const client = createClient(
-      FleetService,
-      createConnectTransport({
-        baseUrl: `http://${address}`,
-        httpVersion: "1.1",
-        nodeOptions: { agent: this.#tableAgent },
-        acceptCompression: [compressionGzip],
-        readMaxBytes: TABLE_BYTES_MAX,
-        defaultTimeoutMs: TABLE_TIMEOUT_MS,
-      }),
-    );
     try {
+      const client = createClient(
+        FleetService,
+        createConnectTransport({
+          baseUrl: `http://${address}`,
+          httpVersion: "1.1",
+          nodeOptions: { agent: this.#tableAgent },
+          acceptCompression: [compressionGzip],
+          readMaxBytes: TABLE_BYTES_MAX,
+          defaultTimeoutMs: TABLE_TIMEOUT_MS,
+        }),
+      );
       const request = { table, ...(position ? { position } : {}) };
       return (await client.readTable(request)).news;
     } catch (thrown) {
