--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -90,6 +90,8 @@
   /** Times in a row that the store lacked the history after a snapshot. */
   #historyLosses = 0;
   #readAtMs = -Infinity;
+  /** When the copy that was last reported as stale had been confirmed. */
+  #staleSinceMs: number | undefined;
 
   /** @param rank this node's position among those that may read the store. */
   constructor(
@@ -131,13 +133,7 @@
       .read(holder, this.copy.name, this.copy.cursor);
     const outcome = news && mergeNews(this.copy, news, core.monotonicMs());
     const isBehind = mirror.compareCursors(this.copy.cursor, position) < 0;
-    this.#logger.info("table_read", {
-      table: this.copy.name,
-      from: holder,
-      outcome: outcome ?? "failed",
-      version: this.copy.cursor?.version,
-      tookMs: Math.round(core.monotonicMs() - startedAtMs),
-    });
+    this.#logRead(holder, outcome ?? "failed", startedAtMs);
     if (!isBehind) return;
     this.#isReadRequested = true;
     this.#wakeSignal.wake();
@@ -177,6 +173,16 @@
     return this.copy.cursor?.generation === snapshot.value.generation;
   }
 
+  #logRead(from: string, outcome: string, startedAtMs: number): void {
+    this.#logger.info("table_read", {
+      table: this.copy.name,
+      from,
+      outcome,
+      version: this.copy.cursor?.version,
+      tookMs: Math.round(core.monotonicMs() - startedAtMs),
+    });
+  }
+
   override async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const pauseMs = await this.#step();
@@ -203,11 +209,26 @@
       this.copy.confirmedAtMs + afterMs,
       this.#readAtMs + intervalMs,
     );
-    const waitMs = dueAtMs - core.monotonicMs();
+    const nowMs = core.monotonicMs();
+    const waitMs = dueAtMs - nowMs;
     if (waitMs > 0) return Math.min(waitMs, CHECK_INTERVAL_MS);
+    this.#noteStale(rank, nowMs - this.copy.confirmedAtMs);
     return await this.#readChanges(cursor, 0);
   }
 
+  /** Logs once that the nodes which read for this one no longer do. */
+  #noteStale({ rank, nodes }: mirror.ReaderRank, ageMs: number): void {
+    if (this.#staleSinceMs === this.copy.confirmedAtMs) return;
+    this.#staleSinceMs = this.copy.confirmedAtMs;
+    this.#logger.info("table_stale", {
+      table: this.copy.name,
+      version: this.copy.cursor?.version,
+      ageMs: Math.round(ageMs),
+      rank,
+      nodes,
+    });
+  }
+
   async #readSnapshot(): Promise<number> {
     this.#isReadRequested = false;
     this.#readAtMs = core.monotonicMs();
@@ -219,6 +240,7 @@
     this.#recordSuccess();
     this.copy.applySnapshot(snapshot.value);
     this.copy.confirm(this.copy.cursor, this.#readAtMs);
+    this.#logRead("store", "applied", this.#readAtMs);
     return 0;
   }
 
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -115,7 +115,15 @@
 
   /** Applies a configuration, unless it is not newer than the current one. */
   applyConfig(config: fleet.FleetConfig): void {
-    if (this.config && config.version <= this.config.version) return;
+    if (this.config && config.version <= this.config.version) {
+      if (config.version < this.config.version) {
+        this.logger.warn("config_not_newer", {
+          version: config.version,
+          inForce: this.config.version,
+        });
+      }
+      return;
+    }
     this.table = new routes.RouteTable(config.version, config.routes);
     this.config = config;
     this.onConfig(config);
