--- a/packages/relay/relay_events.ts
+++ b/packages/relay/relay_events.ts
@@ -5,6 +5,7 @@
 const CARRIAGE_RETURN = 0x0d;
 /** A blank line: two line ends, each CRLF, LF or CR. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)/;
+const EVENT_ENDS = new RegExp(EVENT_END.source, "g");
 const ID_FIELD = "id:";
 
 const WHOLE_NUMBER = /^\d+$/;
@@ -85,8 +86,12 @@
     const last = this.#lastEventId;
     if (this.#isOutOfPlace) return EMPTY;
     if (!this.#isFirst || last === undefined) return complete;
-    for (let at = 0; at < complete.length;) {
-      const end = at + endOfFirstEvent(complete.subarray(at));
+    let at = 0;
+    for (
+      const { 0: { length }, index } of complete.toString("latin1")
+        .matchAll(EVENT_ENDS)
+    ) {
+      const end = index + length;
       const event = complete.subarray(at, end);
       const id = firstIdOf(event);
       if (id !== undefined) {
@@ -208,12 +213,6 @@
   return ids.every((id, index) => index === 0 || isNextId(id, ids[index - 1]!));
 }
 
-/** Length of the first event, its blank line included. */
-function endOfFirstEvent(events: Buffer): number {
-  const match = EVENT_END.exec(events.toString("latin1"));
-  return match ? match.index + match[0].length : events.length;
-}
-
 /** Whether a block has only comments and reconnection times. */
 function isIgnorable(block: Buffer): boolean {
   return block.toString("latin1").split(/[\r\n]+/)
--- a/packages/relay/tests/unit/relay_events_test.ts
+++ b/packages/relay/tests/unit/relay_events_test.ts
@@ -155,6 +155,16 @@
   });
 }
 
+// Guards against an engine whose comments take the processor for seconds.
+test("comments before an answer goes on are read in linear time", (t) => {
+  const buffer = new relay.EventStreamBuffer("4");
+  const comments = Buffer.from(":\n\n".repeat(60_000));
+  const cpuMs = cpuMsOf(() => buffer.append(comments));
+  t.true(cpuMs < 300, `took ${cpuMs} ms`);
+  t.true(buffer.append(events(5)).length > 0);
+  t.false(buffer.isOutOfPlace);
+});
+
 // Guards against bytes that are lost or reordered where a stream is split.
 test("a stream is split alike, whatever chunks it arrives in", (t) => {
   const piece = fc.constantFrom(
