Keep what a field of 32 bits holds in one place

Result: 446 tests of core, relay, transport, mirror, peers, entry and the platform's adapter pass, formatter and linter are clean.

--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -88,3 +88,4 @@
 export { invariant, INVARIANT_MESSAGES, InvariantError } from "./invariants.ts";
 export { decodeJson, decodeValue, parseJson, toJsonValue } from "./json.ts";
 export type { JsonValue } from "./json.ts";
+export { isUint32, toUint32 } from "./uint32.ts";
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -1,5 +1,6 @@
 /** Digests of load and demand, and their sums over several nodes. */
 import { create } from "@bufbuild/protobuf";
+import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type { EntryState } from "./entry_state.ts";
@@ -7,17 +8,6 @@
 /** Load by upstream id. */
 export type UsesById = Map<string, peers.EngineUse>;
 
-/** Largest number that a field of 32 bits of a digest holds. */
-const UINT32_MAX = 0xffff_ffff;
-
-/**
- * Limits a sum or an age to what a message holds; what is above means "very
- * much".
- */
-export function toUint32(value: number): number {
-  return Math.min(UINT32_MAX, Math.max(0, Math.round(value)));
-}
-
 /** Returns this node's own digest: its in-flight requests and its demand. */
 export function makeDigest(
   state: EntryState,
@@ -105,10 +95,10 @@
 }
 
 function addLoad(sum: peers.EngineUse, use: peers.EngineUse, sign: 1 | -1) {
-  sum.inFlight = toUint32(sum.inFlight + sign * use.inFlight);
+  sum.inFlight = core.toUint32(sum.inFlight + sign * use.inFlight);
   sum.prefillMs = Math.max(0, sum.prefillMs + sign * use.prefillMs);
-  sum.tokens = toUint32(sum.tokens + sign * use.tokens);
-  sum.suspectingNodes = toUint32(
+  sum.tokens = core.toUint32(sum.tokens + sign * use.tokens);
+  sum.suspectingNodes = core.toUint32(
     sum.suspectingNodes + sign * use.suspectingNodes,
   );
 }
@@ -122,7 +112,7 @@
       sum.models.push({ ...model });
       continue;
     }
-    known.inFlight = toUint32(known.inFlight + model.inFlight);
+    known.inFlight = core.toUint32(known.inFlight + model.inFlight);
     known.drainMs = Math.max(known.drainMs, model.drainMs);
   }
 }
@@ -144,7 +134,7 @@
         continue;
       }
       sum.ratePerS += entry.ratePerS;
-      sum.waiting = toUint32(sum.waiting + entry.waiting);
+      sum.waiting = core.toUint32(sum.waiting + entry.waiting);
       sum.workMsPerS += entry.workMsPerS;
       sum.pinnedVersions = union(sum.pinnedVersions, entry.pinnedVersions);
     }
@@ -200,7 +190,7 @@
       request,
       nowMs,
     );
-    use.drainMs = Math.max(use.drainMs, toUint32(remainingMs));
+    use.drainMs = Math.max(use.drainMs, core.toUint32(remainingMs));
     models.set(request.modelKey, use);
     if (!request.hasOutput) prefillMs += request.prefillMs;
     tokens += request.reservedTokens;
@@ -209,7 +199,7 @@
     upstreamId: upstream.record.id,
     inFlight: upstream.localRequests.size,
     prefillMs,
-    tokens: toUint32(tokens),
+    tokens: core.toUint32(tokens),
     suspectingNodes: isAvoided(upstream, nowMs) ? 1 : 0,
     models: [...models].map(([modelKey, use]) => {
       const [model, adapter] = modelKey.split("/");
--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -5,7 +5,6 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
-import { toUint32 } from "./entry_digest.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** What an engine holds, as the lease holder knows it. */
@@ -59,7 +58,7 @@
       ...engine,
       ...(engine.lastOrderAgeMs === undefined
         ? {}
-        : { lastOrderAgeMs: toUint32(engine.lastOrderAgeMs + ageMs) }),
+        : { lastOrderAgeMs: core.toUint32(engine.lastOrderAgeMs + ageMs) }),
       models: engine.models.map((model) => ({
         ...model,
         // 0 means that it is not being loaded.
@@ -69,7 +68,7 @@
       })),
       late: engine.late.map((order) => ({
         ...order,
-        sentAgeMs: toUint32(order.sentAgeMs + ageMs),
+        sentAgeMs: core.toUint32(order.sentAgeMs + ageMs),
       })),
     })
   );
@@ -146,14 +145,14 @@
       : { orderCount: inventory.orderCount }),
     ...(lastOrderAtMs === undefined
       ? {}
-      : { lastOrderAgeMs: toUint32(nowMs - lastOrderAtMs) }),
+      : { lastOrderAgeMs: core.toUint32(nowMs - lastOrderAtMs) }),
     upstreamId: record.id,
     bornMs: record.startedAtMs,
     models: [...inventory.availability(nowMs)].map(([model, replica]) => ({
       model,
       isUsable: replica.isUsable,
       adapters: [...replica.adapters],
-      readyInMs: toUint32((replica.readyAtMs ?? 0) - nowMs),
+      readyInMs: core.toUint32((replica.readyAtMs ?? 0) - nowMs),
     })),
     late: (late?.all(nowMs) ?? []).map(({ order, sentAtMs }) => ({
       isLoad: order.kind === "load",
@@ -161,7 +160,7 @@
       adapter: order.adapter ?? "",
       expectedOrderCount: order.expectedOrderCount,
       fencingToken: order.fencingToken,
-      sentAgeMs: toUint32(nowMs - sentAtMs),
+      sentAgeMs: core.toUint32(nowMs - sentAtMs),
     })),
   });
 }
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -14,7 +14,6 @@
   sumDemand,
   sumQueues,
   sumUses,
-  toUint32,
   type UsesById,
   usesWithout,
 } from "./entry_digest.ts";
@@ -145,7 +144,7 @@
       leaseHolder: lease?.holder ?? "",
       leaseGeneration: lease?.generation ?? 0,
       leaseVersion: lease?.version ?? 0,
-      leaseAgeMs: toUint32(lease?.ageMs ?? 0),
+      leaseAgeMs: core.toUint32(lease?.ageMs ?? 0),
       members: isMembersDue ? this.#memberStates(nowMs) : [],
       uses: this.#usesOfOthers(digest.node, nowMs),
       enginesTag: engineStates?.tag ?? "",
