--- a/packages/entry/tests/unit/entry_exchange_test.ts
+++ b/packages/entry/tests/unit/entry_exchange_test.ts
@@ -224,7 +224,8 @@
   }
 });
 
-test("a table that is too large for a message is offered, and read apart", (t) => {
+/** A root with a change that is too large for a message, and a leaf without. */
+function nodesWithLargeChange() {
   const root = new TestNode("root");
   const leaf = new TestNode("leaf");
   leaf.copy.applySnapshot(rows(1));
@@ -233,6 +234,11 @@
     version: 2,
     rows: [{ key: "x", version: 2, value: "x".repeat(100_000) }],
   });
+  return { root, leaf };
+}
+
+test("a table that is too large for a message is offered, and read apart", (t) => {
+  const { root, leaf } = nodesWithLargeChange();
   leaf.exchangeWith(root);
   t.deepEqual(leaf.offers, [
     {
@@ -250,14 +256,7 @@
 // Guards against a node that reads again, at each exchange, what it has read
 // while the exchange was on its way.
 test("an offer that has been overtaken by a read is no reason to read", (t) => {
-  const root = new TestNode("root");
-  const leaf = new TestNode("leaf");
-  leaf.copy.applySnapshot(rows(1));
-  root.copy.applySnapshot({
-    generation: 1,
-    version: 2,
-    rows: [{ key: "x", version: 2, value: "x".repeat(100_000) }],
-  });
+  const { root, leaf } = nodesWithLargeChange();
   const nowMs = core.monotonicMs();
   const digest = leaf.hub.digestForParent(root.name, nowMs);
   const view = root.hub.exchange(digest);
--- a/packages/relay/tests/unit/relay_events_test.ts
+++ b/packages/relay/tests/unit/relay_events_test.ts
@@ -111,7 +111,7 @@
 for (
   const text of [
     "event: error\ndata: overloaded\n\n",
-    "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n",
+    "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n\r\n",
     "data: text\n\n",
   ]
 ) {
--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -127,8 +127,6 @@
   });
 }
 
-const SEAM_HEADS = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n\r\n";
-
 /** Answers that do not go on with a stream, though their status is a success. */
 const SEAMS: Readonly<Record<string, (id: string) => string>> = {
   "plain text": (id) =>
@@ -148,8 +146,7 @@
     LAST_CHUNK,
   "an error event": (id) =>
     chunkedHead(id, 200) + chunk("event: error\ndata: full\n\n") + LAST_CHUNK,
-  "a head inside": (id) =>
-    chunkedHead(id, 200) + chunk(SEAM_HEADS) + LAST_CHUNK,
+  "a head inside": (id) => chunkedHead(id, 200) + chunk(refusal()) + LAST_CHUNK,
 };
 
 for (const [name, answerOf] of Object.entries(SEAMS)) {
