Simplify what asks members, reads tables and times bodies out

Change: a method for the call, isReader by readsForOthers, timeoutError, the table's name, one line a reason. Behaviour is the same but for that field.

--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -177,22 +177,25 @@
     if (this.#lease.isHeld || nowMs - this.#askedAtMs < ASK_INTERVAL_MS) return;
     const strangers = this.#hub.strangers(nowMs);
     const stranger = strangers[this.#asked++ % strangers.length];
-    const address = stranger && this.#state.members.row(stranger)?.peerAddress;
-    if (address === undefined) return;
+    if (stranger === undefined) return;
     this.#askedAtMs = nowMs;
-    this.#clients
-      .exchange(address, this.#hub.digestForParent(stranger!, nowMs))
-      .then((view) => {
-        if (!view) return;
-        this.#applyMembers(stranger!, view);
-        this.#hub.applyStrangerView(stranger!, view, core.monotonicMs());
-        this.#noteLease(view);
-      }).catch((thrown) =>
-        this.#state.logger.error("exchange_crashed", {
-          member: stranger,
-          reason: core.messageOf(thrown),
-        })
-      );
+    this.#ask(stranger, nowMs).catch((thrown) =>
+      this.#state.logger.error("exchange_crashed", {
+        member: stranger,
+        reason: core.messageOf(thrown),
+      })
+    );
+  }
+
+  async #ask(member: core.InstanceId, nowMs: number): Promise<void> {
+    const address = this.#state.members.row(member)?.peerAddress;
+    if (address === undefined) return;
+    const view = await this.#clients
+      .exchange(address, this.#hub.digestForParent(member, nowMs));
+    if (!view) return;
+    this.#applyMembers(member, view);
+    this.#hub.applyStrangerView(member, view, core.monotonicMs());
+    this.#noteLease(view);
   }
 
   #noteLease(view: peers.FleetView): void {
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -123,7 +123,8 @@
     this.#isReadingFromPeer = true;
     this.#readFromPeer(offer).catch((thrown) => {
       const reason = core.messageOf(thrown);
-      this.#logger.error("table_read_crashed", { table: this.name, reason });
+      const table = this.copy.name;
+      this.#logger.error("table_read_crashed", { table, reason });
     }).finally(() => this.#isReadingFromPeer = false);
   }
 
--- a/packages/mirror/mirror_readers.ts
+++ b/packages/mirror/mirror_readers.ts
@@ -47,8 +47,8 @@
  * mirror.isReader({ rank: 40, nodes: 78 }); // false
  * ```
  */
-export function isReader({ rank, nodes }: ReaderRank): boolean {
-  return nodes <= ALL_READ_UP_TO || rank < READERS;
+export function isReader(place: ReaderRank): boolean {
+  return !readsForOthers(place) || place.rank < READERS;
 }
 
 /**
--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -106,6 +106,12 @@
   return flat;
 }
 
+/** The reason with which `AbortSignal.timeout` aborts as well. */
+function timeoutError(): DOMException {
+  const message = "The operation was aborted due to timeout";
+  return new DOMException(message, "TimeoutError");
+}
+
 /**
  * Returns a signal that aborts after a time-out or with the given signal.
  * `AbortSignal.any` does not do here: Node.js 20 collects an
@@ -130,8 +136,7 @@
   };
   const onAbort = () => finish(signal.reason);
   const timer = setTimeout(() => {
-    const message = "The operation was aborted due to timeout";
-    finish(new DOMException(message, "TimeoutError"));
+    finish(timeoutError());
   }, limitMs);
   timer.unref();
   if (signal.aborted) onAbort();
@@ -170,8 +175,7 @@
     clearTimeout(this.#timer);
     const leftMs = this.#endsAtMs - core.monotonicMs();
     this.#timer = setTimeout(() => {
-      const message = "The operation was aborted due to timeout";
-      this.#aborter.abort(new DOMException(message, "TimeoutError"));
+      this.#aborter.abort(timeoutError());
     }, Math.max(0, Math.min(this.#intervalMs, leftMs)));
   }
 
