--- a/packages/core/codes.ts
+++ b/packages/core/codes.ts
@@ -214,7 +214,7 @@
 export const OUTCOME_UNREADABLE = define(
   4004,
   "OUTCOME_UNREADABLE",
-  503,
+  502,
   "The call ran; its recorded outcome cannot be read now.",
 );
 
@@ -229,7 +229,7 @@
 export const STORE_REPLY_LOST = define(
   5002,
   "STORE_REPLY_LOST",
-  503,
+  502,
   "The write may have taken effect; look it up by its id.",
 );
 export const PLATFORM_ANSWER_INVALID = define(
@@ -268,7 +268,7 @@
 export const EDIT_OUTCOME_UNKNOWN = define(
   6005,
   "EDIT_OUTCOME_UNKNOWN",
-  503,
+  502,
   "The edit may have taken effect; send it again with the same id.",
 );
 
@@ -289,7 +289,7 @@
 export const INSTANCE_STOPPED = define(
   7003,
   "INSTANCE_STOPPED",
-  503,
+  502,
   "The instance stopped before the request had ended.",
 );
 
--- a/packages/core/failure.ts
+++ b/packages/core/failure.ts
@@ -10,6 +10,13 @@
   readonly retryAfterMs?: number;
 }
 
+/**
+ * Statuses that promise that a request has not run and never will: callers repeat
+ * also requests that must not run twice.
+ */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const STATUS_BAD_GATEWAY = 502;
+
 /** Body of an `application/problem+json` response (RFC 9457). */
 export interface Problem {
   readonly type: string;
@@ -27,6 +34,34 @@
   };
 }
 
+/**
+ * Whether a status promises that the request has not run and never will.
+ *
+ * @example
+ * ```ts
+ * core.promisesNotRun(503); // true
+ * ```
+ */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
+/**
+ * Returns the status with which a failure is reported. It promises that the
+ * request has not run only if that is certain, whatever the result code says.
+ *
+ * @example
+ * ```ts
+ * core.statusOf(core.fail(core.UPSTREAM_REFUSED, "full", "unknown")); // 502
+ * ```
+ */
+export function statusOf({ result, ran }: Failure): number {
+  const { httpStatus } = result;
+  return ran !== "no" && promisesNotRun(httpStatus)
+    ? STATUS_BAD_GATEWAY
+    : httpStatus;
+}
+
 /**
  * Creates the failure of a request that was rejected without being run.
  *
@@ -66,14 +101,14 @@
  *
  * @example
  * ```ts
- * response.json(core.toProblem(failure), failure.result.httpStatus);
+ * response.json(core.toProblem(failure), core.statusOf(failure));
  * ```
  */
 export function toProblem(failure: Failure): Problem {
   const problem = {
     type: `urn:carawaywind:code:${failure.result.code}`,
     title: failure.result.name,
-    status: failure.result.httpStatus,
+    status: statusOf(failure),
     detail: failure.detail,
     code: failure.result.code,
     ran: failure.ran,
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -45,7 +45,14 @@
   UPSTREAM_UNREACHABLE,
 } from "./codes.ts";
 export type { Ran, ResultCode } from "./codes.ts";
-export { fail, messageOf, refuse, toProblem } from "./failure.ts";
+export {
+  fail,
+  messageOf,
+  promisesNotRun,
+  refuse,
+  statusOf,
+  toProblem,
+} from "./failure.ts";
 export type { Failure, Problem } from "./failure.ts";
 export { brandId, randomId } from "./ids.ts";
 export type {
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -119,7 +119,7 @@
     headers["retry-after-ms"] = String(Math.ceil(failure.retryAfterMs));
   }
   const body = JSON.stringify(core.toProblem(failure));
-  return context.body(body, failure.result.httpStatus as 500, headers);
+  return context.body(body, core.statusOf(failure) as 500, headers);
 }
 
 /**
