--- a/packages/transport/transport_request.ts
+++ b/packages/transport/transport_request.ts
@@ -5,12 +5,16 @@
 import { limitStart } from "./transport_start_limit.ts";
 import { guardUnframedBodies } from "./transport_unframed.ts";
 
-/** Errors that prove that no byte of a request was sent. */
-const NOT_SENT_CODES = new Set([
+/** Errors of opening a connection. An open one may end with them as well. */
+const NOT_CONNECTED_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
   "ENETUNREACH",
   "EADDRNOTAVAIL",
+]);
+const CONNECTING_SYSCALLS = new Set(["connect", "bind"]);
+/** Errors that are raised only before the first byte of a request. */
+const NOT_STARTED_CODES = new Set([
   "UND_ERR_CONNECT_TIMEOUT",
   "STARTED_TOO_LATE",
 ]);
@@ -59,16 +63,22 @@
 }
 
 /**
- * Whether an error proves that a request was not sent.
+ * Whether an error proves that no byte of a request was sent.
  *
  * @example
  * ```ts
- * transport.wasNotSent(error); // true for ECONNREFUSED
+ * transport.wasNotSent(error); // true for `connect ECONNREFUSED`
  * ```
  */
 export function wasNotSent(thrown: unknown): boolean {
-  const code = (thrown as { code?: unknown } | null)?.code;
-  return typeof code === "string" && NOT_SENT_CODES.has(code);
+  // A host name may stand for several addresses, each of which was tried.
+  if (thrown instanceof AggregateError) {
+    return thrown.errors.length > 0 && thrown.errors.every(wasNotSent);
+  }
+  const { code, syscall } = (thrown ?? {}) as NodeJS.ErrnoException;
+  if (code === undefined) return false;
+  return NOT_STARTED_CODES.has(code) ||
+    NOT_CONNECTED_CODES.has(code) && CONNECTING_SYSCALLS.has(syscall ?? "");
 }
 
 /**
