--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -227,9 +227,8 @@
       };
     }
     const isSuccess = head.status < 300;
-    // An error cannot be relayed after the first events of a stream.
     if (
-      !isSuccess && (this.#response.hasStarted || this.#retries.tryTakeRetry())
+      !isSuccess && (this.#mustWithhold(head) || this.#retries.tryTakeRetry())
     ) {
       await this.#drop(assignment, attempt);
       assignment.onEnd("failed");
@@ -256,6 +255,15 @@
       : await this.#bodyRelay.relayWhole(assignment, received);
   }
 
+  /**
+   * Whether a failure cannot be passed on: it follows the first events of a
+   * stream, or its status promises that the request has not run, which the
+   * upstream did not state.
+   */
+  #mustWithhold({ status }: AttemptHead): boolean {
+    return this.#response.hasStarted || core.promisesNotRun(status);
+  }
+
   /** Lets a response end that is not passed on, or ends it. */
   async #drop(assignment: UpstreamAssignment, attempt: Attempt): Promise<void> {
     const failure = await attempt.drop();
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -298,8 +298,11 @@
   response.writeHead(503, { "x-not-run": "1" }).end();
 export const rejectOtherNotRun: Behaviour = (_request, response) =>
   response.writeHead(503, { "x-not-run": "1", "x-id": "other" }).end();
-export const respondError: Behaviour = (_request, response) =>
-  response.writeHead(500, signedHeaders).end("own error");
+/** An upstream's own failure, after a run. */
+export const respondStatus =
+  (status: number): Behaviour => (_request, response) =>
+    response.writeHead(status, signedHeaders).end("own error");
+export const respondError = respondStatus(500);
 export const respondToOther: Behaviour = (_request, response) =>
   response.writeHead(200, { ...signedHeaders, "x-id": "other" }).end(
     "not yours",
--- a/packages/relay/tests/unit/relay_task_test.ts
+++ b/packages/relay/tests/unit/relay_task_test.ts
@@ -10,6 +10,7 @@
   resetConnection,
   respondError,
   respondOk,
+  respondStatus,
   respondToOther,
   respondTruncated,
   respondUnsigned,
@@ -47,6 +48,30 @@
     options: { budget: 0 },
     expected: { status: 500, body: "own error", outcomes: ["failed"] },
   },
+  // Guards against a caller that repeats an order which has run.
+  ...[408, 429, 503].map((status): Case => ({
+    name: `unsafe: an upstream's own ${status} does not promise "not run"`,
+    upstreams: [respondStatus(status), respondOk],
+    route: { kind: "unsafe" },
+    expected: { status: 502, body: "", outcomes: ["failed"] },
+  })),
+  {
+    name: 'safe: an upstream\'s own 503 does not promise "not run"',
+    upstreams: [respondStatus(503), respondOk],
+    options: { budget: 0 },
+    expected: { status: 502, body: "", outcomes: ["failed"] },
+  },
+  {
+    name: "safe: an upstream's own 503 is retried on another upstream",
+    upstreams: [respondStatus(503), respondOk],
+    expected: { status: 200, body: "whole", outcomes: ["failed", "served"] },
+  },
+  {
+    name: 'stream: an upstream\'s own 503 does not promise "not run"',
+    upstreams: [respondStatus(503), respondOk],
+    route: { kind: "stream" },
+    expected: { status: 502, body: "", outcomes: ["failed"] },
+  },
   {
     name: "resumable: an error response is retried on another upstream",
     upstreams: [
