--- a/packages/fakes/fake_service.ts
+++ b/packages/fakes/fake_service.ts
@@ -15,7 +15,8 @@
 /**
  * A plain service. Faults besides those of `FakeServer`: `refuse` (503 with
  * `x-not-run`), `slowRun` (the call takes `delayMs`), `cutAfterRun` (connection
- * closed after the run), `foreign` (the response has another attempt's id).
+ * closed after the run), `foreign` (the response has another attempt's id),
+ * `busyAfterRun` (503 after the run).
  */
 export class FakeService extends FakeServer {
   /** Number of runs by `caller/key`. */
@@ -68,6 +69,10 @@
       if (this.faults.consume("cutAfterRun", bodyText)) {
         return this.cutConnection(c);
       }
+      if (this.faults.consume("busyAfterRun", bodyText)) {
+        c.header("x-request-id", attemptId);
+        return c.text("busy", 503);
+      }
       const foreign = this.faults.consume("foreign", bodyText);
       c.header("x-request-id", foreign ? "at-someone-else" : attemptId);
       return c.json({
--- a/packages/proofs/tests/unit/may_have_run_test.ts
+++ b/packages/proofs/tests/unit/may_have_run_test.ts
@@ -5,7 +5,7 @@
 const cluster = new testing.TestCluster({
   entries: 1,
   engines: 1,
-  services: { stock: 2 },
+  services: { stock: 2, orders: 1 },
   rows: [testing.makeRow("llama")],
 });
 let origin = "";
@@ -62,3 +62,34 @@
   });
   t.true(codes.has(core.UPSTREAM_REFUSED.code), [...codes].join(" "));
 });
+
+// Guards against a service's own 503, after a run, that is passed on as a promise
+// of this system.
+for (
+  const { name, call } of [
+    { name: "repeatable", call: { service: "stock", path: "count" } },
+    {
+      name: "at most once",
+      call: { service: "orders", path: "dispense", key: "own-status" },
+    },
+  ]
+) {
+  test.serial(`a service's own 503 is not passed on: ${name}`, async (t) => {
+    const services = cluster.services.get(call.service) ?? [];
+    for (const { faults } of services) {
+      faults.clear();
+      faults.inject({ name: "busyAfterRun" });
+    }
+    const runs = () =>
+      services.reduce((sum, { attempts }) => sum + attempts.size, 0);
+    const before = runs();
+    await testing.waitUntil("the call runs", async () => {
+      const response = await testing.callService(origin, { ...call, body: {} });
+      if (runs() === before) return false;
+      const { status, body } = response;
+      t.false(PROMISES.includes(status), `${status} ${JSON.stringify(body)}`);
+      t.is(body.ran, "unknown");
+      return true;
+    });
+  });
+}
--- a/packages/upstream/upstream_service.ts
+++ b/packages/upstream/upstream_service.ts
@@ -1,6 +1,7 @@
 /** Client of plain HTTP services: one call yields one response. */
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
+import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { ATTEMPT_ID_HEADER, DEADLINE_HEADER } from "./upstream_engine.ts";
 import type {
@@ -83,6 +84,11 @@
     const detail = `status ${response.status}`;
     return err({ fault: "refused", ran: "no", detail });
   }
+  if (core.promisesNotRun(response.status)) {
+    // Passed on, it would promise what the service did not state.
+    const detail = `status ${response.status}, which may follow a run`;
+    return err({ fault: "broke", ran: "unknown", detail });
+  }
   return ok({
     status: response.status,
     contentType: response.headers["content-type"] ?? "application/octet-stream",
