--- a/packages/testing/mod.ts
+++ b/packages/testing/mod.ts
@@ -12,6 +12,8 @@
   ServiceCall,
   StreamResult,
 } from "./testing_caller.ts";
+export { cutHeads, CutServer } from "./testing_cut_server.ts";
+export type { CutKind } from "./testing_cut_server.ts";
 export { makeUpstreamRecord, startThenHoldUp } from "./testing_fixtures.ts";
 export { StartedProcess, startProcess } from "./testing_process.ts";
 export {
