--- a/packages/entry/tests/unit/entry_caller_listener_test.ts
+++ b/packages/entry/tests/unit/entry_caller_listener_test.ts
@@ -43,6 +43,27 @@
   });
 });
 
+// Guards against 400 in place of the answer to a request that runs, where its
+// caller closes its end in the middle of the next one.
+for (
+  const [name, next] of Object.entries({
+    head: "GET /a/ HTTP/1.1\r\n",
+    body:
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\nContent-Length: 9\r\n\r\nx",
+  })
+) {
+  test.serial(`half a ${name} does not replace the answer before it`, async (t) => {
+    await withListener(respondAfter(400), async (harness) => {
+      const caller = harness.connect();
+      caller.socket.write(GET);
+      await harness.reached(1);
+      caller.socket.end(next);
+      await caller.closed;
+      t.deepEqual(caller.statuses, []);
+    });
+  });
+}
+
 /** Sends events 100 ms apart. */
 const respondWithEvents =
   (events: number): RequestListener => (request, response) => {
--- a/packages/transport/transport_parse_errors.ts
+++ b/packages/transport/transport_parse_errors.ts
@@ -32,9 +32,13 @@
     response.once("close", () => pending.delete(response));
   }
 
-  /** Whether the head of a pending response has been written. */
-  hasStarted(socket: Socket): boolean {
-    return this.#of(socket).some(({ headersSent }) => headersSent);
+  /**
+   * Whether a response has begun, or is owed to a request that was received
+   * whole. A status that is written then would be taken for it.
+   */
+  areOwed(socket: Socket): boolean {
+    return this.#of(socket)
+      .some(({ headersSent, req }) => headersSent || req.complete);
   }
 
   /**
@@ -81,7 +85,7 @@
     const hasLeft = socket.readableEnded || !isParseError(error);
     // Node reports the error again with whatever else arrives.
     if (!hasLeft && pending.closeAfterLast(socket)) return;
-    if (socket.writable && !pending.hasStarted(socket)) {
+    if (socket.writable && !pending.areOwed(socket)) {
       writeStatus(
         socket,
         STATUS_BY_CODE[error.code ?? ""] ?? STATUS_BAD_REQUEST,
