--- a/packages/entry/entry_engine_states.ts
+++ b/packages/entry/entry_engine_states.ts
@@ -25,26 +25,44 @@
   readonly atMs: number;
 }
 
-/** Encodes the states of all engines; equal states have equal tags. */
+/**
+ * Encodes the states of all engines; equal states have equal tags. States with
+ * the tag of `before` are not encoded again.
+ */
 export function tagEngineStates(
   incarnation: string,
   states: readonly EngineOrderState[],
   nowMs: number,
+  before?: TaggedEngineStates,
 ): TaggedEngineStates {
+  const tag = `${incarnation}:${hashStates(states, nowMs)}`;
+  if (tag === before?.tag) return before;
   const engines = states.map((state) => toEngineState(state, nowMs));
-  const signature = states.map(({ lastOrderAtMs }, index) => {
-    const { upstreamId, bornMs, models, orderCount, late } = engines[index]!;
-    const held = models.map(({ model, isUsable, adapters }) =>
-      `${model}:${isUsable}:${adapters.join(",")}`
-    );
-    const lost = late.map((order) =>
-      `${order.fencingToken}:${order.expectedOrderCount}:${order.model}`
-    );
-    return [upstreamId, bornMs, orderCount, lastOrderAtMs, ...held, ...lost]
-      .join(" ");
-  });
-  const hash = core.hash32(signature.join("\n")).toString(36);
-  return { tag: `${incarnation}:${hash}`, engines, atMs: nowMs };
+  return { tag, engines, atMs: nowMs };
+}
+
+/** Hashes all that changes in the states but relative times. */
+function hashStates(
+  states: readonly EngineOrderState[],
+  nowMs: number,
+): string {
+  let text = "";
+  for (const { record, inventory, lastOrderAtMs, late } of states) {
+    text += `${record.id} ${record.startedAtMs} ${inventory.orderCount} ` +
+      lastOrderAtMs;
+    for (const [name, model] of inventory.models) {
+      text += ` ${name}:${orders.isUsable(model, nowMs)}:`;
+      for (const [adapter, readyAtMs] of model.adapters) {
+        if (readyAtMs <= nowMs) text += `${adapter},`;
+      }
+    }
+    for (const { order } of late?.all(nowMs) ?? []) {
+      text += ` ${order.fencingToken}:${order.expectedOrderCount}:` +
+        order.model;
+    }
+    text += "\n";
+  }
+  return core.hash32(text).toString(36);
 }
 
 /** Converts the relative times in the states to those at a later time. */
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -85,6 +85,8 @@
   };
   #sums: LoadSums | undefined;
   #ownEngineStates: TaggedEngineStates | undefined;
+  /** When their tag was last compared with the engines' states. */
+  #taggedAtMs = -Infinity;
   #parentEngineStates: TaggedEngineStates | undefined;
   #parentUses: readonly peers.EngineUse[] = [];
   #parentQueues: peers.FleetView["queues"] | undefined;
@@ -250,11 +252,13 @@
     const own = this.#sources.engineStates();
     if (own) {
       const cached = this.#ownEngineStates;
-      if (cached && nowMs - cached.atMs < SUMS_TTL_MS) return cached;
+      if (cached && nowMs - this.#taggedAtMs < SUMS_TTL_MS) return cached;
+      this.#taggedAtMs = nowMs;
       this.#ownEngineStates = tagEngineStates(
         this.#state.incarnation,
         own,
         nowMs,
+        cached,
       );
       return this.#ownEngineStates;
     }
--- a/packages/entry/tests/unit/entry_engine_states_test.ts
+++ b/packages/entry/tests/unit/entry_engine_states_test.ts
@@ -78,3 +78,89 @@
   t.true(toBinary(peers.EngineStateSchema, engine!).length > 0);
   t.is(engine!.lastOrderAgeMs, 2 ** 32 - 1);
 });
+
+const m = core.brandId<core.ModelName>("m");
+
+/** Changes after which other nodes have to be sent the states again. */
+const CHANGES: Readonly<
+  Record<
+    string,
+    (inventory: orders.EngineInventory, late: orders.LateOrders) => void
+  >
+> = {
+  "an accepted order": (inventory) =>
+    inventory.applyAccepted(
+      {
+        kind: "load",
+        model: core.brandId<core.ModelName>("other"),
+        expectedOrderCount: 4,
+        holder: core.brandId<core.InstanceId>("n"),
+        fencingToken: 7,
+      },
+      500,
+      1_000,
+    ),
+  "a model that drains": (inventory) => {
+    inventory.models.get(m)!.phase = "draining";
+  },
+  "an adapter that is gone": (inventory) => {
+    inventory.models.get(m)!.adapters.delete("a");
+  },
+  "an order without a reply": (_inventory, late) => {
+    late.record({
+      kind: "unload",
+      model: m,
+      expectedOrderCount: 4,
+      fencingToken: 7,
+    }, 1_000);
+  },
+};
+
+// Guards against a lease holder that spends its time on encoding states that
+// have not changed, and against changes that other nodes are not told of.
+test("states are encoded again only when they have changed", (t) => {
+  for (const [name, change] of Object.entries(CHANGES)) {
+    const record = testing.makeUpstreamRecord({ startedAtMs: 1 });
+    const inventory = new orders.EngineInventory(record);
+    const late = new orders.LateOrders();
+    inventory.applyReport({
+      startedAtMs: 1,
+      models: [{ model: m, adapters: ["a"] }],
+      modelsInMemory: [],
+      modelsOnDisk: [],
+      loadingAdapters: [],
+      isBusy: false,
+      orderCount: 4,
+    });
+    const holder = { record, inventory, lastOrderAtMs: 900, late };
+    const first = tagEngineStates("in", [holder], 1_000);
+    t.is(tagEngineStates("in", [holder], 1_200, first), first, name);
+    change(inventory, late);
+    const changed = tagEngineStates("in", [holder], 1_200, first);
+    t.not(changed.tag, first.tag, name);
+    t.notDeepEqual(changed.engines, first.engines, name);
+  }
+});
+
+// Guards against a load whose end, which nothing reports, is not passed on.
+test("states change when the expected time of a load has passed", (t) => {
+  const record = testing.makeUpstreamRecord({ startedAtMs: 1 });
+  const inventory = new orders.EngineInventory(record);
+  inventory.applyAccepted(
+    {
+      kind: "load",
+      model: m,
+      expectedOrderCount: 0,
+      holder: core.brandId<core.InstanceId>("n"),
+      fencingToken: 7,
+    },
+    500,
+    1_000,
+  );
+  const holder = { record, inventory, lastOrderAtMs: 1_000 };
+  const loading = tagEngineStates("in", [holder], 1_000);
+  t.is(tagEngineStates("in", [holder], 1_499, loading), loading);
+  const usable = tagEngineStates("in", [holder], 1_500, loading);
+  t.not(usable.tag, loading.tag);
+  t.true(usable.engines[0]?.models[0]?.isUsable);
+});
