--- a/packages/relay/tests/raw_engines.ts
+++ b/packages/relay/tests/raw_engines.ts
@@ -118,7 +118,8 @@
 
 export const refusal = (id?: string) =>
   answerBytes(id, 503, "", "x-not-run: 1\r\n");
-export const failure = (id: string) => answerBytes(id, 500, "own error", SEAL);
+export const failure = (id: string, status = 500) =>
+  answerBytes(id, status, "own error", SEAL);
 export const success = (id: string) =>
   answerBytes(id, 200, `whole ${id}`, SEAL);
 
--- a/packages/relay/tests/unit/relay_disordered_answers_test.ts
+++ b/packages/relay/tests/unit/relay_disordered_answers_test.ts
@@ -1,8 +1,10 @@
 /**
- * Engines send second copies of their answers, answers without end, resets and
- * refusals in an order that a seed draws. Checks what callers are promised:
+ * Engines send second copies of their answers, answers without end, cut heads,
+ * resets, refusals and failures with the statuses of refusals, in an order that a
+ * seed draws. Checks what callers are promised:
  *
- * - an unsafe request runs once at most, and not at all if it is refused;
+ * - an unsafe request runs once at most;
+ * - no request has run whose status promises that it has not;
  * - no request runs more often than its route allows;
  * - an answer is the request's own and whole, or does not look complete;
  * - a stream has its events in order, each once;
@@ -35,6 +37,10 @@
 const CONNECTIONS_MAX = 15;
 /** Time after which no engine may work on a request that went on elsewhere. */
 const OVERLAP_MAX_MS = 400;
+/** Statuses that promise that a request has not run and never will. */
+const PROMISES: readonly number[] = [408, 421, 429, 503];
+/** Statuses of failures of engines that ran the request. */
+const OWN_STATUSES: readonly number[] = [500, 503, 429, 408];
 const KINDS: readonly fleet.RouteKind[] = ["unsafe", "safe", "stream"];
 
 /** Random numbers that depend on the seed alone (mulberry32). */
@@ -118,8 +124,12 @@
     work.isOver = true;
     if (socket.destroyed) return;
     const isStream = this.kindOf(id) === "stream";
-    if (draw < 0.43) return this.#reset(socket, "");
-    if (draw < 0.53) return this.#end("failure", socket, failure(id));
+    if (draw < 0.41) return this.#reset(socket, "");
+    if (draw < 0.45) return this.#cutHead(socket, success(id));
+    if (draw < 0.53) {
+      const status = this.choose(OWN_STATUSES);
+      return this.#end(`own${status}`, socket, failure(id, status));
+    }
     if (!isStream) {
       if (draw < 0.6) return this.#reset(socket, success(id).slice(0, -3));
       return this.#end("success", socket, success(id));
@@ -170,6 +180,17 @@
     else socket.write(bytes, () => socket.destroy());
   }
 
+  /** Stops inside the head of an answer, and closes or resets. */
+  #cutHead(socket: Socket, answer: string): void {
+    this.#count("cutHeads");
+    const headLength = answer.indexOf("\r\n\r\n") + 4;
+    const bytes = answer.slice(0, Math.floor(this.#random() * headLength));
+    const isReset = this.#random() < 0.5;
+    const end = () => isReset ? socket.resetAndDestroy() : socket.end();
+    if (bytes === "") end();
+    else socket.write(bytes, end);
+  }
+
   #endless(
     name: string,
     { id, socket }: Arrival,
@@ -200,7 +221,7 @@
     const fail = (text: string) => this.faults.push(`${kind} ${id}: ${text}`);
     if (kind === "unsafe" && runs > 1) fail(`ran ${runs} times`);
     if (runs > ATTEMPTS_MAX) fail(`ran ${runs} times`);
-    if (status === 503 && runs > 0) fail("was refused and ran");
+    if (PROMISES.includes(status) && runs > 0) fail(`got ${status} and ran`);
     if (status === 500 && body !== "own error") fail(`failed with ${body}`);
     if (status !== 200) return;
     if (kind === "stream") this.#checkEvents(body, isComplete, id, fail);
