--- a/packages/testing/testing_cut_server.ts
+++ b/packages/testing/testing_cut_server.ts
@@ -5,7 +5,15 @@
 /** How a connection is closed after an answer. */
 export type CutKind = "close" | "reset";
 
-/** Answers the first request of each connection with bytes, and closes it. */
+/**
+ * Answers the first request of each connection with bytes, and closes it.
+ *
+ * @example
+ * ```ts
+ * const server = await testing.CutServer.start();
+ * server.answer = "HTTP/1.1 200 OK\r\nconte";
+ * ```
+ */
 export class CutServer {
   readonly #server = createServer((socket) => this.#serve(socket));
   readonly #open = new Set<Socket>();
