--- a/packages/relay/tests/unit/relay_dropped_answers_test.ts
+++ b/packages/relay/tests/unit/relay_dropped_answers_test.ts
@@ -90,8 +90,10 @@
         end(socket);
       };
       const answer = ({ id, socket }: Arrival) => {
-        // The close may be read just after the next request.
-        setTimeout(() => {
+        // The close may be read just after the next request, and if the process
+        // was held up only after the timer.
+        setTimeout(async () => {
+          for (let polls = 0; polls < 3; polls++) await core.nextPoll();
           isClosed = first!.destroyed;
           socket.write(kind === "stream" ? streamBytes(id) : success(id));
         }, 100);
