--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -33,6 +33,8 @@
 /** Parts of a prompt, and characters of each, in the log. */
 const LOGGED_PARTS_MAX = 4;
 const LOGGED_PART_LENGTH = 16;
+/** Characters of an upstream's id in the list of refusals. */
+const LOGGED_UPSTREAM_LENGTH = 32;
 /** Retry-After for requests that ended without having run on an upstream. */
 const REJECTED_RETRY_AFTER_MS = 500;
 
@@ -50,6 +52,9 @@
   #framing: transport.BodyFraming | undefined;
   #outcome: RelayOutcome = "failed";
   #waitedMs = 0;
+  /** Refusals that were believed; at most one for each sending. */
+  readonly #refusals: string[] = [];
+
   /**
    * @param signal aborted when the caller disconnects or the deadline passes.
    */
@@ -209,6 +214,7 @@
         const reason = "refusal without a request id";
         this.#closeConnection(assignment, attempt, reason);
       } else await this.#drop(assignment, attempt);
+      this.#noteRefusal(assignment.upstream.id, head.status);
       const lacksModel = head.status === STATUS_MISDIRECTED;
       assignment.onNotRun(lacksModel, core.monotonicMs());
       assignment.onEnd("shed");
@@ -323,6 +329,16 @@
     });
   }
 
+  /**
+   * Notes who refused the request, and whether anything was sent before on that
+   * connection, of which the refusal could be a late copy.
+   */
+  #noteRefusal(upstream: core.UpstreamId, status: number): void {
+    const id = upstream.slice(0, LOGGED_UPSTREAM_LENGTH);
+    const connection = this.#usedConnections.isLastNew ? "new" : "kept";
+    this.#refusals.push(`${id}:${status}:${connection}`);
+  }
+
   /** The ids of the prompt's shared parts, shortened to bound the line. */
   #loggedParts(): string | undefined {
     const shared = this.#request.caller.promptParts.slice(0, -1);
@@ -350,6 +366,7 @@
       softwareVersion: this.#upstream?.softwareVersion,
       sendings: this.#retries.sendCount,
       runs: this.#retries.runCount,
+      refusals: this.#refusals.join(",") || undefined,
       abandoned: this.#retries.abandonedCount || undefined,
       framing: this.#framing,
       insideEvent: this.#bodyRelay.endedInsideEvent,
--- a/packages/relay/tests/raw_engines.ts
+++ b/packages/relay/tests/raw_engines.ts
@@ -18,7 +18,7 @@
 import type * as fleet from "../../fleet/mod.ts";
 import * as testing from "../../testing/mod.ts";
 import * as relay from "../mod.ts";
-import { PlainDialect, silentLogger } from "./relay_harness.ts";
+import { PlainDialect } from "./relay_harness.ts";
 
 /** A request as an engine received it. */
 export interface Arrival {
@@ -193,6 +193,9 @@
 export class RawFleet {
   /** Reasons for which connections were closed. */
   readonly closed: string[] = [];
+  /** Lines of the log. */
+  readonly log: string[] = [];
+  readonly #logger = new core.Logger({}, (line) => this.log.push(line));
   readonly #pools = new relay.UpstreamPools((_upstream, reason) =>
     this.closed.push(reason)
   );
@@ -298,7 +301,7 @@
       {
         dialect: new PlainDialect(),
         selector: new RawSelector(() => this.#assign()),
-        logger: silentLogger,
+        logger: this.#logger,
       },
       ended.signal,
     );
--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -66,6 +66,20 @@
   });
 });
 
+// Guards against a log that cannot tell a late copy of a refusal from a refusal.
+test("the log lists the refusals of a request, and the age of their connections", async (t) => {
+  const refused = ({ id, socket, times }: Arrival) =>
+    socket.write(id === "r2" && times < 3 ? refusal(id) : success(id));
+  await withFleet([refused], {}, async (fleet, [engine]) => {
+    t.is((await fleet.ask("r1")).status, 200);
+    t.is((await fleet.ask("r2")).status, 200);
+    const { id } = engine!.record;
+    const [first, second] = fleet.log;
+    t.false(first!.includes("refusals="));
+    t.true(second!.includes(`refusals="${id}:503:kept,${id}:503:new"`), second);
+  });
+});
+
 // Guards against a request that fails, or runs once more, because a copy of an
 // earlier failure was taken for the answer of the run in progress.
 test("a second copy of a failure does not count for the next run", async (t) => {
