--- a/packages/claims/claims_failures.ts
+++ b/packages/claims/claims_failures.ts
@@ -6,12 +6,25 @@
 
 /**
  * How far a request has come: its claim is being written, another request has
- * the claim, its call was dispatched, or its deadline passed before that.
+ * the claim, its call was dispatched, or its caller was answered before that.
  */
 export interface RunProgress {
   stage: "claiming" | "held" | "dispatched" | "ended";
 }
 
+/** Whether the caller was answered, so that the call must not be dispatched. */
+export function hasEnded({ stage }: RunProgress): boolean {
+  return stage === "ended";
+}
+
+/** Records a stage; a request that has ended stays so. */
+export function enterStage(
+  progress: RunProgress,
+  stage: "claiming" | "held",
+): void {
+  if (!hasEnded(progress)) progress.stage = stage;
+}
+
 /** The key was used with another request. */
 export function keyReused(): core.Failure {
   return core.refuse(core.KEY_REUSED, "the key names another request");
--- a/packages/claims/claims_runner.ts
+++ b/packages/claims/claims_runner.ts
@@ -107,7 +107,7 @@
       .waitFor(result, request.signal);
     if (resultInTime !== undefined) return resultInTime;
     const failure = failures.lateFailure(progress);
-    if (progress.stage === "claiming") progress.stage = "ended";
+    if (progress.stage !== "dispatched") progress.stage = "ended";
     return err(failure);
   }
 
@@ -117,15 +117,15 @@
     dispatch: Dispatch,
   ): Promise<ClaimResult> {
     let version = 0;
-    while (!request.deadline.isOver()) {
+    while (!failures.hasEnded(progress) && !request.deadline.isOver()) {
       const local = this.registry.find(claimKey(request));
       if (local) {
-        progress.stage = "held";
+        failures.enterStage(progress, "held");
         const result = await this.#awaitLocalClaim(request, local);
         if (result) return result;
         continue;
       }
-      progress.stage = "claiming";
+      failures.enterStage(progress, "claiming");
       const step = await this.#tryClaim(request, progress, version, dispatch);
       if (step.kind === "end") return step.result;
       if (step.kind === "takeOver") version = step.version;
@@ -190,7 +190,7 @@
     if (acquired.kind === "refused") {
       return { kind: "end", result: err(acquired.failure) };
     }
-    progress.stage = "held";
+    failures.enterStage(progress, "held");
     return this.#resolveHeld(request, acquired.held);
   }
 
