--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -16,9 +16,9 @@
 } from "./relay_body.ts";
 export {
   guardStart,
+  RequestConnections,
   StartRefusedError,
   UpstreamConnections,
-  UsedConnections,
 } from "./relay_connections.ts";
 export type {
   CloseReason,
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -6,7 +6,7 @@
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
 import * as transport from "../transport/mod.ts";
-import type { RequestSender, UsedConnections } from "./relay_connections.ts";
+import type { RequestConnections, RequestSender } from "./relay_connections.ts";
 import { responseMemory } from "./relay_memory.ts";
 
 /** Why an attempt did not yield a complete response. */
@@ -300,8 +300,8 @@
     readonly body: Buffer | null;
     /** Time of the monotonic clock from which the request is not sent. */
     readonly startBeforeMs?: number;
-    /** Connections on which it was sent before; the one used is added. */
-    readonly usedConnections?: UsedConnections;
+    /** Keeps it off connections on which its id was sent. */
+    readonly connections?: RequestConnections;
   },
 ): Attempt {
   const attempt = new Attempt(
@@ -316,9 +316,9 @@
         method: request.method as Dispatcher.HttpMethod,
         headers: request.headers,
         body: request.body,
-        ...(request.usedConnections === undefined
+        ...(request.connections === undefined
           ? {}
-          : { usedConnections: request.usedConnections }),
+          : { request: request.connections }),
         mayStart: () => !attempt.hasEnded,
       },
       transport.guardUnframedBody(handler, request.method, UNFRAMED_BYTES_MAX),
--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -1,30 +1,45 @@
 /**
- * The connections to one upstream. No request is sent twice on one of them, so
- * that a second, late copy of an answer is never taken for the answer to the
- * next sending of its request, which has the same id.
+ * The connections to one upstream. No request id is sent twice on one of them,
+ * so that a second, late copy of an answer is never taken for the answer to the
+ * next sending of its request, by this node or by a caller that comes back.
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import * as undici from "undici";
+import * as core from "../core/mod.ts";
+
+/** Time for which a connection remembers ids; callers do not wait longer. */
+const REMEMBERED_FOR_MS = 120_000;
 
 type Handler = undici.Dispatcher.DispatchHandler;
 type Controller = undici.Dispatcher.DispatchController;
 
-/** Connections on which one request was sent. */
-export class UsedConnections {
-  readonly #sockets = new Set<Socket>();
+/** Identifies a request to connections, and knows that of its last sending. */
+export class RequestConnections {
+  /** Hash of its id; two with the same one do not share a connection. */
+  readonly idHash: number;
   #closeLast: () => void = () => {};
   #isLastNew = false;
 
   /**
-   * Adds the connection on which the request is being sent.
+   * @param requestId what its answers are told by.
+   * @example
+   * ```ts
+   * const connections = new relay.RequestConnections(caller.requestId);
+   * ```
+   */
+  constructor(requestId: string) {
+    this.idHash = core.hash32(requestId);
+  }
+
+  /**
+   * Notes the connection on which the request is being sent.
    *
    * @param isNew whether no request was sent on it before.
    * @param close closes it, unless another request has been sent on it since.
    */
-  add(socket: Socket, isNew: boolean, close: () => void): void {
-    this.#sockets.add(socket);
+  noteSending(isNew: boolean, close: () => void): void {
     this.#isLastNew = isNew;
     this.#closeLast = close;
   }
@@ -37,10 +52,6 @@
     return this.#isLastNew;
   }
 
-  has(socket: Socket): boolean {
-    return this.#sockets.has(socket);
-  }
-
   /**
    * Closes the connection of the last sending, also if its answer has ended,
    * unless another request has been sent on it since.
@@ -52,8 +63,8 @@
 
 /** Options of a request that may be sent more than once. */
 export interface SendOptions extends undici.Dispatcher.DispatchOptions {
-  /** Connections not to be used; the one that is used is added. */
-  readonly usedConnections?: UsedConnections;
+  /** The request; connections on which its id was sent are not used. */
+  readonly request?: RequestConnections;
   /** Asked right before the request is sent, as it may wait until then. */
   readonly mayStart?: () => boolean;
 }
@@ -147,6 +158,8 @@
   #sentCount = 0;
   /** The connection of the last sending. */
   #sentOn: Socket | undefined;
+  /** When ids were sent on it, by their hashes, in the order of their sending. */
+  readonly #sentAtMs = new Map<number, number>();
   /** Resolves when the connections of failed requests are closed. */
   #closing: Promise<unknown> = Promise.resolve();
   isBusy = false;
@@ -161,6 +174,14 @@
     return this.#socket?.destroyed ? undefined : this.#socket;
   }
 
+  /** Whether the id of a request was sent on the open connection. */
+  hasSent(request: RequestConnections | undefined): boolean {
+    const { connection } = this;
+    if (!request || !connection || connection !== this.#sentOn) return false;
+    const sentAtMs = this.#sentAtMs.get(request.idHash) ?? -Infinity;
+    return core.monotonicMs() - sentAtMs < REMEMBERED_FOR_MS;
+  }
+
   /** Sends a request, on a new connection if none is open. */
   send({ options, handler }: Sending, onFree: () => void): void {
     this.isBusy = true;
@@ -172,7 +193,8 @@
       const count = ++this.#sentCount;
       const isNew = this.#sentOn !== socket;
       this.#sentOn = socket;
-      options.usedConnections?.add(socket, isNew, () => {
+      this.#remember(options.request, isNew);
+      options.request?.noteSending(isNew, () => {
         if (this.#sentCount === count) socket.destroy();
       });
     };
@@ -201,6 +223,19 @@
     await Promise.all([this.#closing, this.#client.destroy()]);
   }
 
+  #remember(request: RequestConnections | undefined, isNew: boolean): void {
+    if (isNew) this.#sentAtMs.clear();
+    if (!request) return;
+    const nowMs = core.monotonicMs();
+    for (const [idHash, sentAtMs] of this.#sentAtMs) {
+      if (nowMs - sentAtMs < REMEMBERED_FOR_MS) break;
+      this.#sentAtMs.delete(idHash);
+    }
+    // Set anew, as the entries are in the order of their sending.
+    this.#sentAtMs.delete(request.idHash);
+    this.#sentAtMs.set(request.idHash, nowMs);
+  }
+
   #openClient(): undici.Client {
     const { connect, connectionsMax: _, onClose, ...options } = this.#options;
     const client = new undici.Client(this.#origin, {
@@ -304,7 +339,7 @@
   dispatch(options: SendOptions, handler: Handler): void {
     if (this.#isClosed) throw new undici.errors.ClientClosedError();
     const sending = { options, handler };
-    const lane = this.#findFree(options.usedConnections);
+    const lane = this.#findFree(options.request);
     if (!lane) this.#waiting.push(sending);
     else if (mayStart(sending)) this.#send(lane, sending);
   }
@@ -328,14 +363,13 @@
   }
 
   /** Prefers connections that are open, and the first ones among them. */
-  #findFree(used: UsedConnections | undefined): Lane | undefined {
+  #findFree(request: RequestConnections | undefined): Lane | undefined {
     let unopened: Lane | undefined;
     let spent: Lane | undefined;
     for (const lane of this.#lanes) {
       if (lane.isBusy) continue;
-      const { connection } = lane;
-      if (connection === undefined) unopened ??= lane;
-      else if (used?.has(connection)) spent ??= lane;
+      if (lane.connection === undefined) unopened ??= lane;
+      else if (lane.hasSent(request)) spent ??= lane;
       else return lane;
     }
     if (unopened) return unopened;
@@ -351,9 +385,8 @@
   }
 
   #send(lane: Lane, sending: Sending): void {
-    const { connection } = lane;
-    if (connection && sending.options.usedConnections?.has(connection)) {
-      connection.destroy();
+    if (lane.hasSent(sending.options.request)) {
+      lane.connection?.destroy();
       this.#options.onClose?.("requestSentBefore");
     }
     lane.send(sending, () => this.#sendNext(lane));
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -5,7 +5,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
-import { UsedConnections } from "./relay_connections.ts";
+import { RequestConnections } from "./relay_connections.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -45,7 +45,7 @@
   readonly #signal: AbortSignal;
   readonly #retries: RelayRetries;
   readonly #bodyRelay: BodyRelay;
-  readonly #usedConnections = new UsedConnections();
+  readonly #connections: RequestConnections;
   #attempt: Attempt | undefined;
   #upstream: fleet.UpstreamRecord | undefined;
   #selectionFields: core.LogFields = {};
@@ -68,6 +68,7 @@
     this.#response = response;
     this.#dependencies = dependencies;
     this.#signal = signal;
+    this.#connections = new RequestConnections(request.caller.requestId);
     this.#retries = new RelayRetries(request, dependencies, signal);
     const { isResumable } = request.route;
     const { takenUpStream } = request.caller;
@@ -150,7 +151,7 @@
       }),
       body: body.length > 0 ? body : null,
       startBeforeMs: deadlineAtMs,
-      usedConnections: this.#usedConnections,
+      connections: this.#connections,
     });
     this.#attempt = attempt;
     const watch = this.#retries
@@ -198,7 +199,7 @@
     if (quietMs !== undefined) assignment.onQuiet(quietMs, core.monotonicMs());
     // On a connection that was used before, it may be a copy of an earlier one.
     const isAnonymousRefusal = isNotRun && requestId === undefined &&
-      this.#usedConnections.isLastNew;
+      this.#connections.isLastNew;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       const detail = requestId === undefined
         ? "response without a request id"
@@ -284,7 +285,7 @@
     reason: string,
   ): void {
     attempt.cancel(reason);
-    this.#usedConnections.closeLast();
+    this.#connections.closeLast();
     assignment.onConnectionClosed(reason);
   }
 
@@ -335,7 +336,7 @@
    */
   #noteRefusal(upstream: core.UpstreamId, status: number): void {
     const id = upstream.slice(0, LOGGED_UPSTREAM_LENGTH);
-    const connection = this.#usedConnections.isLastNew ? "new" : "kept";
+    const connection = this.#connections.isLastNew ? "new" : "kept";
     this.#refusals.push(`${id}:${status}:${connection}`);
   }
 
--- a/packages/relay/tests/unit/relay_connections_test.ts
+++ b/packages/relay/tests/unit/relay_connections_test.ts
@@ -39,7 +39,7 @@
 async function send(
   connections: relay.UpstreamConnections,
   id: string,
-  usedConnections = new relay.UsedConnections(),
+  request = new relay.RequestConnections(id),
   path = "/",
 ): Promise<number | string> {
   const attempt = relay.startAttempt(connections, {
@@ -47,7 +47,7 @@
     method: "GET",
     headers: { "x-id": id },
     body: null,
-    usedConnections,
+    connections: request,
   });
   const head = await attempt.head;
   if (head.isErr()) return head.error.sent;
@@ -80,22 +80,30 @@
   });
 });
 
-// Guards against a request that is sent twice on one connection, where a copy of
-// its first answer may still come.
-test("a request is sent on each connection once, also at the limit", async (t) => {
-  const answer: Answer = (arrival, engine) => {
-    t.false(arrival.before.includes(arrival.id));
-    answerAtOnce(arrival, engine);
-  };
-  await withConnections(answer, 2, async (connections, engine, closed) => {
-    const used = new relay.UsedConnections();
-    for (let n = 0; n < 5; n++) t.is(await send(connections, "r", used), 200);
-    t.is(engine.connections, 5);
-    t.deepEqual(closed, Array(3).fill("requestSentBefore"));
-    t.is(await send(connections, "other"), 200);
-    t.is(engine.connections, 5, "other requests use open connections");
+for (const how of ["sent again by this node", "its caller comes back"]) {
+  // Guards against a request that is sent twice on one connection, where a copy
+  // of its first answer may still come.
+  test(`a request is sent on each connection once, also at the limit: ${how}`, async (t) => {
+    const answer: Answer = (arrival, engine) => {
+      t.false(arrival.before.includes(arrival.id));
+      answerAtOnce(arrival, engine);
+    };
+    await withConnections(answer, 2, async (connections, engine, closed) => {
+      const first = new relay.RequestConnections("r");
+      const next = () =>
+        how === "its caller comes back"
+          ? new relay.RequestConnections("r")
+          : first;
+      for (let n = 0; n < 5; n++) {
+        t.is(await send(connections, "r", next()), 200);
+      }
+      t.is(engine.connections, 5);
+      t.deepEqual(closed, Array(3).fill("requestSentBefore"));
+      t.is(await send(connections, "other"), 200);
+      t.is(engine.connections, 5, "other requests use open connections");
+    });
   });
-});
+}
 
 test("a request that waits at the limit gets a connection of its own in turn", async (t) => {
   const answer: Answer = (arrival, engine) => {
@@ -103,10 +111,9 @@
     setTimeout(() => answerAtOnce(arrival, engine), 10);
   };
   await withConnections(answer, 1, async (connections) => {
-    const used = new relay.UsedConnections();
-    t.is(await send(connections, "r", used), 200);
+    t.is(await send(connections, "r"), 200);
     const other = send(connections, "other");
-    t.is(await send(connections, "r", used), 200);
+    t.is(await send(connections, "r"), 200);
     t.is(await other, 200);
   });
 });
--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -66,6 +66,26 @@
   });
 });
 
+// Guards against a request that runs twice, or is refused though it runs, because
+// its caller came back with the same id and met a copy of the earlier refusal.
+test("a second copy of a refusal does not count when its caller comes back", async (t) => {
+  const runs: string[] = [];
+  const copies = new LateCopies();
+  let isFull = true;
+  const answer = ({ id, socket }: Arrival) => {
+    copies.sendOn(socket);
+    if (isFull) return copies.answer(socket, refusal(id));
+    runs.push(id);
+    setTimeout(() => socket.write(success(id)), 20);
+  };
+  await withFleet([answer], {}, async (fleet) => {
+    t.is((await fleet.ask("r1")).status, 503);
+    isFull = false;
+    t.like(await fleet.ask("r1"), { status: 200, body: "whole r1" });
+    t.deepEqual(runs, ["r1"]);
+  });
+});
+
 // Guards against a log that cannot tell a late copy of a refusal from a refusal.
 test("the log lists the refusals of a request, and the age of their connections", async (t) => {
   const refused = ({ id, socket, times }: Arrival) =>
