--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -9,8 +9,8 @@
 import * as undici from "undici";
 import * as core from "../core/mod.ts";
 
-/** Time for which a connection remembers ids; callers do not wait longer. */
-const REMEMBERED_FOR_MS = 120_000;
+/** Requests that a connection bears, as it remembers the ids of all of them. */
+const REQUESTS_MAX = 256;
 
 type Handler = undici.Dispatcher.DispatchHandler;
 type Controller = undici.Dispatcher.DispatchController;
@@ -109,7 +109,9 @@
   /** All others are busy, and the next request was sent on it before. */
   | "requestSentBefore"
   /** Bytes came though no answer was due. */
-  | "unexpectedBytes";
+  | "unexpectedBytes"
+  /** It has borne as many requests as it may. */
+  | "requestLimit";
 
 export interface ConnectionsOptions
   extends Omit<undici.Client.Options, "connect" | "pipelining"> {
@@ -158,8 +160,8 @@
   #sentCount = 0;
   /** The connection of the last sending. */
   #sentOn: Socket | undefined;
-  /** When ids were sent on it, by their hashes, in the order of their sending. */
-  readonly #sentAtMs = new Map<number, number>();
+  /** Hashes of the ids that were sent on it. */
+  readonly #sentIds = new Set<number>();
   /** Resolves when the connections of failed requests are closed. */
   #closing: Promise<unknown> = Promise.resolve();
   isBusy = false;
@@ -178,8 +180,7 @@
   hasSent(request: RequestConnections | undefined): boolean {
     const { connection } = this;
     if (!request || !connection || connection !== this.#sentOn) return false;
-    const sentAtMs = this.#sentAtMs.get(request.idHash) ?? -Infinity;
-    return core.monotonicMs() - sentAtMs < REMEMBERED_FOR_MS;
+    return this.#sentIds.has(request.idHash);
   }
 
   /** Sends a request, on a new connection if none is open. */
@@ -193,7 +194,8 @@
       const count = ++this.#sentCount;
       const isNew = this.#sentOn !== socket;
       this.#sentOn = socket;
-      this.#remember(options.request, isNew);
+      if (isNew) this.#sentIds.clear();
+      if (options.request) this.#sentIds.add(options.request.idHash);
       options.request?.noteSending(isNew, () => {
         if (this.#sentCount === count) socket.destroy();
       });
@@ -205,6 +207,7 @@
       this.isBusy = false;
       queueMicrotask(() => {
         if (isSpent) this.#closing = client.destroy(error).catch(() => {});
+        else this.#closeIfSpent();
         onFree();
       });
     };
@@ -223,17 +226,11 @@
     await Promise.all([this.#closing, this.#client.destroy()]);
   }
 
-  #remember(request: RequestConnections | undefined, isNew: boolean): void {
-    if (isNew) this.#sentAtMs.clear();
-    if (!request) return;
-    const nowMs = core.monotonicMs();
-    for (const [idHash, sentAtMs] of this.#sentAtMs) {
-      if (nowMs - sentAtMs < REMEMBERED_FOR_MS) break;
-      this.#sentAtMs.delete(idHash);
-    }
-    // Set anew, as the entries are in the order of their sending.
-    this.#sentAtMs.delete(request.idHash);
-    this.#sentAtMs.set(request.idHash, nowMs);
+  /** Closes a connection that is not to remember more ids. */
+  #closeIfSpent(): void {
+    if (this.#sentIds.size < REQUESTS_MAX) return;
+    this.connection?.destroy();
+    this.#options.onClose?.("requestLimit");
   }
 
   #openClient(): undici.Client {
--- a/packages/relay/tests/unit/relay_connections_test.ts
+++ b/packages/relay/tests/unit/relay_connections_test.ts
@@ -105,6 +105,19 @@
   });
 }
 
+// Guards against a connection whose memory of ids grows without a bound.
+test("a connection is closed after its most requests, between two of them", async (t) => {
+  await withConnections(
+    answerAtOnce,
+    1,
+    async (connections, engine, closed) => {
+      for (let n = 0; n < 600; n++) t.is(await send(connections, `r${n}`), 200);
+      t.is(engine.connections, 3);
+      t.deepEqual(closed, ["requestLimit", "requestLimit"]);
+    },
+  );
+});
+
 test("a request that waits at the limit gets a connection of its own in turn", async (t) => {
   const answer: Answer = (arrival, engine) => {
     t.false(arrival.before.includes(arrival.id));
