--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -1,6 +1,7 @@
 /** Tracks load, replicas and health of every upstream known to this node. */
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as rates from "../rates/mod.ts";
 import { UpstreamHealth } from "./dispatch_health.ts";
 import { LeavingUpstreams } from "./dispatch_leaving.ts";
 import { toModelKey } from "./dispatch_model_key.ts";
@@ -272,6 +273,7 @@
   readonly #byService = new Map<core.ServiceName, Set<UpstreamState>>();
   /** Those that say so themselves, in addition to the list. */
   readonly leaving = new LeavingUpstreams();
+  readonly namedRates = new rates.NamedRates();
   /** Those of incarnations that are not listed any more. */
   readonly #unlistedQuiet = new Map<string, QuietTime>();
   #listings = 0;
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -325,6 +325,9 @@
       isWithdrawn,
       onQuiet: (quietMs, nowMs) =>
         this.#state.recordQuiet(upstream, quietMs, nowMs),
+      onRateLimit: (perS, nowMs) =>
+        this.#state
+          .recordRateLimit(upstream.record, perS, request.sentAtMs, nowMs),
       onLeaving: (isPassedOn, nowMs) =>
         this.#state.recordLeaving(upstream.record, isPassedOn, nowMs),
       onStreamLength: (events) =>
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -203,6 +203,41 @@
     });
   }
 
+  /**
+   * Records the rate limit in an upstream's response.
+   *
+   * @param perS requests per second from all nodes; undefined if it names none.
+   */
+  recordRateLimit(
+    upstream: fleet.UpstreamRecord,
+    perS: number | undefined,
+    sentAtMs: number,
+    nowMs: number,
+  ): void {
+    const { namedRates } = this.upstreams;
+    const before = namedRates.perS(upstream);
+    const isChanged = namedRates
+      .recordResponse(upstream, perS, sentAtMs, nowMs);
+    if (isChanged) this.#logRateLimit(upstream.id, before, perS, "response");
+  }
+
+  #logRateLimit(
+    upstream: core.UpstreamId,
+    before: number | undefined,
+    perS: number | undefined,
+    from: "response" | "node",
+  ): void {
+    this.metrics.increment("rate_limit_changes");
+    if (perS === undefined) {
+      this.logger.info("rate_limit_lifted", { upstream, before, from });
+    } else {this.logger.info("rate_limit_named", {
+        upstream,
+        before,
+        perS,
+        from,
+      });}
+  }
+
   /** An incarnation is no longer listed, or was replaced by another one. */
   #noteEnded(record: fleet.UpstreamRecord): void {
     const nowMs = core.monotonicMs();
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -44,6 +44,12 @@
   readonly lastEventId?: string;
 }
 
+/** How many requests an upstream takes, as it states itself. */
+export interface NamedRateLimit {
+  /** Requests per second from all nodes; undefined if it cannot be read. */
+  readonly perS: number | undefined;
+}
+
 /** An upstream's response, as read from its status and headers. */
 export interface UpstreamResponse {
   readonly requestId?: string;
@@ -55,6 +61,8 @@
   readonly isLeaving: boolean;
   /** For how long the upstream wants no requests, if it asks for that. */
   readonly quietMs?: number;
+  /** The rate limit that the response names, if it names one. */
+  readonly rateLimit?: NamedRateLimit;
   /** Whether the body has a content encoding. */
   readonly isEncoded: boolean;
   /** Headers to return to the caller, without hop-by-hop headers. */
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -49,6 +49,7 @@
   | "connections_closed"
   | "upstreams_leaving"
   | "quiet_times"
+  | "rate_limit_changes"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -188,7 +188,10 @@
       head.status,
       head.headers,
     );
-    const { requestId, isNotRun, isLeaving, quietMs } = upstreamResponse;
+    const { requestId, isNotRun, isLeaving, quietMs, rateLimit } =
+      upstreamResponse;
+    const perS = rateLimit?.perS;
+    if (perS !== undefined) assignment.onRateLimit(perS, core.monotonicMs());
     if (isLeaving) assignment.onLeaving(false, core.monotonicMs());
     if (quietMs !== undefined) assignment.onQuiet(quietMs, core.monotonicMs());
     // On a connection that was used before, it may be a copy of an earlier one.
@@ -226,6 +229,7 @@
         detail: "response is unsigned or encoded in transit",
       };
     }
+    if (!rateLimit) assignment.onRateLimit(undefined, core.monotonicMs());
     const isSuccess = head.status < 300;
     if (
       !isSuccess && (this.#mustWithhold(head) || this.#retries.tryTakeRetry())
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -49,6 +49,12 @@
   isWithdrawn(): boolean;
   /** The upstream turned a request away, and wants none for a time. */
   onQuiet(quietMs: number, nowMs: number): void;
+  /**
+   * The upstream named the rate that it takes from all nodes.
+   *
+   * @param perS requests per second; undefined if it answered and named none.
+   */
+  onRateLimit(perS: number | undefined, nowMs: number): void;
   /**
    * The upstream stated that it is leaving.
    *
--- a/packages/relay/tests/raw_engines.ts
+++ b/packages/relay/tests/raw_engines.ts
@@ -318,6 +318,7 @@
       onNotRun: () => {},
       isWithdrawn: () => false,
       onQuiet: () => {},
+      onRateLimit: () => {},
       onLeaving: () => {},
       onEventGap: () => {},
       onStreamLength: () => {},
--- a/packages/relay/tests/relay_harness.ts
+++ b/packages/relay/tests/relay_harness.ts
@@ -129,6 +129,7 @@
       onNotRun: () => {},
       isWithdrawn: () => isLeaving,
       onQuiet: () => {},
+      onRateLimit: () => {},
       onLeaving: () => {},
       onEventGap: () => {},
       onStreamLength: () => {},
