--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -44,6 +44,15 @@
     return this.#queued.size;
   }
 
+  /** Number of queued requests for a model at this priority or above. */
+  countAhead(modelKey: string, priority: number): number {
+    let count = 0;
+    for (const queued of this.#queued) {
+      if (queued.modelKey === modelKey && queued.priority <= priority) count++;
+    }
+    return count;
+  }
+
   /** Engine time of queued requests for a model at this priority or above. */
   queuedWorkMs(modelKey: string, priority: number): number {
     let sumMs = 0;
--- a/packages/entry/entry_engine_queue.ts
+++ b/packages/entry/entry_engine_queue.ts
@@ -3,6 +3,7 @@
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import type * as rates from "../rates/mod.ts";
 import type * as relay from "../relay/mod.ts";
 import type { EntryState } from "./entry_state.ts";
 
@@ -15,23 +16,41 @@
 interface QueueState {
   readonly waitMs: number;
   readonly readyAtMs: number | undefined;
-  /** Whether all engines that can run it ask for no requests until then. */
-  readonly isQuiet: boolean;
+  /** Why all engines that can run it get no requests until then, if so. */
+  readonly heldBack: "quiet" | "rateLimit" | undefined;
 }
 
+const HELD_BACK_REASONS = {
+  quiet: "all engines with the model ask for quiet",
+  rateLimit: "all engines with the model are at their rate limits",
+} as const;
+
 /** Share of an engine's time that one decoding request takes. */
 const DECODE_ENGINE_SHARE = 1 / 32;
+/** Shortest Retry-After of requests that got no permit. */
+const PERMIT_RETRY_MIN_MS = 100;
+
+/** Names the queue of a service without models; no model's name has a space. */
+function toServiceKey(service: core.ServiceName): string {
+  return `service ${service}`;
+}
 
 /** Queues requests until an engine is free, unless that would take too long. */
 export class EngineQueue {
   readonly #state: EntryState;
+  readonly #rateGate: rates.RateGate;
   readonly #onQueued: () => void;
   /** Requests counted in the demand, so that retries are not counted again. */
   readonly #counted = new WeakSet<relay.RelayedRequest>();
 
   /** @param onQueued called when a request is queued. */
-  constructor(state: EntryState, onQueued: () => void) {
+  constructor(
+    state: EntryState,
+    rateGate: rates.RateGate,
+    onQueued: () => void,
+  ) {
     this.#state = state;
+    this.#rateGate = rateGate;
     this.#onQueued = onQueued;
   }
 
@@ -77,9 +96,9 @@
       return err({ reason, retryAfterMs });
     };
     if (waitUntilMs <= nowMs) return rejectWithReturn("no engine in time");
-    const { waitMs, readyAtMs, isQuiet } = view();
-    if (!hasStarted && isQuiet && (readyAtMs ?? 0) > waitUntilMs) {
-      return rejectWithReturn("all engines with the model ask for quiet");
+    const { waitMs, readyAtMs, heldBack } = view();
+    if (!hasStarted && heldBack && (readyAtMs ?? 0) > waitUntilMs) {
+      return rejectWithReturn(HELD_BACK_REASONS[heldBack]);
     }
     if (!hasStarted && nowMs + waitMs > waitUntilMs) {
       return rejectWithReturn(`queue is ${Math.round(waitMs)} ms long`);
@@ -107,6 +126,61 @@
     return selected;
   }
 
+  /**
+   * Expected time until a request to a service without models gets a permit for
+   * an upstream; undefined if none of them has a rate limit that keeps it.
+   */
+  permitWaitMs(request: relay.RelayedRequest): number | undefined {
+    const { upstreams, queue } = this.#state;
+    const { service, route } = request;
+    const nowMs = core.monotonicMs();
+    const ahead = queue.countAhead(toServiceKey(service), route.priority);
+    const waitsMs = [...upstreams.ofService(service)]
+      .filter((upstream) =>
+        upstream.maySend(nowMs) &&
+        this.#rateGate.isBarred(upstream.record, nowMs)
+      )
+      .map(({ record }) => this.#rateGate.expectedWaitMs(record, ahead, nowMs));
+    return waitsMs.length === 0 ? undefined : Math.min(...waitsMs);
+  }
+
+  /**
+   * Waits until such a request gets a permit, if that is likely to be in time
+   * for its latency target.
+   *
+   * @param signal ends the wait.
+   */
+  waitForPermit(
+    request: relay.RelayedRequest,
+    trySelect: () => SelectionResult | undefined,
+    hasStarted: boolean,
+    signal: AbortSignal,
+  ): SelectionResult | Promise<SelectionResult> {
+    const { route, service, receivedAtMs, deadlineAtMs } = request;
+    const targetAtMs = receivedAtMs + route.latencyTargetMs;
+    const waitUntilMs = hasStarted
+      ? deadlineAtMs
+      : Math.min(deadlineAtMs, targetAtMs);
+    const giveUp = (): SelectionResult =>
+      err({
+        reason: "all upstreams of the service are at their rate limits",
+        retryAfterMs: Math.max(
+          PERMIT_RETRY_MIN_MS,
+          this.permitWaitMs(request) ?? 0,
+        ),
+      });
+    const readyAtMs = core.monotonicMs() + (this.permitWaitMs(request) ?? 0);
+    if (!hasStarted && readyAtMs > waitUntilMs) return giveUp();
+    return this.#state.queue.wait({
+      priority: route.priority,
+      isContinuation: hasStarted,
+      arrivedAtMs: receivedAtMs,
+      targetAtMs,
+      modelKey: toServiceKey(service),
+      workMs: 0,
+    }, { trySelect, waitUntilMs, signal, giveUp });
+  }
+
   /** Estimates the engine time that a request takes, in ms. */
   #estimateWorkMs(caller: fleet.CallerRequest, model: core.ModelName): number {
     const { stepTimes, outputLengths } = this.#state;
@@ -132,29 +206,39 @@
     const nowMs = core.monotonicMs();
     let replicas = 0;
     let readyAtMs: number | undefined;
-    let quietUntilMs = Infinity;
+    let heldUntilMs = Infinity;
+    let heldBack: QueueState["heldBack"];
+    const ahead = this.#state.queue
+      .countAhead(modelKey, request.route.priority);
     for (const engine of upstreams.ofService(request.service)) {
       const isOfVersion = softwareVersion === undefined ||
         engine.record.softwareVersion === softwareVersion;
       if (!isOfVersion) continue;
       const isQuiet = engine.quiet.isActive(nowMs);
+      const isHeld = isQuiet || this.#rateGate.isBarred(engine.record, nowMs);
       const canRun = engine.canRun(model, adapter, nowMs);
-      if (canRun && !isQuiet) replicas++;
-      const freeAtMs = canRun && isQuiet
+      if (canRun && !isHeld) replicas++;
+      const freeAtMs = !canRun || !isHeld
+        ? engine.replicas.get(model)?.readyAtMs
+        : isQuiet
         ? engine.quiet.untilMs
-        : engine.replicas.get(model)?.readyAtMs;
+        : nowMs +
+          this.#rateGate.expectedWaitMs(engine.record, ahead, nowMs);
+      if (canRun && isHeld && freeAtMs! < heldUntilMs) {
+        heldUntilMs = freeAtMs!;
+        heldBack = isQuiet ? "quiet" : "rateLimit";
+      }
       if (freeAtMs === undefined || freeAtMs <= nowMs) continue;
       readyAtMs = Math.min(readyAtMs ?? freeAtMs, freeAtMs);
-      if (canRun) quietUntilMs = Math.min(quietUntilMs, engine.quiet.untilMs);
     }
     const waitMs = dispatch.estimateQueueWaitMs({
       ...this.#workAhead(modelKey, request.route.priority, softwareVersion),
       workMs,
       replicas,
     });
-    // What only quiet engines can run waits for the first of them.
-    const isQuiet = replicas === 0 && quietUntilMs === readyAtMs;
-    return { waitMs, readyAtMs, isQuiet };
+    // What only such engines can run waits for the first of them.
+    const isHeldBack = replicas === 0 && heldUntilMs === readyAtMs;
+    return { waitMs, readyAtMs, heldBack: isHeldBack ? heldBack : undefined };
   }
 
   /**
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -24,6 +24,7 @@
   type TaggedEngineStates,
 } from "./entry_engine_states.ts";
 import { applyLeavingNews, leavingNews } from "./entry_leaving.ts";
+import { applyRateNews, rateNews } from "./entry_permits.ts";
 import { OriginExchange } from "./entry_origins.ts";
 import type { EntryState } from "./entry_state.ts";
 import { QuarantineExchange } from "./entry_quarantine.ts";
@@ -135,6 +136,7 @@
     this.#news.apply(node, digest.tables, nowMs);
     this.#quarantine.apply(digest.quarantine, nowMs);
     applyLeavingNews(this.#state.upstreams, digest.leaving, nowMs);
+    applyRateNews(this.#state, digest.rateLimits, nowMs);
     if (digest.demand.some(({ waiting }) => waiting > 0)) {
       this.#sources.onQueued();
     }
@@ -160,6 +162,7 @@
       origins: this.#origins.exchange(digest, nowMs),
       incarnation: this.#state.incarnation,
       leaving: leavingNews(this.#state.upstreams, nowMs),
+      rateLimits: rateNews(this.#state, nowMs),
     });
   }
 
@@ -188,6 +191,7 @@
       ...this.#quarantine.forParent(parent, nowMs),
       ...this.#origins.forParent(parent, nowMs),
       leaving: leavingNews(this.#state.upstreams, nowMs),
+      rateLimits: rateNews(this.#state, nowMs),
     });
   }
 
@@ -209,6 +213,7 @@
     this.#quarantine.applyFromParent(view, nowMs);
     this.#origins.applyFromParent(view, nowMs);
     applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
+    applyRateNews(this.#state, view.rateLimits, nowMs);
     this.#isRoot = false;
     if (!view.hasOrders) {
       this.#parentEngineStates = undefined;
@@ -226,7 +231,7 @@
 
   /**
    * Applies what a node that is neither parent nor child knows of the store's
-   * tables and of leaving upstreams.
+   * tables, of leaving upstreams and of rate limits.
    */
   applyStrangerView(
     node: core.InstanceId,
@@ -235,6 +240,7 @@
   ): void {
     this.#news.apply(node, view.tables, nowMs);
     applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
+    applyRateNews(this.#state, view.rateLimits, nowMs);
   }
 
   /** Returns the members that neither exchange with this node nor leave. */
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -33,6 +33,7 @@
   QuarantineListener,
   QuarantineRowsTask,
 } from "./entry_quarantine.ts";
+import { EntryPermits } from "./entry_permits.ts";
 import { EntryUpstreamSelector } from "./entry_selector.ts";
 import { SharedRead } from "./entry_shared_read.ts";
 import { EntryState } from "./entry_state.ts";
@@ -75,13 +76,15 @@
 const UPSTREAM_FOLLOW = { waitMs: 1_000, coalesceMs: 300 };
 const MEMBER_FOLLOW = { waitMs: 8_000, coalesceMs: 100 };
 
-/** Passes digests of other nodes to the hub. */
+/** Passes calls of other nodes to the hub, and to the issuer of permits. */
 class HubHandler extends peers.FleetHandler {
   readonly #hub: ExchangeHub;
+  readonly #permits: EntryPermits;
 
-  constructor(hub: ExchangeHub) {
+  constructor(hub: ExchangeHub, permits: EntryPermits) {
     super();
     this.#hub = hub;
+    this.#permits = permits;
   }
 
   override exchange(digest: peers.NodeDigest): peers.FleetView {
@@ -91,6 +94,10 @@
   override readTable(request: peers.ReadTableRequest): peers.ReadTableReply {
     return this.#hub.readTable(request);
   }
+
+  override requestPermits(request: peers.PermitRequest): peers.PermitReply {
+    return this.#permits.issue(request);
+  }
 }
 
 /** Reads tables from other nodes at the addresses of their member rows. */
@@ -126,6 +133,7 @@
   readonly #followTasks: readonly FollowTask[];
   readonly #lease: orders.OrderLease;
   readonly #stepWatch: StepWatch;
+  readonly #permits: EntryPermits;
   readonly #selector: EntryUpstreamSelector;
   readonly #callerListener: CallerListener;
   readonly #originReader: OriginReader;
@@ -166,7 +174,15 @@
       listConfirmedAtMs: () => versionTables[0]!.copy.confirmedAtMs,
       readList: () => versionsRead.run(),
     });
-    this.#selector = new EntryUpstreamSelector(this.state, this.#stepWatch);
+    this.#permits = new EntryPermits(
+      this.state,
+      (address, request) => this.#clients.requestPermits(address, request),
+    );
+    this.#selector = new EntryUpstreamSelector(
+      this.state,
+      this.#stepWatch,
+      this.#permits,
+    );
     this.#originReader = new OriginReader(this.state, dependencies.store);
     this.#exchangeWakeSignal = new core.WakeSignal();
     this.#callerListener = new CallerListener(
@@ -195,7 +211,7 @@
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(
-        new HubHandler(hub),
+        new HubHandler(hub, this.#permits),
         host,
         port,
         this.#listenPatience("peers"),
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -5,9 +5,11 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
+import * as rates from "../rates/mod.ts";
 import * as relay from "../relay/mod.ts";
 import { UpstreamCandidates } from "./entry_candidates.ts";
 import { EngineQueue, type SelectionResult } from "./entry_engine_queue.ts";
+import { EntryPermits } from "./entry_permits.ts";
 import { PromptFate } from "./entry_prompt_fate.ts";
 import { PromptGate } from "./entry_prompt_gate.ts";
 import type { EntryState } from "./entry_state.ts";
@@ -19,12 +21,23 @@
 const CALLER_WAIT_DEFAULT_MS = 60_000;
 /** Time by which a take-up may arrive after the caller's deadline. */
 const TAKE_UP_SLACK_MS = 2_000;
+/** Rate-limited upstreams for which one request asks for permits. */
+const WANTED_MAX = 3;
+
+type Excluded = ReadonlySet<dispatch.UpstreamState>;
+
+/** What was chosen for a request, and how many it avoids for their limits. */
+interface OpenChoice<Choice> {
+  readonly choice: Choice;
+  readonly barred: number;
+}
 
 /** Chooses upstreams by the state of this node. */
 export class EntryUpstreamSelector extends relay.UpstreamSelector {
   readonly #state: EntryState;
   readonly #candidates: UpstreamCandidates;
   readonly #queue: EngineQueue;
+  readonly #rateGate: rates.RateGate;
   readonly #promptGate: PromptGate;
   readonly #stepWatch: StepWatch | undefined;
   /** Services as last configured; a configuration may drop them meanwhile. */
@@ -32,13 +45,26 @@
   /** Called when a request is queued. */
   onQueued: () => void = () => {};
 
-  /** @param stepWatch tells whether the listed software versions are current. */
-  constructor(state: EntryState, stepWatch?: StepWatch) {
+  /**
+   * @param stepWatch tells whether the listed software versions are current.
+   * @param permits by default this node is the only one.
+   */
+  constructor(
+    state: EntryState,
+    stepWatch?: StepWatch,
+    permits = new EntryPermits(state),
+  ) {
     super();
     this.#state = state;
     this.#stepWatch = stepWatch;
     this.#candidates = new UpstreamCandidates(state.upstreams);
-    this.#queue = new EngineQueue(state, () => this.onQueued());
+    this.#rateGate = new rates.RateGate(state.upstreams.namedRates, permits);
+    this.#rateGate.onChange = () => this.selectForQueued();
+    this.#queue = new EngineQueue(
+      state,
+      this.#rateGate,
+      () => this.onQueued(),
+    );
     this.#promptGate = new PromptGate(state);
   }
 
@@ -124,7 +150,7 @@
     const ended = this.#rejectNotContinued(request, history);
     if (ended) return ended;
     if (!service.engine || model === undefined) {
-      return this.#selectInstance(request, service, history);
+      return this.#selectInstance(request, service, history, signal);
     }
     const parts = quarantine.sharedPartKeys(request.caller.promptParts);
     const rejected = this.#promptGate.reject(parts);
@@ -180,7 +206,30 @@
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
     history: relay.AttemptHistory,
-  ): SelectionResult {
+    signal: AbortSignal,
+  ): SelectionResult | Promise<SelectionResult> {
+    const trySelect = () => this.#trySelectInstance(request, service, history);
+    const selected = trySelect();
+    if (selected) return selected;
+    const waitMs = this.#queue.permitWaitMs(request);
+    if (waitMs !== undefined) {
+      const { hasStarted } = history;
+      return this.#queue.waitForPermit(request, trySelect, hasStarted, signal);
+    }
+    const quietUntilMs = this.#candidates.quietUntilMs(request.service);
+    return quietUntilMs === undefined
+      ? reject("no upstream of the service is known")
+      : reject(
+        "all upstreams of the service ask for quiet",
+        Math.max(0, quietUntilMs - core.monotonicMs()),
+      );
+  }
+
+  #trySelectInstance(
+    request: relay.RelayedRequest,
+    service: fleet.ServiceSpec,
+    history: relay.AttemptHistory,
+  ): SelectionResult | undefined {
     const excluded = this.#candidates.exclude(request.service, history);
     const others = this.#candidates.exclude(request.service, {
       ...history,
@@ -189,27 +238,25 @@
     });
     const assigned = this.#assignInstance(request, service, excluded) ??
       this.#assignInstance(request, service, others);
-    if (assigned) return ok(assigned);
-    const quietUntilMs = this.#candidates.quietUntilMs(request.service);
-    return quietUntilMs === undefined
-      ? reject("no upstream of the service is known")
-      : reject(
-        "all upstreams of the service ask for quiet",
-        Math.max(0, quietUntilMs - core.monotonicMs()),
-      );
+    return assigned && ok(assigned);
   }
 
   #assignInstance(
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
-    excluded: ReadonlySet<dispatch.UpstreamState>,
+    excluded: Excluded,
   ): relay.UpstreamAssignment | undefined {
     const instances = this.#state.upstreams.ofService(request.service);
     const nowMs = core.monotonicMs();
-    const instance = dispatch.chooseInstance(instances, excluded, nowMs);
-    return instance && this.#assign(
+    const open = this.#chooseOpen(
       request,
-      instance,
+      excluded,
+      (left) => dispatch.chooseInstance(instances, left, nowMs),
+      (instance) => instance,
+    );
+    return open && this.#assign(
+      request,
+      open.choice,
       service,
       {
         modelKey: "",
@@ -219,18 +266,53 @@
         sentAtMs: nowMs,
         hasOutput: false,
       },
-      [],
-      0,
+      { barred: open.barred, parts: [], estimatedMs: 0 },
     );
   }
 
+  /**
+   * Chooses among the upstreams that may get the request at their rate limits.
+   * For those that would be preferred and may not, permits are asked for.
+   */
+  #chooseOpen<Choice>(
+    request: relay.RelayedRequest,
+    excluded: Excluded,
+    choose: (excluded: Excluded) => Choice | undefined,
+    upstreamOf: (choice: Choice) => dispatch.UpstreamState,
+  ): OpenChoice<Choice> | undefined {
+    const nowMs = core.monotonicMs();
+    let left = excluded;
+    for (let barred = 0;; barred++) {
+      const choice = choose(left);
+      if (choice === undefined) return undefined;
+      const upstream = upstreamOf(choice);
+      if (!this.#rateGate.isBarred(upstream.record, nowMs)) {
+        return { choice, barred };
+      }
+      if (barred < WANTED_MAX) this.#rateGate.want(upstream.record, request);
+      left = barred < WANTED_MAX
+        ? new Set([...left, upstream])
+        : this.#excludeBarred(request.service, left, nowMs);
+    }
+  }
+
+  #excludeBarred(
+    service: core.ServiceName,
+    excluded: Excluded,
+    nowMs: number,
+  ): Excluded {
+    const barred = [...this.#state.upstreams.ofService(service)]
+      .filter(({ record }) => this.#rateGate.isBarred(record, nowMs));
+    return new Set([...excluded, ...barred]);
+  }
+
   #assignEngine(
     request: relay.RelayedRequest,
     service: fleet.ServiceSpec,
     spec: fleet.EngineSpec,
     model: core.ModelName,
     parts: readonly core.PromptPartKey[],
-    excluded: ReadonlySet<dispatch.UpstreamState>,
+    excluded: Excluded,
   ): relay.UpstreamAssignment | undefined {
     const { upstreams, stepTimes } = this.#state;
     const { adapter, promptTokens, outputTokensMax, promptParts } =
@@ -244,12 +326,21 @@
       promptParts,
       eventGapMaxMs: request.route.eventGapTargetMs,
     };
-    const choice = dispatch.chooseEngine(
-      upstreams.ofService(request.service),
-      needs,
-      { stepTimes, spec, nowMs, excluded },
+    const engines = upstreams.ofService(request.service);
+    const open = this.#chooseOpen(
+      request,
+      excluded,
+      (left) =>
+        dispatch.chooseEngine(engines, needs, {
+          stepTimes,
+          spec,
+          nowMs,
+          excluded: left,
+        }),
+      ({ engine }) => engine,
     );
-    if (!choice) return undefined;
+    if (!open) return undefined;
+    const { choice, barred } = open;
     const modelKey = dispatch.toModelKey(model, adapter);
     choice.engine.prefixCache.recordPrompt(modelKey, promptParts);
     return this.#assign(
@@ -265,9 +356,12 @@
         sentAtMs: nowMs,
         hasOutput: false,
       },
-      parts,
-      choice.firstEventMs,
-      spec.tokensPerEvent,
+      {
+        barred,
+        parts,
+        estimatedMs: choice.firstEventMs,
+        tokensPerEvent: spec.tokensPerEvent,
+      },
     );
   }
 
@@ -277,16 +371,21 @@
     upstream: dispatch.UpstreamState,
     service: fleet.ServiceSpec,
     request: dispatch.InFlightRequest,
-    parts: readonly core.PromptPartKey[],
-    estimatedMs: number,
-    tokensPerEvent = 1,
+    { barred, parts, estimatedMs, tokensPerEvent = 1 }: {
+      readonly barred: number;
+      readonly parts: readonly core.PromptPartKey[];
+      readonly estimatedMs: number;
+      readonly tokensPerEvent?: number;
+    },
   ): relay.UpstreamAssignment {
     const { pools, members, stepTimes, outputLengths } = this.#state;
     const { model } = request;
     const untrack = upstream.trackRequest(request);
+    const permit = this.#rateGate.take(upstream.record, request.sentAtMs);
     const isWithdrawn = () => {
       const nowMs = core.monotonicMs();
-      return upstream.isLeaving(nowMs) || upstream.quiet.isActive(nowMs);
+      return upstream.isLeaving(nowMs) || upstream.quiet.isActive(nowMs) ||
+        !this.#rateGate.mayStart(upstream.record, permit, nowMs);
     };
     // Says nothing of the upstream's health.
     let isStartRefused = false;
@@ -304,6 +403,8 @@
         inFlight: upstream.inFlight,
         slowness: upstream.latencyFactor.toFixed(2),
         othersAgeMs: Math.round(upstream.peerLoadAgeMs(request.sentAtMs)),
+        rateLimit: this.#state.upstreams.namedRates.perS(upstream.record),
+        rateLimited: barred || undefined,
       },
       dispatcher: relay.guardStart(
         pools.get(upstream.record, service.connectionsMax, members.count()),
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -6,6 +6,7 @@
 import type * as orders from "../orders/mod.ts";
 import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
+import type * as rates from "../rates/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import { Members } from "./entry_members.ts";
@@ -221,6 +222,14 @@
     if (isChanged) this.#logRateLimit(upstream.id, before, perS, "response");
   }
 
+  /** Applies what another node knows of an upstream's rate limit. */
+  mergeRateLimit(statement: rates.RateStatement, nowMs: number): void {
+    const { namedRates } = this.upstreams;
+    const before = namedRates.perS(statement);
+    if (!namedRates.merge(statement, nowMs)) return;
+    this.#logRateLimit(statement.id, before, statement.perS, "node");
+  }
+
   #logRateLimit(
     upstream: core.UpstreamId,
     before: number | undefined,
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -4,7 +4,12 @@
  * while no request comes, so both sides speak that protocol's unary call
  * directly; other calls and clients are served by the connect library.
  */
-import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import {
+  type DescMessage,
+  fromBinary,
+  type MessageShape,
+  toBinary,
+} from "@bufbuild/protobuf";
 import { createClient } from "@connectrpc/connect";
 import {
   compressionGzip,
@@ -27,6 +32,10 @@
   FleetViewSchema,
   type NodeDigest,
   NodeDigestSchema,
+  type PermitReply,
+  PermitReplySchema,
+  type PermitRequest,
+  PermitRequestSchema,
   type ReadTableReply,
   type ReadTableRequest,
   type TableNews,
@@ -56,6 +65,8 @@
 
 const EXCHANGE_PATH =
   `/${FleetService.typeName}/${FleetService.method.exchange.name}`;
+const PERMITS_PATH =
+  `/${FleetService.typeName}/${FleetService.method.requestPermits.name}`;
 const MESSAGE_TYPE = "application/proto";
 
 /** Answers digests and reads of other nodes. */
@@ -63,6 +74,8 @@
   abstract exchange(digest: NodeDigest): FleetView;
   /** Returns what the caller's copy of a table lacks. */
   abstract readTable(request: ReadTableRequest): ReadTableReply;
+  /** Issues permits for a rate-limited upstream, if this node does. */
+  abstract requestPermits(request: PermitRequest): PermitReply;
 }
 
 /**
@@ -87,6 +100,7 @@
       router.service(FleetService, {
         exchange: (digest) => handler.exchange(digest),
         readTable: (request) => handler.readTable(request),
+        requestPermits: (request) => handler.requestPermits(request),
       });
     },
     // Tables compress to a fraction; links between nodes are narrow.
@@ -158,10 +172,38 @@
    * Sends a digest and returns the receiver's view of the fleet, or undefined
    * if the exchange failed.
    */
-  async exchange(
+  exchange(
     address: string,
     digest: NodeDigest,
   ): Promise<FleetView | undefined> {
+    return this.#call(
+      address,
+      EXCHANGE_PATH,
+      toBinary(NodeDigestSchema, digest),
+      FleetViewSchema,
+    );
+  }
+
+  /** Asks a node for permits; undefined if it did not answer. */
+  requestPermits(
+    address: string,
+    request: PermitRequest,
+  ): Promise<PermitReply | undefined> {
+    return this.#call(
+      address,
+      PERMITS_PATH,
+      toBinary(PermitRequestSchema, request),
+      PermitReplySchema,
+    );
+  }
+
+  /** Sends one message and returns the reply, or undefined if that failed. */
+  async #call<Reply extends DescMessage>(
+    address: string,
+    path: string,
+    message: Uint8Array,
+    reply: Reply,
+  ): Promise<MessageShape<Reply> | undefined> {
     const aborter = new AbortController();
     const timer = setTimeout(
       () => aborter.abort(new Error("no answer in time")),
@@ -169,17 +211,17 @@
     );
     try {
       const { statusCode, body } = await this.#pool(address).request({
-        path: EXCHANGE_PATH,
+        path,
         method: "POST",
         headers: {
           "content-type": MESSAGE_TYPE,
           "connect-protocol-version": "1",
         },
-        body: toBinary(NodeDigestSchema, digest),
+        body: message,
         signal: aborter.signal,
       });
       const bytes = new Uint8Array(await body.arrayBuffer());
-      if (statusCode === 200) return fromBinary(FleetViewSchema, bytes);
+      if (statusCode === 200) return fromBinary(reply, bytes);
       this.#logFailure(address, `status ${statusCode}`);
     } catch (thrown) {
       this.#logFailure(address, core.messageOf(thrown));
--- a/packages/peers/tests/unit/peers_fleet_test.ts
+++ b/packages/peers/tests/unit/peers_fleet_test.ts
@@ -18,6 +18,16 @@
     return create(peers.FleetViewSchema, { enginesTag: "answered" });
   }
 
+  override requestPermits(
+    { limit, count }: peers.PermitRequest,
+  ): peers.PermitReply {
+    return create(peers.PermitReplySchema, {
+      isIssuer: true,
+      granted: count,
+      ...(limit ? { limit } : {}),
+    });
+  }
+
   override readTable(
     { table, position }: peers.ReadTableRequest,
   ): peers.ReadTableReply {
@@ -154,3 +164,28 @@
   await clients.close();
   await stop();
 });
+
+// Guards against a service that does not answer what its client sends.
+test("permits are asked for at another node", async (t) => {
+  const [port] = await testing.findFreePorts(1);
+  const address = `127.0.0.1:${port}`;
+  const stop = await peers.startFleetListener(
+    new EchoHandler(),
+    "127.0.0.1",
+    port!,
+  );
+  const clients = new peers.FleetClients(silentLogger);
+  const limit = create(peers.RateStatementSchema, {
+    upstreamId: "u1",
+    bornMs: 3,
+    perS: 0,
+    ageMs: 7,
+  });
+  const request = create(peers.PermitRequestSchema, { limit, count: 5 });
+  const reply = await clients.requestPermits(address, request);
+  t.is(reply?.granted, 5);
+  t.like(reply?.limit, { upstreamId: "u1", bornMs: 3, perS: 0, ageMs: 7 });
+  await stop();
+  t.is(await clients.requestPermits(address, request), undefined);
+  await clients.close();
+});
--- a/packages/rates/rates_named.ts
+++ b/packages/rates/rates_named.ts
@@ -3,7 +3,7 @@
 
 /** Time for which other nodes are told a statement that is not repeated. */
 const NEWS_MS = 30_000;
-/** Incarnations that are remembered. */
+/** Upstreams whose last incarnation is remembered. */
 const REMEMBERED_MAX = 10_000;
 /**
  * The same statement from other nodes has to be newer by this much. Its age does
@@ -31,18 +31,19 @@
   statedAtMs: number;
 }
 
-/** Remembers the limits of incarnations, also while these are not listed. */
+/** Remembers the limits of upstreams, also while these are not listed. */
 export class NamedRates {
-  readonly #known = new Map<string, Known>();
+  /** The last incarnation of each upstream that has named a limit. */
+  readonly #known = new Map<core.UpstreamId, Known>();
 
   /** The limit in force, in requests per second; undefined if there is none. */
   perS(upstream: Incarnation): number | undefined {
-    return this.#known.get(keyOf(upstream))?.perS;
+    return this.#find(upstream)?.perS;
   }
 
   /** The last statement of an incarnation that has named a limit. */
   statement(upstream: Incarnation, nowMs: number): RateStatement | undefined {
-    const known = this.#known.get(keyOf(upstream));
+    const known = this.#find(upstream);
     return known && toStatement(known, nowMs);
   }
 
@@ -63,7 +64,7 @@
     sentAtMs: number,
     nowMs: number,
   ): boolean {
-    const known = this.#known.get(keyOf(upstream));
+    const known = this.#find(upstream);
     const isOutdated = !known || sentAtMs <= known.statedAtMs;
     if (perS === undefined && isOutdated) return false;
     return this.#set(upstream, perS, nowMs);
@@ -76,7 +77,7 @@
    */
   merge(statement: RateStatement, nowMs: number): boolean {
     const { perS, ageMs } = statement;
-    const known = this.#known.get(keyOf(statement));
+    const known = this.#find(statement);
     const statedAtMs = nowMs - ageMs;
     if (known) {
       const slackMs = known.perS === perS ? PASSED_ON_SLACK_MS : 0;
@@ -92,17 +93,23 @@
       .filter(({ ageMs }) => ageMs < NEWS_MS);
   }
 
+  #find({ id, startedAtMs }: Incarnation): Known | undefined {
+    const known = this.#known.get(id);
+    return known?.startedAtMs === startedAtMs ? known : undefined;
+  }
+
   #set(
     upstream: Incarnation,
     perS: number | undefined,
     statedAtMs: number,
   ): boolean {
-    const key = keyOf(upstream);
     const { id, startedAtMs } = upstream;
-    const before = this.#known.get(key);
+    const latest = this.#known.get(id);
+    if (latest && latest.startedAtMs > startedAtMs) return false;
+    const before = this.#find(upstream);
     // Statements that were repeated last are kept longest.
-    this.#known.delete(key);
-    this.#known.set(key, { id, startedAtMs, perS, statedAtMs });
+    this.#known.delete(id);
+    this.#known.set(id, { id, startedAtMs, perS, statedAtMs });
     const [oldest] = this.#known.keys();
     const isFull = this.#known.size > REMEMBERED_MAX;
     if (isFull && oldest !== undefined) this.#known.delete(oldest);
@@ -110,11 +117,6 @@
   }
 }
 
-/** Names an incarnation in one text. */
-export function keyOf({ id, startedAtMs }: Incarnation): string {
-  return `${id}@${startedAtMs}`;
-}
-
 function toStatement(
   { id, startedAtMs, perS, statedAtMs }: Known,
   nowMs: number,
--- a/packages/rates/tests/unit/rates_named_test.ts
+++ b/packages/rates/tests/unit/rates_named_test.ts
@@ -24,7 +24,12 @@
 test("a limit is of one incarnation", (t) => {
   const rates = new NamedRates();
   rates.recordResponse(upstream, 2, 0, 0);
-  t.is(rates.perS({ ...upstream, startedAtMs: 2 }), undefined);
+  const next = { ...upstream, startedAtMs: 2 };
+  t.is(rates.perS(next), undefined);
+  t.true(rates.recordResponse(next, 3, 0, 10));
+  t.false(rates.recordResponse(upstream, 4, 0, 20));
+  t.is(rates.perS(next), 3);
+  t.is(rates.perS(upstream), undefined);
 });
 
 // Guards against nodes that tell each other for good what was lifted.
@@ -51,10 +56,11 @@
   t.is(rates.recent(6_000)[0]!.ageMs, 5_000);
 });
 
-test("the incarnations that are remembered are bounded", (t) => {
+test("the upstreams that are remembered are bounded", (t) => {
   const rates = new NamedRates();
-  for (let startedAtMs = 0; startedAtMs < 10_050; startedAtMs++) {
-    rates.recordResponse({ ...upstream, startedAtMs }, 1, 0, 1);
+  for (let n = 0; n < 10_050; n++) {
+    const id = core.brandId<core.UpstreamId>(`u${n}`);
+    rates.recordResponse({ ...upstream, id }, 1, 0, 1);
   }
   t.is(rates.recent(1).length, 10_000);
 });
