--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -9,6 +9,7 @@
 import type { EngineOrderState } from "./entry_engine_states.ts";
 import type { ExchangeHub } from "./entry_exchange.ts";
 import { ManagedEngines } from "./entry_managed_engines.ts";
+import { findRateLimited } from "./entry_rate_limited.ts";
 import type { EntryState } from "./entry_state.ts";
 import {
   inFlightForModel,
@@ -120,9 +121,18 @@
     this.#unloadDrained(states, spec, totals, nowMs);
     this.#trackUnserved(states, totals, nowMs);
     this.#planAdapters(states, spec, totals, nowMs);
+    const limited = findRateLimited(
+      states,
+      this.#state.upstreams.namedRates,
+      totals.modelDemand,
+    );
     const view: placement.ReplicaView = {
       engines: states.flatMap((state) =>
         this.#toReplicaEngine(state, spec, totals, nowMs)
+          .map((engine) => ({
+            ...engine,
+            isUsable: engine.isUsable && !limited.has(state),
+          }))
       ),
       demand: this.#peakWork.apply(totals.modelDemand, nowMs),
       sizesMb: new Map(
