--- a/packages/rates/tests/unit/rates_issuer_test.ts
+++ b/packages/rates/tests/unit/rates_issuer_test.ts
@@ -118,6 +118,36 @@
   t.is(waitOf("e", 4_300), 0);
 });
 
+// Guards against an issuer that is busy with nodes that ask in vain, and against
+// nodes that never get a permit, at the size of the largest fleet.
+test("390 nodes that want one upstream take turns", (t) => {
+  const issuer = new PermitIssuer();
+  const durationMs = 400_000;
+  const nodes = Array.from({ length: 390 }, (_, n) => ({
+    name: node(`n${n}`),
+    askAtMs: n,
+    granted: 0,
+  }));
+  let asked = 0;
+  for (let nowMs = 0; nowMs < durationMs; nowMs++) {
+    for (const each of nodes) {
+      if (each.askAtMs > nowMs) continue;
+      asked++;
+      const { granted, waitMs } = issuer
+        .issue(upstream, 2, 1, each.name, nowMs);
+      each.granted += granted;
+      each.askAtMs = nowMs + Math.min(2_000, Math.max(10, waitMs));
+    }
+  }
+  const askedPerS = asked / durationMs * 1_000;
+  t.true(askedPerS < 220, `${askedPerS} a second`);
+  const counts = nodes.map(({ granted }) => granted);
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  t.true(total > 2 * 400 * 0.9, `${total} granted`);
+  t.true(Math.min(...counts) >= 1, `${Math.min(...counts)} for one node`);
+  t.true(Math.max(...counts) <= 6, `${Math.max(...counts)} for one node`);
+});
+
 test("huge rates and none at all are issued", (t) => {
   const issuer = new PermitIssuer();
   const huge = { ...upstream, id: core.brandId<core.UpstreamId>("u2") };
