--- a/packages/relay/tests/raw_engines.ts
+++ b/packages/relay/tests/raw_engines.ts
@@ -321,6 +321,7 @@
       onNotRun: () => {},
       isWithdrawn: () => false,
       onQuiet: () => {},
+      onRateLimit: () => {},
       onLeaving: () => {},
       onEventGap: () => {},
       onStreamLength: () => {},
