--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -196,8 +196,6 @@
     );
     const { requestId, isNotRun, isLeaving, quietMs, rateLimit } =
       upstreamResponse;
-    const perS = rateLimit?.perS;
-    if (perS !== undefined) assignment.onRateLimit(perS, core.monotonicMs());
     if (isLeaving) assignment.onLeaving(false, core.monotonicMs());
     if (quietMs !== undefined) assignment.onQuiet(quietMs, core.monotonicMs());
     // On a connection that was used before, it may be a copy of an earlier one.
@@ -212,6 +210,9 @@
       this.#retries.runCount++;
       return { kind: "mayHaveRun", detail };
     }
+    // A late copy may name a limit that was lowered or lifted since.
+    const perS = rateLimit?.perS;
+    if (perS !== undefined) assignment.onRateLimit(perS, core.monotonicMs());
     if (upstreamResponse.isNotRun) {
       if (isAnonymousRefusal) {
         // A copy of it would count for whatever request is sent there next.
