--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -120,12 +120,12 @@
     const states = [...this.#state.upstreams.ofService(service.name)];
     this.#unloadDrained(states, spec, totals, nowMs);
     this.#trackUnserved(states, totals, nowMs);
-    this.#planAdapters(states, spec, totals, nowMs);
     const limited = findRateLimited(
       states,
       this.#state.upstreams.namedRates,
       totals.modelDemand,
     );
+    this.#planAdapters(states, limited, spec, totals, nowMs);
     const view: placement.ReplicaView = {
       engines: states.flatMap((state) =>
         this.#toReplicaEngine(state, spec, totals, nowMs)
@@ -283,8 +283,10 @@
     }
   }
 
+  /** @param limited engines that are not counted on. */
   #planAdapters(
     states: readonly dispatch.UpstreamState[],
+    limited: ReadonlySet<dispatch.UpstreamState>,
     spec: fleet.EngineSpec,
     totals: TotalLoad,
     nowMs: number,
@@ -302,7 +304,8 @@
       return [{
         id: state.record.id,
         softwareVersion: state.record.softwareVersion,
-        isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs),
+        isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs) &&
+          !limited.has(state),
         canOrder: managed.sender.mayOrder(spec, nowMs),
         slotsFree: free.adapterSlots,
         freeMb: free.mb,
--- a/packages/entry/tests/unit/entry_rate_placement_test.ts
+++ b/packages/entry/tests/unit/entry_rate_placement_test.ts
@@ -1,5 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { ok } from "neverthrow";
 import * as core from "../../../core/mod.ts";
 import * as fleet from "../../../fleet/mod.ts";
@@ -42,12 +42,12 @@
   }
 }
 
-// Guards against a model that only an engine holds which takes few requests of
-// it, though another one has room.
-test("a model of an engine with a low limit gets another replica", async (t) => {
-  const control = new TwoEngines();
-  const [first, second] = [...control.engines.values()];
-  first!.held.set(MODEL, new Set());
+/** Holds the order lease over two engines, with a demand from the nodes. */
+async function startOrders(
+  t: ExecutionContext,
+  control: TwoEngines,
+  demand: readonly ReturnType<typeof demandFor>[],
+): Promise<EntryState> {
   const state = new EntryState(
     makeEntrySettings("n"),
     new core.Logger({}, () => {}),
@@ -65,13 +65,7 @@
     bodyBytesMax: 1,
   });
   for (const record of control.records()) state.setUpstream(record);
-  const demand = [{
-    model: MODEL,
-    ratePerS: RATE_PER_S,
-    waiting: 0,
-    workMsPerS: 100,
-  }];
-  const digest = create(peers.NodeDigestSchema, { demand });
+  const digest = create(peers.NodeDigestSchema, { demand: [...demand] });
   const hub = { digests: () => [digest] } as unknown as ExchangeHub;
   const lease = new orders.OrderLease(new MemoryTable(), {
     key: "orders/holder",
@@ -92,6 +86,24 @@
   });
   await testing.waitUntil("the lease", () => lease.isHeld);
   await core.sleep(500);
+  return state;
+}
+
+const demandFor = (part: { adapter?: string; waiting?: number }) => ({
+  model: MODEL,
+  ratePerS: RATE_PER_S,
+  waiting: 0,
+  workMsPerS: 100,
+  ...part,
+});
+
+// Guards against a model that only an engine holds which takes few requests of
+// it, though another one has room.
+test("a model of an engine with a low limit gets another replica", async (t) => {
+  const control = new TwoEngines();
+  const [first, second] = [...control.engines.values()];
+  first!.held.set(MODEL, new Set());
+  const state = await startOrders(t, control, [demandFor({})]);
   t.false(second!.held.has(MODEL));
   const nowMs = core.monotonicMs();
   const { record } = [...state.upstreams.all()][0]!;
@@ -102,3 +114,23 @@
   await testing.waitUntil("a replica", () => second!.held.has(MODEL));
   t.true(first!.held.has(MODEL));
 });
+
+// Guards against requests for an adapter that wait for an engine at its limit,
+// though another one with the model could load it.
+test("an adapter of an engine with a low limit gets another replica", async (t) => {
+  const control = new TwoEngines();
+  const [first, second] = [...control.engines.values()];
+  first!.held.set(MODEL, new Set(["a1"]));
+  second!.held.set(MODEL, new Set());
+  const demand = [demandFor({}), demandFor({ adapter: "a1", waiting: 1 })];
+  const state = await startOrders(t, control, demand);
+  t.deepEqual([...second!.held.get(MODEL)!], []);
+  const nowMs = core.monotonicMs();
+  const { record } = [...state.upstreams.all()][0]!;
+  state.recordRateLimit(record, RATE_PER_S / 3, nowMs, nowMs);
+  await testing.waitUntil(
+    "the adapter",
+    () => second!.held.get(MODEL)!.has("a1"),
+  );
+  t.deepEqual([...first!.held.get(MODEL)!], ["a1"]);
+});
