--- a/packages/transport/transport_read_limit.ts
+++ b/packages/transport/transport_read_limit.ts
@@ -1,6 +1,7 @@
 /** Limits what a connection reads that belongs to no response. */
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import { readTurns } from "./transport_read_turns.ts";
 
 /** Bytes parsed at once. */
 const READ_BYTES_MAX = 8 * 1024;
@@ -50,6 +51,7 @@
   socket.read = (size?: number) => {
     if (socket.destroyed) return null;
     const isLong = size === undefined && socket.readableLength > READ_BYTES_MAX;
+    if (isLong && !readTurns.tryTake(socket, READ_BYTES_MAX)) return null;
     const bytes = read(isLong ? READ_BYTES_MAX : size);
     parsed = count;
     count.bytes += bytes?.length ?? 0;
--- a/packages/transport/transport_reset.ts
+++ b/packages/transport/transport_reset.ts
@@ -7,6 +7,10 @@
 import type { Socket } from "node:net";
 import * as undici from "undici";
 import { limitReads } from "./transport_read_limit.ts";
+import { readTurns } from "./transport_read_turns.ts";
+
+/** Bytes buffered of a connection from which it is no longer read. */
+const BUFFERED_BYTES_MAX = 16 * 1024;
 
 /**
  * Returns a connector that limits reads and changes the error code of resets,
@@ -21,7 +25,12 @@
  * ```
  */
 export function connector(timeoutMs: number): undici.buildConnector.connector {
-  const openConnection = undici.buildConnector({ timeout: timeoutMs });
+  // undici passes on what its types lack.
+  const settings = {
+    timeout: timeoutMs,
+    highWaterMark: BUFFERED_BYTES_MAX,
+  };
+  const openConnection = undici.buildConnector(settings);
   return (options, callback) => {
     openConnection(options, (...result) => {
       const [, socket] = result;
@@ -54,6 +63,8 @@
 
   /** Records that bytes of the response arrived, be it the head alone. */
   onBytes(): void {
+    // These arrived in an earlier turn, and no end with them.
+    if (readTurns.isReadingOn) return;
     this.#hasBytesThisTurn = true;
     setImmediate(() => {
       this.#hasBytesThisTurn = false;
