--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -80,7 +80,7 @@
   readonly #startBeforeMs: number;
   #settleHead!: (head: Result<AttemptHead, AttemptFailure>) => void;
   #controller: Dispatcher.DispatchController | undefined;
-  #isSent = false;
+  #sentAtMs: number | undefined;
   #isFinished = false;
   #cancelError: Error | undefined;
   #cancelCause: AttemptFailure["cause"] = "cancelled";
@@ -164,6 +164,11 @@
     }
   }
 
+  /** When the request was sent; undefined until then. */
+  get sentAtMs(): number | undefined {
+    return this.#sentAtMs;
+  }
+
   /** Whether it is complete, or was cancelled. */
   get hasEnded(): boolean {
     return this.#isFinished;
@@ -178,7 +183,7 @@
         this.cancel("deadline passed before the request was sent");
       }
       if (this.#cancelError) controller.abort(this.#cancelError);
-      else this.#isSent = true;
+      else this.#sentAtMs = core.monotonicMs();
     },
     onResponseStart: (_controller, status, headers) => {
       // 1xx informational responses precede the final response.
@@ -245,7 +250,7 @@
     if (this.#isFinished) return;
     const { code } = error as NodeJS.ErrnoException;
     const failure: AttemptFailure = {
-      sent: this.#isSent ? "maybe" : "no",
+      sent: this.#sentAtMs === undefined ? "no" : "maybe",
       cause: error === this.#cancelError
         ? this.#cancelCause
         : code === "ECONNREFUSED"
--- a/packages/relay/relay_retries.ts
+++ b/packages/relay/relay_retries.ts
@@ -122,7 +122,13 @@
     progress: () => ResponseProgress,
   ): WaitWatch {
     const runCount = this.runCount + 1;
-    return new WaitWatch(this.#silenceMaxMs(), () => {
+    const silenceMaxMs = this.#silenceMaxMs();
+    // This process may have been held up before it sent the request; the usual
+    // time for it is part of the wait.
+    const sentForMinMs = silenceMaxMs - SILENT_RETRY_INTERVAL_MS;
+    return new WaitWatch(silenceMaxMs, () => {
+      const sentAtMs = attempt.sentAtMs ?? -Infinity;
+      if (core.monotonicMs() - sentAtMs < sentForMinMs) return;
       if (!this.#canRunAgain(runCount) || this.#isRetryTaken) return;
       if (this.#reserveOther(upstream, progress())) {
         attempt.cancel("no data from the upstream in time", "silent");
