--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -223,20 +223,34 @@
 
 // Guards against answers that go to the requests after their own because a copy
 // came first.
-test("a copy in place of another request's answer costs that request alone", async (t) => {
-  const copies = new LateCopies();
-  const answer = ({ id, socket }: Arrival) => {
-    copies.sendOn(socket);
-    if (id === "r1") return copies.answer(socket, success(id));
-    setTimeout(() => socket.write(success(id)), 20);
-  };
-  await withFleet([answer], {}, async (fleet) => {
-    t.is((await fleet.ask("r1")).status, 200);
-    t.is((await fleet.ask("r2")).status, 502);
-    t.like(await fleet.ask("r3"), { status: 200, body: "whole r3" });
-    t.deepEqual(fleet.closed, ["response has a different request id"]);
+for (
+  const [name, followsCopy, closed] of [
+    ["", false, ["response has a different request id"]],
+    [
+      ", also if its own comes with it",
+      true,
+      ["response has a different request id", "unexpectedBytes"],
+    ],
+  ] as const
+) {
+  test(`a copy in place of another request's answer costs that request alone${name}`, async (t) => {
+    const copies = new LateCopies();
+    const answer = ({ id, socket }: Arrival) => {
+      if (id === "r1") return copies.answer(socket, success(id));
+      // In one write, so that the relay reads both at once or one alone.
+      socket.cork();
+      copies.sendOn(socket);
+      if (id !== "r2" || followsCopy) socket.write(success(id));
+      socket.uncork();
+    };
+    await withFleet([answer], {}, async (fleet) => {
+      t.is((await fleet.ask("r1")).status, 200);
+      t.is((await fleet.ask("r2")).status, 502);
+      t.like(await fleet.ask("r3"), { status: 200, body: "whole r3" });
+      t.deepEqual(fleet.closed, closed);
+    });
   });
-});
+}
 
 // Guards against bytes on an idle connection that become the next answer.
 for (const bytes of [success("r1"), success("r2"), "H", "garbage"]) {
