--- a/packages/relay/tests/unit/relay_second_answers_test.ts
+++ b/packages/relay/tests/unit/relay_second_answers_test.ts
@@ -200,26 +200,41 @@
 
 // Guards against "not run" for a request that runs, and against a second run of
 // it, as a copy of an earlier refusal came without its id.
-test("a copy of a refusal that lacks the id tells nothing of a later request", async (t) => {
-  const runs: string[] = [];
-  const copies = new LateCopies();
-  const answer = ({ id, socket, times }: Arrival) => {
-    copies.sendOn(socket);
-    if (id === "r1" && times === 1) {
-      return copies.answer(socket, refusal(id), refusal());
-    }
-    runs.push(id);
-    setTimeout(() => socket.write(success(id)), 20);
-  };
-  await withFleet([answer], {}, async (fleet) => {
-    t.is((await fleet.ask("r1")).status, 200);
-    t.is((await fleet.ask("r2")).status, 502);
-    t.is((await fleet.ask("r3")).status, 200);
-    t.is(copies.sent, 1);
-    t.deepEqual(runs, ["r1", "r2", "r3"]);
-    t.deepEqual(fleet.closed, ["response without a request id"]);
+for (
+  const [name, followsCopy, closed] of [
+    ["", false, ["response without a request id"]],
+    [
+      ", also if its own answer comes with it",
+      true,
+      ["response without a request id", "unexpectedBytes"],
+    ],
+  ] as const
+) {
+  test(`a copy of a refusal that lacks the id tells nothing of a later request${name}`, async (t) => {
+    const runs: string[] = [];
+    const copies = new LateCopies();
+    const answer = ({ id, socket, times }: Arrival) => {
+      if (id === "r1" && times === 1) {
+        return copies.answer(socket, refusal(id), refusal());
+      }
+      runs.push(id);
+      const before = copies.sent;
+      // In one write, so that the relay reads both at once or one alone.
+      socket.cork();
+      copies.sendOn(socket);
+      if (copies.sent === before || followsCopy) socket.write(success(id));
+      socket.uncork();
+    };
+    await withFleet([answer], {}, async (fleet) => {
+      t.is((await fleet.ask("r1")).status, 200);
+      t.is((await fleet.ask("r2")).status, 502);
+      t.is((await fleet.ask("r3")).status, 200);
+      t.is(copies.sent, 1);
+      t.deepEqual(runs, ["r1", "r2", "r3"]);
+      t.deepEqual(fleet.closed, closed);
+    });
   });
-});
+}
 
 // Guards against answers that go to the requests after their own because a copy
 // came first.
