--- a/packages/entry/entry_orders_task.ts
+++ b/packages/entry/entry_orders_task.ts
@@ -9,6 +9,7 @@
 import type { EngineOrderState } from "./entry_engine_states.ts";
 import type { ExchangeHub } from "./entry_exchange.ts";
 import { ManagedEngines } from "./entry_managed_engines.ts";
+import { findRateLimited } from "./entry_rate_limited.ts";
 import type { EntryState } from "./entry_state.ts";
 import {
   inFlightForModel,
@@ -119,10 +120,19 @@
     const states = [...this.#state.upstreams.ofService(service.name)];
     this.#unloadDrained(states, spec, totals, nowMs);
     this.#trackUnserved(states, totals, nowMs);
-    this.#planAdapters(states, spec, totals, nowMs);
+    const limited = findRateLimited(
+      states,
+      this.#state.upstreams.namedRates,
+      totals.modelDemand,
+    );
+    this.#planAdapters(states, limited, spec, totals, nowMs);
     const view: placement.ReplicaView = {
       engines: states.flatMap((state) =>
         this.#toReplicaEngine(state, spec, totals, nowMs)
+          .map((engine) => ({
+            ...engine,
+            isUsable: engine.isUsable && !limited.has(state),
+          }))
       ),
       demand: this.#peakWork.apply(totals.modelDemand, nowMs),
       sizesMb: new Map(
@@ -273,8 +283,10 @@
     }
   }
 
+  /** @param limited engines that are not counted on. */
   #planAdapters(
     states: readonly dispatch.UpstreamState[],
+    limited: ReadonlySet<dispatch.UpstreamState>,
     spec: fleet.EngineSpec,
     totals: TotalLoad,
     nowMs: number,
@@ -292,7 +304,8 @@
       return [{
         id: state.record.id,
         softwareVersion: state.record.softwareVersion,
-        isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs),
+        isUsable: !state.isLeaving(nowMs) && !state.isSuspect(nowMs) &&
+          !limited.has(state),
         canOrder: managed.sender.mayOrder(spec, nowMs),
         slotsFree: free.adapterSlots,
         freeMb: free.mb,
--- a/packages/relay/relay_connections.ts
+++ b/packages/relay/relay_connections.ts
@@ -1,30 +1,45 @@
 /**
- * The connections to one upstream. No request is sent twice on one of them, so
- * that a second, late copy of an answer is never taken for the answer to the
- * next sending of its request, which has the same id.
+ * The connections to one upstream. No request id is sent twice on one of them,
+ * so that a second, late copy of an answer is never taken for the answer to the
+ * next sending of its request, by this node or by a caller that comes back.
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import * as undici from "undici";
+import * as core from "../core/mod.ts";
+
+/** Requests that a connection bears, as it remembers the ids of all of them. */
+const REQUESTS_MAX = 256;
 
 type Handler = undici.Dispatcher.DispatchHandler;
 type Controller = undici.Dispatcher.DispatchController;
 
-/** Connections on which one request was sent. */
-export class UsedConnections {
-  readonly #sockets = new Set<Socket>();
+/** Identifies a request to connections, and knows that of its last sending. */
+export class RequestConnections {
+  /** Hash of its id; two with the same one do not share a connection. */
+  readonly idHash: number;
   #closeLast: () => void = () => {};
   #isLastNew = false;
 
   /**
-   * Adds the connection on which the request is being sent.
+   * @param requestId what its answers are told by.
+   * @example
+   * ```ts
+   * const connections = new relay.RequestConnections(caller.requestId);
+   * ```
+   */
+  constructor(requestId: string) {
+    this.idHash = core.hash32(requestId);
+  }
+
+  /**
+   * Notes the connection on which the request is being sent.
    *
    * @param isNew whether no request was sent on it before.
    * @param close closes it, unless another request has been sent on it since.
    */
-  add(socket: Socket, isNew: boolean, close: () => void): void {
-    this.#sockets.add(socket);
+  noteSending(isNew: boolean, close: () => void): void {
     this.#isLastNew = isNew;
     this.#closeLast = close;
   }
@@ -37,10 +52,6 @@
     return this.#isLastNew;
   }
 
-  has(socket: Socket): boolean {
-    return this.#sockets.has(socket);
-  }
-
   /**
    * Closes the connection of the last sending, also if its answer has ended,
    * unless another request has been sent on it since.
@@ -52,8 +63,8 @@
 
 /** Options of a request that may be sent more than once. */
 export interface SendOptions extends undici.Dispatcher.DispatchOptions {
-  /** Connections not to be used; the one that is used is added. */
-  readonly usedConnections?: UsedConnections;
+  /** The request; connections on which its id was sent are not used. */
+  readonly request?: RequestConnections;
   /** Asked right before the request is sent, as it may wait until then. */
   readonly mayStart?: () => boolean;
 }
@@ -98,7 +109,9 @@
   /** All others are busy, and the next request was sent on it before. */
   | "requestSentBefore"
   /** Bytes came though no answer was due. */
-  | "unexpectedBytes";
+  | "unexpectedBytes"
+  /** It has borne as many requests as it may. */
+  | "requestLimit";
 
 export interface ConnectionsOptions
   extends Omit<undici.Client.Options, "connect" | "pipelining"> {
@@ -147,6 +160,8 @@
   #sentCount = 0;
   /** The connection of the last sending. */
   #sentOn: Socket | undefined;
+  /** Hashes of the ids that were sent on it. */
+  readonly #sentIds = new Set<number>();
   /** Resolves when the connections of failed requests are closed. */
   #closing: Promise<unknown> = Promise.resolve();
   isBusy = false;
@@ -161,6 +176,13 @@
     return this.#socket?.destroyed ? undefined : this.#socket;
   }
 
+  /** Whether the id of a request was sent on the open connection. */
+  hasSent(request: RequestConnections | undefined): boolean {
+    const { connection } = this;
+    if (!request || !connection || connection !== this.#sentOn) return false;
+    return this.#sentIds.has(request.idHash);
+  }
+
   /** Sends a request, on a new connection if none is open. */
   send({ options, handler }: Sending, onFree: () => void): void {
     this.isBusy = true;
@@ -172,7 +194,9 @@
       const count = ++this.#sentCount;
       const isNew = this.#sentOn !== socket;
       this.#sentOn = socket;
-      options.usedConnections?.add(socket, isNew, () => {
+      if (isNew) this.#sentIds.clear();
+      if (options.request) this.#sentIds.add(options.request.idHash);
+      options.request?.noteSending(isNew, () => {
         if (this.#sentCount === count) socket.destroy();
       });
     };
@@ -183,6 +207,7 @@
       this.isBusy = false;
       queueMicrotask(() => {
         if (isSpent) this.#closing = client.destroy(error).catch(() => {});
+        else this.#closeIfSpent();
         onFree();
       });
     };
@@ -201,6 +226,13 @@
     await Promise.all([this.#closing, this.#client.destroy()]);
   }
 
+  /** Closes a connection that is not to remember more ids. */
+  #closeIfSpent(): void {
+    if (this.#sentIds.size < REQUESTS_MAX) return;
+    this.connection?.destroy();
+    this.#options.onClose?.("requestLimit");
+  }
+
   #openClient(): undici.Client {
     const { connect, connectionsMax: _, onClose, ...options } = this.#options;
     const client = new undici.Client(this.#origin, {
@@ -304,7 +336,7 @@
   dispatch(options: SendOptions, handler: Handler): void {
     if (this.#isClosed) throw new undici.errors.ClientClosedError();
     const sending = { options, handler };
-    const lane = this.#findFree(options.usedConnections);
+    const lane = this.#findFree(options.request);
     if (!lane) this.#waiting.push(sending);
     else if (mayStart(sending)) this.#send(lane, sending);
   }
@@ -328,14 +360,13 @@
   }
 
   /** Prefers connections that are open, and the first ones among them. */
-  #findFree(used: UsedConnections | undefined): Lane | undefined {
+  #findFree(request: RequestConnections | undefined): Lane | undefined {
     let unopened: Lane | undefined;
     let spent: Lane | undefined;
     for (const lane of this.#lanes) {
       if (lane.isBusy) continue;
-      const { connection } = lane;
-      if (connection === undefined) unopened ??= lane;
-      else if (used?.has(connection)) spent ??= lane;
+      if (lane.connection === undefined) unopened ??= lane;
+      else if (lane.hasSent(request)) spent ??= lane;
       else return lane;
     }
     if (unopened) return unopened;
@@ -351,9 +382,8 @@
   }
 
   #send(lane: Lane, sending: Sending): void {
-    const { connection } = lane;
-    if (connection && sending.options.usedConnections?.has(connection)) {
-      connection.destroy();
+    if (lane.hasSent(sending.options.request)) {
+      lane.connection?.destroy();
       this.#options.onClose?.("requestSentBefore");
     }
     lane.send(sending, () => this.#sendNext(lane));
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -5,7 +5,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
-import { UsedConnections } from "./relay_connections.ts";
+import { RequestConnections } from "./relay_connections.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -33,6 +33,8 @@
 /** Parts of a prompt, and characters of each, in the log. */
 const LOGGED_PARTS_MAX = 4;
 const LOGGED_PART_LENGTH = 16;
+/** Characters of an upstream's id in the list of refusals. */
+const LOGGED_UPSTREAM_LENGTH = 32;
 /** Retry-After for requests that ended without having run on an upstream. */
 const REJECTED_RETRY_AFTER_MS = 500;
 
@@ -43,13 +45,16 @@
   readonly #signal: AbortSignal;
   readonly #retries: RelayRetries;
   readonly #bodyRelay: BodyRelay;
-  readonly #usedConnections = new UsedConnections();
+  readonly #connections: RequestConnections;
   #attempt: Attempt | undefined;
   #upstream: fleet.UpstreamRecord | undefined;
   #selectionFields: core.LogFields = {};
   #framing: transport.BodyFraming | undefined;
   #outcome: RelayOutcome = "failed";
   #waitedMs = 0;
+  /** Refusals that were believed; at most one for each sending. */
+  readonly #refusals: string[] = [];
+
   /**
    * @param signal aborted when the caller disconnects or the deadline passes.
    */
@@ -63,6 +68,7 @@
     this.#response = response;
     this.#dependencies = dependencies;
     this.#signal = signal;
+    this.#connections = new RequestConnections(request.caller.requestId);
     this.#retries = new RelayRetries(request, dependencies, signal);
     const { isResumable } = request.route;
     const { takenUpStream } = request.caller;
@@ -145,7 +151,7 @@
       }),
       body: body.length > 0 ? body : null,
       startBeforeMs: deadlineAtMs,
-      usedConnections: this.#usedConnections,
+      connections: this.#connections,
     });
     this.#attempt = attempt;
     const watch = this.#retries
@@ -188,12 +194,13 @@
       head.status,
       head.headers,
     );
-    const { requestId, isNotRun, isLeaving, quietMs } = upstreamResponse;
+    const { requestId, isNotRun, isLeaving, quietMs, rateLimit } =
+      upstreamResponse;
     if (isLeaving) assignment.onLeaving(false, core.monotonicMs());
     if (quietMs !== undefined) assignment.onQuiet(quietMs, core.monotonicMs());
     // On a connection that was used before, it may be a copy of an earlier one.
     const isAnonymousRefusal = isNotRun && requestId === undefined &&
-      this.#usedConnections.isLastNew;
+      this.#connections.isLastNew;
     if (requestId !== this.#request.caller.requestId && !isAnonymousRefusal) {
       const detail = requestId === undefined
         ? "response without a request id"
@@ -203,12 +210,16 @@
       this.#retries.runCount++;
       return { kind: "mayHaveRun", detail };
     }
+    // A late copy may name a limit that was lowered or lifted since.
+    const perS = rateLimit?.perS;
+    if (perS !== undefined) assignment.onRateLimit(perS, core.monotonicMs());
     if (upstreamResponse.isNotRun) {
       if (isAnonymousRefusal) {
         // A copy of it would count for whatever request is sent there next.
         const reason = "refusal without a request id";
         this.#closeConnection(assignment, attempt, reason);
       } else await this.#drop(assignment, attempt);
+      this.#noteRefusal(assignment.upstream.id, head.status);
       const lacksModel = head.status === STATUS_MISDIRECTED;
       assignment.onNotRun(lacksModel, core.monotonicMs());
       assignment.onEnd("shed");
@@ -226,6 +237,7 @@
         detail: "response is unsigned or encoded in transit",
       };
     }
+    if (!rateLimit) assignment.onRateLimit(undefined, core.monotonicMs());
     const isSuccess = head.status < 300;
     if (
       !isSuccess && (this.#mustWithhold(head) || this.#retries.tryTakeRetry())
@@ -278,7 +290,7 @@
     reason: string,
   ): void {
     attempt.cancel(reason);
-    this.#usedConnections.closeLast();
+    this.#connections.closeLast();
     assignment.onConnectionClosed(reason);
   }
 
@@ -323,6 +335,16 @@
     });
   }
 
+  /**
+   * Notes who refused the request, and whether anything was sent before on that
+   * connection, of which the refusal could be a late copy.
+   */
+  #noteRefusal(upstream: core.UpstreamId, status: number): void {
+    const id = upstream.slice(0, LOGGED_UPSTREAM_LENGTH);
+    const connection = this.#connections.isLastNew ? "new" : "kept";
+    this.#refusals.push(`${id}:${status}:${connection}`);
+  }
+
   /** The ids of the prompt's shared parts, shortened to bound the line. */
   #loggedParts(): string | undefined {
     const shared = this.#request.caller.promptParts.slice(0, -1);
@@ -350,6 +372,7 @@
       softwareVersion: this.#upstream?.softwareVersion,
       sendings: this.#retries.sendCount,
       runs: this.#retries.runCount,
+      refusals: this.#refusals.join(",") || undefined,
       abandoned: this.#retries.abandonedCount || undefined,
       framing: this.#framing,
       insideEvent: this.#bodyRelay.endedInsideEvent,
