--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -237,14 +237,8 @@
     from: "response" | "node",
   ): void {
     this.metrics.increment("rate_limit_changes");
-    if (perS === undefined) {
-      this.logger.info("rate_limit_lifted", { upstream, before, from });
-    } else {this.logger.info("rate_limit_named", {
-        upstream,
-        before,
-        perS,
-        from,
-      });}
+    const event = perS === undefined ? "rate_limit_lifted" : "rate_limit_named";
+    this.logger.info(event, { upstream, before, perS, from });
   }
 
   /** An incarnation is no longer listed, or was replaced by another one. */
