--- a/packages/core/ids.ts
+++ b/packages/core/ids.ts
@@ -13,6 +13,10 @@
 export type ServiceName = Branded<"ServiceName">;
 export type ModelName = Branded<"ModelName">;
 export type RequestId = Branded<"RequestId">;
+/** A team that shares the fleet with others, and holds keys and a quota. */
+export type TeamName = Branded<"TeamName">;
+/** Digest of a key that a caller presents; the key itself is not kept. */
+export type KeyDigest = Branded<"KeyDigest">;
 /** A version of the software that upstreams of a service run. */
 export type SoftwareVersion = Branded<"SoftwareVersion">;
 /** Names a stream in messages and rows, by the request that began it. */
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -27,6 +27,8 @@
   readonly adapter?: string;
   readonly promptTokens: number;
   readonly outputTokensMax: number;
+  /** Whether the caller stated the token counts; else they are 0. */
+  readonly statesTokens?: boolean;
   readonly promptParts: readonly PromptPart[];
   readonly takenUpStream?: TakenUpStream;
   /** Headers to forward, without hop-by-hop and system headers. */
@@ -42,6 +44,14 @@
   readonly priority: number;
   /** Last event that the caller has received, if a stream is resumed. */
   readonly lastEventId?: string;
+  /** Team that holds the caller's key. */
+  readonly team?: core.TeamName;
+}
+
+/** How the headers of a caller's request are read. */
+export interface ReadOptions {
+  /** Whether the configuration has teams, so that keys are not forwarded. */
+  readonly hasTeams: boolean;
 }
 
 /** How many requests an upstream takes, as it states itself. */
@@ -74,7 +84,12 @@
   /** Reads a caller's headers; the error says what is invalid. */
   abstract readRequest(
     headers: IncomingHttpHeaders,
+    options?: ReadOptions,
   ): Result<CallerRequest, string>;
+  /** Returns the digest of the key that a caller presents, if there is one. */
+  readKey(_headers: IncomingHttpHeaders): core.KeyDigest | undefined {
+    return undefined;
+  }
   /** Returns the headers of a request to an upstream. */
   abstract writeRequest(
     request: UpstreamRequest,
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -31,6 +31,32 @@
   readonly attemptsMax: number;
   /** Whether a broken stream may be resumed on another engine. */
   readonly isResumable: boolean;
+  /** Whether requests need no key where the configuration has teams. */
+  readonly isPublic?: boolean;
+}
+
+/** What a team's requests are counted in. */
+export type QuotaUnit = "requests" | "tokens";
+
+/** Limit of a team's requests over all nodes: a token bucket. */
+export interface QuotaSpec {
+  readonly unit: QuotaUnit;
+  /** Refill of the bucket, in units per second. */
+  readonly ratePerS: number;
+  /** Size of the bucket, in units. */
+  readonly burst: number;
+  /** Tokens that a request without token counts costs. */
+  readonly plainTokens: number;
+}
+
+/** A team that shares the fleet with others. */
+export interface TeamSpec {
+  readonly name: core.TeamName;
+  readonly keyDigests: readonly core.KeyDigest[];
+  /** Takes precedence over the priority of the route; 0 is the highest. */
+  readonly priority?: number;
+  /** Absent if the team's requests are not limited. */
+  readonly quota?: QuotaSpec;
 }
 
 /** A model that the engines of a service may load. */
@@ -76,6 +102,8 @@
   readonly version: number;
   readonly routes: readonly RouteSpec[];
   readonly services: ReadonlyMap<core.ServiceName, ServiceSpec>;
+  /** Absent if requests need no keys. */
+  readonly teams?: readonly TeamSpec[];
   readonly headerTimeoutMs: number;
   readonly idleTimeoutMs: number;
   readonly bodyBytesMax: number;
@@ -121,6 +149,24 @@
   readonly port: number;
 }
 
+/** What the machine of a node has; absent values are not known. */
+export interface MachineSpec {
+  /** Processor time per second, relative to one core of usual speed. */
+  readonly processorCores?: number;
+  readonly memoryMb?: number;
+  readonly descriptorsMax?: number;
+  readonly linkMbps?: number;
+}
+
+/** How far quotas may be exceeded over all nodes, in any window. */
+export interface QuotaBounds {
+  readonly windowMs: number;
+  /** Share of the window's quota by which it may be exceeded. */
+  readonly overage: number;
+  /** Units by which it may be exceeded in addition. */
+  readonly slack: number;
+}
+
 /** Settings of an entry node, independent of the format of their file. */
 export interface EntrySettings {
   readonly nodeName: core.InstanceId;
@@ -150,4 +196,11 @@
     /** Whether engines reject orders whose fencing token is too low. */
     readonly enginesCheckFences: boolean;
   };
+  /**
+   * Time after the acknowledgement of a configuration from which on no request
+   * under a key that it removed may run; absent if that is not bounded.
+   */
+  readonly revocationMs?: number;
+  readonly quotaBounds?: QuotaBounds;
+  readonly machine?: MachineSpec;
 }
