--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -90,6 +90,8 @@
 } from "./clock.ts";
 export { Logger, renderEvent, writeToStandardOutput } from "./log.ts";
 export type { LogFields, LogOutput, LogValue } from "./log.ts";
+export { SuspensionWatch } from "./suspension.ts";
+export type { Clocks } from "./suspension.ts";
 export { ChunkBuffer } from "./chunk_buffer.ts";
 export { MemoryBudget, MemoryShare } from "./memory_budget.ts";
 export { Supervisor, Task } from "./supervisor.ts";
--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -18,6 +18,7 @@
 import { CallerConnections } from "./entry_caller_connections.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
+import { type AccessRejection, TeamAccess } from "./teams/entry_team_access.ts";
 
 /** Deadline of requests that name none. */
 const DEADLINE_DEFAULT_MS = 60_000;
@@ -85,6 +86,7 @@
   readonly #dialect: fleet.HttpDialect;
   readonly #selector: relay.UpstreamSelector;
   readonly #takeUps: TakeUpResolver;
+  readonly #access: TeamAccess;
   readonly #server: Server;
   #keepsAlive = true;
   #rejectFromMs = Infinity;
@@ -99,7 +101,9 @@
     dialect: fleet.HttpDialect,
     selector: relay.UpstreamSelector,
     takeUps: TakeUpResolver,
+    access = new TeamAccess(state, dialect),
   ) {
+    this.#access = access;
     this.#state = state;
     this.#dialect = dialect;
     this.#selector = selector;
@@ -207,7 +211,10 @@
     const path = request.url ?? "/";
     const route = table.match(request.headers.host ?? "", path);
     if (!route) return this.#reject(request, reply, 404, "no route matches");
-    const caller = this.#dialect.readRequest(request.headers);
+    const access = this.#access.check(request.headers, route);
+    if (access.isErr()) return this.#rejectAccess(request, reply, access.error);
+    const hasTeams = this.#state.teams !== undefined;
+    const caller = this.#dialect.readRequest(request.headers, { hasTeams });
     if (caller.isErr()) {
       return this.#reject(request, reply, 400, caller.error);
     }
@@ -231,6 +238,11 @@
       const { reason, retryAfterMs } = takenUp.error;
       return this.#reject(request, reply, 503, reason, retryAfterMs);
     }
+    // Its key may have been removed meanwhile.
+    const accessNow = this.#access.check(request.headers, route);
+    if (accessNow.isErr()) {
+      return this.#rejectAccess(request, reply, accessNow.error);
+    }
     // The body, or the lookup of a stream, may have taken long.
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
@@ -239,6 +251,7 @@
       {
         caller: caller.value,
         route,
+        ...(accessNow.value ? { team: accessNow.value } : {}),
         ...targetOf(route, service, takenUp.value),
         method: request.method ?? "GET",
         path,
@@ -251,6 +264,14 @@
     );
   }
 
+  #rejectAccess(
+    request: IncomingMessage,
+    reply: relay.CallerResponse,
+    { status, reason, retryAfterMs }: AccessRejection,
+  ): void {
+    this.#reject(request, reply, status, reason, retryAfterMs);
+  }
+
   async #run(
     request: relay.RelayedRequest,
     reply: relay.CallerResponse,
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -198,18 +198,21 @@
   /**
    * Stores the parent's view, for this node's children. Returns the lease
    * holder's engine states, if the parent has them.
+   *
+   * @param askedAtMs when this node asked for the view.
    */
   applyParentView(
     parent: core.InstanceId,
     view: peers.FleetView,
     nowMs: number,
+    askedAtMs = nowMs,
   ): TaggedEngineStates | undefined {
     this.#level = Math.min(view.level, LEVELS_MAX) + 1;
     const hasRoot = this.#level <= LEVELS_MAX;
     this.#parentUses = hasRoot ? view.uses : [];
     this.#parentQueues = hasRoot ? view.queues : undefined;
     this.#parentViewAtMs = nowMs;
-    this.#news.applyFromParent(parent, view.tables, nowMs);
+    this.#news.applyFromParent(parent, view.tables, nowMs, askedAtMs);
     this.#quarantine.applyFromParent(view, nowMs);
     this.#origins.applyFromParent(view, nowMs);
     applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
@@ -237,8 +240,9 @@
     node: core.InstanceId,
     view: peers.FleetView,
     nowMs: number,
+    askedAtMs = nowMs,
   ): void {
-    this.#news.apply(node, view.tables, nowMs);
+    this.#news.apply(node, view.tables, nowMs, askedAtMs);
     applyLeavingNews(this.#state.upstreams, view.leaving, nowMs);
     applyRateNews(this.#state, view.rateLimits, nowMs);
   }
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -164,7 +164,7 @@
       this.#fallBack(answeredAtMs);
       return false;
     }
-    this.#applyView(parent, view, answeredAtMs);
+    this.#applyView(parent, view, answeredAtMs, nowMs);
     return true;
   }
 
@@ -194,7 +194,7 @@
       .exchange(address, this.#hub.digestForParent(member, nowMs));
     if (!view) return;
     this.#applyMembers(member, view);
-    this.#hub.applyStrangerView(member, view, core.monotonicMs());
+    this.#hub.applyStrangerView(member, view, core.monotonicMs(), nowMs);
     this.#noteLease(view);
   }
 
@@ -221,9 +221,11 @@
     parent: core.InstanceId,
     view: peers.FleetView,
     nowMs: number,
+    askedAtMs: number,
   ): void {
     this.#applyMembers(parent, view);
-    const states = this.#hub.applyParentView(parent, view, nowMs);
+    const states = this.#hub
+      .applyParentView(parent, view, nowMs, askedAtMs);
     this.#hub.applyLoad(nowMs);
     this.#noteLease(view);
     if (!states) return this.#fallBack(nowMs);
--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -132,7 +132,8 @@
     const startedAtMs = core.monotonicMs();
     const news = await this.#peers
       .read(holder, this.copy.name, this.copy.cursor);
-    const outcome = news && mergeNews(this.copy, news, core.monotonicMs());
+    const outcome = news &&
+      mergeNews(this.copy, news, core.monotonicMs(), startedAtMs);
     const isBehind = mirror.compareCursors(this.copy.cursor, position) < 0;
     this.#logRead(holder, outcome ?? "failed", startedAtMs);
     if (!isBehind) return;
@@ -161,7 +162,7 @@
     const toVersion = Math.max(version, cursor.version);
     const outcome = this.copy.applyChanges(cursor, toVersion, changes);
     if (outcome === "gap") return this.#refreshWhole();
-    this.copy.confirm(this.copy.cursor, startedAtMs);
+    this.#confirm(startedAtMs, startedAtMs);
     return true;
   }
 
@@ -170,10 +171,16 @@
     const snapshot = await this.#store.readTable(this.copy.name);
     if (snapshot.isErr()) return false;
     this.copy.applySnapshot(snapshot.value);
-    this.copy.confirm(this.copy.cursor, startedAtMs);
+    this.#confirm(startedAtMs, startedAtMs);
     return this.copy.cursor?.generation === snapshot.value.generation;
   }
 
+  /** Records a read of the store that confirmed the copy. */
+  #confirm(atMs: number, startedAtMs: number): void {
+    const read = { asOfMs: startedAtMs, askedAtMs: startedAtMs };
+    this.copy.confirm(this.copy.cursor, atMs, read);
+  }
+
   #logRead(from: string, outcome: string, startedAtMs: number): void {
     this.#logger.info("table_read", {
       table: this.copy.name,
@@ -206,8 +213,11 @@
       return await this.#readChanges(cursor, longestMs);
     }
     const { afterMs, intervalMs } = mirror.staleReadTimes(rank, longestMs);
+    // A reader's answer is as of the start of its read, so up to one wait older.
+    const currentUntilMs = (this.copy.currency?.asOfMs ?? Infinity) + afterMs +
+      longestMs;
     const dueAtMs = Math.max(
-      this.copy.confirmedAtMs + afterMs,
+      Math.min(this.copy.confirmedAtMs + afterMs, currentUntilMs),
       this.#readAtMs + intervalMs,
     );
     const nowMs = core.monotonicMs();
@@ -240,7 +250,7 @@
     }
     this.#recordSuccess();
     this.copy.applySnapshot(snapshot.value);
-    this.copy.confirm(this.copy.cursor, this.#readAtMs);
+    this.#confirm(this.#readAtMs, this.#readAtMs);
     this.#logRead("store", "applied", this.#readAtMs);
     return 0;
   }
@@ -265,7 +275,7 @@
       changes,
     );
     if (outcome === "gap") this.#isReadRequested = true;
-    else this.copy.confirm(this.copy.cursor, core.monotonicMs());
+    else this.#confirm(core.monotonicMs(), this.#readAtMs);
     return changes.length > 0 ? this.#options.coalesceMs : 0;
   }
 
--- a/packages/entry/entry_listeners.ts
+++ b/packages/entry/entry_listeners.ts
@@ -42,8 +42,10 @@
     if (config.isErr()) {
       const reason = config.error;
       this.#state.logger.error("config_unreadable", { version, reason });
+      this.#state.isConfigUnreadable = true;
       return;
     }
+    this.#state.isConfigUnreadable = false;
     this.#state.applyConfig(config.value);
     this.#upstreamListener.reapply();
   }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -46,6 +46,7 @@
 } from "./entry_system_listeners.ts";
 import { TableNewsExchange } from "./entry_table_news.ts";
 import { TakeUpResolver } from "./entry_take_ups.ts";
+import { TeamAccess } from "./teams/entry_team_access.ts";
 
 /** What the platform provides to an entry node. */
 export interface EntryDependencies {
@@ -133,6 +134,7 @@
   readonly #followTasks: readonly FollowTask[];
   readonly #lease: orders.OrderLease;
   readonly #stepWatch: StepWatch;
+  readonly #suspension: core.SuspensionWatch;
   readonly #permits: EntryPermits;
   readonly #selector: EntryUpstreamSelector;
   readonly #callerListener: CallerListener;
@@ -148,6 +150,7 @@
   ) {
     this.state = new EntryState(settings, logger);
     this.#dependencies = dependencies;
+    this.#suspension = new core.SuspensionWatch(logger);
     this.#supervisor = new core.Supervisor("entry", logger);
     this.#memberRow = new MemberRowTask(this.state, dependencies.store);
     this.#clients = new peers.FleetClients(logger);
@@ -173,7 +176,7 @@
     this.#stepWatch = new StepWatch(this.state, {
       listConfirmedAtMs: () => versionTables[0]!.copy.confirmedAtMs,
       readList: () => versionsRead.run(),
-    });
+    }, this.#suspension);
     this.#permits = new EntryPermits(
       this.state,
       (address, request) => this.#clients.requestPermits(address, request),
@@ -197,6 +200,7 @@
           readVersions: () => versionsRead.run(),
         },
       ),
+      this.#createTeamAccess(),
     );
   }
 
@@ -207,7 +211,7 @@
     const clients = this.#clients;
     this.#lifecycle.addCleanup(() => clients.close());
     this.#lifecycle.addCleanup(() => this.state.pools.close());
-    this.#lifecycle.addCleanup(this.#stepWatch.start());
+    this.#lifecycle.addCleanup(this.#suspension.start());
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(
@@ -295,6 +299,16 @@
     return this.#lifecycle.close();
   }
 
+  #createTeamAccess(): TeamAccess {
+    const { dialect, source } = this.#dependencies;
+    const { copy } = this.#followTasks
+      .find(({ copy }) => copy.name === source.configTable)!;
+    return new TeamAccess(this.state, dialect, {
+      configAsOfMs: () => copy.currency?.asOfMs ?? Infinity,
+      readClock: () => this.#suspension.read(),
+    });
+  }
+
   /** Creates the tasks that keep the copies of the store's tables. */
   #createFollowTasks(): FollowTask[] {
     const { state } = this;
@@ -311,6 +325,9 @@
       [{
         name: source.configTable,
         listener: new ConfigListener(state, source, upstreamListener),
+        ...(state.settings.revocationMs === undefined
+          ? {}
+          : { resumedAtMs: () => this.#suspension.resumedAtMs }),
       }, CONFIG_FOLLOW],
       [{
         name: source.upstreamTable,
@@ -332,16 +349,19 @@
     const rank = () =>
       mirror.rankReader(state.settings.nodeName, state.members.alive());
     const peerTables = new MemberTables(state, this.#clients);
-    return tables.map(([options, followOptions]) =>
-      new FollowTask(
+    return tables.map(([options, followOptions]) => {
+      const copy = new mirror.TableMirror(options);
+      return new FollowTask(
         { store, peers: peerTables },
-        new mirror.TableMirror(options),
+        copy,
         storeHealth,
         followOptions,
-        rank,
+        // Ages are passed down the tree only, so its root has to read.
+        () =>
+          copy.currency && this.#hub.isRoot ? { ...rank(), rank: 0 } : rank(),
         state.logger,
-      )
-    );
+      );
+    });
   }
 
   #startTasks(hub: ExchangeHub, clients: peers.FleetClients): void {
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -9,11 +9,14 @@
 import type * as rates from "../rates/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
+import * as teams from "../teams/mod.ts";
 import { Members } from "./entry_members.ts";
 import { WantedStreams } from "./entry_origins.ts";
 
 /** KV cache size of upstreams that run no models. */
 const NO_KV_CACHE_TOKENS = 0;
+/** Teams that a log line names. */
+const LOGGED_TEAMS_MAX = 8;
 
 export class EntryState {
   settings: fleet.EntrySettings;
@@ -50,6 +53,10 @@
   fleetQueues: ReadonlyMap<string, number> = new Map();
   config: fleet.FleetConfig | undefined;
   table: routes.RouteTable | undefined;
+  /** Absent if requests need no keys. */
+  teams: teams.TeamDirectory | undefined;
+  /** Whether the newest configuration could not be read, so is not in force. */
+  isConfigUnreadable = false;
   /** Whether the upstream table has been read at least once. */
   hasReadUpstreams = false;
   /**
@@ -127,11 +134,23 @@
     }
     this.table = new routes.RouteTable(config.version, config.routes);
     this.config = config;
+    this.#applyTeams(config);
     this.onConfig(config);
     this.logger.info("config_in_force", {
       version: config.version,
       routes: config.routes.length,
       services: config.services.size,
+      teams: config.teams?.length,
+    });
+  }
+
+  #applyTeams({ version, teams: specs }: fleet.FleetConfig): void {
+    this.teams = specs && new teams.TeamDirectory(specs);
+    const { conflicting = [] } = this.teams ?? {};
+    if (conflicting.length === 0) return;
+    this.logger.warn("keys_held_twice", {
+      version,
+      teams: conflicting.slice(0, LOGGED_TEAMS_MAX).join(","),
     });
   }
 
--- a/packages/entry/entry_step_watch.ts
+++ b/packages/entry/entry_step_watch.ts
@@ -6,10 +6,6 @@
 import { MEMBER_TIMEOUT_MS } from "./entry_members.ts";
 import type { EntryState } from "./entry_state.ts";
 
-/** Interval at which the clocks are read. */
-const TICK_MS = 100;
-/** Time between two readings, or difference of the clocks, of a node held up. */
-const HELD_UP_MS = 500;
 /** What waited in the connections of a node is read in this time. */
 const DRAINED_AFTER_MS = 100;
 /** Age of the list of upstreams from which on it may be outdated. */
@@ -18,17 +14,6 @@
 const STEP_WAIT_MS = 400;
 const STEP_POLL_MS = 10;
 
-/** The clocks of a machine, of which the monotonic one may stand still. */
-export interface Clocks {
-  readonly monotonicMs: () => number;
-  readonly wallMs: () => number;
-}
-
-const SYSTEM_CLOCKS: Clocks = {
-  monotonicMs: core.monotonicMs,
-  wallMs: Date.now,
-};
-
 /** What the watch needs of the node's other parts. */
 export interface StepSources {
   /** When the store last confirmed the list of upstreams to any node. */
@@ -40,45 +25,33 @@
 export class StepWatch {
   readonly #state: EntryState;
   readonly #sources: StepSources;
-  readonly #clocks: Clocks;
-  #monotonicMs: number;
-  #wallMs: number;
-  /** From when on the node has heard of what happened while it was held up. */
-  #heldUpUntilMs = -Infinity;
+  readonly #suspension: core.SuspensionWatch;
   /** Start of the last read of the list that the store answered. */
   #listReadAtMs = -Infinity;
 
   constructor(
     state: EntryState,
     sources: StepSources,
-    clocks: Clocks = SYSTEM_CLOCKS,
+    suspension = new core.SuspensionWatch(state.logger),
   ) {
     this.#state = state;
     this.#sources = sources;
-    this.#clocks = clocks;
-    this.#monotonicMs = clocks.monotonicMs();
-    this.#wallMs = clocks.wallMs();
-  }
-
-  /** Starts reading the clocks; the returned cleanup stops it. */
-  start(): core.Cleanup {
-    const timer = setInterval(() => this.#readClocks(), TICK_MS);
-    timer.unref();
-    return () => clearInterval(timer);
+    this.#suspension = suspension;
   }
 
   /** Whether the list of upstreams is current, as far as this node can tell. */
   isInStep(): boolean {
-    const nowMs = this.#readClocks();
+    const nowMs = this.#suspension.read();
+    const { resumedAtMs } = this.#suspension;
     const { members } = this.#state;
     const confirmedAtMs = Math.max(
       this.#listReadAtMs + DRAINED_AFTER_MS,
       this.#sources.listConfirmedAtMs(),
     );
-    const isConfirmed = confirmedAtMs > this.#heldUpUntilMs &&
+    const isConfirmed = confirmedAtMs > resumedAtMs &&
       nowMs - confirmedAtMs < LIST_AGE_MAX_MS;
     if (isConfirmed) return true;
-    const sinceMs = Math.max(nowMs - MEMBER_TIMEOUT_MS, this.#heldUpUntilMs);
+    const sinceMs = Math.max(nowMs - MEMBER_TIMEOUT_MS, resumedAtMs);
     return members.countInContact(sinceMs) * 2 > members.count();
   }
 
@@ -93,7 +66,7 @@
    */
   async awaitStep(signal: AbortSignal): Promise<boolean> {
     if (this.isInStep()) return true;
-    const startedAtMs = this.#clocks.monotonicMs();
+    const startedAtMs = this.#suspension.read();
     this.#sources.readList().then((isRead) => {
       if (isRead) this.#listReadAtMs = startedAtMs;
     });
@@ -104,23 +77,4 @@
     }
     return false;
   }
-
-  /** Notes whether the node was held up since the last reading. */
-  #readClocks(): number {
-    const monotonicMs = this.#clocks.monotonicMs();
-    const wallMs = this.#clocks.wallMs();
-    const elapsedMs = monotonicMs - this.#monotonicMs;
-    const differenceMs = Math.abs(wallMs - this.#wallMs - elapsedMs);
-    this.#monotonicMs = monotonicMs;
-    this.#wallMs = wallMs;
-    if (elapsedMs > HELD_UP_MS || differenceMs > HELD_UP_MS) {
-      this.#heldUpUntilMs = monotonicMs + DRAINED_AFTER_MS;
-      const { logger } = this.#state;
-      logger.warn("held_up", {
-        elapsedMs: Math.round(elapsedMs),
-        clockDifferenceMs: Math.round(differenceMs),
-      });
-    }
-    return monotonicMs;
-  }
 }
--- a/packages/entry/entry_table_news.ts
+++ b/packages/entry/entry_table_news.ts
@@ -62,25 +62,32 @@
     parent: core.InstanceId,
     news: readonly peers.TableNews[],
     nowMs: number,
+    askedAtMs: number,
   ): void {
     for (const { table, position } of news) {
       const cursor = toCursor(position);
       if (cursor) this.#parentCursors.set(table, cursor);
     }
-    this.apply(parent, news, nowMs);
+    this.apply(parent, news, nowMs, askedAtMs);
   }
 
-  /** Applies news of another node. */
+  /**
+   * Applies news of another node.
+   *
+   * @param askedAtMs when this node asked for them; absent if they came unasked,
+   * so that they may have waited in a connection.
+   */
   apply(
     node: core.InstanceId,
     news: readonly peers.TableNews[],
     nowMs: number,
+    askedAtMs?: number,
   ): void {
     for (const each of news) {
       const table = this.#tables.find(({ copy }) => copy.name === each.table);
       const position = toCursor(each.position);
       if (!table || !position) continue;
-      const outcome = mergeNews(table.copy, each, nowMs);
+      const outcome = mergeNews(table.copy, each, nowMs, askedAtMs);
       // A copy may have come to the position since it sent its own.
       const isBehind = mirror.compareCursors(table.copy.cursor, position) < 0;
       if (outcome === "gap" || each.mustRead && isBehind) {
@@ -105,6 +112,7 @@
 /**
  * Applies another node's news of a table to a copy.
  *
+ * @param askedAtMs when this node asked for them, if it did.
  * @example
  * ```ts
  * const isApplied = mergeNews(copy, news, core.monotonicMs()) === "applied";
@@ -112,8 +120,9 @@
  */
 export function mergeNews(
   copy: mirror.TableMirror,
-  { position, changes, confirmedAgeMs }: peers.TableNews,
+  { position, changes, confirmedAgeMs, asOfAgeMs }: peers.TableNews,
   nowMs: number,
+  askedAtMs?: number,
 ): mirror.MergeOutcome {
   const to = toCursor(position);
   if (!to) return "alreadyKnown";
@@ -126,7 +135,11 @@
       valueJson,
     })),
   });
-  copy.confirm(to, nowMs - confirmedAgeMs);
+  // The age was taken after the call began, so this is no later than the read.
+  const read = asOfAgeMs === undefined || askedAtMs === undefined
+    ? undefined
+    : { asOfMs: askedAtMs - asOfAgeMs, askedAtMs };
+  copy.confirm(to, nowMs - confirmedAgeMs, read);
   return outcome;
 }
 
@@ -151,6 +164,7 @@
     table: copy.name,
     position: copy.cursor,
     confirmedAgeMs: Math.max(0, Math.ceil(ageMs)),
+    ...asOfAge(copy, nowMs),
     mustRead: delta === "tooLarge",
     ...(delta === undefined || delta === "tooLarge" ? {} : {
       changes: {
@@ -164,3 +178,12 @@
     }),
   })];
 }
+
+function asOfAge(
+  { currency }: mirror.TableMirror,
+  nowMs: number,
+): Pick<peers.TableNews, "asOfAgeMs"> {
+  const ageMs = nowMs - (currency?.asOfMs ?? -Infinity);
+  if (ageMs > CONFIRMED_AGE_MAX_MS) return {};
+  return { asOfAgeMs: Math.max(0, Math.ceil(ageMs)) };
+}
--- a/packages/entry/tests/unit/entry_step_watch_test.ts
+++ b/packages/entry/tests/unit/entry_step_watch_test.ts
@@ -29,16 +29,20 @@
         isLeaving: false,
       });
     }
-    this.watch = new StepWatch(this.state, {
-      listConfirmedAtMs: () => this.listConfirmedAtMs,
-      readList: () => {
-        this.reads++;
-        return Promise.resolve(!this.isStoreAway);
+    this.watch = new StepWatch(
+      this.state,
+      {
+        listConfirmedAtMs: () => this.listConfirmedAtMs,
+        readList: () => {
+          this.reads++;
+          return Promise.resolve(!this.isStoreAway);
+        },
       },
-    }, {
-      monotonicMs: () => core.monotonicMs() + this.aheadMs,
-      wallMs: () => Date.now() + this.aheadMs + this.wallAheadMs,
-    });
+      new core.SuspensionWatch(this.state.logger, {
+        monotonicMs: () => core.monotonicMs() + this.aheadMs,
+        wallMs: () => Date.now() + this.aheadMs + this.wallAheadMs,
+      }),
+    );
   }
 
   contact(count: number): void {
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -50,6 +50,8 @@
   | "upstreams_leaving"
   | "quiet_times"
   | "rate_limit_changes"
+  | "keys_refused"
+  | "keys_not_current"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/mirror/mirror_table.ts
+++ b/packages/mirror/mirror_table.ts
@@ -4,6 +4,7 @@
  */
 import * as core from "../core/mod.ts";
 import type * as store from "../store/mod.ts";
+import { type ConfirmingRead, CopyCurrency } from "./mirror_currency.ts";
 import { compareCursors, type Cursor } from "./mirror_cursor.ts";
 
 /** Receives the rows and changes of a table. */
@@ -57,11 +58,18 @@
    * on.
    */
   readonly significantPart?: (value: core.JsonValue) => core.JsonValue;
+  /**
+   * End of the last suspension of the process, if it matters as of when the copy
+   * is current.
+   */
+  readonly resumedAtMs?: () => number;
 }
 
 /** A copy of one table. */
 export class TableMirror {
   readonly name: string;
+  /** As of when the copy is current; absent where that does not matter. */
+  readonly currency: CopyCurrency | undefined;
   readonly #listener: TableListener;
   readonly #significantPart: (value: core.JsonValue) => core.JsonValue;
   readonly #rows = new Map<string, Row>();
@@ -74,6 +82,8 @@
   constructor(options: TableMirrorOptions) {
     this.name = options.name;
     this.#listener = options.listener;
+    const { resumedAtMs } = options;
+    this.currency = resumedAtMs && new CopyCurrency(resumedAtMs);
     this.#significantPart = options.significantPart ?? ((value) => value);
   }
 
@@ -90,11 +100,20 @@
     return this.#confirmedAtMs;
   }
 
-  /** Records that the store had no changes after the position at that time. */
-  confirm(cursor: Cursor | undefined, atMs: number): void {
+  /**
+   * Records that the store had no changes after the position at that time.
+   *
+   * @param read the read that confirmed it, if it is known when that began.
+   */
+  confirm(
+    cursor: Cursor | undefined,
+    atMs: number,
+    read?: ConfirmingRead,
+  ): void {
     if (compareCursors(cursor, this.#cursor) > 0) return;
     if (cursor?.generation !== this.#cursor?.generation) return;
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, atMs);
+    if (read) this.currency?.record(read);
   }
 
   /**
--- a/packages/mirror/mod.ts
+++ b/packages/mirror/mod.ts
@@ -1,4 +1,6 @@
 /** Mirrors of the store's tables, passed on between nodes. */
+export { CopyCurrency } from "./mirror_currency.ts";
+export type { ConfirmingRead } from "./mirror_currency.ts";
 export { compareCursors } from "./mirror_cursor.ts";
 export type { Cursor } from "./mirror_cursor.ts";
 export {
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -133,7 +133,8 @@
 
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
     const { dialect } = this.#dependencies;
-    const { caller, route, deadlineAtMs, method, path, body } = this.#request;
+    const { caller, route, team, deadlineAtMs, method, path, body } =
+      this.#request;
     const { upstream } = assignment;
     const { lastEventId } = this.#bodyRelay;
     this.#upstream = upstream;
@@ -146,8 +147,9 @@
         caller,
         upstream,
         deadlineMs: deadlineAtMs - core.monotonicMs(),
-        priority: route.priority,
+        priority: team?.priority ?? route.priority,
         ...(lastEventId === undefined ? {} : { lastEventId }),
+        ...(team === undefined ? {} : { team: team.name }),
       }),
       body: body.length > 0 ? body : null,
       startBeforeMs: deadlineAtMs,
@@ -354,13 +356,14 @@
   }
 
   #logEnd(outcome: RelayOutcome, status: number, reason?: string): void {
-    const { caller, route, receivedAtMs } = this.#request;
+    const { caller, route, team, receivedAtMs } = this.#request;
     this.#outcome = outcome;
     const nowMs = core.monotonicMs();
     const firstByteAtMs = this.#response.firstByteAtMs;
     this.#dependencies.logger.info("request_end", {
       request: caller.requestId,
       route: route.name,
+      team: team?.name,
       outcome,
       status,
       reason,
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -12,6 +12,8 @@
   readonly caller: fleet.CallerRequest;
   readonly route: fleet.RouteSpec;
   readonly service: core.ServiceName;
+  /** Absent if the configuration has no teams, or no key was needed. */
+  readonly team?: fleet.TeamSpec;
   /** Version that began the stream, if the request takes one up. */
   readonly softwareVersion?: core.SoftwareVersion;
   readonly method: string;
