--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -163,6 +163,7 @@
       incarnation: this.#state.incarnation,
       leaving: leavingNews(this.#state.upstreams, nowMs),
       rateLimits: rateNews(this.#state, nowMs),
+      ...this.#state.quotas.answer(digest),
     });
   }
 
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -106,8 +106,9 @@
       }
       this.#selector.selectForQueued();
       const { idleMs, queuedMs } = intervalsFor(place, this.#lease.holder);
-      if (hasQueued) await core.sleep(queuedMs, signal);
-      else await this.#wakeSignal.wait(idleMs, signal);
+      const { quotas } = this.#state;
+      if (hasQueued) await quotas.wakeSignal.wait(queuedMs, signal);
+      else await this.#wakeSignal.wait(quotas.pauseMs(idleMs), signal);
     }
   }
 
@@ -145,7 +146,10 @@
   /** @returns whether this node knows what the other nodes know by now. */
   async #exchange({ role, parent }: TreePlace): Promise<boolean> {
     const nowMs = core.monotonicMs();
+    const { quotas } = this.#state;
+    quotas.setConnected(this.#hub.followers() + 1);
     if (role === "root") {
+      quotas.becomeRoot();
       this.#hub.becomeRoot();
       this.#hub.applyLoad(nowMs);
       this.#fallBack(nowMs);
@@ -155,9 +159,12 @@
     }
     const address = this.#state.members.row(parent)?.peerAddress;
     if (address === undefined) return false;
-    const view = await this.#clients
-      .exchange(address, this.#hub.digestForParent(parent, nowMs));
+    const view = await this.#clients.exchange(address, {
+      ...this.#hub.digestForParent(parent, nowMs),
+      ...quotas.report(parent),
+    });
     const answeredAtMs = core.monotonicMs();
+    quotas.applyAnswer(parent, view);
     if (!view) {
       this.#avoidedUntilMs.set(parent, answeredAtMs + PARENT_AVOIDANCE_MS);
       this.#hub.forgetParent();
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -387,6 +387,7 @@
         else exchange.noteQueuedBelow();
       },
     });
+    state.quotas.onWaiting = () => this.#exchangeWakeSignal.wake();
     this.#selector.onQueued = () => {
       this.#exchangeWakeSignal.wake();
       if (lease.isHeld) ordersTask.wakeSignal.wake();
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -12,6 +12,7 @@
 import * as teams from "../teams/mod.ts";
 import { Members } from "./entry_members.ts";
 import { WantedStreams } from "./entry_origins.ts";
+import { EntryQuotas } from "./quotas/entry_quotas.ts";
 
 /** KV cache size of upstreams that run no models. */
 const NO_KV_CACHE_TOKENS = 0;
@@ -45,6 +46,7 @@
   readonly origins = new origins.StreamOrigins();
   readonly softwareVersions = new origins.SoftwareVersions();
   readonly wantedStreams = new WantedStreams();
+  readonly quotas: EntryQuotas;
   readonly retryBudgets = new Map<
     core.ServiceName,
     dispatch.SharedRetryBudget
@@ -84,6 +86,7 @@
     this.incarnation = core.randomId<core.Incarnation>("in");
     this.members = new Members(settings.nodeName);
     this.quarantine = new quarantine.PromptQuarantine(logger);
+    this.quotas = new EntryQuotas(this);
   }
 
   /** Whether this node accepts callers: all tables read, and not stopping. */
@@ -119,6 +122,7 @@
     for (const budget of this.retryBudgets.values()) {
       budget.updateOptions(settings.retryBudget);
     }
+    this.quotas.configure();
   }
 
   /** Applies a configuration, unless it is not newer than the current one. */
@@ -135,6 +139,7 @@
     this.table = new routes.RouteTable(config.version, config.routes);
     this.config = config;
     this.#applyTeams(config);
+    this.quotas.configure();
     this.onConfig(config);
     this.logger.info("config_in_force", {
       version: config.version,
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -52,6 +52,9 @@
   | "rate_limit_changes"
   | "keys_refused"
   | "keys_not_current"
+  | "quota_rejections"
+  | "quota_waits"
+  | "quota_refunds"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/quotas/quotas_account.ts
+++ b/packages/quotas/quotas_account.ts
@@ -1,5 +1,5 @@
 /** One team at one node: its stock, who waits for it, and what is lent on. */
-import type * as core from "../core/mod.ts";
+import * as core from "../core/mod.ts";
 import { SpendingRate } from "./quotas_demand.ts";
 import type { QuotaLimit } from "./quotas_limit.ts";
 import { type Waiter, WaitingLine } from "./quotas_line.ts";
@@ -16,6 +16,8 @@
 
 /** Longest wait of a request for tokens. */
 export const WAIT_MAX_MS = 250;
+/** The same while the team is known to lack tokens. */
+const SHORT_WAIT_MAX_MS = 100;
 /** Requests of a team that wait at one node; each may hold a body in memory. */
 const WAITERS_MAX = 64;
 /** Time for whose spending a node keeps tokens: two exchanges of a leaf. */
@@ -81,11 +83,6 @@
     this.#refilledAtMs = nowMs;
   }
 
-  /** Whether requests of this node wait. */
-  get hasWaiters(): boolean {
-    return this.#line.waiters.size > 0;
-  }
-
   /** Refills the stock by this node's share; what is in it never grows younger. */
   refill(nowMs: number): void {
     const elapsedMs = nowMs - this.#refilledAtMs;
@@ -133,17 +130,20 @@
     const { stock, waiting } = this.balance(nowMs);
     const keep = this.#keep(nowMs);
     const lack = Math.max(0, waiting - stock);
-    const first = Math.max(0, this.#line.firstCost(nowMs) - stock);
+    const first = this.#line.firstCost(nowMs) - stock;
     const extra = this.#line.extra(nowMs) + keep - Math.max(0, stock - waiting);
     const given = this.#give(stock - waiting, keep, nowMs);
+    const { tag, messageScale } = this.limit;
+    const parts = (amount: number) =>
+      core.toUint32(Math.ceil(Math.max(0, amount) * messageScale));
     const offer = {
-      tag: this.limit.tag,
+      tag,
       given,
-      waiting: lack,
-      first: lack > 0 ? first : 0,
-      extra: Math.max(0, extra),
+      waiting: parts(lack),
+      first: lack > 0 ? parts(first) : 0,
+      extra: parts(extra),
     };
-    const isEmpty = given.length === 0 && lack === 0 && offer.extra < 1;
+    const isEmpty = given.length + offer.waiting + offer.extra === 0;
     return isEmpty ? undefined : offer;
   }
 
@@ -169,7 +169,12 @@
     if (transitMs !== undefined) {
       this.#receive(offer?.given ?? [], transitMs, nowMs);
     }
-    this.#line.setWant(child, offer, nowMs);
+    const { messageScale } = this.limit;
+    this.#line.setWant(child, {
+      waiting: (offer?.waiting ?? 0) / messageScale,
+      first: (offer?.first ?? 0) / messageScale,
+      extra: (offer?.extra ?? 0) / messageScale,
+    }, nowMs);
     this.serve(nowMs);
     const granted = this.#lend(child, nowMs);
     const isShort = this.#isShort(nowMs);
@@ -247,7 +252,8 @@
   }
 
   #latest(): QuotaAccount {
-    return this.#successor?.#latest() ?? this;
+    const successor = this.#successor;
+    return successor ? successor.#latest() : this;
   }
 
   /** Returns why a request should not wait for tokens, if it should not. */
@@ -258,7 +264,7 @@
     const shortageMs = this.#shortageMs(nowMs);
     if (shortageMs === 0 && this.#canBorrow(nowMs)) return undefined;
     const waitMs = this.#expectedWaitMs(cost, nowMs);
-    return waitMs > WAIT_MAX_MS ? "exhausted" : undefined;
+    return waitMs > SHORT_WAIT_MAX_MS ? "exhausted" : undefined;
   }
 
   #reject(reason: QuotaReason, cost: number, nowMs: number): QuotaRejection {
--- a/packages/quotas/quotas_line.ts
+++ b/packages/quotas/quotas_line.ts
@@ -1,5 +1,5 @@
 /** Who waits for tokens of a team: requests of this node, and its children. */
-import type { QuotaOffer, QuotaWaitEnd } from "./quotas_types.ts";
+import type { QuotaWaitEnd } from "./quotas_types.ts";
 
 /** What a child lacks counts for this long after its last report. */
 const WANT_TTL_MS = 400;
@@ -41,11 +41,13 @@
     if (this.#waiters.size === 0) this.#cost = 0;
   }
 
-  /** Records what a child lacks; nothing without an offer. */
-  setWant(child: string, offer: QuotaOffer | undefined, nowMs: number): void {
+  /** Records what a child lacks. */
+  setWant(
+    child: string,
+    { waiting, first, extra }: Pick<Want, "waiting" | "first" | "extra">,
+    nowMs: number,
+  ): void {
     const known = this.#wants.get(child);
-    const { waiting, first, extra } = offer ??
-      { waiting: 0, first: 0, extra: 0 };
     if (waiting <= 0 && extra <= 0) return void this.#wants.delete(child);
     const isNew = !known || known.waiting <= 0 || this.#isOld(known, nowMs);
     const sinceMs = isNew ? nowMs : known.sinceMs;
--- a/packages/quotas/quotas_node.ts
+++ b/packages/quotas/quotas_node.ts
@@ -60,10 +60,11 @@
     return this.#accounts.size > 0;
   }
 
-  /** Whether any request of this node waits for tokens. */
-  get hasWaiters(): boolean {
-    for (const { hasWaiters } of this.#accounts.values()) {
-      if (hasWaiters) return true;
+  /** Whether requests at this node or below it wait for tokens. */
+  isShort(nowMs: number): boolean {
+    for (const account of this.#accounts.values()) {
+      const { stock, waiting } = account.balance(nowMs);
+      if (waiting > stock) return true;
     }
     return false;
   }
--- a/packages/quotas/quotas_types.ts
+++ b/packages/quotas/quotas_types.ts
@@ -8,7 +8,7 @@
   readonly tag: number;
   /** Tokens that the sender has removed from its stock. */
   readonly given: readonly SentLot[];
-  /** What its waiting requests lack, in units. */
+  /** What its waiting requests lack, in parts of a unit as in a lot. */
   readonly waiting: number;
   /** What the first of them lacks; less is of no use. */
   readonly first: number;
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -80,6 +80,11 @@
     );
   }
 
+  /** Whether an upstream may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#retries.runCount > 0;
+  }
+
   /** Runs the request to its end. The response is always ended or aborted. */
   async run(): Promise<RelayOutcome> {
     const cancelAttempt = () =>
