--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -16,6 +16,7 @@
 import * as routes from "../routes/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { CallerConnections } from "./entry_caller_connections.ts";
+import { rejectionFields } from "./quotas/entry_quotas.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
 import { type AccessRejection, TeamAccess } from "./teams/entry_team_access.ts";
@@ -292,23 +293,39 @@
       () => end("deadline passed"),
       request.deadlineAtMs - core.monotonicMs(),
     );
-    const dependencies = {
-      dialect: this.#dialect,
-      selector: this.#selector,
-      logger: this.#state.logger,
-    };
     try {
-      const task = new relay.RelayTask(
-        request,
-        reply,
-        dependencies,
-        aborter.signal,
-      );
-      this.#state.metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
+      await this.#relayUnderQuota(request, reply, response, aborter.signal);
     } finally {
       clearTimeout(timer);
       this.#endRunning.delete(end);
       response.off("close", onClose);
+    }
+  }
+
+  async #relayUnderQuota(
+    request: relay.RelayedRequest,
+    reply: relay.CallerResponse,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { quotas, logger, metrics } = this.#state;
+    const quota = await quotas.admit(request.team, request.caller, signal);
+    if (quota.isErr()) {
+      const { reason, retryAfterMs } = quota.error;
+      const fields = rejectionFields(quota.error);
+      return this
+        .#reject(response.req, reply, 429, reason, retryAfterMs, fields);
+    }
+    const task = new relay.RelayTask(
+      request,
+      reply,
+      { dialect: this.#dialect, selector: this.#selector, logger },
+      signal,
+    );
+    try {
+      metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
+      if (!task.mayHaveRun) quota.value.refund();
+    } finally {
       this.#recordLatency(request, reply);
     }
   }
@@ -352,6 +369,7 @@
     status: number,
     reason: string,
     retryAfterMs = status === 503 ? UNAVAILABLE_RETRY_AFTER_MS : undefined,
+    fields: core.LogFields = {},
   ): void {
     reply.start(status, {
       ...this.#dialect.writeRejection(retryAfterMs),
@@ -369,6 +387,7 @@
       status,
       reason,
       configVersion: this.#state.config?.version,
+      ...fields,
     });
   }
 }
