--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -11,8 +11,6 @@
 export interface RelayedRequest {
   readonly caller: fleet.CallerRequest;
   readonly route: fleet.RouteSpec;
-  /** Team that holds the caller's key, if the configuration has teams. */
-  readonly team?: fleet.TeamSpec;
   readonly service: core.ServiceName;
   /** Absent if the configuration has no teams, or no key was needed. */
   readonly team?: fleet.TeamSpec;
