--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -148,7 +148,7 @@
   async #exchange({ role, parent }: TreePlace): Promise<boolean> {
     const nowMs = core.monotonicMs();
     const { quotas } = this.#state;
-    quotas.setConnected(this.#hub.followers() + 1);
+    if (quotas.isActive) quotas.setConnected(this.#hub.followers() + 1);
     if (role === "root") {
       quotas.becomeRoot();
       this.#hub.becomeRoot();
--- a/packages/entry/quotas/entry_quotas.ts
+++ b/packages/entry/quotas/entry_quotas.ts
@@ -62,6 +62,11 @@
     this.#state = state;
   }
 
+  /** Whether the configuration limits any team. */
+  get isActive(): boolean {
+    return this.#node.isActive;
+  }
+
   /** Applies the configuration and the settings in force. */
   configure(): void {
     const { config, settings } = this.#state;
@@ -152,7 +157,6 @@
   }
 
   #updateMembership(): void {
-    if (!this.#node.isActive) return;
     const { members, settings, hasReadMembers, isStopping } = this.#state;
     this.#node.setMembership({
       nodes: members.count(),
