--- a/packages/quotas/quotas_account.ts
+++ b/packages/quotas/quotas_account.ts
@@ -137,14 +137,14 @@
   }
 
   /** Returns what to send to the parent; undefined if there is nothing. */
-  report(nowMs: number): QuotaOffer | undefined {
+  report(mayGive: boolean, nowMs: number): QuotaOffer | undefined {
     this.serve(nowMs);
     const { stock, waiting } = this.balance(nowMs);
     const keep = this.#keep(nowMs);
     const lack = Math.max(0, waiting - stock);
     const first = this.#line.firstCost(nowMs) - stock;
     const extra = this.#line.extra(nowMs) + keep - Math.max(0, stock - waiting);
-    const given = this.#give(stock - waiting, keep, nowMs);
+    const given = mayGive ? this.#give(stock - waiting, keep, nowMs) : [];
     const { tag, messageScale } = this.limit;
     const parts = (amount: number) =>
       core.toUint32(Math.ceil(Math.max(0, amount) * messageScale));
--- a/packages/quotas/quotas_node.ts
+++ b/packages/quotas/quotas_node.ts
@@ -140,17 +140,16 @@
    */
   report(parent: string, nowMs: number): QuotaReport | undefined {
     if (!this.isActive) return undefined;
-    const known = this.#parent?.node === parent ? this.#parent : undefined;
-    // The parent could not tell how long tokens were on their way.
-    if (!known) {
-      this.#parent = undefined;
-      return { answer: 0, answerAgeMs: 0, offers: [] };
-    }
+    if (this.#parent?.node !== parent) this.#parent = undefined;
+    const known = this.#parent;
     const offers: QuotaOffer[] = [];
     for (const account of this.#accounts.values()) {
-      const offer = account.report(nowMs);
+      // Without an answer that the report can name, the parent could not tell
+      // how long tokens were on their way.
+      const offer = account.report(known !== undefined, nowMs);
       if (offer) offers.push(offer);
     }
+    if (!known) return { answer: 0, answerAgeMs: 0, offers };
     const answerAgeMs = Math.floor(nowMs - known.atMs);
     return { answer: known.answer, answerAgeMs, offers };
   }
