--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -15,6 +15,7 @@
   UpstreamResponse,
 } from "./fleet_dialect.ts";
 export { STREAM_PATIENCE_MIN_MS } from "./fleet_patience.ts";
+export { priorityOf } from "./fleet_priority.ts";
 export { FleetSource } from "./fleet_source.ts";
 export type {
   EngineSpec,
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -3,7 +3,7 @@
  * that is safe, and writes the response to the caller.
  */
 import * as core from "../core/mod.ts";
-import type * as fleet from "../fleet/mod.ts";
+import * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
 import { RequestConnections } from "./relay_connections.ts";
 import type { CallerResponse } from "./relay_response.ts";
@@ -133,8 +133,7 @@
 
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
     const { dialect } = this.#dependencies;
-    const { caller, route, team, deadlineAtMs, method, path, body } =
-      this.#request;
+    const { caller, team, deadlineAtMs, method, path, body } = this.#request;
     const { upstream } = assignment;
     const { lastEventId } = this.#bodyRelay;
     this.#upstream = upstream;
@@ -147,7 +146,7 @@
         caller,
         upstream,
         deadlineMs: deadlineAtMs - core.monotonicMs(),
-        priority: team?.priority ?? route.priority,
+        priority: fleet.priorityOf(this.#request),
         ...(lastEventId === undefined ? {} : { lastEventId }),
         ...(team === undefined ? {} : { team: team.name }),
       }),
