--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -1,21 +1,11 @@
 /** Queue of the requests that wait for an engine. */
 import * as core from "../core/mod.ts";
+import * as fairness from "../fairness/mod.ts";
 
 /** One queued request. */
-export interface QueuedRequest {
-  /** Priority class; 0 is the most urgent. */
-  readonly priority: number;
-  /** Whether its caller has the first part of the response already. */
-  readonly isContinuation?: boolean;
+export interface QueuedRequest extends fairness.OrderedRequest {
   /** The only software version at which it may run, if there is one. */
   readonly softwareVersion?: core.SoftwareVersion;
-  readonly arrivedAtMs: number;
-  /** Time by which its first event meets the latency target. */
-  readonly targetAtMs: number;
-  /** `model`, or `model/adapter`. */
-  readonly modelKey: string;
-  /** Engine time that it is expected to take. */
-  readonly workMs: number;
   /** Tries to select an engine; true if the request leaves the queue. */
   readonly trySelect: () => boolean;
 }
@@ -32,33 +22,29 @@
   readonly giveUp: () => T;
 }
 
-/**
- * Orders requests by priority, then those that continue a response before new
- * ones, then those that can still meet their latency target before those that
- * cannot, then by arrival, so that no request starves within its class.
- */
+/** Queued requests, which are served in an order that varies. */
 export class RequestQueue {
   readonly #queued = new Set<QueuedRequest>();
+  readonly #order: fairness.ServiceOrder;
+
+  constructor(order: fairness.ServiceOrder = new fairness.ArrivalOrder()) {
+    this.#order = order;
+  }
 
   get size(): number {
     return this.#queued.size;
   }
 
-  /** Number of queued requests for a model at this priority or above. */
-  countAhead(modelKey: string, priority: number): number {
-    let count = 0;
-    for (const queued of this.#queued) {
-      if (queued.modelKey === modelKey && queued.priority <= priority) count++;
-    }
-    return count;
+  /** What is served before a request that arrives now. */
+  ahead(place: fairness.QueuePlace): fairness.QueueAhead {
+    return this.#order.ahead(this.#queued, place);
   }
 
-  /** Engine time of queued requests for a model at this priority or above. */
-  queuedWorkMs(modelKey: string, priority: number): number {
+  /** Engine time of all queued requests for a model. */
+  queuedWorkMs(modelKey: string): number {
     let sumMs = 0;
     for (const queued of this.#queued) {
-      if (queued.modelKey !== modelKey || queued.priority > priority) continue;
-      sumMs += queued.workMs;
+      if (queued.modelKey === modelKey) sumMs += queued.workMs;
     }
     return sumMs;
   }
@@ -88,9 +74,57 @@
   /** Adds a request; the returned function removes it. */
   add(request: QueuedRequest): () => void {
     this.#queued.add(request);
-    return () => {
-      this.#queued.delete(request);
-    };
+    this.#order.onQueued(request, core.monotonicMs());
+    return () => this.#remove(request);
+  }
+
+  #remove(request: QueuedRequest): void {
+    if (this.#queued.delete(request)) this.#order.onDequeued(request);
+  }
+
+  /**
+   * Selects for a request that arrives, unless queued ones are to be served
+   * before it. Of each team's, one is tried, as more would take long.
+   *
+   * @returns undefined if it has to wait.
+   * @example
+   * ```ts
+   * const selected = queue.selectOnArrival(request, trySelect);
+   * ```
+   */
+  selectOnArrival<T>(
+    request: fairness.OrderedRequest,
+    trySelect: () => T | undefined,
+  ): T | undefined {
+    if (!this.#order.yieldsTo(request)) {
+      const selected = trySelect();
+      if (selected !== undefined) this.#order.recordGrant(request);
+      return selected;
+    }
+    let selected: T | undefined;
+    let isTried = false;
+    const tried = new Set<core.TeamName | undefined>();
+    const competing = [...this.#queued].filter((queued) =>
+      queued.modelKey === request.modelKey &&
+      queued.priority <= request.priority
+    );
+    this.#order.serve<fairness.OrderedRequest | QueuedRequest>(
+      [...competing, request],
+      core.monotonicMs(),
+      (next) => {
+        if (isTried) return false;
+        if (next === request) {
+          isTried = true;
+          selected = trySelect();
+          return selected !== undefined;
+        }
+        if (tried.has(next.team)) return false;
+        const isServed = "trySelect" in next && this.#trySelect(next);
+        if (!isServed) tried.add(next.team);
+        return isServed;
+      },
+    );
+    return selected;
   }
 
   /**
@@ -132,17 +166,18 @@
   /** Tries once to select an engine for each queued request, in order. */
   trySelectAll(nowMs: number): void {
     if (this.#queued.size === 0) return;
-    const ordered = [...this.#queued].sort((a, b) => {
-      if (a.priority !== b.priority) return a.priority - b.priority;
-      const aNew = a.isContinuation ? 0 : 1;
-      const bNew = b.isContinuation ? 0 : 1;
-      if (aNew !== bNew) return aNew - bNew;
-      const aLate = a.targetAtMs <= nowMs ? 1 : 0;
-      const bLate = b.targetAtMs <= nowMs ? 1 : 0;
-      return aLate - bLate || a.arrivedAtMs - b.arrivedAtMs;
-    });
-    for (const request of ordered) {
-      if (request.trySelect()) this.#queued.delete(request);
-    }
+    this.#order.serve(
+      [...this.#queued],
+      nowMs,
+      (request) => this.#trySelect(request),
+    );
+  }
+
+  #trySelect(request: QueuedRequest): boolean {
+    // What is selected for one request may have ended the wait of another.
+    if (!this.#queued.has(request)) return false;
+    const isSelected = request.trySelect();
+    if (isSelected) this.#remove(request);
+    return isSelected;
   }
 }
--- a/packages/dispatch/dispatch_waiting.ts
+++ b/packages/dispatch/dispatch_waiting.ts
@@ -67,6 +67,8 @@
   readonly localAheadMs: number;
   /** Engine time of all of this node's requests for the model. */
   readonly localTotalMs: number;
+  /** Largest share of the fleet's requests that go first; 1 if absent. */
+  readonly aheadShareMax?: number;
   /** Queued requests of all nodes. */
   readonly fleetWaiting: number;
   /** Engine time that a request for the model takes. */
@@ -86,11 +88,19 @@
  * ```
  */
 export function estimateQueueWaitMs(
-  { localAheadMs, localTotalMs, fleetWaiting, workMs, replicas }: QueueView,
+  {
+    localAheadMs,
+    localTotalMs,
+    aheadShareMax = 1,
+    fleetWaiting,
+    workMs,
+    replicas,
+  }: QueueView,
 ): number {
   // Without a replica the wait is for a load, whatever the backlog.
   if (replicas === 0) return 0;
-  const aheadShare = localTotalMs > 0 ? localAheadMs / localTotalMs : 1;
+  const localShare = localTotalMs > 0 ? localAheadMs / localTotalMs : 1;
+  const aheadShare = Math.min(localShare, aheadShareMax);
   const fleetAheadMs = fleetWaiting * workMs * aheadShare;
   return Math.max(localAheadMs, fleetAheadMs) / replicas;
 }
--- a/packages/dispatch/tests/unit/dispatch_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_test.ts
@@ -238,9 +238,12 @@
   add("urgent", 0, 300, 1_500);
   const remove = add("removed", 0, 0, 1_500);
   remove();
-  t.is(queue.queuedWorkMs("m", 0), 100);
-  t.is(queue.queuedWorkMs("m", 1), 400);
-  t.is(queue.queuedWorkMs("other", 1), 0);
+  const aheadOf = (modelKey: string, priority: number) =>
+    queue.ahead({ modelKey, priority });
+  t.deepEqual(aheadOf("m", 0), { count: 1, workMs: 100 });
+  t.deepEqual(aheadOf("m", 1), { count: 4, workMs: 400 });
+  t.deepEqual(aheadOf("other", 1), { count: 0, workMs: 0 });
+  t.is(queue.queuedWorkMs("m"), 400);
   queue.trySelectAll(1_000);
   t.deepEqual(selected, ["urgent", "first", "second", "late"]);
   t.is(queue.size, 0);
--- a/packages/entry/entry_engine_queue.ts
+++ b/packages/entry/entry_engine_queue.ts
@@ -2,7 +2,8 @@
 import { err, type Result } from "neverthrow";
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
-import type * as fleet from "../fleet/mod.ts";
+import type * as fairness from "../fairness/mod.ts";
+import * as fleet from "../fleet/mod.ts";
 import type * as rates from "../rates/mod.ts";
 import type * as relay from "../relay/mod.ts";
 import type { EntryState } from "./entry_state.ts";
@@ -35,6 +36,28 @@
   return `service ${service}`;
 }
 
+function placeOf(
+  request: relay.RelayedRequest,
+  model: core.ModelName,
+): fairness.QueuePlace {
+  return {
+    ...teamOf(request),
+    modelKey: dispatch.toModelKey(model, request.caller.adapter),
+  };
+}
+
+function placeOfService(request: relay.RelayedRequest): fairness.QueuePlace {
+  return { ...teamOf(request), modelKey: toServiceKey(request.service) };
+}
+
+function teamOf(request: relay.RelayedRequest) {
+  const { team } = request;
+  return {
+    priority: fleet.priorityOf(request),
+    ...(team === undefined ? {} : { team: team.name }),
+  };
+}
+
 /** Queues requests until an engine is free, unless that would take too long. */
 export class EngineQueue {
   readonly #state: EntryState;
@@ -60,8 +83,25 @@
     this.#counted.add(request);
     const { caller } = request;
     const workMs = this.#estimateWorkMs(caller, model);
-    this.#state.demand
-      .recordArrival(model, caller.adapter, workMs, core.monotonicMs());
+    const nowMs = core.monotonicMs();
+    const { demand, teamOrder } = this.#state;
+    demand.recordArrival(model, caller.adapter, workMs, nowMs);
+    teamOrder.recordArrival(placeOf(request, model), workMs, nowMs);
+  }
+
+  /**
+   * Selects an engine without a wait, unless requests of other teams that wait
+   * are to be served first.
+   */
+  selectNow(
+    request: relay.RelayedRequest,
+    model: core.ModelName,
+    trySelect: () => SelectionResult | undefined,
+    history: relay.AttemptHistory,
+  ): SelectionResult | undefined {
+    const ordered = this.#toOrdered(request, model, history);
+    const selected = this.#state.queue.selectOnArrival(ordered, trySelect);
+    return selected && this.#withCorrection(selected, request, model, ordered);
   }
 
   /**
@@ -75,18 +115,19 @@
     request: relay.RelayedRequest,
     model: core.ModelName,
     trySelect: () => SelectionResult | undefined,
-    { hasStarted, softwareVersion }: relay.AttemptHistory,
+    history: relay.AttemptHistory,
     signal: AbortSignal,
   ): Promise<SelectionResult> {
     const { queue, demand } = this.#state;
+    const { hasStarted, softwareVersion } = history;
     const { caller, route, receivedAtMs, deadlineAtMs } = request;
     const nowMs = core.monotonicMs();
     const waitUntilMs = hasStarted
       ? deadlineAtMs
       : dispatch.queueUntilMs(route, receivedAtMs, deadlineAtMs);
-    const modelKey = dispatch.toModelKey(model, caller.adapter);
-    const workMs = this.#estimateWorkMs(caller, model);
-    const view = () => this.#view(request, model, workMs, softwareVersion);
+    const ordered = this.#toOrdered(request, model, history);
+    const view = () =>
+      this.#view(request, model, ordered.workMs, softwareVersion);
     const rejectWithReturn = (reason: string): SelectionResult => {
       const { waitMs, readyAtMs, heldBack } = view();
       const readyInMs = readyAtMs === undefined
@@ -110,15 +151,8 @@
       .trackQueued(model, caller.adapter, nowMs, softwareVersion);
     this.#onQueued();
     const selected = await queue.wait({
-      priority: route.priority,
-      isContinuation: hasStarted || softwareVersion !== undefined,
+      ...ordered,
       ...(softwareVersion === undefined ? {} : { softwareVersion }),
-      arrivedAtMs: receivedAtMs,
-      targetAtMs: hasStarted
-        ? deadlineAtMs
-        : receivedAtMs + route.latencyTargetMs,
-      modelKey,
-      workMs,
     }, {
       trySelect,
       waitUntilMs,
@@ -126,7 +160,7 @@
       giveUp: () => rejectWithReturn("no engine in time"),
     });
     stopTracking();
-    return selected;
+    return this.#withCorrection(selected, request, model, ordered);
   }
 
   /**
@@ -135,15 +169,15 @@
    */
   permitWaitMs(request: relay.RelayedRequest): number | undefined {
     const { upstreams, queue } = this.#state;
-    const { service, route } = request;
+    const { service } = request;
     const nowMs = core.monotonicMs();
-    const ahead = queue.countAhead(toServiceKey(service), route.priority);
+    const { count } = queue.ahead(placeOfService(request));
     const waitsMs = [...upstreams.ofService(service)]
       .filter((upstream) =>
         upstream.maySend(nowMs) &&
         this.#rateGate.isBarred(upstream.record, nowMs)
       )
-      .map(({ record }) => this.#rateGate.expectedWaitMs(record, ahead, nowMs));
+      .map(({ record }) => this.#rateGate.expectedWaitMs(record, count, nowMs));
     return waitsMs.length === 0 ? undefined : Math.min(...waitsMs);
   }
 
@@ -159,7 +193,7 @@
     hasStarted: boolean,
     signal: AbortSignal,
   ): SelectionResult | Promise<SelectionResult> {
-    const { route, service, receivedAtMs, deadlineAtMs } = request;
+    const { route, receivedAtMs, deadlineAtMs } = request;
     const targetAtMs = receivedAtMs + route.latencyTargetMs;
     const waitUntilMs = hasStarted
       ? deadlineAtMs
@@ -175,23 +209,71 @@
     const readyAtMs = core.monotonicMs() + (this.permitWaitMs(request) ?? 0);
     if (!hasStarted && readyAtMs > waitUntilMs) return giveUp();
     return this.#state.queue.wait({
-      priority: route.priority,
+      ...placeOfService(request),
       isContinuation: hasStarted,
       arrivedAtMs: receivedAtMs,
       targetAtMs,
-      modelKey: toServiceKey(service),
       workMs: 0,
     }, { trySelect, waitUntilMs, signal, giveUp });
   }
 
   /** Estimates the engine time that a request takes, in ms. */
-  #estimateWorkMs(caller: fleet.CallerRequest, model: core.ModelName): number {
+  #estimateWorkMs(
+    caller: fleet.CallerRequest,
+    model: core.ModelName,
+    outputTokens?: number,
+  ): number {
     const { stepTimes, outputLengths } = this.#state;
-    const tokens = outputLengths.expected(caller.outputTokensMax);
+    const tokens = outputTokens ??
+      outputLengths.expected(caller.outputTokensMax);
     const decodeMs = tokens * stepTimes.stepMs(model) * DECODE_ENGINE_SHARE;
     return stepTimes.prefillMs(model, caller.promptTokens) + decodeMs;
   }
 
+  #toOrdered(
+    request: relay.RelayedRequest,
+    model: core.ModelName,
+    { hasStarted, softwareVersion }: relay.AttemptHistory,
+  ): fairness.OrderedRequest {
+    const { caller, route, receivedAtMs, deadlineAtMs } = request;
+    return {
+      ...placeOf(request, model),
+      isContinuation: hasStarted || softwareVersion !== undefined,
+      arrivedAtMs: receivedAtMs,
+      targetAtMs: hasStarted
+        ? deadlineAtMs
+        : receivedAtMs + route.latencyTargetMs,
+      workMs: this.#estimateWorkMs(caller, model),
+    };
+  }
+
+  /** Corrects what a team is charged for a request when more is known. */
+  #withCorrection(
+    selected: SelectionResult,
+    request: relay.RelayedRequest,
+    model: core.ModelName,
+    ordered: fairness.OrderedRequest,
+  ): SelectionResult {
+    if (request.team === undefined) return selected;
+    const { teamOrder, config } = this.#state;
+    const tokensPerEvent =
+      config?.services.get(request.service)?.engine?.tokensPerEvent ?? 1;
+    return selected.map((assignment) => ({
+      ...assignment,
+      onStreamLength: (events) => {
+        assignment.onStreamLength(events);
+        const tokens = events * tokensPerEvent;
+        const workMs = this.#estimateWorkMs(request.caller, model, tokens);
+        teamOrder.correctGrant(ordered, workMs);
+      },
+      onEnd: (outcome) => {
+        const hasNotRun = outcome === "shed" || outcome === "unreachable";
+        if (hasNotRun) teamOrder.correctGrant(ordered, 0);
+        assignment.onEnd(outcome);
+      },
+    }));
+  }
+
   /**
    * Describes the queue that a request for a model would join.
    *
@@ -203,16 +285,15 @@
     workMs: number,
     softwareVersion: core.SoftwareVersion | undefined,
   ): QueueState {
-    const { upstreams } = this.#state;
+    const { upstreams, queue } = this.#state;
     const { adapter } = request.caller;
-    const modelKey = dispatch.toModelKey(model, adapter);
+    const place = placeOf(request, model);
     const nowMs = core.monotonicMs();
     let replicas = 0;
     let readyAtMs: number | undefined;
     let heldUntilMs = Infinity;
     let heldBack: QueueState["heldBack"];
-    const ahead = this.#state.queue
-      .countAhead(modelKey, request.route.priority);
+    const ahead = queue.ahead(place);
     for (const engine of upstreams.ofService(request.service)) {
       const isOfVersion = softwareVersion === undefined ||
         engine.record.softwareVersion === softwareVersion;
@@ -226,7 +307,7 @@
         : isQuiet
         ? engine.quiet.untilMs
         : nowMs +
-          this.#rateGate.expectedWaitMs(engine.record, ahead, nowMs);
+          this.#rateGate.expectedWaitMs(engine.record, ahead.count, nowMs);
       if (canRun && isHeld && freeAtMs! < heldUntilMs) {
         heldUntilMs = freeAtMs!;
         heldBack = isQuiet ? "quiet" : "rateLimit";
@@ -235,7 +316,7 @@
       readyAtMs = Math.min(readyAtMs ?? freeAtMs, freeAtMs);
     }
     const waitMs = dispatch.estimateQueueWaitMs({
-      ...this.#workAhead(modelKey, request.route.priority, softwareVersion),
+      ...this.#workAhead(place, ahead, softwareVersion),
       workMs,
       replicas,
     });
@@ -249,19 +330,18 @@
    * requests continue a response, and at which version.
    */
   #workAhead(
-    modelKey: string,
-    priority: number,
+    place: fairness.QueuePlace,
+    ahead: fairness.QueueAhead,
     softwareVersion: core.SoftwareVersion | undefined,
-  ): Pick<
-    dispatch.QueueView,
-    "localAheadMs" | "localTotalMs" | "fleetWaiting"
-  > {
-    const { queue, fleetQueues } = this.#state;
-    const localTotalMs = queue.queuedWorkMs(modelKey, Infinity);
+  ): Omit<dispatch.QueueView, "workMs" | "replicas"> {
+    const { queue, fleetQueues, teamOrder } = this.#state;
+    const { modelKey, priority } = place;
+    const localTotalMs = queue.queuedWorkMs(modelKey);
     return softwareVersion === undefined
       ? {
-        localAheadMs: queue.queuedWorkMs(modelKey, priority),
+        localAheadMs: ahead.workMs,
         localTotalMs,
+        aheadShareMax: teamOrder.aheadShareMax(place),
         fleetWaiting: fleetQueues.get(modelKey) ?? 0,
       }
       : {
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -170,8 +170,9 @@
       );
       return assigned && ok(assigned);
     };
-    const selected = trySelect() ??
-      await this.#queue.wait(request, model, trySelect, history, signal);
+    const selected =
+      this.#queue.selectNow(request, model, trySelect, history) ??
+        await this.#queue.wait(request, model, trySelect, history, signal);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
     await this.#promptGate.awaitExchange(signal);
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -1,6 +1,7 @@
 /** State of an entry node, shared by its tasks and listeners. */
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
+import * as fairness from "../fairness/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type * as orders from "../orders/mod.ts";
@@ -33,7 +34,15 @@
   readonly lateOrders = new Map<core.UpstreamId, orders.LateOrders>();
   readonly outputLengths = new dispatch.OutputLengthEstimator();
   readonly demand = new dispatch.DemandTracker();
-  readonly queue = new dispatch.RequestQueue();
+  /** Order of the queue; as without teams if requests have none. */
+  readonly teamOrder = new fairness.TeamOrder({
+    onUnderserved: (underserved) => {
+      this.metrics.increment("teams_underserved");
+      this.logger
+        .warn("team_underserved", fairness.toLogFields(underserved));
+    },
+  });
+  readonly queue = new dispatch.RequestQueue(this.teamOrder);
   readonly pools = new relay.UpstreamPools((upstream, reason) =>
     this.recordConnectionClosed(upstream, reason)
   );
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -102,13 +102,15 @@
 }
 
 function gauges(
-  { config, queue, requestsInFlight, members, quarantine }: EntryState,
+  { config, queue, teamOrder, requestsInFlight, members, quarantine }:
+    EntryState,
   isOrdering: boolean,
 ): Record<string, number> {
   return {
     config_version: config?.version ?? 0,
     requests_in_progress: requestsInFlight,
     requests_waiting: queue.size,
+    ...teamOrder.totals.gauges(),
     members_alive: members.alive().length,
     orders_held: isOrdering ? 1 : 0,
     prompt_parts_held: quarantine.size,
--- a/packages/fairness/fairness_teams.ts
+++ b/packages/fairness/fairness_teams.ts
@@ -35,14 +35,19 @@
 interface Line<Request> {
   readonly team: TeamKey;
   readonly requests: Request[];
+  /** Positions among the requests of all teams. */
   readonly ranks: number[];
   next: number;
+  /** Start tag in the pool. */
+  tagMs: number;
+  /** Start tag over all models. */
+  sumTagMs: number;
 }
 
 /** The lines of one pool, and the one whose turn it is. */
 interface Lane<Request> {
   readonly pool: Pool;
-  readonly lines: Map<TeamKey, Line<Request>>;
+  readonly lines: Line<Request>[];
   head: Line<Request> | undefined;
 }
 
@@ -103,7 +108,9 @@
   }
 
   override recordGrant(request: OrderedRequest): void {
-    this.#charge(request, this.#tags(request));
+    const { team, priority } = request;
+    const tagMs = this.#pool(request).counters.startTagMs(team);
+    this.#charge(request, tagMs, this.#sumsOf(priority).startTagMs(team));
   }
 
   /** Records that a request arrived, whether it will be served or not. */
@@ -127,6 +134,7 @@
     const changeMs = Math.min(workMs, 2 * request.workMs) - request.workMs;
     this.#pool(request).counters.correct(team, changeMs);
     this.#sumsOf(priority).correct(team, changeMs);
+    this.totals.addGranted(team, changeMs);
   }
 
   override yieldsTo(place: QueuePlace): boolean {
@@ -203,74 +211,67 @@
     requests: readonly Request[],
     tryGrant: (request: Request) => boolean,
   ): void {
-    const lanes = this.#toLanes(requests);
     const sums = this.#sumsOf(requests[0]!.priority);
-    for (const lane of lanes) lane.head = this.#firstOf(lane);
+    const lanes = this.#toLanes(requests, sums);
     for (let left = requests.length; left > 0; left--) {
-      const lane = nextLane(lanes, sums);
+      const lane = nextLane(lanes);
       const line = lane?.head;
       if (!lane || !line) return;
       const request = line.requests[line.next++]!;
-      if (line.next === line.requests.length) lane.lines.delete(line.team);
-      const tags = this.#tags(request);
-      if (tryGrant(request)) this.#charge(request, tags);
-      lane.head = this.#firstOf(lane);
+      if (tryGrant(request)) {
+        this.#charge(request, line.tagMs, line.sumTagMs);
+        line.tagMs = lane.pool.counters.startTagMs(line.team);
+        updateSumTags(lanes, line.team, sums.startTagMs(line.team));
+      }
+      if (line.next === line.requests.length) {
+        lane.lines.splice(lane.lines.indexOf(line), 1);
+      }
+      lane.head = firstOf(lane.lines);
     }
   }
 
   #toLanes<Request extends OrderedRequest>(
     requests: readonly Request[],
+    sums: WorkCounters,
   ): Lane<Request>[] {
     const lanes = new Map<string, Lane<Request>>();
+    const lines = new Map<Lane<Request>, Map<TeamKey, Line<Request>>>();
     for (const [rank, request] of requests.entries()) {
-      let lane = lanes.get(request.modelKey);
+      const { modelKey, team } = request;
+      let lane = lanes.get(modelKey);
       if (!lane) {
-        const pool = this.#pool(request);
-        lane = { pool, lines: new Map(), head: undefined };
-        lanes.set(request.modelKey, lane);
+        lane = { pool: this.#pool(request), lines: [], head: undefined };
+        lanes.set(modelKey, lane);
+        lines.set(lane, new Map());
       }
-      let line = lane.lines.get(request.team);
+      const ofLane = lines.get(lane)!;
+      let line = ofLane.get(team);
       if (!line) {
-        line = { team: request.team, requests: [], ranks: [], next: 0 };
-        lane.lines.set(request.team, line);
+        line = {
+          team,
+          requests: [],
+          ranks: [],
+          next: 0,
+          tagMs: lane.pool.counters.startTagMs(team),
+          sumTagMs: sums.startTagMs(team),
+        };
+        ofLane.set(team, line);
+        lane.lines.push(line);
       }
       line.requests.push(request);
       line.ranks.push(rank);
     }
+    for (const lane of lanes.values()) lane.head = firstOf(lane.lines);
     return [...lanes.values()];
   }
 
-  #firstOf<Request>({ lines, pool }: Lane<Request>): Line<Request> | undefined {
-    let first: Line<Request> | undefined;
-    let firstTagMs = Infinity;
-    for (const line of lines.values()) {
-      const tagMs = pool.counters.startTagMs(line.team);
-      const isBefore = tagMs < firstTagMs ||
-        (tagMs === firstTagMs && rankOf(line) < rankOf(first!));
-      if (!isBefore) continue;
-      first = line;
-      firstTagMs = tagMs;
-    }
-    return first;
-  }
-
-  #tags(request: OrderedRequest): { ofPool: number; ofSums: number } {
-    const { team, priority } = request;
-    return {
-      ofPool: this.#pool(request).counters.startTagMs(team),
-      ofSums: this.#sumsOf(priority).startTagMs(team),
-    };
-  }
-
-  #charge(
-    request: OrderedRequest,
-    { ofPool, ofSums }: { ofPool: number; ofSums: number },
-  ): void {
+  /** Charges a request by the start tags that its team had before it. */
+  #charge(request: OrderedRequest, tagMs: number, sumTagMs: number): void {
     const { team, priority, workMs } = request;
     const isInTurn = !request.isContinuation;
     const { counters, watch } = this.#pool(request);
-    counters.grant(team, workMs, ofPool, isInTurn);
-    this.#sumsOf(priority).grant(team, workMs, ofSums, isInTurn);
+    counters.grant(team, workMs, tagMs, isInTurn);
+    this.#sumsOf(priority).grant(team, workMs, sumTagMs, isInTurn);
     watch.recordGrant(team, workMs);
     this.totals.addGranted(team, workMs);
   }
@@ -348,21 +349,43 @@
   return ranks[next]!;
 }
 
+/** The line of the team that has got least of the model. */
+function firstOf<Request>(
+  lines: readonly Line<Request>[],
+): Line<Request> | undefined {
+  let first: Line<Request> | undefined;
+  for (const line of lines) {
+    const isBefore = !first || line.tagMs < first.tagMs ||
+      (line.tagMs === first.tagMs && rankOf(line) < rankOf(first));
+    if (isBefore) first = line;
+  }
+  return first;
+}
+
 /** The pool whose next request is of the team that has got least of all models. */
 function nextLane<Request>(
   lanes: readonly Lane<Request>[],
-  sums: WorkCounters,
 ): Lane<Request> | undefined {
   let next: Lane<Request> | undefined;
-  let nextTagMs = Infinity;
   for (const lane of lanes) {
-    if (!lane.head) continue;
-    const tagMs = sums.startTagMs(lane.head.team);
-    const isBefore = tagMs < nextTagMs ||
-      (tagMs === nextTagMs && rankOf(lane.head) < rankOf(next!.head!));
-    if (!isBefore) continue;
-    next = lane;
-    nextTagMs = tagMs;
+    const { head } = lane;
+    if (!head) continue;
+    const first = next?.head;
+    const isBefore = !first || head.sumTagMs < first.sumTagMs ||
+      (head.sumTagMs === first.sumTagMs && rankOf(head) < rankOf(first));
+    if (isBefore) next = lane;
   }
   return next;
 }
+
+function updateSumTags<Request>(
+  lanes: readonly Lane<Request>[],
+  team: TeamKey,
+  sumTagMs: number,
+): void {
+  for (const { lines } of lanes) {
+    for (const line of lines) {
+      if (line.team === team) line.sumTagMs = sumTagMs;
+    }
+  }
+}
--- a/packages/gateway/gateway_engine_selector.ts
+++ b/packages/gateway/gateway_engine_selector.ts
@@ -7,7 +7,7 @@
 import * as routing from "../routing/mod.ts";
 import type { CompletionRequest } from "./gateway_completion_request.ts";
 import { ColdStartWaiter } from "./gateway_cold_start.ts";
-import { PlaceQueue } from "./gateway_place_queue.ts";
+import { PlaceQueue, type PlaceRequest } from "./gateway_place_queue.ts";
 import type { GatewayDependencies } from "./gateway_types.ts";
 
 /** Shortest time after which a request without a place may return. */
@@ -24,6 +24,8 @@
   ran: core.Ran;
   lastFailure: core.Failure;
   readonly triedIds: Set<core.UpstreamId>;
+  /** The place that it got last, if its caller was charged for it. */
+  place?: PlaceRequest;
   /** What wrote the first events of a stream, if there are any. */
   streamOrigin?: { readonly softwareVersion: core.SoftwareVersion | undefined };
 }
@@ -32,11 +34,12 @@
 export class EngineSelector {
   readonly #dependencies: GatewayDependencies;
   readonly #coldStart: ColdStartWaiter;
-  readonly #places = new PlaceQueue();
+  readonly #places: PlaceQueue;
 
   constructor(dependencies: GatewayDependencies) {
     this.#dependencies = dependencies;
     this.#coldStart = new ColdStartWaiter(dependencies);
+    this.#places = new PlaceQueue(dependencies.teamOrder);
     dependencies.fleet.registerListener(() => this.wake());
   }
 
@@ -57,6 +60,7 @@
   ): Promise<Result<routing.EngineView, core.Failure>> {
     const { policy } = this.#dependencies;
     const { artifactId } = completion;
+    this.#refundPlace(progress);
     const holders = this.#holders(artifactId, progress);
     const untried = holders
       .filter(({ upstreamId }) => !progress.triedIds.has(upstreamId));
@@ -73,14 +77,26 @@
     // What has begun elsewhere goes first; its caller may have part of it.
     const isFirst = progress.ran !== "no" ||
       hasOpen && progress.fullRejections === 0 &&
-        this.#places.workAheadMs(artifactId, completion.row.priority) === 0;
+        this.#places.workAheadMs(placeKeyOf(completion)) === 0;
     if (!isFirst) {
       return await this.#waitForPlace(completion, progress, untried);
     }
     const request = this.#toRoutedRequest(completion);
     const view = policy.choose(hasOpen ? open : untried, request);
     if (!view) return err(progress.lastFailure);
-    return this.#checkDeadline(completion, view, request, untried).map(reserve);
+    const checked = this.#checkDeadline(completion, view, request, untried);
+    if (checked.isOk()) {
+      progress.place = this.#toPlaceRequest(completion, progress, untried);
+      this.#places.recordTaken(progress.place);
+    }
+    return checked.map(reserve);
+  }
+
+  /** A place at which a request was not run does not count for its caller. */
+  #refundPlace(progress: AttemptProgress): void {
+    const { place, ran } = progress;
+    if (place && ran === "no") this.#places.recordNotRun(place);
+    delete progress.place;
   }
 
   #holders(
@@ -104,14 +120,12 @@
     progress: AttemptProgress,
     holders: readonly routing.EngineView[],
   ): Promise<Result<routing.EngineView, core.Failure>> {
-    const { aborter, artifactId, deadline, row } = completion;
+    const { aborter, deadline } = completion;
     const idleMs = this.#estimateIdleResponseMs(completion);
-    const slots = holders
-      .reduce((sum, { load }) => sum + (load?.slots ?? 1), 0);
     const inFlight = holders.reduce((sum, view) => sum + view.inFlight, 0);
-    const workMs = Math.max(1, idleMs / Math.max(1, slots));
-    const aheadMs = this.#places.workAheadMs(artifactId, row.priority) +
-      Math.max(0, inFlight - slots) * workMs;
+    const request = this.#toPlaceRequest(completion, progress, holders);
+    const aheadMs = this.#places.workAheadMs(request) +
+      Math.max(0, inFlight - slotsOf(holders)) * request.workMs;
     const reject = () =>
       err(core.refuse(
         core.DEADLINE_UNREACHABLE,
@@ -119,24 +133,33 @@
         Math.max(PLACE_RETRY_AFTER_MIN_MS, aheadMs),
       ));
     if (aheadMs + idleMs > deadline.remainingMs()) return reject();
-    const nowMs = core.monotonicMs();
     const place = await this.#places.wait(
-      {
-        artifactId,
-        priority: row.priority,
-        arrivedAtMs: progress.arrivedAtMs,
-        waitUntilMs: nowMs + deadline.remainingMs() - idleMs,
-        workMs,
-      },
+      request,
       () => this.#takePlace(completion, progress),
       aborter.signal,
     );
     if (place === undefined) return reject();
+    progress.place = request;
     return place === "noHolder"
       ? await this.select(completion, progress)
       : ok(place);
   }
 
+  #toPlaceRequest(
+    completion: CompletionRequest,
+    { arrivedAtMs }: AttemptProgress,
+    holders: readonly routing.EngineView[],
+  ): PlaceRequest {
+    const idleMs = this.#estimateIdleResponseMs(completion);
+    return {
+      ...placeKeyOf(completion),
+      arrivedAtMs,
+      waitUntilMs: core.monotonicMs() + completion.deadline.remainingMs() -
+        idleMs,
+      workMs: Math.max(1, idleMs / Math.max(1, slotsOf(holders))),
+    };
+  }
+
   /**
    * Reserves a place for the attempt that follows.
    *
@@ -230,6 +253,14 @@
   }
 }
 
+function placeKeyOf({ artifactId, callerId, row }: CompletionRequest) {
+  return { artifactId, callerId, priority: row.priority };
+}
+
+function slotsOf(views: readonly routing.EngineView[]): number {
+  return views.reduce((sum, { load }) => sum + (load?.slots ?? 1), 0);
+}
+
 /** Counts a request on an engine, until the attempt that follows ends. */
 function reserve(view: routing.EngineView): routing.EngineView {
   view.localInFlight++;
--- a/packages/gateway/gateway_types.ts
+++ b/packages/gateway/gateway_types.ts
@@ -3,6 +3,7 @@
 import type { Context } from "hono";
 import type * as claims from "../claims/mod.ts";
 import type * as core from "../core/mod.ts";
+import type * as fairness from "../fairness/mod.ts";
 import type * as limits from "../limits/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as peers from "../peers/mod.ts";
@@ -51,6 +52,8 @@
   readonly admission: GatewayAdmission;
   readonly metrics: metrics.MetricsRecorder;
   readonly burn: metrics.BurnTracker;
+  /** Order in which the callers' requests get places on engines. */
+  readonly teamOrder: fairness.TeamOrder;
   /** Called after this instance has accepted a table edit. */
   readonly onEdit: () => void;
   /**
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -3,6 +3,7 @@
 import { Agent } from "undici";
 import * as claims from "../claims/mod.ts";
 import * as core from "../core/mod.ts";
+import * as fairness from "../fairness/mod.ts";
 import * as gateway from "../gateway/mod.ts";
 import * as ledger from "../ledger/mod.ts";
 import * as limits from "../limits/mod.ts";
@@ -75,6 +76,13 @@
 export class Instance {
   readonly logger: core.Logger;
   readonly recorder = new metrics.MetricsRecorder();
+  readonly #teamOrder = new fairness.TeamOrder({
+    onUnderserved: (underserved) => {
+      this.recorder.increment("teams_underserved");
+      this.logger
+        .warn("team_underserved", fairness.toLogFields(underserved));
+    },
+  });
   readonly directory: peers.PeerDirectory;
   readonly tableCache = new table.TableCache();
   readonly fleet: routing.Fleet;
@@ -242,6 +250,7 @@
       admission: this.admission,
       metrics: this.recorder,
       burn: new metrics.BurnTracker(),
+      teamOrder: this.#teamOrder,
       onEdit: () => this.#exchangeTask.exchangeSoon(),
       onColdStart: () => this.#demandTask.reportSoon(),
       gauges: () => this.#gauges(),
@@ -443,6 +452,7 @@
       peer_failures_total: this.peerClients.counters.failures,
       answers_foreign_total: this.#upstreamClients.dropped.foreign,
       answers_duplicate_total: this.#upstreamClients.dropped.duplicate,
+      ...this.#teamOrder.totals.gauges(),
     };
   }
 }
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -52,6 +52,7 @@
   | "rate_limit_changes"
   | "keys_refused"
   | "keys_not_current"
+  | "teams_underserved"
   | "orders_load"
   | "orders_unload";
 
