--- a/packages/fairness/tests/shared_engines.ts
+++ b/packages/fairness/tests/shared_engines.ts
@@ -20,13 +20,13 @@
 }
 
 /** A queue before engines; one of them is free whenever `serveOne` is called. */
-export class SharedEngines {
+export class SharedEngines<Order extends ServiceOrder = ServiceOrder> {
   readonly queued = new Set<OrderedRequest>();
-  readonly order: ServiceOrder;
+  readonly order: Order;
   /** Engine time granted, by team and by `team model`. */
   readonly grantedMs = new Map<string, number>();
 
-  constructor(order: ServiceOrder) {
+  constructor(order: Order) {
     this.order = order;
   }
 
--- a/packages/fairness/tests/unit/fairness_order_test.ts
+++ b/packages/fairness/tests/unit/fairness_order_test.ts
@@ -94,6 +94,28 @@
   t.is(next(), a);
 });
 
+// Guards against a team that gets more because its streams are longer than those
+// that the estimate was made from.
+test("a team whose requests take twice the estimate gets no more than others", (t) => {
+  const shared = new SharedEngines(new TeamOrder());
+  const running: OrderedRequest[] = [];
+  const tookMs = new Map<unknown, number>();
+  for (let n = 0; n < 300; n++) {
+    for (const name of ["long", "usual"]) {
+      shared.add(makeRequest({ team: teamName(name), arrivedAtMs: n }));
+    }
+    const request = shared.serveOne()!;
+    const workMs = request.team === teamName("long") ? 200 : 100;
+    tookMs.set(request.team, (tookMs.get(request.team) ?? 0) + workMs);
+    running.push(request);
+    const ended = running.length > 5 ? running.shift()! : undefined;
+    const isLong = ended?.team === teamName("long");
+    if (isLong) shared.order.correctGrant(ended!, 200);
+  }
+  const gapMs = tookMs.get("long")! - tookMs.get("usual")!;
+  t.true(Math.abs(gapMs) <= 800, `${gapMs} ms`);
+});
+
 // Guards against a client that leaves and comes back to be served sooner than
 // those of its team that stay.
 test("who comes back waits behind its team, and leaves the team's charge", (t) => {
