--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -55,6 +55,7 @@
   | "quota_rejections"
   | "quota_waits"
   | "quota_refunds"
+  | "teams_underserved"
   | "orders_load"
   | "orders_unload";
 
