--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -113,19 +113,22 @@
 
   #findPlace(nowMs: number): TreePlace {
     const { settings, members, logger } = this.#state;
+    const { sizes } = this.#state.capacity;
     const isAvoided = (node: core.InstanceId) =>
       (this.#avoidedUntilMs.get(node) ?? 0) > nowMs;
     const self = {
       node: settings.nodeName,
       failureDomain: settings.failureDomain,
+      isLarge: sizes.isLarge(settings.nodeName),
     };
     const alive = members.alive();
     const place = findTreePlace(
       self,
-      this.#chooseRoot(alive, isAvoided),
+      this.#chooseRoot(sizes.largeFirst(alive), isAvoided),
       alive.map((node) => ({
         node,
         failureDomain: members.row(node)?.failureDomain ?? "",
+        isLarge: sizes.isLarge(node),
       })),
       isAvoided,
     );
@@ -245,7 +248,10 @@
       nowMs - applied.atMs < ENGINE_STATES_REAPPLY_MS;
   }
 
-  /** Returns the lease holder, or else the first live node by name. */
+  /**
+   * Returns the lease holder, or else the first live node by name; among the
+   * large machines if sizes differ.
+   */
   #chooseRoot(
     alive: readonly core.InstanceId[],
     isAvoided: (node: core.InstanceId) => boolean,
--- a/packages/entry/entry_member_row.ts
+++ b/packages/entry/entry_member_row.ts
@@ -1,6 +1,7 @@
 /** Writes the row by which a node registers itself in the store. */
 import * as core from "../core/mod.ts";
 import type * as store from "../store/mod.ts";
+import { toMachineRow } from "./capacity/entry_machine_row.ts";
 import { MEMBER_PREFIX, type MemberRow, NODE_TABLE } from "./entry_members.ts";
 import type { EntryState } from "./entry_state.ts";
 
@@ -36,12 +37,14 @@
   async write(isLeaving: boolean): Promise<void> {
     const { settings, incarnation, logger } = this.#state;
     const { callers, peers } = settings.listen;
+    const machine = toMachineRow(settings.machine);
     const row: MemberRow = {
       callerAddress: `${callers.host}:${callers.port}`,
       peerAddress: `${peers.host}:${peers.port}`,
       failureDomain: settings.failureDomain,
       incarnation,
       isLeaving,
+      ...(machine ? { machine } : {}),
     };
     const outcome = await this.#store.transact({
       checks: [],
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -1,6 +1,11 @@
 /** Membership: rows of the entry nodes in the store, and their liveness. */
 import * as purify from "purify-ts";
+import { isDeepStrictEqual } from "node:util";
 import * as core from "../core/mod.ts";
+import {
+  type MachineRow,
+  MachineRowCodec,
+} from "./capacity/entry_machine_row.ts";
 
 /** Table in which the entry nodes register. */
 export const NODE_TABLE = "carawaywind";
@@ -24,10 +29,13 @@
   failureDomain: purify.string,
   incarnation: purify.string,
   isLeaving: purify.boolean,
+  machine: MachineRowCodec,
 });
 
 /** The row by which a node registers itself in the store. */
-export type MemberRow = purify.GetType<typeof MemberRowCodec>;
+export type MemberRow =
+  & Omit<purify.GetType<typeof MemberRowCodec>, "machine">
+  & { readonly machine?: MachineRow };
 
 /** Last contact of a member with any node. */
 export interface MemberContact {
@@ -49,20 +57,28 @@
   readonly #members = new Map<core.InstanceId, Member>();
   /** Incarnations that a later one has replaced; an older row may return. */
   readonly #replacedIncarnations = new Set<string>();
+  #rowsVersion = 0;
 
   constructor(self: core.InstanceId) {
     this.#self = self;
   }
 
+  /** Grows with each change of a row. */
+  get rowsVersion(): number {
+    return this.#rowsVersion;
+  }
+
   /** Adds or updates a member; a new incarnation resets its liveness. */
   setRow(node: core.InstanceId, row: MemberRow): void {
     const existing = this.#members.get(node);
     const nowMs = core.monotonicMs();
     if (existing && existing.row.incarnation === row.incarnation) {
+      if (!isDeepStrictEqual(existing.row, row)) this.#rowsVersion++;
       existing.row = row;
       return;
     }
     if (this.#replacedIncarnations.has(row.incarnation)) return;
+    this.#rowsVersion++;
     if (existing) this.#replacedIncarnations.add(existing.row.incarnation);
     const lastContactAtMs = -Infinity;
     this.#members.set(node, {
@@ -75,7 +91,7 @@
 
   /** Removes a member whose row was deleted. */
   remove(node: core.InstanceId): void {
-    this.#members.delete(node);
+    if (this.#members.delete(node)) this.#rowsVersion++;
   }
 
   /**
@@ -159,10 +175,15 @@
 
   /** Returns the caller addresses of the other live members that accept. */
   callerAddresses(): string[] {
-    const addresses: string[] = [];
+    return [...this.accepting().values()];
+  }
+
+  /** As `callerAddresses`, by node. */
+  accepting(): Map<core.InstanceId, string> {
+    const addresses = new Map<core.InstanceId, string>();
     for (const [node, { row, acceptsRequests }] of this.#members) {
       if (node === this.#self || row.isLeaving || !acceptsRequests) continue;
-      if (this.isAlive(node)) addresses.push(row.callerAddress);
+      if (this.isAlive(node)) addresses.set(node, row.callerAddress);
     }
     return addresses;
   }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -167,7 +167,8 @@
       leaseMs: settings.orders.leaseMs,
       enginesCheckFences: settings.orders.enginesCheckFences,
       isEligible: () => this.state.isReady,
-      rank: () => this.state.members.alive().indexOf(settings.nodeName),
+      rank: () => this.state.capacity.rank(),
+      yields: () => this.state.capacity.yieldsLease(),
       followers: () => this.#hub.followers(),
     }, logger);
     this.#stepWatch = new StepWatch(this.state, {
@@ -330,7 +331,11 @@
       ],
     ];
     const rank = () =>
-      mirror.rankReader(state.settings.nodeName, state.members.alive());
+      mirror.rankReader(
+        state.settings.nodeName,
+        state.members.alive(),
+        (nodes) => state.capacity.sizes.largeFirst(nodes),
+      );
     const peerTables = new MemberTables(state, this.#clients);
     return tables.map(([options, followOptions]) =>
       new FollowTask(
--- a/packages/entry/entry_permits.ts
+++ b/packages/entry/entry_permits.ts
@@ -86,10 +86,11 @@
 
   /** Nodes with the same view of the members find the same one. */
   #findIssuer({ id, startedAtMs }: rates.Incarnation): core.InstanceId {
-    const { members, settings } = this.#state;
+    const { members, settings, capacity } = this.#state;
     const staying = members.alive()
       .filter((node) => !members.row(node)?.isLeaving);
-    const [first] = core.rendezvous(`${id}@${startedAtMs}`, staying);
+    const [first] = capacity.sizes
+      .largeFirst(core.rendezvous(`${id}@${startedAtMs}`, staying));
     return first ?? settings.nodeName;
   }
 }
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -378,7 +378,7 @@
       readonly tokensPerEvent?: number;
     },
   ): relay.UpstreamAssignment {
-    const { pools, members, stepTimes, outputLengths } = this.#state;
+    const { pools, members, capacity, stepTimes, outputLengths } = this.#state;
     const { model } = request;
     const untrack = upstream.trackRequest(request);
     const permit = this.#rateGate.take(upstream.record, request.sentAtMs);
@@ -407,7 +407,12 @@
         rateLimited: barred || undefined,
       },
       dispatcher: relay.guardStart(
-        pools.get(upstream.record, service.connectionsMax, members.count()),
+        pools.get(
+          upstream.record,
+          service.connectionsMax,
+          members.count(),
+          capacity.connectionShare,
+        ),
         () => !(isStartRefused = isWithdrawn()),
       ),
       onStreamStart: (nowMs) =>
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -9,6 +9,7 @@
 import type * as rates from "../rates/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
+import { EntryCapacity } from "./capacity/entry_capacity.ts";
 import { Members } from "./entry_members.ts";
 import { WantedStreams } from "./entry_origins.ts";
 
@@ -35,6 +36,8 @@
     this.recordConnectionClosed(upstream, reason)
   );
   readonly members: Members;
+  /** Sizes of the members' machines, and what follows from them. */
+  readonly capacity: EntryCapacity;
   readonly metrics = new metrics.MetricsRecorder();
   readonly logger: core.Logger;
   readonly quarantine: quarantine.PromptQuarantine;
@@ -76,6 +79,7 @@
     this.startedAtMs = Date.now();
     this.incarnation = core.randomId<core.Incarnation>("in");
     this.members = new Members(settings.nodeName);
+    this.capacity = new EntryCapacity(settings, this.members);
     this.quarantine = new quarantine.PromptQuarantine(logger);
   }
 
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -3,6 +3,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { directoryAddresses } from "./capacity/entry_directory.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Upper limit of the TTL of directory responses; settings may lower it. */
@@ -31,7 +32,8 @@
     if (endpoint === "ready") {
       response.writeHead(state.isReady ? 200 : 503).end();
     } else if (endpoint === "directory") {
-      const addresses = directoryAddresses(state);
+      const client = dialect.readDirectoryQuery(request.url ?? "");
+      const addresses = directoryAddresses(state, client);
       if (addresses.length === 0) return response.writeHead(503).end();
       const ttlMs = Math.min(
         DIRECTORY_TTL_MAX_MS,
@@ -95,12 +97,6 @@
   });
 }
 
-function directoryAddresses({ members, isReady, settings }: EntryState) {
-  const { host, port } = settings.listen.callers;
-  const own = isReady ? [`${host}:${port}`] : [];
-  return [...own, ...members.callerAddresses()];
-}
-
 function gauges(
   { config, queue, requestsInFlight, members, quarantine }: EntryState,
   isOrdering: boolean,
--- a/packages/entry/entry_topology.ts
+++ b/packages/entry/entry_topology.ts
@@ -4,11 +4,14 @@
  * calls, however many nodes there are.
  */
 import * as core from "../core/mod.ts";
+import {
+  chooseLeaders,
+  isLeader,
+  type LeaderCandidate,
+} from "./capacity/entry_leaders.ts";
 
 /** Up to this number of nodes, all exchange with the root. */
 const FLAT_NODES_MAX = 16;
-/** Nodes that exchange with the same group leader. */
-const GROUP_SIZE = 20;
 
 /**
  * Whether so many live nodes form groups, over which messages take longer.
@@ -23,10 +26,7 @@
 }
 
 /** A live node and its failure domain. */
-export interface TreeNode {
-  readonly node: core.InstanceId;
-  readonly failureDomain: string;
-}
+export type TreeNode = LeaderCandidate;
 
 /** Position of a node in the tree. */
 export type TreeRole = "root" | "leader" | "leaf";
@@ -39,8 +39,8 @@
 
 /**
  * Finds a node's place in the tree. Nodes with the same list of live nodes and
- * the same root agree. Leaders are in their group's failure domain, so that
- * most exchanges stay inside it.
+ * the same root agree. Leaders are in their group's failure domain if it has
+ * machines that are large enough, so that most exchanges stay inside it.
  *
  * @param alive the live nodes, `self` included.
  * @param isAvoided whether a node did not answer recently.
@@ -57,13 +57,11 @@
 ): TreePlace {
   if (self.node === root) return { role: "root", parent: root };
   if (!hasGroups(alive.length)) return { role: "leaf", parent: root };
-  const group = alive.filter(({ node, failureDomain }) =>
-    node !== root && failureDomain === self.failureDomain && !isAvoided(node)
-  ).map(({ node }) => node);
-  const leaderCount = Math.ceil(group.length / GROUP_SIZE);
-  const leaders = core.rendezvous("exchange-leader", group)
-    .slice(0, leaderCount);
-  if (leaders.includes(self.node)) return { role: "leader", parent: root };
+  const candidates = alive.filter(({ node }) =>
+    node !== root && !isAvoided(node)
+  );
+  if (isLeader(self, candidates)) return { role: "leader", parent: root };
+  const leaders = chooseLeaders(self.failureDomain, candidates);
   const [parent] = core.rendezvous(self.node, leaders);
   return { role: "leaf", parent: parent ?? root };
 }
--- a/packages/fleet/fleet_dialect.ts
+++ b/packages/fleet/fleet_dialect.ts
@@ -79,6 +79,12 @@
   readonly returnedHeaders: Readonly<Record<string, string | string[]>>;
 }
 
+/** What the client of a directory request says about itself. */
+export interface DirectoryQuery {
+  readonly name?: string;
+  readonly failureDomain?: string;
+}
+
 /** Reads and writes the headers that the platform defines. */
 export abstract class HttpDialect {
   /** Reads a caller's headers; the error says what is invalid. */
@@ -103,6 +109,10 @@
   abstract writeRejection(retryAfterMs?: number): Record<string, string>;
   /** Returns the system endpoint at a path, or undefined if there is none. */
   abstract matchSystemEndpoint(path: string): "ready" | "directory" | undefined;
+  /** Reads who asks from the path of a directory request. */
+  readDirectoryQuery(_path: string): DirectoryQuery {
+    return {};
+  }
   /** Returns the body of a directory response. */
   abstract writeDirectory(
     addresses: readonly string[],
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -7,6 +7,7 @@
 export { HttpDialect } from "./fleet_dialect.ts";
 export type {
   CallerRequest,
+  DirectoryQuery,
   NamedRateLimit,
   PromptPart,
   ReadOptions,
--- a/packages/mirror/mirror_readers.ts
+++ b/packages/mirror/mirror_readers.ts
@@ -26,6 +26,7 @@
  * Ranks a node among the live ones. Neighbours by name are spread, as they
  * share failure domains.
  *
+ * @param prefer moves the nodes to the front that are to read, if possible.
  * @example
  * ```ts
  * const { rank } = mirror.rankReader(self, members.alive());
@@ -34,8 +35,11 @@
 export function rankReader(
   self: core.InstanceId,
   alive: readonly core.InstanceId[],
+  prefer: (nodes: readonly core.InstanceId[]) => readonly core.InstanceId[] = (
+    nodes,
+  ) => nodes,
 ): ReaderRank {
-  const rank = core.rendezvous("store-reader", alive).indexOf(self);
+  const rank = prefer(core.rendezvous("store-reader", alive)).indexOf(self);
   return { rank: Math.max(0, rank), nodes: alive.length };
 }
 
--- a/packages/orders/orders_lease.ts
+++ b/packages/orders/orders_lease.ts
@@ -40,6 +40,10 @@
 const READ_INTERVAL_MS = 300;
 /** Time for which an announced renewal makes reading the row unnecessary. */
 const RENEWAL_FRESH_MS = 400;
+/** Time for which a node that yielded the lease leaves it to the others. */
+const YIELD_WAIT_MS = 3_000;
+/** Minimum time between two attempts to yield it. */
+const YIELD_INTERVAL_MS = 30_000;
 
 /** Content of the row in the store. */
 export interface LeaseRow {
@@ -86,6 +90,8 @@
   readonly isEligible: () => boolean;
   /** Position among the live nodes; 0 tries to acquire the lease first. */
   readonly rank: () => number;
+  /** Whether this node should leave the lease to another one; never if absent. */
+  readonly yields?: () => boolean;
   /** Number of other nodes that currently regard this one as the holder. */
   readonly followers: () => number;
 }
@@ -140,6 +146,7 @@
   #acquireFromMs = -Infinity;
   #followersAtRenewal = 0;
   #roundAtMs = -Infinity;
+  #yieldedAtMs = -Infinity;
 
   constructor(
     table: store.TableService,
@@ -243,6 +250,33 @@
     return true;
   }
 
+  #mustYield(): boolean {
+    const sinceYieldMs = core.monotonicMs() - this.#yieldedAtMs;
+    if (sinceYieldMs < YIELD_INTERVAL_MS) return false;
+    return this.#options.yields?.() ?? false;
+  }
+
+  /** Frees the lease for better placed nodes, which acquire it by their rank. */
+  async #yield(): Promise<boolean> {
+    this.#yieldedAtMs = core.monotonicMs();
+    if (!this.#options.enginesCheckFences) this.#fencingToken = undefined;
+    const outcome = await this.#write(this.#observed!.version, true);
+    const isFree = outcome.isOk() && outcome.value.outcome === "committed";
+    this.#logger.info("orders_yielded", { isFree });
+    if (outcome.isErr()) {
+      const hasExpired = this.#fencingToken !== undefined && !this.#isValid();
+      if (hasExpired) this.#lose(outcome.error.detail);
+      return false;
+    }
+    if (outcome.value.outcome === "conflict") {
+      this.#observeConflict(outcome.value.rows);
+      return false;
+    }
+    this.#fencingToken = undefined;
+    this.#observe(this.#ownRow(true), outcome.value.version);
+    return true;
+  }
+
   /** Gives the lease up because an engine has seen a higher fencing token. */
   lose(reason: string): void {
     if (this.#fencingToken !== undefined) this.#lose(reason);
@@ -259,6 +293,8 @@
         ? await this.#poll()
         : this.#isReleasing
         ? await this.#writeRelease()
+        : this.#mustYield()
+        ? await this.#yield()
         : await this.#renew();
       const pauseMs = this.#fencingToken === undefined
         ? this.#pollIntervalMs()
@@ -371,7 +407,10 @@
     if (!isOfGeneration(row, this.#observed.generation)) {
       return ageMs >= VALID_FOR_MS + waitMs;
     }
-    if (row.holder === this.#options.self) return true;
+    if (row.holder === this.#options.self) {
+      const sinceYieldMs = core.monotonicMs() - this.#yieldedAtMs;
+      return !row.isFree || sinceYieldMs >= YIELD_WAIT_MS;
+    }
     return ageMs >= (row.isFree ? waitMs : VALID_FOR_MS + waitMs);
   }
 
--- a/packages/orders/tests/unit/orders_lease_test.ts
+++ b/packages/orders/tests/unit/orders_lease_test.ts
@@ -59,6 +59,7 @@
   name: string,
   enginesCheckFences = false,
   followers = () => 0,
+  options: Partial<orders.OrderLeaseOptions> = {},
 ): orders.OrderLease {
   return new orders.OrderLease(table, {
     key: KEY,
@@ -69,6 +70,7 @@
     isEligible: () => true,
     rank: () => 0,
     followers,
+    ...options,
   }, silentLogger);
 }
 
@@ -437,3 +439,39 @@
     t.true(core.monotonicMs() - startedAtMs >= 1_500);
   });
 });
+
+// Guards against a small machine that keeps the lease, and with it the exchanges
+// of the whole fleet, as it was the first to start.
+test("a holder that yields leaves the lease to the next node, within a second", async (t) => {
+  const table = new MemoryTable();
+  const small = makeLease(table, "small", true, () => 0, {
+    rank: () => 1,
+    yields: () => true,
+  });
+  const large = makeLease(table, "large", true);
+  await withLeases([small], async () => {
+    await waitUntil(() => small.isHeld);
+    await withLeases([large], async () => {
+      await waitUntil(() => large.isHeld);
+      t.true(large.isHeld);
+      t.false(small.isHeld);
+      await core.sleep(700);
+      t.is(small.holder, core.brandId<core.InstanceId>("large"));
+    });
+  });
+});
+
+test("a holder takes the lease again that nobody wanted, and then keeps it", async (t) => {
+  const table = new MemoryTable();
+  const small = makeLease(table, "small", true, () => 0, {
+    yields: () => true,
+  });
+  await withLeases([small], async () => {
+    await waitUntil(() => small.isHeld);
+    await waitUntil(() => !small.isHeld);
+    t.is(small.holder, undefined);
+    await waitUntil(() => small.isHeld);
+    await core.sleep(1_200);
+    t.true(small.isHeld);
+  });
+});
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -27,6 +27,7 @@
 } from "./relay_connections.ts";
 export { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
 export { UpstreamPools } from "./relay_pools.ts";
+export type { ConnectionShare } from "./relay_pools.ts";
 export { RelayTask } from "./relay_task.ts";
 export type { RelayOutcome } from "./relay_task.ts";
 export { UpstreamSelector } from "./relay_types.ts";
--- a/packages/relay/relay_pools.ts
+++ b/packages/relay/relay_pools.ts
@@ -24,6 +24,17 @@
   reason: CloseReason,
 ) => void;
 
+/**
+ * A node's part of the connections to an upstream; undefined for equal parts.
+ *
+ * @param budget connections that all nodes together may use.
+ * @param min part of a node at least.
+ */
+export type ConnectionShare = (
+  budget: number,
+  min: number,
+) => number | undefined;
+
 /** Opens pools on demand and closes those of removed upstreams. */
 export class UpstreamPools {
   readonly #onClose: PoolCloseListener;
@@ -40,17 +51,20 @@
    * @param connectionsMax connection limit of the upstream's service. It and
    * `nodes` take effect only when the pool is opened.
    * @param nodes number of nodes that share the upstream's connections.
+   * @param share this node's part, if it does not follow from their number.
    */
   get(
     upstream: fleet.UpstreamRecord,
     connectionsMax: number,
     nodes: number,
+    share: ConnectionShare = () => undefined,
   ): UpstreamConnections {
     const key = poolKey(upstream);
     let pool = this.#pools.get(key);
     if (!pool) {
-      const nodeShare = CONNECTIONS_SHARE * connectionsMax /
-        Math.max(1, nodes);
+      const budget = CONNECTIONS_SHARE * connectionsMax;
+      const nodeShare = share(budget, CONNECTIONS_MIN) ??
+        budget / Math.max(1, nodes);
       pool = new UpstreamConnections(`http://${upstream.address}`, {
         connectionsMax: Math.max(CONNECTIONS_MIN, Math.floor(nodeShare)),
         connect,
