--- a/packages/entry/capacity/entry_capacity.ts
+++ b/packages/entry/capacity/entry_capacity.ts
@@ -28,11 +28,17 @@
 export class EntryCapacity {
   readonly #self: capacity.SizedNode;
   readonly #members: Members;
+  readonly #logger: core.Logger;
+  #loggedWeight = 1;
   #fleet: Fleet | undefined;
   /** Since when a large node could hold the order lease in place of this one. */
   #successorSinceMs: number | undefined;
 
-  constructor(settings: fleet.EntrySettings, members: Members) {
+  constructor(
+    settings: fleet.EntrySettings,
+    members: Members,
+    logger: core.Logger,
+  ) {
     const { nodeName, failureDomain, machine } = settings;
     this.#self = {
       node: nodeName,
@@ -40,6 +46,7 @@
       ...(machine ? { machine } : {}),
     };
     this.#members = members;
+    this.#logger = logger;
   }
 
   get sizes(): capacity.FleetSizes {
@@ -94,6 +101,12 @@
     return capacity.shareConnections(own, weights, budget, min);
   };
 
+  /** Current values for the metrics. */
+  gauges(): Record<string, number> {
+    const weight = this.sizes.weight(this.#self.node);
+    return { machine_weight_percent: Math.round(weight * 100) };
+  }
+
   #current(): Fleet {
     const { rowsVersion } = this.#members;
     if (this.#fleet?.rowsVersion === rowsVersion) return this.#fleet;
@@ -112,9 +125,22 @@
           })),
         ),
     };
+    this.#logSizes(sizes, nodes.length);
     return this.#fleet;
   }
 
+  /** Logs a change of this node's weight, by a percent or more. */
+  #logSizes(sizes: capacity.FleetSizes, nodes: number): void {
+    const weight = Number(sizes.weight(this.#self.node).toFixed(2));
+    if (weight === this.#loggedWeight) return;
+    this.#loggedWeight = weight;
+    this.#logger.info("machine_weight", {
+      weight,
+      isLarge: sizes.isLarge(this.#self.node),
+      nodes,
+    });
+  }
+
   /** The members that are not leaving, and this node, sorted by name. */
   #registered(): capacity.SizedNode[] {
     const others = this.#members.registered()
--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -30,6 +30,8 @@
 /** Interval at which connections with incomplete headers are timed out. */
 const HEADER_CHECK_INTERVAL_MS = 1_000;
 
+/** Why an overloaded node rejects requests. */
+const OVERLOADED = "node is overloaded";
 /** Why a node that stops rejects or ends requests. */
 const STOPPING = "node is stopping";
 /** Time kept free before the end of a planned stop. */
@@ -112,6 +114,7 @@
       },
       (request, response) => this.#handle(request, response),
     );
+    state.overload.trackLink(this.#server);
     transport.finishBeforeParseErrors(this.#server);
     transport.keepOpenAsAnnounced(this.#server);
     state.onConfig = ({ idleTimeoutMs, headerTimeoutMs }) => {
@@ -217,6 +220,7 @@
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
+    if (!this.#tryAdmit(caller.value)) return this.#shed(request, reply);
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
     const body = await this.#readBody(request, reply, {
@@ -235,6 +239,7 @@
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
+    if (!this.#tryAdmit(caller.value)) return this.#shed(request, reply);
     await this.#run(
       {
         caller: caller.value,
@@ -251,15 +256,25 @@
     );
   }
 
+  /** A stream that is taken up has begun, so it is not shed. */
+  #tryAdmit({ takenUpStream }: fleet.CallerRequest): boolean {
+    return takenUpStream !== undefined || this.#state.overload.tryAdmit();
+  }
+
+  #shed(request: IncomingMessage, reply: relay.CallerResponse): void {
+    const { retryAfterMs } = this.#state.overload;
+    this.#reject(request, reply, 503, OVERLOADED, retryAfterMs);
+  }
+
   async #run(
     request: relay.RelayedRequest,
     reply: relay.CallerResponse,
     response: ServerResponse,
   ): Promise<void> {
     const aborter = new AbortController();
-    const end = (reason: string) => {
+    const end = (reason: string, error = new Error(reason)) => {
       reply.stopWaiting();
-      aborter.abort(new Error(reason));
+      aborter.abort(error);
     };
     this.#endRunning.add(end);
     const onClose = () => {
@@ -276,6 +291,7 @@
       selector: this.#selector,
       logger: this.#state.logger,
     };
+    let removeWaiting = () => {};
     try {
       const task = new relay.RelayTask(
         request,
@@ -283,8 +299,15 @@
         dependencies,
         aborter.signal,
       );
+      removeWaiting = this.#state.overload.addWaiting({
+        receivedAtMs: request.receivedAtMs,
+        wasSent: () => task.wasSent,
+        shed: (retryAfterMs) =>
+          end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
+      });
       this.#state.metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
     } finally {
+      removeWaiting();
       clearTimeout(timer);
       this.#endRunning.delete(end);
       response.off("close", onClose);
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -22,6 +22,7 @@
     node: state.settings.nodeName,
     bornMs: state.startedAtMs,
     accepts: state.isReady,
+    weightReduction: state.overload.weightReduction,
     uses,
     demand: state.demand.snapshot(nowMs).map((entry) => ({
       ...entry,
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -125,12 +125,13 @@
       membersSentAtMs: isMembersDue ? nowMs : membersSentAtMs,
     });
     const { members } = this.#state;
-    members.recordContact(node, 0, digest.accepts);
+    members.recordContact(node, 0, digest.accepts, digest.weightReduction);
     for (const child of digest.children) {
       members.recordContact(
         core.brandId<core.InstanceId>(child.node),
         child.ageMs,
         child.accepts,
+        child.weightReduction,
       );
     }
     this.#news.apply(node, digest.tables, nowMs);
@@ -372,6 +373,7 @@
         node: digest.node,
         ageMs: Math.round(nowMs - receivedAtMs),
         accepts: digest.accepts,
+        weightReduction: digest.weightReduction,
       })
     );
   }
@@ -381,6 +383,7 @@
       node: this.#state.settings.nodeName,
       ageMs: 0,
       accepts: this.#state.isReady,
+      weightReduction: this.#state.overload.weightReduction,
     });
     const others = this.#state.members.contacts(nowMs).map((contact) =>
       create(peers.MemberStateSchema, contact)
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -214,9 +214,9 @@
   #applyMembers(member: core.InstanceId, view: peers.FleetView): void {
     const { members } = this.#state;
     members.recordContact(member, 0, members.accepts(member));
-    for (const { node, ageMs, accepts } of view.members) {
+    for (const { node, ageMs, accepts, weightReduction } of view.members) {
       const other = core.brandId<core.InstanceId>(node);
-      members.recordContact(other, ageMs, accepts);
+      members.recordContact(other, ageMs, accepts, weightReduction);
     }
   }
 
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -20,6 +20,8 @@
 export const MEMBER_TIMEOUT_MS = 1_500;
 /** Contacts older than this are not passed on to other nodes. */
 const CONTACT_AGE_MAX_MS = 3_000;
+/** An overloaded member keeps some weight, whatever it says, in percent. */
+const WEIGHT_REDUCTION_MAX = 99;
 /** A member counts as alive for this long after its row was first seen. */
 const NEW_MEMBER_GRACE_MS = 2_500;
 
@@ -42,6 +44,8 @@
   readonly node: core.InstanceId;
   readonly ageMs: number;
   readonly accepts: boolean;
+  /** Percent by which its weight for callers is reduced. */
+  readonly weightReduction: number;
 }
 
 interface Member {
@@ -49,6 +53,7 @@
   rowSeenAtMs: number;
   lastContactAtMs: number;
   acceptsRequests: boolean;
+  weightReduction: number;
 }
 
 /** The registered entry nodes, and which of them are alive. */
@@ -86,6 +91,7 @@
       rowSeenAtMs: nowMs,
       lastContactAtMs,
       acceptsRequests: !row.isLeaving,
+      weightReduction: 0,
     });
   }
 
@@ -100,14 +106,28 @@
    * @param ageMs time since the contact; older reports than the last are
    * ignored.
    * @param accepts whether the member accepts callers.
+   * @param weightReduction percent by which it reduces its weight; unchanged if
+   * absent.
    */
-  recordContact(node: core.InstanceId, ageMs: number, accepts: boolean): void {
+  recordContact(
+    node: core.InstanceId,
+    ageMs: number,
+    accepts: boolean,
+    weightReduction?: number,
+  ): void {
     const member = this.#members.get(node);
     if (!member) return;
     const contactAtMs = core.monotonicMs() - ageMs;
     if (contactAtMs < member.lastContactAtMs) return;
     member.lastContactAtMs = contactAtMs;
     member.acceptsRequests = accepts;
+    if (weightReduction === undefined) return;
+    member.weightReduction = Math.min(WEIGHT_REDUCTION_MAX, weightReduction);
+  }
+
+  /** Percent by which a member reduces its weight for callers. */
+  weightReduction(node: core.InstanceId): number {
+    return this.#members.get(node)?.weightReduction ?? 0;
   }
 
   /** Whether a member accepts callers, as far as this node knows. */
@@ -122,10 +142,12 @@
   /** Returns the recent contacts of the other members. */
   contacts(nowMs: number): MemberContact[] {
     const contacts: MemberContact[] = [];
-    for (const [node, { lastContactAtMs, acceptsRequests }] of this.#members) {
+    for (const [node, member] of this.#members) {
+      const { lastContactAtMs, acceptsRequests, weightReduction } = member;
       const ageMs = Math.max(0, Math.round(nowMs - lastContactAtMs));
       if (node === this.#self || ageMs > CONTACT_AGE_MAX_MS) continue;
-      contacts.push({ node, ageMs, accepts: acceptsRequests });
+      const accepts = acceptsRequests;
+      contacts.push({ node, ageMs, accepts, weightReduction });
     }
     return contacts;
   }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -209,6 +209,7 @@
     this.#lifecycle.addCleanup(() => clients.close());
     this.#lifecycle.addCleanup(() => this.state.pools.close());
     this.#lifecycle.addCleanup(this.#stepWatch.start());
+    this.#lifecycle.addCleanup(this.state.overload.start());
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -10,6 +10,7 @@
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import { EntryCapacity } from "./capacity/entry_capacity.ts";
+import { OverloadWatch } from "./capacity/entry_overload.ts";
 import { Members } from "./entry_members.ts";
 import { WantedStreams } from "./entry_origins.ts";
 
@@ -38,6 +39,8 @@
   readonly members: Members;
   /** Sizes of the members' machines, and what follows from them. */
   readonly capacity: EntryCapacity;
+  /** Whether this node is overloaded. */
+  readonly overload: OverloadWatch;
   readonly metrics = new metrics.MetricsRecorder();
   readonly logger: core.Logger;
   readonly quarantine: quarantine.PromptQuarantine;
@@ -79,7 +82,8 @@
     this.startedAtMs = Date.now();
     this.incarnation = core.randomId<core.Incarnation>("in");
     this.members = new Members(settings.nodeName);
-    this.capacity = new EntryCapacity(settings, this.members);
+    this.capacity = new EntryCapacity(settings, this.members, logger);
+    this.overload = new OverloadWatch(this, settings.machine);
     this.quarantine = new quarantine.PromptQuarantine(logger);
   }
 
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -98,10 +98,13 @@
 }
 
 function gauges(
-  { config, queue, requestsInFlight, members, quarantine }: EntryState,
+  state: EntryState,
   isOrdering: boolean,
 ): Record<string, number> {
+  const { config, queue, requestsInFlight, members, quarantine } = state;
   return {
+    ...state.overload.gauges(),
+    ...state.capacity.gauges(),
     config_version: config?.version ?? 0,
     requests_in_progress: requestsInFlight,
     requests_waiting: queue.size,
--- a/packages/entry/tests/listener_harness.ts
+++ b/packages/entry/tests/listener_harness.ts
@@ -10,6 +10,7 @@
 import { err, ok, type Result } from "neverthrow";
 import * as core from "../../core/mod.ts";
 import * as fleet from "../../fleet/mod.ts";
+import type * as relay from "../../relay/mod.ts";
 import * as testing from "../../testing/mod.ts";
 import { CallerListener } from "../entry_caller_listener.ts";
 import { OriginReader } from "../entry_origin_rows.ts";
@@ -125,6 +126,8 @@
   readonly dialect?: fleet.HttpDialect;
   /** Kind of the route. */
   readonly kind?: fleet.RouteKind;
+  /** In place of the node's own one. */
+  readonly selector?: relay.UpstreamSelector;
 }
 
 /** Starts the listener and its upstream; close it at the end of the test. */
@@ -145,14 +148,15 @@
 
   constructor(
     respond: RequestListener,
-    { dialect = new HarnessDialect(), kind = "safe" }: HarnessOptions = {},
+    options: HarnessOptions = {},
   ) {
+    const { dialect = new HarnessDialect(), kind = "safe" } = options;
     this.#kind = kind;
     this.#upstream = createServer((request, response) => {
       this.received.push(String(request.headers["x-id"]));
       respond(request, response);
     });
-    const selector = new EntryUpstreamSelector(this.state);
+    const selector = options.selector ?? new EntryUpstreamSelector(this.state);
     const takeUps = new TakeUpResolver(
       this.state,
       new OriginReader(this.state, new MemoryTable()),
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -50,6 +50,8 @@
   | "upstreams_leaving"
   | "quiet_times"
   | "rate_limit_changes"
+  | "requests_shed"
+  | "weight_changes"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -30,7 +30,7 @@
 export type { ConnectionShare } from "./relay_pools.ts";
 export { RelayTask } from "./relay_task.ts";
 export type { RelayOutcome } from "./relay_task.ts";
-export { UpstreamSelector } from "./relay_types.ts";
+export { ShedError, UpstreamSelector } from "./relay_types.ts";
 export type {
   AttemptHistory,
   Rejection,
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -16,11 +16,12 @@
 import { type AttemptResult, BodyRelay } from "./relay_response_body.ts";
 import { RelayRetries, type ResponseProgress } from "./relay_retries.ts";
 import type { WaitWatch } from "./relay_wait_watch.ts";
-import type {
-  Rejection,
-  RelayDependencies,
-  RelayedRequest,
-  UpstreamAssignment,
+import {
+  type Rejection,
+  type RelayDependencies,
+  type RelayedRequest,
+  ShedError,
+  type UpstreamAssignment,
 } from "./relay_types.ts";
 
 /** How a request ended, as seen by its caller. */
@@ -80,6 +81,11 @@
     );
   }
 
+  /** Whether the request was sent to an upstream, also if it did not run. */
+  get wasSent(): boolean {
+    return this.#retries.sendCount > 0;
+  }
+
   /** Runs the request to its end. The response is always ended or aborted. */
   async run(): Promise<RelayOutcome> {
     const cancelAttempt = () =>
@@ -329,9 +335,12 @@
     if (this.#retries.runCount > 0) {
       return this.#fail(STATUS_GATEWAY_TIMEOUT, cause);
     }
+    const { reason } = this.#signal;
     return this.#reject({
       reason: cause,
-      retryAfterMs: REJECTED_RETRY_AFTER_MS,
+      retryAfterMs: reason instanceof ShedError
+        ? reason.retryAfterMs
+        : REJECTED_RETRY_AFTER_MS,
     });
   }
 
--- a/packages/relay/relay_types.ts
+++ b/packages/relay/relay_types.ts
@@ -79,6 +79,16 @@
   readonly retryAfterMs: number;
 }
 
+/** Ends a request that has not been sent, as the node is overloaded. */
+export class ShedError extends Error {
+  readonly retryAfterMs: number;
+
+  constructor(message: string, retryAfterMs: number) {
+    super(message);
+    this.retryAfterMs = retryAfterMs;
+  }
+}
+
 /** What the earlier attempts of a request left behind. */
 export interface AttemptHistory {
   /** Upstreams on which an attempt has failed; avoided if possible. */
