--- a/packages/capacity/capacity_admission.ts
+++ b/packages/capacity/capacity_admission.ts
@@ -7,6 +7,11 @@
 const INCREASE = 1.1;
 /** Some requests are always admitted, so that an idle node recovers. */
 const LIMIT_MIN = 4;
+/**
+ * The limit of a slow node falls no further, relative to the requests at the
+ * beginning: nodes were seen to turn five times slower, whatever they shed.
+ */
+const LIMIT_SHARE_MIN = 0.2;
 /** Time without pressure after which the limit is lifted. */
 const LIFT_AFTER_MS = 10_000;
 /** Bounds of the time after which a caller should try again. */
@@ -25,6 +30,7 @@
   #changedAtMs = -Infinity;
   #pressedAtMs = -Infinity;
   #startedAtMs = -Infinity;
+  #startedWith = 0;
   #shedAtMs = -Infinity;
 
   /** Requests that may be in progress; Infinity without overload. */
@@ -38,16 +44,29 @@
       nowMs - this.#shedAtMs < SHED_RECENTLY_MS;
   }
 
-  /** Adapts the limit to a pressure, of which 1 is overload. */
-  update(pressure: number, inProgress: number, nowMs: number): void {
+  /**
+   * Adapts the limit to a pressure, of which 1 is overload.
+   *
+   * @param isFatal whether the process ends if the pressure rises further.
+   */
+  update(
+    pressure: number,
+    inProgress: number,
+    nowMs: number,
+    isFatal = false,
+  ): void {
     if (pressure >= 1) {
-      if (this.#limit === Infinity) this.#startedAtMs = nowMs;
+      if (this.#limit === Infinity) {
+        this.#startedAtMs = nowMs;
+        this.#startedWith = inProgress;
+      }
       this.#pressedAtMs = nowMs;
     }
     if (nowMs - this.#changedAtMs < STEP_MS) return;
     if (pressure >= 1) {
       const base = Math.min(this.#limit, inProgress);
-      this.#limit = Math.max(LIMIT_MIN, Math.floor(base * DECREASE));
+      const min = isFatal ? 0 : this.#startedWith * LIMIT_SHARE_MIN;
+      this.#limit = Math.max(LIMIT_MIN, min, Math.floor(base * DECREASE));
     } else if (this.#limit === Infinity) return;
     else if (nowMs - this.#pressedAtMs >= LIFT_AFTER_MS) this.#limit = Infinity;
     else this.#limit = this.#limit * INCREASE + 1;
@@ -69,6 +88,13 @@
     return false;
   }
 
+  /** Whether a request in progress that was not sent yet is to be shed. */
+  mustShed(inProgress: number, nowMs: number): boolean {
+    if (inProgress <= this.#limit) return false;
+    this.#shedAtMs = nowMs;
+    return true;
+  }
+
   /** Requests in progress above the limit. */
   excess(inProgress: number): number {
     return Math.max(0, inProgress - Math.floor(this.#limit));
--- a/packages/capacity/capacity_caller_lists.ts
+++ b/packages/capacity/capacity_caller_lists.ts
@@ -32,6 +32,8 @@
  * fleet's weight out of the lists: then the rest would be overloaded as well.
  */
 const REDUCED_SHARE_MAX = 0.5;
+/** Below, overloaded nodes in few lists would keep all callers by their hash. */
+const HASHED_HEALTH_MIN = 0.5;
 const HASH_RANGE = 2 ** 32;
 /** Keeps weights of hash choices above 0. */
 const DEFICIT_MIN = 0.01;
@@ -261,7 +263,8 @@
 
 /**
  * The number of lists that a node is in, rounded by a hash of its name. A
- * healthy node is in one at least; an overloaded one may be in none.
+ * healthy node is in one at least; an overloaded one may be in none, and one
+ * with less than half of its weight is rounded down, whatever its hash.
  */
 function countLists(
   node: core.InstanceId,
@@ -270,6 +273,7 @@
 ): number {
   const exact = lists * health;
   const whole = Math.floor(exact);
+  if (health < HASHED_HEALTH_MIN) return whole;
   if (health >= 1) {
     if (whole * ROUNDING_FACTOR_MAX < exact) return whole + 1;
     if (whole + 1 > exact * ROUNDING_FACTOR_MAX) return whole;
--- a/packages/entry/capacity/entry_overload.ts
+++ b/packages/entry/capacity/entry_overload.ts
@@ -10,9 +10,13 @@
 const INTERVAL_MS = 100;
 const FULL_PERCENT = 100;
 
+/** The process ends if these reach their limit. */
+const FATAL_KINDS: ReadonlySet<capacity.LoadKind | undefined> = new Set<
+  capacity.LoadKind | undefined
+>(["memory", "descriptors"]);
+
 /** What the watch needs of the node's state. */
 export interface OverloadNode {
-  readonly requestsInFlight: number;
   readonly logger: core.Logger;
   readonly metrics: metrics.MetricsRecorder;
 }
@@ -20,7 +24,8 @@
 /** A request that can be shed until it is sent to an upstream. */
 export interface WaitingRequest {
   readonly receivedAtMs: number;
-  readonly wasSent: () => boolean;
+  /** Whether it was sent, or continues what was begun. */
+  readonly isBegun: () => boolean;
   readonly shed: (retryAfterMs: number) => void;
 }
 
@@ -35,6 +40,8 @@
   #peak: capacity.LoadPeak = { kind: undefined, pressure: 0 };
   #limitedSinceMs: number | undefined;
   #shed = 0;
+  /** Requests in progress; without those that were shed at once. */
+  readonly #begun = new Set<object>();
 
   constructor(node: OverloadNode, machine: fleet.MachineSpec | undefined) {
     this.#node = node;
@@ -75,10 +82,10 @@
   /** Measures the load once. */
   update(nowMs: number): void {
     const peak = this.#peak = capacity.findPeak(this.#sources, nowMs);
-    const { requestsInFlight } = this.#node;
-    this.#limit.update(peak.pressure, requestsInFlight, nowMs);
+    const isFatal = FATAL_KINDS.has(peak.kind);
+    this.#limit.update(peak.pressure, this.#begun.size, nowMs, isFatal);
     if (peak.pressure >= 1) {
-      this.#shedWaiting(this.#limit.excess(requestsInFlight));
+      this.#shedWaiting(this.#limit.excess(this.#begun.size));
     }
     const isOverloaded = this.#limit.isOverloaded(nowMs);
     this.#logState(nowMs);
@@ -91,18 +98,33 @@
   }
 
   /**
-   * Whether a request may be begun that is in flight already; one that is not
-   * is shed.
+   * Whether a request may be begun; false if it is shed. To be asked when its
+   * head was read, and again before it is relayed.
+   *
+   * @param request identifies it, until `end` is called with the same.
+   * @param isContinued whether it continues what was begun, and is not shed.
    */
-  tryAdmit(): boolean {
-    const others = this.#node.requestsInFlight - 1;
-    if (this.#limit.tryAdmit(others, core.monotonicMs())) return true;
-    this.noteShed();
-    return false;
+  mayBegin(request: object, isContinued: boolean): boolean {
+    const nowMs = core.monotonicMs();
+    const inProgress = this.#begun.size;
+    const isAdmitted = isContinued ||
+      (this.#begun.has(request)
+        ? !this.#limit.mustShed(inProgress, nowMs)
+        : this.#limit.tryAdmit(inProgress, nowMs));
+    if (isAdmitted) this.#begun.add(request);
+    else {
+      this.#begun.delete(request);
+      this.#noteShed();
+    }
+    return isAdmitted;
+  }
+
+  /** Notes that a request has ended, if it was begun. */
+  end(request: object): void {
+    this.#begun.delete(request);
   }
 
-  /** Counts a request that was shed. */
-  noteShed(): void {
+  #noteShed(): void {
     this.#shed++;
     this.#node.metrics.increment("requests_shed");
   }
@@ -130,12 +152,12 @@
     if (count === 0 || this.#waiting.size === 0) return;
     const { retryAfterMs } = this;
     const newest = [...this.#waiting]
-      .filter(({ wasSent }) => !wasSent())
+      .filter(({ isBegun }) => !isBegun())
       .sort((a, b) => b.receivedAtMs - a.receivedAtMs)
       .slice(0, count);
     for (const request of newest) {
       this.#waiting.delete(request);
-      this.noteShed();
+      this.#noteShed();
       request.shed(retryAfterMs);
     }
   }
@@ -145,14 +167,14 @@
     const sinceMs = this.#limitedSinceMs;
     const isLimited = Number.isFinite(this.#limit.limit);
     if (isLimited === (sinceMs !== undefined)) return;
-    const { logger, requestsInFlight } = this.#node;
+    const { logger } = this.#node;
     if (sinceMs === undefined) {
       this.#limitedSinceMs = nowMs;
       this.#shed = 0;
       logger.warn("overload_began", {
         cause: this.#peak.kind,
         pressure: this.#peak.pressure.toFixed(2),
-        requests: requestsInFlight,
+        requests: this.#begun.size,
         limit: Math.floor(this.#limit.limit),
       });
     } else {
@@ -160,7 +182,7 @@
       logger.info("overload_ended", {
         tookMs: Math.round(nowMs - sinceMs),
         shed: this.#shed,
-        requests: requestsInFlight,
+        requests: this.#begun.size,
       });
     }
   }
--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -189,6 +189,7 @@
       this.#state.metrics.increment("failures");
     }).then(() => reply.flushed()).finally(() => {
       this.#state.requestsInFlight--;
+      this.#state.overload.end(reply);
     });
   }
 
@@ -220,7 +221,7 @@
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
-    if (!this.#tryAdmit(caller.value)) return this.#shed(request, reply);
+    if (!this.#mayBegin(caller.value, reply)) return this.#shed(request, reply);
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
     const body = await this.#readBody(request, reply, {
@@ -239,7 +240,7 @@
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
-    if (!this.#tryAdmit(caller.value)) return this.#shed(request, reply);
+    if (!this.#mayBegin(caller.value, reply)) return this.#shed(request, reply);
     await this.#run(
       {
         caller: caller.value,
@@ -257,8 +258,11 @@
   }
 
   /** A stream that is taken up has begun, so it is not shed. */
-  #tryAdmit({ takenUpStream }: fleet.CallerRequest): boolean {
-    return takenUpStream !== undefined || this.#state.overload.tryAdmit();
+  #mayBegin(
+    { takenUpStream }: fleet.CallerRequest,
+    reply: relay.CallerResponse,
+  ): boolean {
+    return this.#state.overload.mayBegin(reply, takenUpStream !== undefined);
   }
 
   #shed(request: IncomingMessage, reply: relay.CallerResponse): void {
@@ -301,7 +305,9 @@
       );
       removeWaiting = this.#state.overload.addWaiting({
         receivedAtMs: request.receivedAtMs,
-        wasSent: () => task.wasSent,
+        // A stream that is taken up has begun.
+        isBegun: () =>
+          request.caller.takenUpStream !== undefined || task.wasSent,
         shed: (retryAfterMs) =>
           end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
       });
--- a/packages/entry/tests/unit/entry_overload_test.ts
+++ b/packages/entry/tests/unit/entry_overload_test.ts
@@ -7,7 +7,9 @@
 import * as testing from "../../../testing/mod.ts";
 import { directoryAddresses } from "../../capacity/entry_directory.ts";
 import { makeDigest } from "../../entry_digest.ts";
+import { ExchangeHub } from "../../entry_exchange.ts";
 import type { EntryState } from "../../entry_state.ts";
+import { TableNewsExchange } from "../../entry_table_news.ts";
 import { respondAfter, withListener } from "../listener_harness.ts";
 import { makeSizedState } from "../sized_fleet.ts";
 
@@ -147,3 +149,30 @@
   overload(state);
   t.is(makeDigest(state, 0).weightReduction, 75);
 });
+
+test("a leaf's overload reaches the other leaves of its leader and the root", (t) => {
+  const nodes = makeEqualFleet(4, 2);
+  const [root, leader, slow, other] = nodes.map((self) => {
+    const state = makeSizedState(nodes, self);
+    return { state, hub: new ExchangeHub(state, new TableNewsExchange([])) };
+  }) as [Node, Node, Node, Node];
+  const slowName = nodes[2]!.node;
+  overload(slow.state);
+  const nowMs = core.monotonicMs();
+  const exchange = (child: Node, parent: Node) =>
+    parent.hub.exchange(child.hub.digestForParent("parent", nowMs));
+  exchange(slow, leader);
+  exchange(leader, root);
+  const view = exchange(other, leader);
+  const stated = view.members.find(({ node }) => node === slowName);
+  t.is(stated?.weightReduction, 75);
+  for (const { state } of [root, leader]) {
+    t.is(state.members.weightReduction(slowName), 75);
+  }
+  t.is(root.state.members.weightReduction(nodes[3]!.node), 0);
+});
+
+interface Node {
+  readonly state: EntryState;
+  readonly hub: ExchangeHub;
+}
