--- a/packages/capacity/capacity_admission.ts
+++ b/packages/capacity/capacity_admission.ts
@@ -5,8 +5,12 @@
 /** The limit falls to this share of the requests in progress. */
 const DECREASE = 0.8;
 const INCREASE = 1.1;
-/** Some requests are always admitted, so that an idle node recovers. */
-const LIMIT_MIN = 4;
+/**
+ * Some requests are always admitted, so that an idle node recovers. So few do
+ * not make a node slow, but may use up its memory.
+ */
+const LIMIT_MIN = 16;
+const FATAL_LIMIT_MIN = 4;
 /**
  * The limit of a slow node falls no further, relative to the requests at the
  * beginning: nodes were seen to turn five times slower, whatever they shed.
@@ -65,8 +69,10 @@
     if (nowMs - this.#changedAtMs < STEP_MS) return;
     if (pressure >= 1) {
       const base = Math.min(this.#limit, inProgress);
-      const min = isFatal ? 0 : this.#startedWith * LIMIT_SHARE_MIN;
-      this.#limit = Math.max(LIMIT_MIN, min, Math.floor(base * DECREASE));
+      const min = isFatal
+        ? FATAL_LIMIT_MIN
+        : Math.max(LIMIT_MIN, this.#startedWith * LIMIT_SHARE_MIN);
+      this.#limit = Math.max(min, Math.floor(base * DECREASE));
     } else if (this.#limit === Infinity) return;
     else if (nowMs - this.#pressedAtMs >= LIFT_AFTER_MS) this.#limit = Infinity;
     else this.#limit = this.#limit * INCREASE + 1;
--- a/packages/entry/tests/unit/entry_overload_test.ts
+++ b/packages/entry/tests/unit/entry_overload_test.ts
@@ -47,6 +47,8 @@
 /** Makes a node overloaded, with a limit of four requests in progress. */
 function overload(state: EntryState): GivenLoad {
   const load = new GivenLoad();
+  // Above that of the processor, whose timer these steps make late.
+  load.value = 9;
   state.overload.setSource(load);
   const nowMs = core.monotonicMs();
   for (let step = 0; step < 20; step++) {
