--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -32,6 +32,8 @@
 /** Interval at which connections with incomplete headers are timed out. */
 const HEADER_CHECK_INTERVAL_MS = 1_000;
 
+/** Why an overloaded node rejects requests. */
+const OVERLOADED = "node is overloaded";
 /** Why a node that stops rejects or ends requests. */
 const STOPPING = "node is stopping";
 /** Time kept free before the end of a planned stop. */
@@ -117,6 +119,7 @@
       },
       (request, response) => this.#handle(request, response),
     );
+    state.overload.trackLink(this.#server);
     transport.finishBeforeParseErrors(this.#server);
     transport.keepOpenAsAnnounced(this.#server);
     state.onConfig = ({ idleTimeoutMs, headerTimeoutMs }) => {
@@ -191,6 +194,7 @@
       this.#state.metrics.increment("failures");
     }).then(() => reply.flushed()).finally(() => {
       this.#state.requestsInFlight--;
+      this.#state.overload.end(reply);
     });
   }
 
@@ -225,6 +229,7 @@
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
+    if (!this.#mayBegin(caller.value, reply)) return this.#shed(request, reply);
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
     const body = await this.#readBody(request, reply, {
@@ -248,6 +253,7 @@
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
     }
+    if (!this.#mayBegin(caller.value, reply)) return this.#shed(request, reply);
     await this.#run(
       {
         caller: caller.value,
@@ -273,15 +279,28 @@
     this.#reject(request, reply, status, reason, retryAfterMs);
   }
 
+  /** A stream that is taken up has begun, so it is not shed. */
+  #mayBegin(
+    { takenUpStream }: fleet.CallerRequest,
+    reply: relay.CallerResponse,
+  ): boolean {
+    return this.#state.overload.mayBegin(reply, takenUpStream !== undefined);
+  }
+
+  #shed(request: IncomingMessage, reply: relay.CallerResponse): void {
+    const { retryAfterMs } = this.#state.overload;
+    this.#reject(request, reply, 503, OVERLOADED, retryAfterMs);
+  }
+
   async #run(
     request: relay.RelayedRequest,
     reply: relay.CallerResponse,
     response: ServerResponse,
   ): Promise<void> {
     const aborter = new AbortController();
-    const end = (reason: string) => {
+    const end = (reason: string, error = new Error(reason)) => {
       reply.stopWaiting();
-      aborter.abort(new Error(reason));
+      aborter.abort(error);
     };
     this.#endRunning.add(end);
     const onClose = () => {
@@ -294,7 +313,14 @@
       request.deadlineAtMs - core.monotonicMs(),
     );
     try {
-      await this.#relayUnderQuota(request, reply, response, aborter.signal);
+      await this.#relayUnderQuota(
+        request,
+        reply,
+        response,
+        aborter.signal,
+        (retryAfterMs) =>
+          end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
+      );
     } finally {
       clearTimeout(timer);
       this.#endRunning.delete(end);
@@ -307,8 +333,9 @@
     reply: relay.CallerResponse,
     response: ServerResponse,
     signal: AbortSignal,
+    shed: (retryAfterMs: number) => void,
   ): Promise<void> {
-    const { quotas, logger, metrics } = this.#state;
+    const { quotas, overload, logger, metrics } = this.#state;
     const quota = await quotas.admit(request.team, request.caller, signal);
     if (quota.isErr()) {
       const { reason, retryAfterMs } = quota.error;
@@ -322,10 +349,17 @@
       { dialect: this.#dialect, selector: this.#selector, logger },
       signal,
     );
+    const removeWaiting = overload.addWaiting({
+      receivedAtMs: request.receivedAtMs,
+      // A stream that is taken up has begun.
+      isBegun: () => request.caller.takenUpStream !== undefined || task.wasSent,
+      shed,
+    });
     try {
       metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
       if (!task.mayHaveRun) quota.value.refund();
     } finally {
+      removeWaiting();
       this.#recordLatency(request, reply);
     }
   }
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -115,19 +115,22 @@
 
   #findPlace(nowMs: number): TreePlace {
     const { settings, members, logger } = this.#state;
+    const { sizes } = this.#state.capacity;
     const isAvoided = (node: core.InstanceId) =>
       (this.#avoidedUntilMs.get(node) ?? 0) > nowMs;
     const self = {
       node: settings.nodeName,
       failureDomain: settings.failureDomain,
+      isLarge: sizes.isLarge(settings.nodeName),
     };
     const alive = members.alive();
     const place = findTreePlace(
       self,
-      this.#chooseRoot(alive, isAvoided),
+      this.#chooseRoot(sizes.largeFirst(alive), isAvoided),
       alive.map((node) => ({
         node,
         failureDomain: members.row(node)?.failureDomain ?? "",
+        isLarge: sizes.isLarge(node),
       })),
       isAvoided,
     );
@@ -219,9 +222,9 @@
   #applyMembers(member: core.InstanceId, view: peers.FleetView): void {
     const { members } = this.#state;
     members.recordContact(member, 0, members.accepts(member));
-    for (const { node, ageMs, accepts } of view.members) {
+    for (const { node, ageMs, accepts, weightReduction } of view.members) {
       const other = core.brandId<core.InstanceId>(node);
-      members.recordContact(other, ageMs, accepts);
+      members.recordContact(other, ageMs, accepts, weightReduction);
     }
   }
 
@@ -255,7 +258,10 @@
       nowMs - applied.atMs < ENGINE_STATES_REAPPLY_MS;
   }
 
-  /** Returns the lease holder, or else the first live node by name. */
+  /**
+   * Returns the lease holder, or else the first live node by name; among the
+   * large machines if sizes differ.
+   */
   #chooseRoot(
     alive: readonly core.InstanceId[],
     isAvoided: (node: core.InstanceId) => boolean,
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -1,6 +1,11 @@
 /** Membership: rows of the entry nodes in the store, and their liveness. */
 import * as purify from "purify-ts";
+import { isDeepStrictEqual } from "node:util";
 import * as core from "../core/mod.ts";
+import {
+  type MachineRow,
+  MachineRowCodec,
+} from "./capacity/entry_machine_row.ts";
 
 /** Table in which the entry nodes register. */
 export const NODE_TABLE = "carawaywind";
@@ -15,6 +20,8 @@
 export const MEMBER_TIMEOUT_MS = 1_500;
 /** Contacts older than this are not passed on to other nodes. */
 const CONTACT_AGE_MAX_MS = 3_000;
+/** An overloaded member keeps some weight, whatever it says, in percent. */
+const WEIGHT_REDUCTION_MAX = 99;
 /** A member counts as alive for this long after its row was first seen. */
 const NEW_MEMBER_GRACE_MS = 2_500;
 
@@ -24,16 +31,21 @@
   failureDomain: purify.string,
   incarnation: purify.string,
   isLeaving: purify.boolean,
+  machine: MachineRowCodec,
 });
 
 /** The row by which a node registers itself in the store. */
-export type MemberRow = purify.GetType<typeof MemberRowCodec>;
+export type MemberRow =
+  & Omit<purify.GetType<typeof MemberRowCodec>, "machine">
+  & { readonly machine?: MachineRow };
 
 /** Last contact of a member with any node. */
 export interface MemberContact {
   readonly node: core.InstanceId;
   readonly ageMs: number;
   readonly accepts: boolean;
+  /** Percent by which its weight for callers is reduced. */
+  readonly weightReduction: number;
 }
 
 interface Member {
@@ -41,6 +53,7 @@
   rowSeenAtMs: number;
   lastContactAtMs: number;
   acceptsRequests: boolean;
+  weightReduction: number;
 }
 
 /** The registered entry nodes, and which of them are alive. */
@@ -49,20 +62,28 @@
   readonly #members = new Map<core.InstanceId, Member>();
   /** Incarnations that a later one has replaced; an older row may return. */
   readonly #replacedIncarnations = new Set<string>();
+  #rowsVersion = 0;
 
   constructor(self: core.InstanceId) {
     this.#self = self;
   }
 
+  /** Grows with each change of a row. */
+  get rowsVersion(): number {
+    return this.#rowsVersion;
+  }
+
   /** Adds or updates a member; a new incarnation resets its liveness. */
   setRow(node: core.InstanceId, row: MemberRow): void {
     const existing = this.#members.get(node);
     const nowMs = core.monotonicMs();
     if (existing && existing.row.incarnation === row.incarnation) {
+      if (!isDeepStrictEqual(existing.row, row)) this.#rowsVersion++;
       existing.row = row;
       return;
     }
     if (this.#replacedIncarnations.has(row.incarnation)) return;
+    this.#rowsVersion++;
     if (existing) this.#replacedIncarnations.add(existing.row.incarnation);
     const lastContactAtMs = -Infinity;
     this.#members.set(node, {
@@ -70,12 +91,13 @@
       rowSeenAtMs: nowMs,
       lastContactAtMs,
       acceptsRequests: !row.isLeaving,
+      weightReduction: 0,
     });
   }
 
   /** Removes a member whose row was deleted. */
   remove(node: core.InstanceId): void {
-    this.#members.delete(node);
+    if (this.#members.delete(node)) this.#rowsVersion++;
   }
 
   /**
@@ -84,14 +106,28 @@
    * @param ageMs time since the contact; older reports than the last are
    * ignored.
    * @param accepts whether the member accepts callers.
+   * @param weightReduction percent by which it reduces its weight; unchanged if
+   * absent.
    */
-  recordContact(node: core.InstanceId, ageMs: number, accepts: boolean): void {
+  recordContact(
+    node: core.InstanceId,
+    ageMs: number,
+    accepts: boolean,
+    weightReduction?: number,
+  ): void {
     const member = this.#members.get(node);
     if (!member) return;
     const contactAtMs = core.monotonicMs() - ageMs;
     if (contactAtMs < member.lastContactAtMs) return;
     member.lastContactAtMs = contactAtMs;
     member.acceptsRequests = accepts;
+    if (weightReduction === undefined) return;
+    member.weightReduction = Math.min(WEIGHT_REDUCTION_MAX, weightReduction);
+  }
+
+  /** Percent by which a member reduces its weight for callers. */
+  weightReduction(node: core.InstanceId): number {
+    return this.#members.get(node)?.weightReduction ?? 0;
   }
 
   /** Whether a member accepts callers, as far as this node knows. */
@@ -106,10 +142,12 @@
   /** Returns the recent contacts of the other members. */
   contacts(nowMs: number): MemberContact[] {
     const contacts: MemberContact[] = [];
-    for (const [node, { lastContactAtMs, acceptsRequests }] of this.#members) {
+    for (const [node, member] of this.#members) {
+      const { lastContactAtMs, acceptsRequests, weightReduction } = member;
       const ageMs = Math.max(0, Math.round(nowMs - lastContactAtMs));
       if (node === this.#self || ageMs > CONTACT_AGE_MAX_MS) continue;
-      contacts.push({ node, ageMs, accepts: acceptsRequests });
+      const accepts = acceptsRequests;
+      contacts.push({ node, ageMs, accepts, weightReduction });
     }
     return contacts;
   }
@@ -159,10 +197,15 @@
 
   /** Returns the caller addresses of the other live members that accept. */
   callerAddresses(): string[] {
-    const addresses: string[] = [];
+    return [...this.accepting().values()];
+  }
+
+  /** As `callerAddresses`, by node. */
+  accepting(): Map<core.InstanceId, string> {
+    const addresses = new Map<core.InstanceId, string>();
     for (const [node, { row, acceptsRequests }] of this.#members) {
       if (node === this.#self || row.isLeaving || !acceptsRequests) continue;
-      if (this.isAlive(node)) addresses.push(row.callerAddress);
+      if (this.isAlive(node)) addresses.set(node, row.callerAddress);
     }
     return addresses;
   }
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -170,7 +170,8 @@
       leaseMs: settings.orders.leaseMs,
       enginesCheckFences: settings.orders.enginesCheckFences,
       isEligible: () => this.state.isReady,
-      rank: () => this.state.members.alive().indexOf(settings.nodeName),
+      rank: () => this.state.capacity.rank(),
+      yields: () => this.state.capacity.yieldsLease(),
       followers: () => this.#hub.followers(),
     }, logger);
     this.#stepWatch = new StepWatch(this.state, {
@@ -212,6 +213,7 @@
     this.#lifecycle.addCleanup(() => clients.close());
     this.#lifecycle.addCleanup(() => this.state.pools.close());
     this.#lifecycle.addCleanup(this.#suspension.start());
+    this.#lifecycle.addCleanup(this.state.overload.start());
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(
@@ -347,7 +349,11 @@
       ],
     ];
     const rank = () =>
-      mirror.rankReader(state.settings.nodeName, state.members.alive());
+      mirror.rankReader(
+        state.settings.nodeName,
+        state.members.alive(),
+        (nodes) => state.capacity.sizes.largeFirst(nodes),
+      );
     const peerTables = new MemberTables(state, this.#clients);
     return tables.map(([options, followOptions]) => {
       const copy = new mirror.TableMirror(options);
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -11,6 +11,8 @@
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import * as teams from "../teams/mod.ts";
+import { EntryCapacity } from "./capacity/entry_capacity.ts";
+import { OverloadWatch } from "./capacity/entry_overload.ts";
 import { Members } from "./entry_members.ts";
 import { WantedStreams } from "./entry_origins.ts";
 import { EntryQuotas } from "./quotas/entry_quotas.ts";
@@ -48,6 +50,10 @@
     this.recordConnectionClosed(upstream, reason)
   );
   readonly members: Members;
+  /** Sizes of the members' machines, and what follows from them. */
+  readonly capacity: EntryCapacity;
+  /** Whether this node is overloaded. */
+  readonly overload: OverloadWatch;
   readonly metrics = new metrics.MetricsRecorder();
   readonly logger: core.Logger;
   readonly quarantine: quarantine.PromptQuarantine;
@@ -94,6 +100,8 @@
     this.startedAtMs = Date.now();
     this.incarnation = core.randomId<core.Incarnation>("in");
     this.members = new Members(settings.nodeName);
+    this.capacity = new EntryCapacity(settings, this.members, logger);
+    this.overload = new OverloadWatch(this, settings.machine);
     this.quarantine = new quarantine.PromptQuarantine(logger);
     this.quotas = new EntryQuotas(this);
   }
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -3,6 +3,7 @@
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as transport from "../transport/mod.ts";
+import { directoryAddresses } from "./capacity/entry_directory.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Upper limit of the TTL of directory responses; settings may lower it. */
@@ -31,7 +32,8 @@
     if (endpoint === "ready") {
       response.writeHead(state.isReady ? 200 : 503).end();
     } else if (endpoint === "directory") {
-      const addresses = directoryAddresses(state);
+      const client = dialect.readDirectoryQuery(request.url ?? "");
+      const addresses = directoryAddresses(state, client);
       if (addresses.length === 0) return response.writeHead(503).end();
       const ttlMs = Math.min(
         DIRECTORY_TTL_MAX_MS,
@@ -95,14 +97,11 @@
   });
 }
 
-function directoryAddresses({ members, isReady, settings }: EntryState) {
-  const { host, port } = settings.listen.callers;
-  const own = isReady ? [`${host}:${port}`] : [];
-  return [...own, ...members.callerAddresses()];
-}
-
 function gauges(
-  {
+  state: EntryState,
+  isOrdering: boolean,
+): Record<string, number> {
+  const {
     config,
     queue,
     teamOrder,
@@ -110,10 +109,10 @@
     members,
     quarantine,
     quotas,
-  }: EntryState,
-  isOrdering: boolean,
-): Record<string, number> {
+  } = state;
   return {
+    ...state.overload.gauges(),
+    ...state.capacity.gauges(),
     config_version: config?.version ?? 0,
     requests_in_progress: requestsInFlight,
     requests_waiting: queue.size,
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -56,6 +56,8 @@
   | "quota_waits"
   | "quota_refunds"
   | "teams_underserved"
+  | "requests_shed"
+  | "weight_changes"
   | "orders_load"
   | "orders_unload";
 
