--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -23,6 +23,7 @@
   tagEngineStates,
   type TaggedEngineStates,
 } from "./entry_engine_states.ts";
+import { ExchangePace } from "./entry_exchange_pace.ts";
 import { applyLeavingNews, leavingNews } from "./entry_leaving.ts";
 import { applyRateNews, rateNews } from "./entry_permits.ts";
 import { OriginExchange } from "./entry_origins.ts";
@@ -32,11 +33,11 @@
 
 /** A digest older than this is dropped. */
 const DIGEST_TTL_MS = 1_000;
-/** A node that sent no digest for this long has switched to another parent. */
+/** A node without a digest for this long has switched to another parent. */
 const FOLLOWER_TIMEOUT_MS = 800;
 /** Time for which sums and engine states are used again for other children. */
 const SUMS_TTL_MS = 15;
-/** Interval at which a child is sent the states of all members. */
+/** Interval at which a child is sent all members. */
 const MEMBERS_INTERVAL_MS = 300;
 /**
  * Levels of the tree below the root. A node at a deeper one has no path to a
@@ -78,6 +79,7 @@
   readonly #news: TableNewsExchange;
   readonly #quarantine: QuarantineExchange;
   readonly #origins: OriginExchange;
+  readonly #pace = new ExchangePace();
   readonly #children = new Map<string, Child>();
   #sources: ExchangeHubSources = {
     engineStates: () => undefined,
@@ -107,7 +109,6 @@
     return this.#isRoot;
   }
 
-  /** Connects the hub to the parts that it reports on. */
   connect(sources: ExchangeHubSources): void {
     this.#sources = sources;
   }
@@ -165,6 +166,7 @@
       leaving: leavingNews(this.#state.upstreams, nowMs),
       rateLimits: rateNews(this.#state, nowMs),
       ...this.#state.quotas.answer(digest),
+      minIntervalMs: this.#pace.minIntervalMs(nowMs),
     });
   }
 
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -56,6 +56,10 @@
   #engineStatesAtMs = -Infinity;
   #hasQueuedBelow = false;
   #askedAtMs = -Infinity;
+  /** Shortest interval that the parent asked for; 0 if none. */
+  #minIntervalMs = 0;
+  /** Exchanges in a row that the parent did not answer. */
+  #unanswered = 0;
   /** Members asked so far, so that each gets its turn. */
   #asked = 0;
   /** The engine states in use, and the listings that they were applied to. */
@@ -108,7 +112,10 @@
       const { idleMs, queuedMs } = intervalsFor(place, this.#lease.holder);
       const { quotas } = this.#state;
       const pauseMs = quotas.pauseMs(hasQueued ? queuedMs : idleMs);
-      if (hasQueued) await quotas.wakeSignal.wait(pauseMs, signal);
+      // A busy parent is spared, also while requests wait.
+      if (this.#minIntervalMs > pauseMs) {
+        await core.sleep(this.#minIntervalMs, signal);
+      } else if (hasQueued) await quotas.wakeSignal.wait(pauseMs, signal);
       else await this.#wakeSignal.wait(pauseMs, signal);
     }
   }
@@ -170,15 +177,30 @@
     const answeredAtMs = core.monotonicMs();
     quotas.applyAnswer(parent, view);
     if (!view) {
+      // A parent that is known to be busy gets a second chance.
+      if (this.#minIntervalMs > 0 && this.#unanswered++ === 0) return false;
+      this.#setPace(0);
       this.#avoidedUntilMs.set(parent, answeredAtMs + PARENT_AVOIDANCE_MS);
       this.#hub.forgetParent();
       this.#fallBack(answeredAtMs);
       return false;
     }
+    this.#setPace(view.minIntervalMs);
     this.#applyView(parent, view, answeredAtMs, nowMs);
     return true;
   }
 
+  #setPace(minIntervalMs: number): void {
+    this.#unanswered = 0;
+    const wasBusy = this.#minIntervalMs > 0;
+    this.#minIntervalMs = minIntervalMs;
+    if (wasBusy === minIntervalMs > 0) return;
+    this.#state.logger.info("exchange_pace", {
+      parent: this.#place?.parent,
+      minIntervalMs,
+    });
+  }
+
   /**
    * Asks a member that does not exchange with this root. A node that the store
    * turns away cannot see that another one holds the lease, and those that
