--- a/packages/quotas/tests/quotas_figures.ts
+++ b/packages/quotas/tests/quotas_figures.ts
@@ -1,6 +1,6 @@
 /**
  * Prints figures of quotas in simulated fleets:
- * `node dist/packages/quotas/tests/quotas_figures.js [designs|sizes|cost]`.
+ * `node dist/packages/quotas/tests/quotas_figures.js [designs|sizes|below|teams|cost]`.
  */
 import { toBinary } from "@bufbuild/protobuf";
 import process from "node:process";
@@ -186,6 +186,86 @@
   }
 }
 
+/** What is admitted below the rate, beside one bucket for all nodes. */
+function compareBelow(): void {
+  printRow(["tokens/s", "skew", "of the rate", "admitted", "one bucket"]);
+  for (const [ratePerS, skew] of [[11_000, 1], [11_000, 100], [2_700, 1]]) {
+    let asked = 0;
+    let rejected = 0;
+    let bucket = 0;
+    for (let seed = 1; seed <= 6; seed++) {
+      const sim = new Simulation({
+        seed,
+        nodes: 32,
+        durationMs: 60_000,
+        demandPerS: () => 0.8 * ratePerS!,
+        skew: skew!,
+      }, () => DESIGNS["moving tokens"]!(ratePerS!)).run();
+      asked += sim.sum(SETTLED_MS, 60_000, sim.arrivals);
+      rejected += sim.sum(SETTLED_MS, 60_000, sim.rejections);
+      let stock = 0;
+      let filledAtMs = 0;
+      for (const { atMs, cost } of sim.arrivals) {
+        const filled = stock + (atMs - filledAtMs) * ratePerS! / 1_000;
+        stock = Math.min(ratePerS!, filled);
+        filledAtMs = atMs;
+        if (cost > stock) continue;
+        stock -= cost;
+        if (atMs >= SETTLED_MS) bucket += cost;
+      }
+    }
+    const parts = [1 - rejected / asked, bucket / asked];
+    printRow([ratePerS!, skew!, 0.8, ...parts.map((part) => part.toFixed(3))]);
+  }
+}
+
+/** Teams of a deployment, in thousands of tokens per second. */
+const TEAM_RATES = [300, 200, 150, 100, 80, 60, 50, 40]
+  .concat([30, 25, 20, 15, 11, 11, 11, 11]);
+
+/** A node of 16 teams; each request is one of a team by their rates. */
+class ManyTeams extends MovingTokens {
+  static readonly #names = TEAM_RATES.map((_, n) =>
+    core.brandId<core.TeamName>(n === 0 ? TEAM : `${TEAM}-${n}`)
+  );
+  #random = 1;
+
+  constructor() {
+    super(
+      TEAM_RATES.map((rate, n) => makeTeam(rate * 1_000, ManyTeams.#names[n]!)),
+    );
+  }
+
+  protected override get team(): core.TeamName {
+    this.#random = this.#random * 48_271 % 0x7fffffff;
+    const total = TEAM_RATES.reduce((sum, rate) => sum + rate);
+    let place = this.#random / 0x7fffffff * total;
+    const at = TEAM_RATES.findIndex((rate) => (place -= rate) < 0);
+    return ManyTeams.#names[Math.max(0, at)]!;
+  }
+}
+
+/** Messages of 16 teams at 32 nodes. */
+function measureTeams(): void {
+  printRow(["demand", "messages/node/s", "bytes/node/s", "used"]);
+  const ratePerS = 1_000 * TEAM_RATES.reduce((sum, rate) => sum + rate);
+  for (const demand of [0, 0.5, 2]) {
+    const sim = new Simulation({
+      seed: SEED,
+      nodes: 32,
+      durationMs: 14_000,
+      demandPerS: () => demand * ratePerS,
+      bytesOf,
+    }, () => new ManyTeams() as SimLimiter<unknown, unknown>).run();
+    printRow([
+      demand,
+      (sim.messages / 32 / 14).toFixed(0),
+      (sim.bytes / 32 / 14).toFixed(0),
+      (sim.sum(SETTLED_MS, 14_000) / ratePerS / 10).toFixed(2),
+    ]);
+  }
+}
+
 /** Time of a decision, and of an exchange, with 16 teams. */
 function measureCost(): void {
   const count = 200_000;
@@ -222,6 +302,8 @@
 const MODES: Record<string, () => void> = {
   designs: compareDesigns,
   sizes: compareSizes,
+  below: compareBelow,
+  teams: measureTeams,
   cost: measureCost,
 };
 for (const mode of process.argv.slice(2)) MODES[mode]?.();
--- a/packages/quotas/tests/quotas_sim_design.ts
+++ b/packages/quotas/tests/quotas_sim_design.ts
@@ -47,8 +47,13 @@
     this.node.configure(teams, bounds, 0);
   }
 
+  /** Team of the next request. */
+  protected get team(): core.TeamName {
+    return TEAM;
+  }
+
   override admit(cost: number, nowMs: number, end: SimEnd): void {
-    const decision = this.node.decide(TEAM, cost, nowMs);
+    const decision = this.node.decide(this.team, cost, nowMs);
     if (decision?.kind === "taken") {
       return end(true, (atMs) => decision.hold.refund(atMs));
     }
