--- a/packages/quotas/tests/quotas_figures.ts
+++ b/packages/quotas/tests/quotas_figures.ts
@@ -1,6 +1,6 @@
 /**
  * Prints figures of quotas in simulated fleets:
- * `node dist/packages/quotas/tests/quotas_figures.js [designs|sizes|below|teams|cost]`.
+ * `node dist/packages/quotas/tests/quotas_figures.js [designs|sizes|below|slow|teams|cost]`.
  */
 import { toBinary } from "@bufbuild/protobuf";
 import process from "node:process";
@@ -219,6 +219,38 @@
   }
 }
 
+/** Admitted parts where messages are slow; means of three seeds. */
+function compareSlow(): void {
+  const demands = [0.5, 0.8, 2];
+  printRow(["nodes", "message ms", "tokens/s", ...demands, "most / bound"]);
+  for (const nodes of [16, 32]) {
+    for (const messageMs of [2, 50, 110]) {
+      for (const ratePerS of [300_000, 60_000, 11_000]) {
+        let most = 0;
+        const admitted = demands.map((demand) => {
+          let asked = 0;
+          let rejected = 0;
+          for (const seed of [1, 2, 3]) {
+            const sim = new Simulation({
+              seed,
+              nodes,
+              durationMs: END_MS,
+              demandPerS: () => demand * ratePerS,
+              messageMs,
+            }, () => DESIGNS["moving tokens"]!(ratePerS)).run();
+            asked += sim.sum(SETTLED_MS, END_MS, sim.arrivals);
+            rejected += sim.sum(SETTLED_MS, END_MS, sim.rejections);
+            most = Math.max(most, sim.most(BOUNDS.windowMs));
+          }
+          return (1 - rejected / asked).toFixed(2);
+        });
+        const part = (most / boundOf(ratePerS)).toFixed(2);
+        printRow([nodes, messageMs, ratePerS, ...admitted, part]);
+      }
+    }
+  }
+}
+
 /** Teams of a deployment, in thousands of tokens per second. */
 const TEAM_RATES = [300, 200, 150, 100, 80, 60, 50, 40]
   .concat([30, 25, 20, 15, 11, 11, 11, 11]);
@@ -303,6 +335,7 @@
   designs: compareDesigns,
   sizes: compareSizes,
   below: compareBelow,
+  slow: compareSlow,
   teams: measureTeams,
   cost: measureCost,
 };
