--- a/packages/entry/capacity/entry_leaders.ts
+++ b/packages/entry/capacity/entry_leaders.ts
@@ -58,7 +58,14 @@
     .slice(0, Math.ceil(group.length / SMALL_GROUP_SIZE));
 }
 
-/** Whether a node leads its own domain, or another one that lacks leaders. */
+/**
+ * Whether a node leads its own domain, or another one that lacks leaders.
+ *
+ * @example
+ * ```ts
+ * const role = isLeader(self, candidates) ? "leader" : "leaf";
+ * ```
+ */
 export function isLeader(
   self: LeaderCandidate,
   candidates: readonly LeaderCandidate[],
--- a/packages/entry/capacity/entry_machine_row.ts
+++ b/packages/entry/capacity/entry_machine_row.ts
@@ -34,7 +34,14 @@
   return Object.keys(row).length > 0 ? row : undefined;
 }
 
-/** Reads the size in a member row. */
+/**
+ * Reads the size in a member row.
+ *
+ * @example
+ * ```ts
+ * const { memoryMb } = fromMachineRow(members.row(node)?.machine);
+ * ```
+ */
 export function fromMachineRow(
   { processorCores, memoryMb, linkMbps }: MachineRow = {},
 ): fleet.MachineSpec {
--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -9,15 +9,16 @@
   type ServerResponse,
 } from "node:http";
 import * as core from "../core/mod.ts";
-import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import type * as origins from "../origins/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { CallerConnections } from "./entry_caller_connections.ts";
+import { maxGenerationMs, targetOf } from "./entry_caller_request.ts";
+import { rejectionFields } from "./quotas/entry_quotas.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
+import { type AccessRejection, TeamAccess } from "./teams/entry_team_access.ts";
 
 /** Deadline of requests that name none. */
 const DEADLINE_DEFAULT_MS = 60_000;
@@ -36,43 +37,6 @@
 const STOPPING = "node is stopping";
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
-/**
- * Slowest step time expected, relative to the estimate: large batches and
- * interleaved prefills lengthen the steps.
- */
-const STEP_TIME_FACTOR_MAX = 3;
-/** Longest time expected before a stream's first token. */
-const FIRST_TOKEN_MAX_MS = 1_000;
-
-/**
- * Estimates the longest duration of a generation; Infinity if no model runs.
- */
-function maxGenerationMs(
-  stepTimes: dispatch.StepTimeEstimator,
-  { model, outputTokensMax }: fleet.CallerRequest,
-): number {
-  if (model === undefined || outputTokensMax === 0) return Infinity;
-  return FIRST_TOKEN_MAX_MS +
-    outputTokensMax * stepTimes.stepMs(model) * STEP_TIME_FACTOR_MAX;
-}
-
-/**
- * Where a request is served: a stream that is taken up at the service that began
- * it, if the route still leads there, and at the same software version.
- */
-function targetOf(
-  { targets }: fleet.RouteSpec,
-  service: core.ServiceName,
-  takenUp: origins.StreamOrigin | undefined,
-): Pick<relay.RelayedRequest, "service" | "softwareVersion"> {
-  if (!takenUp) return { service };
-  const { softwareVersion } = takenUp;
-  const leadsThere = targets.some((target) =>
-    target.service === takenUp.service && target.weight > 0
-  );
-  return { service: leadsThere ? takenUp.service : service, softwareVersion };
-}
-
 /** Metrics counter for each outcome of a request. */
 const COUNTER_BY_OUTCOME = {
   done: "answers",
@@ -87,6 +51,7 @@
   readonly #dialect: fleet.HttpDialect;
   readonly #selector: relay.UpstreamSelector;
   readonly #takeUps: TakeUpResolver;
+  readonly #access: TeamAccess;
   readonly #server: Server;
   #keepsAlive = true;
   #rejectFromMs = Infinity;
@@ -101,7 +66,9 @@
     dialect: fleet.HttpDialect,
     selector: relay.UpstreamSelector,
     takeUps: TakeUpResolver,
+    access = new TeamAccess(state, dialect),
   ) {
+    this.#access = access;
     this.#state = state;
     this.#dialect = dialect;
     this.#selector = selector;
@@ -211,7 +178,10 @@
     const path = request.url ?? "/";
     const route = table.match(request.headers.host ?? "", path);
     if (!route) return this.#reject(request, reply, 404, "no route matches");
-    const caller = this.#dialect.readRequest(request.headers);
+    const access = this.#access.check(request.headers, route);
+    if (access.isErr()) return this.#rejectAccess(request, reply, access.error);
+    const hasTeams = this.#state.teams !== undefined;
+    const caller = this.#dialect.readRequest(request.headers, { hasTeams });
     if (caller.isErr()) {
       return this.#reject(request, reply, 400, caller.error);
     }
@@ -236,6 +206,11 @@
       const { reason, retryAfterMs } = takenUp.error;
       return this.#reject(request, reply, 503, reason, retryAfterMs);
     }
+    // Its key may have been removed meanwhile.
+    const accessNow = this.#access.check(request.headers, route);
+    if (accessNow.isErr()) {
+      return this.#rejectAccess(request, reply, accessNow.error);
+    }
     // The body, or the lookup of a stream, may have taken long.
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
@@ -245,6 +220,7 @@
       {
         caller: caller.value,
         route,
+        ...(accessNow.value ? { team: accessNow.value } : {}),
         ...targetOf(route, service, takenUp.value),
         method: request.method ?? "GET",
         path,
@@ -270,6 +246,14 @@
     this.#reject(request, reply, 503, OVERLOADED, retryAfterMs);
   }
 
+  #rejectAccess(
+    request: IncomingMessage,
+    reply: relay.CallerResponse,
+    { status, reason, retryAfterMs }: AccessRejection,
+  ): void {
+    this.#reject(request, reply, status, reason, retryAfterMs);
+  }
+
   async #run(
     request: relay.RelayedRequest,
     reply: relay.CallerResponse,
@@ -290,33 +274,54 @@
       () => end("deadline passed"),
       request.deadlineAtMs - core.monotonicMs(),
     );
-    const dependencies = {
-      dialect: this.#dialect,
-      selector: this.#selector,
-      logger: this.#state.logger,
-    };
-    let removeWaiting = () => {};
     try {
-      const task = new relay.RelayTask(
+      await this.#relayUnderQuota(
         request,
         reply,
-        dependencies,
+        response,
         aborter.signal,
+        end,
       );
-      removeWaiting = this.#state.overload.addWaiting({
-        receivedAtMs: request.receivedAtMs,
-        // A stream that is taken up has begun.
-        isBegun: () =>
-          request.caller.takenUpStream !== undefined || task.wasSent,
-        shed: (retryAfterMs) =>
-          end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
-      });
-      this.#state.metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
     } finally {
-      removeWaiting();
       clearTimeout(timer);
       this.#endRunning.delete(end);
       response.off("close", onClose);
+    }
+  }
+
+  async #relayUnderQuota(
+    request: relay.RelayedRequest,
+    reply: relay.CallerResponse,
+    response: ServerResponse,
+    signal: AbortSignal,
+    end: (reason: string, error: Error) => void,
+  ): Promise<void> {
+    const { quotas, logger, metrics, overload } = this.#state;
+    const quota = await quotas.admit(request.team, request.caller, signal);
+    if (quota.isErr()) {
+      const { reason, retryAfterMs } = quota.error;
+      const fields = rejectionFields(quota.error);
+      return this
+        .#reject(response.req, reply, 429, reason, retryAfterMs, fields);
+    }
+    const task = new relay.RelayTask(
+      request,
+      reply,
+      { dialect: this.#dialect, selector: this.#selector, logger },
+      signal,
+    );
+    const removeWaiting = overload.addWaiting({
+      receivedAtMs: request.receivedAtMs,
+      // A stream that is taken up has begun.
+      isBegun: () => request.caller.takenUpStream !== undefined || task.wasSent,
+      shed: (retryAfterMs) =>
+        end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
+    });
+    try {
+      metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
+      if (!task.mayHaveRun) quota.value.refund();
+    } finally {
+      removeWaiting();
       this.#recordLatency(request, reply);
     }
   }
@@ -360,6 +365,7 @@
     status: number,
     reason: string,
     retryAfterMs = status === 503 ? UNAVAILABLE_RETRY_AFTER_MS : undefined,
+    fields: core.LogFields = {},
   ): void {
     reply.start(status, {
       ...this.#dialect.writeRejection(retryAfterMs),
@@ -377,6 +383,7 @@
       status,
       reason,
       configVersion: this.#state.config?.version,
+      ...fields,
     });
   }
 }
--- a/packages/entry/entry_exchange_task.ts
+++ b/packages/entry/entry_exchange_task.ts
@@ -106,8 +106,10 @@
       }
       this.#selector.selectForQueued();
       const { idleMs, queuedMs } = intervalsFor(place, this.#lease.holder);
-      if (hasQueued) await core.sleep(queuedMs, signal);
-      else await this.#wakeSignal.wait(idleMs, signal);
+      const { quotas } = this.#state;
+      const pauseMs = quotas.pauseMs(hasQueued ? queuedMs : idleMs);
+      if (hasQueued) await quotas.wakeSignal.wait(pauseMs, signal);
+      else await this.#wakeSignal.wait(pauseMs, signal);
     }
   }
 
@@ -148,7 +150,10 @@
   /** @returns whether this node knows what the other nodes know by now. */
   async #exchange({ role, parent }: TreePlace): Promise<boolean> {
     const nowMs = core.monotonicMs();
+    const { quotas } = this.#state;
+    quotas.setConnected(this.#hub.followers() + 1);
     if (role === "root") {
+      quotas.becomeRoot();
       this.#hub.becomeRoot();
       this.#hub.applyLoad(nowMs);
       this.#fallBack(nowMs);
@@ -158,16 +163,19 @@
     }
     const address = this.#state.members.row(parent)?.peerAddress;
     if (address === undefined) return false;
-    const view = await this.#clients
-      .exchange(address, this.#hub.digestForParent(parent, nowMs));
+    const view = await this.#clients.exchange(address, {
+      ...this.#hub.digestForParent(parent, nowMs),
+      ...quotas.report(parent),
+    });
     const answeredAtMs = core.monotonicMs();
+    quotas.applyAnswer(parent, view);
     if (!view) {
       this.#avoidedUntilMs.set(parent, answeredAtMs + PARENT_AVOIDANCE_MS);
       this.#hub.forgetParent();
       this.#fallBack(answeredAtMs);
       return false;
     }
-    this.#applyView(parent, view, answeredAtMs);
+    this.#applyView(parent, view, answeredAtMs, nowMs);
     return true;
   }
 
@@ -197,7 +205,7 @@
       .exchange(address, this.#hub.digestForParent(member, nowMs));
     if (!view) return;
     this.#applyMembers(member, view);
-    this.#hub.applyStrangerView(member, view, core.monotonicMs());
+    this.#hub.applyStrangerView(member, view, core.monotonicMs(), nowMs);
     this.#noteLease(view);
   }
 
@@ -224,9 +232,11 @@
     parent: core.InstanceId,
     view: peers.FleetView,
     nowMs: number,
+    askedAtMs: number,
   ): void {
     this.#applyMembers(parent, view);
-    const states = this.#hub.applyParentView(parent, view, nowMs);
+    const states = this.#hub
+      .applyParentView(parent, view, nowMs, askedAtMs);
     this.#hub.applyLoad(nowMs);
     this.#noteLease(view);
     if (!states) return this.#fallBack(nowMs);
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -11,11 +11,15 @@
 import * as routes from "../routes/mod.ts";
 import { EntryCapacity } from "./capacity/entry_capacity.ts";
 import { OverloadWatch } from "./capacity/entry_overload.ts";
+import * as teams from "../teams/mod.ts";
 import { Members } from "./entry_members.ts";
 import { WantedStreams } from "./entry_origins.ts";
+import { EntryQuotas } from "./quotas/entry_quotas.ts";
 
 /** KV cache size of upstreams that run no models. */
 const NO_KV_CACHE_TOKENS = 0;
+/** Teams that a log line names. */
+const LOGGED_TEAMS_MAX = 8;
 
 export class EntryState {
   settings: fleet.EntrySettings;
@@ -48,6 +52,7 @@
   readonly origins = new origins.StreamOrigins();
   readonly softwareVersions = new origins.SoftwareVersions();
   readonly wantedStreams = new WantedStreams();
+  readonly quotas: EntryQuotas;
   readonly retryBudgets = new Map<
     core.ServiceName,
     dispatch.SharedRetryBudget
@@ -56,6 +61,10 @@
   fleetQueues: ReadonlyMap<string, number> = new Map();
   config: fleet.FleetConfig | undefined;
   table: routes.RouteTable | undefined;
+  /** Absent if requests need no keys. */
+  teams: teams.TeamDirectory | undefined;
+  /** Whether the newest configuration could not be read, so is not in force. */
+  isConfigUnreadable = false;
   /** Whether the upstream table has been read at least once. */
   hasReadUpstreams = false;
   /**
@@ -85,6 +94,7 @@
     this.capacity = new EntryCapacity(settings, this.members, logger);
     this.overload = new OverloadWatch(this, settings.machine);
     this.quarantine = new quarantine.PromptQuarantine(logger);
+    this.quotas = new EntryQuotas(this);
   }
 
   /** Whether this node accepts callers: all tables read, and not stopping. */
@@ -120,6 +130,7 @@
     for (const budget of this.retryBudgets.values()) {
       budget.updateOptions(settings.retryBudget);
     }
+    this.quotas.configure();
   }
 
   /** Applies a configuration, unless it is not newer than the current one. */
@@ -135,11 +146,24 @@
     }
     this.table = new routes.RouteTable(config.version, config.routes);
     this.config = config;
+    this.#applyTeams(config);
+    this.quotas.configure();
     this.onConfig(config);
     this.logger.info("config_in_force", {
       version: config.version,
       routes: config.routes.length,
       services: config.services.size,
+      teams: config.teams?.length,
+    });
+  }
+
+  #applyTeams({ version, teams: specs }: fleet.FleetConfig): void {
+    this.teams = specs && new teams.TeamDirectory(specs);
+    const { conflicting = [] } = this.teams ?? {};
+    if (conflicting.length === 0) return;
+    this.logger.warn("keys_held_twice", {
+      version,
+      teams: conflicting.slice(0, LOGGED_TEAMS_MAX).join(","),
     });
   }
 
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -101,7 +101,8 @@
   state: EntryState,
   isOrdering: boolean,
 ): Record<string, number> {
-  const { config, queue, requestsInFlight, members, quarantine } = state;
+  const { config, queue, requestsInFlight, members, quarantine, quotas } =
+    state;
   return {
     ...state.overload.gauges(),
     ...state.capacity.gauges(),
@@ -111,5 +112,6 @@
     members_alive: members.alive().length,
     orders_held: isOrdering ? 1 : 0,
     prompt_parts_held: quarantine.size,
+    quota_teams_exhausted: quotas.exhaustedTeams,
   };
 }
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -6,6 +6,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
 import { RequestConnections } from "./relay_connections.ts";
+import { loggedParts } from "./relay_logged_parts.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -31,9 +32,6 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 const STATUS_MISDIRECTED = 421;
-/** Parts of a prompt, and characters of each, in the log. */
-const LOGGED_PARTS_MAX = 4;
-const LOGGED_PART_LENGTH = 16;
 /** Characters of an upstream's id in the list of refusals. */
 const LOGGED_UPSTREAM_LENGTH = 32;
 /** Retry-After for requests that ended without having run on an upstream. */
@@ -86,6 +84,11 @@
     return this.#retries.sendCount > 0;
   }
 
+  /** Whether an upstream may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#retries.runCount > 0;
+  }
+
   /** Runs the request to its end. The response is always ended or aborted. */
   async run(): Promise<RelayOutcome> {
     const cancelAttempt = () =>
@@ -139,7 +142,8 @@
 
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
     const { dialect } = this.#dependencies;
-    const { caller, route, deadlineAtMs, method, path, body } = this.#request;
+    const { caller, route, team, deadlineAtMs, method, path, body } =
+      this.#request;
     const { upstream } = assignment;
     const { lastEventId } = this.#bodyRelay;
     this.#upstream = upstream;
@@ -152,8 +156,9 @@
         caller,
         upstream,
         deadlineMs: deadlineAtMs - core.monotonicMs(),
-        priority: route.priority,
+        priority: team?.priority ?? route.priority,
         ...(lastEventId === undefined ? {} : { lastEventId }),
+        ...(team === undefined ? {} : { team: team.name }),
       }),
       body: body.length > 0 ? body : null,
       startBeforeMs: deadlineAtMs,
@@ -354,28 +359,21 @@
     this.#refusals.push(`${id}:${status}:${connection}`);
   }
 
-  /** The ids of the prompt's shared parts, shortened to bound the line. */
-  #loggedParts(): string | undefined {
-    const shared = this.#request.caller.promptParts.slice(0, -1);
-    if (shared.length === 0) return undefined;
-    return shared.slice(0, LOGGED_PARTS_MAX)
-      .map(({ id }) => id.slice(0, LOGGED_PART_LENGTH)).join(",");
-  }
-
   #logEnd(outcome: RelayOutcome, status: number, reason?: string): void {
-    const { caller, route, receivedAtMs } = this.#request;
+    const { caller, route, team, receivedAtMs } = this.#request;
     this.#outcome = outcome;
     const nowMs = core.monotonicMs();
     const firstByteAtMs = this.#response.firstByteAtMs;
     this.#dependencies.logger.info("request_end", {
       request: caller.requestId,
       route: route.name,
+      team: team?.name,
       outcome,
       status,
       reason,
       model: caller.model,
       adapter: caller.adapter,
-      parts: this.#loggedParts(),
+      parts: loggedParts(caller),
       takesUp: caller.takenUpStream?.firstRequestId,
       upstream: this.#upstream?.id,
       softwareVersion: this.#upstream?.softwareVersion,
