--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -233,6 +233,14 @@
     );
   }
 
+  #rejectAccess(
+    request: IncomingMessage,
+    reply: relay.CallerResponse,
+    { status, reason, retryAfterMs }: AccessRejection,
+  ): void {
+    this.#reject(request, reply, status, reason, retryAfterMs);
+  }
+
   /** A stream that is taken up has begun, so it is not shed. */
   #mayBegin(
     { takenUpStream }: fleet.CallerRequest,
@@ -246,14 +254,6 @@
     this.#reject(request, reply, 503, OVERLOADED, retryAfterMs);
   }
 
-  #rejectAccess(
-    request: IncomingMessage,
-    reply: relay.CallerResponse,
-    { status, reason, retryAfterMs }: AccessRejection,
-  ): void {
-    this.#reject(request, reply, status, reason, retryAfterMs);
-  }
-
   async #run(
     request: relay.RelayedRequest,
     reply: relay.CallerResponse,
@@ -280,7 +280,8 @@
         reply,
         response,
         aborter.signal,
-        end,
+        (retryAfterMs) =>
+          end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
       );
     } finally {
       clearTimeout(timer);
@@ -294,9 +295,9 @@
     reply: relay.CallerResponse,
     response: ServerResponse,
     signal: AbortSignal,
-    end: (reason: string, error: Error) => void,
+    shed: (retryAfterMs: number) => void,
   ): Promise<void> {
-    const { quotas, logger, metrics, overload } = this.#state;
+    const { quotas, overload, logger, metrics } = this.#state;
     const quota = await quotas.admit(request.team, request.caller, signal);
     if (quota.isErr()) {
       const { reason, retryAfterMs } = quota.error;
@@ -314,8 +315,7 @@
       receivedAtMs: request.receivedAtMs,
       // A stream that is taken up has begun.
       isBegun: () => request.caller.takenUpStream !== undefined || task.wasSent,
-      shed: (retryAfterMs) =>
-        end(OVERLOADED, new relay.ShedError(OVERLOADED, retryAfterMs)),
+      shed,
     });
     try {
       metrics.increment(COUNTER_BY_OUTCOME[await task.run()]);
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -101,14 +101,22 @@
   state: EntryState,
   isOrdering: boolean,
 ): Record<string, number> {
-  const { config, queue, requestsInFlight, members, quarantine, quotas } =
-    state;
+  const {
+    config,
+    queue,
+    teamOrder,
+    requestsInFlight,
+    members,
+    quarantine,
+    quotas,
+  } = state;
   return {
     ...state.overload.gauges(),
     ...state.capacity.gauges(),
     config_version: config?.version ?? 0,
     requests_in_progress: requestsInFlight,
     requests_waiting: queue.size,
+    ...teamOrder.totals.gauges(),
     members_alive: members.alive().length,
     orders_held: isOrdering ? 1 : 0,
     prompt_parts_held: quarantine.size,
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -50,13 +50,14 @@
   | "upstreams_leaving"
   | "quiet_times"
   | "rate_limit_changes"
-  | "requests_shed"
-  | "weight_changes"
   | "keys_refused"
   | "keys_not_current"
   | "quota_rejections"
   | "quota_waits"
   | "quota_refunds"
+  | "teams_underserved"
+  | "requests_shed"
+  | "weight_changes"
   | "orders_load"
   | "orders_unload";
 
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -3,7 +3,7 @@
  * that is safe, and writes the response to the caller.
  */
 import * as core from "../core/mod.ts";
-import type * as fleet from "../fleet/mod.ts";
+import * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
 import { RequestConnections } from "./relay_connections.ts";
 import { loggedParts } from "./relay_logged_parts.ts";
@@ -79,16 +79,16 @@
     );
   }
 
-  /** Whether the request was sent to an upstream, also if it did not run. */
-  get wasSent(): boolean {
-    return this.#retries.sendCount > 0;
-  }
-
   /** Whether an upstream may have run the request. */
   get mayHaveRun(): boolean {
     return this.#retries.runCount > 0;
   }
 
+  /** Whether the request was sent to an upstream, also if it did not run. */
+  get wasSent(): boolean {
+    return this.#retries.sendCount > 0;
+  }
+
   /** Runs the request to its end. The response is always ended or aborted. */
   async run(): Promise<RelayOutcome> {
     const cancelAttempt = () =>
@@ -142,8 +142,7 @@
 
   async #send(assignment: UpstreamAssignment): Promise<AttemptResult> {
     const { dialect } = this.#dependencies;
-    const { caller, route, team, deadlineAtMs, method, path, body } =
-      this.#request;
+    const { caller, team, deadlineAtMs, method, path, body } = this.#request;
     const { upstream } = assignment;
     const { lastEventId } = this.#bodyRelay;
     this.#upstream = upstream;
@@ -156,7 +155,7 @@
         caller,
         upstream,
         deadlineMs: deadlineAtMs - core.monotonicMs(),
-        priority: team?.priority ?? route.priority,
+        priority: fleet.priorityOf(this.#request),
         ...(lastEventId === undefined ? {} : { lastEventId }),
         ...(team === undefined ? {} : { team: team.name }),
       }),
