--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -9,13 +9,12 @@
   type ServerResponse,
 } from "node:http";
 import * as core from "../core/mod.ts";
-import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import type * as origins from "../origins/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { CallerConnections } from "./entry_caller_connections.ts";
+import { maxGenerationMs, targetOf } from "./entry_caller_request.ts";
 import { rejectionFields } from "./quotas/entry_quotas.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
@@ -38,43 +37,6 @@
 const STOPPING = "node is stopping";
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
-/**
- * Slowest step time expected, relative to the estimate: large batches and
- * interleaved prefills lengthen the steps.
- */
-const STEP_TIME_FACTOR_MAX = 3;
-/** Longest time expected before a stream's first token. */
-const FIRST_TOKEN_MAX_MS = 1_000;
-
-/**
- * Estimates the longest duration of a generation; Infinity if no model runs.
- */
-function maxGenerationMs(
-  stepTimes: dispatch.StepTimeEstimator,
-  { model, outputTokensMax }: fleet.CallerRequest,
-): number {
-  if (model === undefined || outputTokensMax === 0) return Infinity;
-  return FIRST_TOKEN_MAX_MS +
-    outputTokensMax * stepTimes.stepMs(model) * STEP_TIME_FACTOR_MAX;
-}
-
-/**
- * Where a request is served: a stream that is taken up at the service that began
- * it, if the route still leads there, and at the same software version.
- */
-function targetOf(
-  { targets }: fleet.RouteSpec,
-  service: core.ServiceName,
-  takenUp: origins.StreamOrigin | undefined,
-): Pick<relay.RelayedRequest, "service" | "softwareVersion"> {
-  if (!takenUp) return { service };
-  const { softwareVersion } = takenUp;
-  const leadsThere = targets.some((target) =>
-    target.service === takenUp.service && target.weight > 0
-  );
-  return { service: leadsThere ? takenUp.service : service, softwareVersion };
-}
-
 /** Metrics counter for each outcome of a request. */
 const COUNTER_BY_OUTCOME = {
   done: "answers",
--- a/packages/relay/relay_task.ts
+++ b/packages/relay/relay_task.ts
@@ -6,6 +6,7 @@
 import * as fleet from "../fleet/mod.ts";
 import type * as transport from "../transport/mod.ts";
 import { RequestConnections } from "./relay_connections.ts";
+import { loggedParts } from "./relay_logged_parts.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import {
   type Attempt,
@@ -31,9 +32,6 @@
 const STATUS_UNAVAILABLE = 503;
 const STATUS_GATEWAY_TIMEOUT = 504;
 const STATUS_MISDIRECTED = 421;
-/** Parts of a prompt, and characters of each, in the log. */
-const LOGGED_PARTS_MAX = 4;
-const LOGGED_PART_LENGTH = 16;
 /** Characters of an upstream's id in the list of refusals. */
 const LOGGED_UPSTREAM_LENGTH = 32;
 /** Retry-After for requests that ended without having run on an upstream. */
@@ -360,14 +358,6 @@
     this.#refusals.push(`${id}:${status}:${connection}`);
   }
 
-  /** The ids of the prompt's shared parts, shortened to bound the line. */
-  #loggedParts(): string | undefined {
-    const shared = this.#request.caller.promptParts.slice(0, -1);
-    if (shared.length === 0) return undefined;
-    return shared.slice(0, LOGGED_PARTS_MAX)
-      .map(({ id }) => id.slice(0, LOGGED_PART_LENGTH)).join(",");
-  }
-
   #logEnd(outcome: RelayOutcome, status: number, reason?: string): void {
     const { caller, route, team, receivedAtMs } = this.#request;
     this.#outcome = outcome;
@@ -382,7 +372,7 @@
       reason,
       model: caller.model,
       adapter: caller.adapter,
-      parts: this.#loggedParts(),
+      parts: loggedParts(caller),
       takesUp: caller.takenUpStream?.firstRequestId,
       upstream: this.#upstream?.id,
       softwareVersion: this.#upstream?.softwareVersion,
