--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -170,6 +170,8 @@
   limits: object({
     bodyMaxBytes: count(1_048_576, 1_073_741_824),
     inProgressMax: count(4_000),
+    memoryMb: count(1_024),
+    descriptorsMax: count(10_000),
     unsettledClaimsMax: count(10_000),
   }),
   policies: object({
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -95,6 +95,10 @@
   readonly limits: {
     readonly bodyMaxBytes: number;
     readonly inProgressMax: number;
+    /** Memory of the machine, for this process. */
+    readonly memoryMb: number;
+    /** File descriptors that the process may have open. */
+    readonly descriptorsMax: number;
     readonly unsettledClaimsMax: number;
   };
   /** Policies by name; the baselines are kept for comparison. */
