Account for all that a node holds, and shed what holds most and has begun least

Cause: 60 clients with stalled bodies of 4 MB took a node from 103 to 333 MB, connections and half-read heads had no limit, and pipelined requests ended the process. Peaks of garbage were 36 MB by the compilation of undici's parser and up to 32 MB by V8's limit for short-lived buffers.

Bodies are copied into blocks that are used again, and have to make progress of 1 kB/s. Connections are limited on every address, a new one takes the place of one without a request. A watch collects garbage and lowers the limit near the machine's memory. A request behind others of its connection ends when that closes, which it did not.

--- a/packages/core/codes.ts
+++ b/packages/core/codes.ts
@@ -89,6 +89,13 @@
   "The token may not do this.",
 );
 
+export const BODY_TOO_SLOW = define(
+  1012,
+  "BODY_TOO_SLOW",
+  408,
+  "The body did not arrive, or too slowly.",
+);
+
 // 2xxx: the request was rejected before it was run.
 
 export const INSTANCE_LEAVING = define(
@@ -306,6 +313,7 @@
   DEADLINE_INVALID,
   ROUTE_UNKNOWN,
   ROLE_FORBIDDEN,
+  BODY_TOO_SLOW,
   INSTANCE_LEAVING,
   INSTANCE_ISOLATED,
   DEADLINE_UNREACHABLE,
--- a/packages/entry/entry_caller_connections.ts
+++ b/packages/entry/entry_caller_connections.ts
@@ -18,7 +18,8 @@
    */
   add(request: IncomingMessage): boolean {
     const { socket } = request;
-    if (this.#closing.has(socket)) return false;
+    const isEnding = socket.destroyed || socket.writableEnded;
+    if (this.#closing.has(socket) || isEnding) return false;
     this.#lastRequests.set(socket, request);
     return true;
   }
--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -11,6 +11,7 @@
 import * as core from "../core/mod.ts";
 import type * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as memory from "../memory/mod.ts";
 import type * as origins from "../origins/mod.ts";
 import * as relay from "../relay/mod.ts";
 import * as routes from "../routes/mod.ts";
@@ -18,6 +19,7 @@
 import { CallerConnections } from "./entry_caller_connections.ts";
 import { rejectionFields } from "./quotas/entry_quotas.ts";
 import type { EntryState } from "./entry_state.ts";
+import { limitListener } from "./entry_system_listeners.ts";
 import type { TakeUpResolver } from "./entry_take_ups.ts";
 import { type AccessRejection, TeamAccess } from "./teams/entry_team_access.ts";
 
@@ -36,6 +38,13 @@
 const OVERLOADED = "node is overloaded";
 /** Why a node that stops rejects or ends requests. */
 const STOPPING = "node is stopping";
+/** Statuses of bodies that were not read; callers that left get none. */
+const STATUS_BY_BODY_FAILURE = {
+  tooLarge: 413,
+  tooSlow: 408,
+  shed: 503,
+  left: undefined,
+} as const;
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
 /**
@@ -96,6 +105,8 @@
   #stopEndsAtMs = Infinity;
   readonly #connections = new CallerConnections();
   readonly #ended = new AbortController();
+  /** What the requests hold whose responses are not handed on whole. */
+  readonly #holds = new WeakMap<relay.CallerResponse, memory.RequestHold>();
   /** End the requests that are queued or sent to an upstream. */
   readonly #endRunning = new Set<(reason: string) => void>();
 
@@ -120,6 +131,7 @@
       (request, response) => this.#handle(request, response),
     );
     state.overload.trackLink(this.#server);
+    limitListener(state, this.#server, "callers", "callers");
     transport.finishBeforeParseErrors(this.#server);
     transport.keepOpenAsAnnounced(this.#server);
     state.onConfig = ({ idleTimeoutMs, headerTimeoutMs }) => {
@@ -193,6 +205,7 @@
       reply.fail(STATUS_BAD_GATEWAY, core.monotonicMs());
       this.#state.metrics.increment("failures");
     }).then(() => reply.flushed()).finally(() => {
+      this.#holds.get(reply)?.close();
       this.#state.requestsInFlight--;
       this.#state.overload.end(reply);
     });
@@ -232,11 +245,20 @@
     if (!this.#mayBegin(caller.value, reply)) return this.#shed(request, reply);
     const service = routes.pickTarget(route, Math.random());
     if (!service) return this.#reject(request, reply, 503, "no target");
-    const body = await this.#readBody(request, reply, {
+    const { limitReporter: reporter } = this.#state;
+    const hold = memory.processMemory.openRequest(reporter);
+    if (!hold) {
+      return this.#reject(request, reply, 503, "too many requests in progress");
+    }
+    // Until everything is handed on, also to a client that reads slowly.
+    this.#holds.set(reply, hold);
+    const body = await relay.receiveBody(request, {
       bytesMax: config.bodyBytesMax,
       timeoutMs: maxDurationMs,
+      hold,
+      reporter,
     });
-    if (!body) return;
+    if (body.isErr()) return this.#rejectBody(request, reply, body.error);
     this.#state.retryBudget(service).recordRequest(receivedAtMs);
     const takenUp = await this.#takeUps
       .resolve(caller.value, route, service, this.#ended.signal);
@@ -249,6 +271,10 @@
     if (accessNow.isErr()) {
       return this.#rejectAccess(request, reply, accessNow.error);
     }
+    if (hold.isShed) {
+      reporter.noteShed(memory.processMemory);
+      return this.#reject(request, reply, 503, memory.OUT_OF_MEMORY);
+    }
     // The body, or the lookup of a stream, may have taken long.
     if (!this.#canAdmit(caller.value, route, deadlineAtMs)) {
       return this.#reject(request, reply, 503, STOPPING);
@@ -262,12 +288,13 @@
         ...targetOf(route, service, takenUp.value),
         method: request.method ?? "GET",
         path,
-        body,
+        body: body.value,
         receivedAtMs,
         deadlineAtMs,
       },
       reply,
       response,
+      hold,
     );
   }
 
@@ -296,6 +323,7 @@
     request: relay.RelayedRequest,
     reply: relay.CallerResponse,
     response: ServerResponse,
+    hold: memory.RequestHold,
   ): Promise<void> {
     const aborter = new AbortController();
     const end = (reason: string, error = new Error(reason)) => {
@@ -303,11 +331,18 @@
       aborter.abort(error);
     };
     this.#endRunning.add(end);
+    hold.onShed = () => {
+      this.#state.limitReporter.noteShed(memory.processMemory);
+      end(memory.OUT_OF_MEMORY);
+    };
     const onClose = () => {
       if (!response.writableFinished) end("caller left");
     };
+    const { socket } = response.req;
     response.on("close", onClose);
-    if (response.destroyed) onClose();
+    // A response behind others of its connection does not see it close.
+    socket.on("close", onClose);
+    if (response.destroyed || socket.destroyed) onClose();
     const timer = setTimeout(
       () => end("deadline passed"),
       request.deadlineAtMs - core.monotonicMs(),
@@ -325,6 +360,7 @@
       clearTimeout(timer);
       this.#endRunning.delete(end);
       response.off("close", onClose);
+      socket.off("close", onClose);
     }
   }
 
@@ -376,25 +412,17 @@
     metrics.recordDuration("whole_answer", core.monotonicMs() - receivedAtMs);
   }
 
-  async #readBody(
+  #rejectBody(
     request: IncomingMessage,
     reply: relay.CallerResponse,
-    limits: { readonly bytesMax: number; readonly timeoutMs: number },
-  ) {
-    try {
-      return await relay.readBody(request, limits.bytesMax, limits.timeoutMs);
-    } catch (thrown) {
-      if (thrown instanceof relay.BodyTooLargeError) {
-        this.#reject(request, reply, 413, "request body too large");
-      } else if (thrown instanceof relay.BodyTimeoutError) {
-        this.#reject(request, reply, 408, "request body not read in time");
-      } else {
-        const reason = core.messageOf(thrown);
-        this.#state.logger.info("request_body_incomplete", { reason });
-        reply.abort();
-      }
-      return undefined;
+    { kind, reason }: relay.BodyFailure,
+  ): void {
+    const status = STATUS_BY_BODY_FAILURE[kind];
+    if (status !== undefined) {
+      return this.#reject(request, reply, status, reason);
     }
+    this.#state.logger.info("request_body_incomplete", { reason });
+    reply.abort();
   }
 
   #reject(
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -3,6 +3,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as orders from "../orders/mod.ts";
 import * as peers from "../peers/mod.ts";
+import * as memory from "../memory/mod.ts";
 import * as mirror from "../mirror/mod.ts";
 import type * as store from "../store/mod.ts";
 import type * as transport from "../transport/mod.ts";
@@ -41,6 +42,7 @@
 import { finishRequests } from "./entry_stop.ts";
 import {
   DIRECTORY_TTL_MAX_MS,
+  limitListener,
   startMetricsListener,
   startSystemListeners,
 } from "./entry_system_listeners.ts";
@@ -214,6 +216,9 @@
     this.#lifecycle.addCleanup(() => this.state.pools.close());
     this.#lifecycle.addCleanup(this.#suspension.start());
     this.#lifecycle.addCleanup(this.state.overload.start());
+    this.#lifecycle.addCleanup(
+      new memory.MemoryWatch(memory.processMemory, logger).start(),
+    );
     const { host, port } = settings.listen.peers;
     this.#lifecycle.addCleanup(
       await peers.startFleetListener(
@@ -221,6 +226,7 @@
         host,
         port,
         this.#listenPatience("peers"),
+        (server) => limitListener(this.state, server, "peers", "peers"),
       ),
     );
     const { dialect } = this.#dependencies;
--- a/packages/entry/entry_state.ts
+++ b/packages/entry/entry_state.ts
@@ -3,6 +3,7 @@
 import * as dispatch from "../dispatch/mod.ts";
 import * as fairness from "../fairness/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as memory from "../memory/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type * as orders from "../orders/mod.ts";
 import * as origins from "../origins/mod.ts";
@@ -56,6 +57,8 @@
   readonly overload: OverloadWatch;
   readonly metrics = new metrics.MetricsRecorder();
   readonly logger: core.Logger;
+  /** What the limits of this node cost its clients. */
+  readonly limitReporter: memory.LimitReporter;
   readonly quarantine: quarantine.PromptQuarantine;
   /** What began the streams in progress, as far as this node knows. */
   readonly origins = new origins.StreamOrigins();
@@ -97,6 +100,8 @@
   constructor(settings: fleet.EntrySettings, logger: core.Logger) {
     this.settings = settings;
     this.logger = logger;
+    this.limitReporter = new memory.LimitReporter(logger);
+    memory.processMemory.configure(memory.deriveLimits(settings.machine ?? {}));
     this.startedAtMs = Date.now();
     this.incarnation = core.randomId<core.Incarnation>("in");
     this.members = new Members(settings.nodeName);
@@ -136,6 +141,7 @@
       failureDomain,
       storeOrigin,
     };
+    memory.processMemory.configure(memory.deriveLimits(settings.machine ?? {}));
     for (const budget of this.retryBudgets.values()) {
       budget.updateOptions(settings.retryBudget);
     }
--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -1,13 +1,48 @@
 /** The readiness, directory and metrics endpoints of an entry node. */
 import { createServer, type Server } from "node:http";
+import process from "node:process";
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as memory from "../memory/mod.ts";
 import * as transport from "../transport/mod.ts";
 import { directoryAddresses } from "./capacity/entry_directory.ts";
 import type { EntryState } from "./entry_state.ts";
 
 /** Upper limit of the TTL of directory responses; settings may lower it. */
 export const DIRECTORY_TTL_MAX_MS = 900;
+/** Time in which a client has to send its request, which has no body. */
+const REQUEST_TIMEOUT_MS = 5_000;
+/** Largest head; the platform's own calls have some hundred bytes. */
+const HEADER_BYTES_MAX = 16_384;
+const SERVER_OPTIONS = {
+  maxHeaderSize: HEADER_BYTES_MAX,
+  requestTimeout: REQUEST_TIMEOUT_MS,
+  headersTimeout: REQUEST_TIMEOUT_MS,
+  connectionsCheckingInterval: 1_000,
+};
+
+/**
+ * Limits the connections of one of the node's servers.
+ *
+ * @param clients who connects there.
+ * @example
+ * ```ts
+ * limitListener(state, server, "directory", "system");
+ * ```
+ */
+export function limitListener(
+  { limitReporter }: EntryState,
+  server: Server,
+  listener: string,
+  clients: memory.ConnectionLimits["clients"],
+): void {
+  memory.limitConnections(server, {
+    listener,
+    clients,
+    memory: memory.processMemory,
+    reporter: limitReporter,
+  });
+}
 
 /**
  * Starts the endpoints, which close with the life cycle.
@@ -27,7 +62,7 @@
   patienceFor: (listener: string) => transport.ListenPatience,
 ): Promise<void> {
   const { readiness, directory } = state.settings.listen;
-  const platformServer = createServer((request, response) => {
+  const platformServer = createServer(SERVER_OPTIONS, (request, response) => {
     const endpoint = dialect.matchSystemEndpoint(request.url ?? "");
     if (endpoint === "ready") {
       response.writeHead(state.isReady ? 200 : 503).end();
@@ -49,6 +84,7 @@
     { host, port }: fleet.ListenAddress,
   ) => {
     const patience = patienceFor(name);
+    limitListener(state, server, name, "system");
     lifecycle.addCleanup(
       await transport.startServer(server, host, port, patience),
     );
@@ -58,6 +94,7 @@
     readiness.port === directory.port;
   if (!isShared) {
     const directoryServer = createServer(
+      SERVER_OPTIONS,
       platformServer.listeners("request")[0] as () => void,
     );
     await listen("directory", directoryServer, directory);
@@ -80,10 +117,11 @@
   isOrdering: () => boolean,
   patience: transport.ListenPatience,
 ): void {
-  const metricsServer = createServer((_request, response) => {
+  const metricsServer = createServer(SERVER_OPTIONS, (_request, response) => {
     response.writeHead(200, { "content-type": "text/plain" })
       .end(state.metrics.render(gauges(state, isOrdering())));
   });
+  limitListener(state, metricsServer, "metrics", "system");
   const { host, port } = state.settings.listen.metrics;
   transport.startServer(metricsServer, host, port, {
     ...patience,
@@ -109,10 +147,16 @@
     members,
     quarantine,
     quotas,
+    limitReporter,
   } = state;
+  const { heldBytes, bytesMax } = memory.processMemory;
   return {
     ...state.overload.gauges(),
     ...state.capacity.gauges(),
+    ...limitReporter.metrics,
+    memory_held_bytes: heldBytes,
+    memory_limit_bytes: bytesMax,
+    resident_bytes: process.memoryUsage.rss(),
     config_version: config?.version ?? 0,
     requests_in_progress: requestsInFlight,
     requests_waiting: queue.size,
--- a/packages/peers/peers_fleet.ts
+++ b/packages/peers/peers_fleet.ts
@@ -21,10 +21,12 @@
   Agent,
   createServer,
   type IncomingMessage,
+  type Server,
   type ServerResponse,
 } from "node:http";
 import * as undici from "undici";
 import * as core from "../core/mod.ts";
+import * as memory from "../memory/mod.ts";
 import * as transport from "../transport/mod.ts";
 import {
   FleetService,
@@ -52,11 +54,10 @@
 const TABLE_BYTES_MAX = 32 * 1024 * 1024;
 /** Largest message that a node accepts from another one. */
 const MESSAGE_BYTES_MAX = 4 * 1024 * 1024;
-/** Memory for messages that are being received from all other nodes. */
-const MESSAGES_BYTES_MAX = 16 * 1024 * 1024;
 /** Counted for each chunk of a message in addition to its bytes. */
 const CHUNK_OVERHEAD_BYTES = 512;
-const messageMemory = new core.MemoryBudget(MESSAGES_BYTES_MAX);
+/** Memory for messages that are being received from all other nodes. */
+const messageMemory = memory.processMemory.messages;
 /** Time in which a node has to send a whole digest. */
 const DIGEST_TIMEOUT_MS = 5_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
@@ -82,6 +83,7 @@
  * Starts the listener for the exchanges of other entry nodes.
  *
  * @param patience how long to wait for an address that is in use.
+ * @param limit limits the connections of the server.
  * @returns the cleanup that stops the listener.
  * @example
  * ```ts
@@ -94,6 +96,7 @@
   host: string,
   port: number,
   patience?: transport.ListenPatience,
+  limit: (server: Server) => void = () => {},
 ): Promise<core.Cleanup> {
   const handleOther = connectNodeAdapter({
     routes: (router) => {
@@ -118,6 +121,7 @@
     if (isExchange) answerExchange(handler, request, response);
     else handleOther(request, response);
   });
+  limit(server);
   return await transport.startServer(server, host, port, patience);
 }
 
--- a/packages/relay/mod.ts
+++ b/packages/relay/mod.ts
@@ -9,11 +9,14 @@
   BodyEvent,
 } from "./relay_attempt.ts";
 export {
+  BodyShedError,
   BodyTimeoutError,
   BodyTooLargeError,
   discardBody,
   readBody,
 } from "./relay_body.ts";
+export { receiveBody } from "./relay_body_intake.ts";
+export type { BodyFailure, BodyLimits } from "./relay_body_intake.ts";
 export {
   guardStart,
   RequestConnections,
--- a/packages/relay/relay_attempt.ts
+++ b/packages/relay/relay_attempt.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
 import * as core from "../core/mod.ts";
+import * as memory from "../memory/mod.ts";
 import * as transport from "../transport/mod.ts";
 import type { RequestConnections, RequestSender } from "./relay_connections.ts";
 import { responseMemory } from "./relay_memory.ts";
@@ -215,6 +216,7 @@
       this.#unread.push(last);
     }
     last.data.append(data);
+    memory.processMemory.noteRead(data.length);
     last.chunks++;
   }
 
--- a/packages/relay/relay_body.ts
+++ b/packages/relay/relay_body.ts
@@ -4,20 +4,26 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import * as core from "../core/mod.ts";
+import * as memory from "../memory/mod.ts";
 
 /** Thrown when a body exceeds the configured limit. */
 export class BodyTooLargeError extends Error {}
 
-/** Thrown when a body has not arrived in time. */
+/** Thrown when a body has not arrived in time, or arrives too slowly. */
 export class BodyTimeoutError extends Error {}
 
+/** Thrown when a body was given up because the node is out of memory. */
+export class BodyShedError extends Error {}
+
 /**
  * Reads a request body to its end.
  *
  * @param bytesMax limit above which reading stops.
  * @param timeoutMs time in which the whole body has to arrive.
- * @throws BodyTooLargeError above the limit; BodyTimeoutError after the time;
- * the stream's own error if the caller disconnects.
+ * @param hold accounts for the memory; the body is given up if it is shed.
+ * @throws BodyTooLargeError above the limit; BodyTimeoutError after the time, or
+ * if the body makes too little progress; BodyShedError if the hold is shed; the
+ * stream's own error if the caller disconnects.
  * @example
  * ```ts
  * const body = await relay.readBody(request, 4_194_304, 15_000);
@@ -27,30 +33,61 @@
   request: IncomingMessage,
   bytesMax: number,
   timeoutMs: number,
+  hold?: memory.RequestHold,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const body = new core.ChunkBuffer();
+    const body = new memory.BodyAssembler(memory.processMemory.blocks);
+    const progress = new memory.BodyProgress(core.monotonicMs());
+    let isOver = false;
+    let progressTimer: NodeJS.Timeout | undefined;
     const stop = () => {
+      isOver = true;
       clearTimeout(timer);
+      clearTimeout(progressTimer);
       request.off("data", onData).off("end", onEnd).off("error", fail);
       request.off("close", onClose);
     };
     const fail = (error: Error) => {
+      if (isOver) return;
       stop();
+      body.discard();
       reject(error);
     };
     const onData = (chunk: Buffer) => {
+      if (body.length + chunk.length > bytesMax) {
+        return fail(new BodyTooLargeError());
+      }
       body.append(chunk);
-      if (body.length > bytesMax) fail(new BodyTooLargeError());
+      progress.add(chunk.length);
+      memory.processMemory.noteRead(chunk.length);
+      hold?.setReading(body.heldBytes, body.chunks);
     };
     const onEnd = () => {
+      // Blocks are copied into one buffer, and both exist for a moment.
+      hold?.setReading(2 * body.heldBytes, body.chunks);
+      if (isOver) return;
       stop();
+      hold?.setRead(body.length);
       resolve(body.take());
     };
     const onClose = () => fail(new Error("the caller closed the connection"));
     const timer = setTimeout(() => fail(new BodyTimeoutError()), timeoutMs);
+    const watchProgress = () => {
+      progressTimer = setTimeout(async () => {
+        // What arrived while the process was held up is read before this.
+        await core.nextPoll();
+        if (isOver) return;
+        if (!progress.isFastEnough(core.monotonicMs())) {
+          return fail(new BodyTimeoutError());
+        }
+        watchProgress();
+      }, progress.remainingMs(core.monotonicMs()));
+    };
+    watchProgress();
+    if (hold) hold.onShed = () => fail(new BodyShedError());
     request.on("data", onData).on("end", onEnd).on("error", fail);
     request.on("close", onClose);
+    hold?.setReading(0, 0);
   });
 }
 
@@ -84,6 +121,7 @@
     };
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
+      memory.processMemory.noteRead(chunk.length);
       if (bytes > DISCARDED_BYTES_MAX) giveUp();
     };
     const timer = setTimeout(giveUp, DISCARD_TIMEOUT_MS);
--- a/packages/relay/relay_response.ts
+++ b/packages/relay/relay_response.ts
@@ -4,6 +4,33 @@
  */
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/**
+ * Time after which a response is aborted of which its caller has read nothing
+ * more. Callers keep connections open that were idle for up to 12 s.
+ */
+const UNREAD_TIMEOUT_MS = 15_000;
+
+/** Bytes that the kernel has not taken yet. */
+function queuedBytes(socket: Socket): number {
+  // Part of a write in progress; Node itself measures progress by it.
+  const { _handle: handle } = socket as {
+    _handle?: { readonly writeQueueSize?: number } | null;
+  };
+  return socket.writableLength + (handle?.writeQueueSize ?? 0);
+}
+
+/** Calls back when a connection's peer reads nothing for a time. */
+function watchReading(socket: Socket, onStalled: () => void): () => void {
+  let queuedBefore = queuedBytes(socket);
+  const timer = setInterval(() => {
+    const queued = queuedBytes(socket);
+    if (queued > 0 && queued === queuedBefore) onStalled();
+    queuedBefore = queued;
+  }, UNREAD_TIMEOUT_MS);
+  return () => clearInterval(timer);
+}
 
 export class CallerResponse {
   readonly #response: ServerResponse;
@@ -114,7 +141,9 @@
     const { socket } = response.req;
     if (response.closed || socket.destroyed) return;
     await new Promise<void>((resolve) => {
+      const stopWatch = watchReading(socket, () => this.abort());
       const onClose = () => {
+        stopWatch();
         response.off("close", onClose);
         socket.off("close", onClose);
         resolve();
--- a/packages/relay/relay_response_body.ts
+++ b/packages/relay/relay_response_body.ts
@@ -3,7 +3,7 @@
 import type * as transport from "../transport/mod.ts";
 import { type Attempt, MEMORY_EXHAUSTED, outcomeOf } from "./relay_attempt.ts";
 import { EventBoundaryTracker, EventStreamBuffer } from "./relay_events.ts";
-import { responseMemory } from "./relay_memory.ts";
+import { responseMemory, ResponseRank } from "./relay_memory.ts";
 import type { CallerResponse } from "./relay_response.ts";
 import type { UpstreamAssignment } from "./relay_types.ts";
 import type { WaitWatch } from "./relay_wait_watch.ts";
@@ -45,6 +45,7 @@
   readonly #splitsEvents: boolean;
   readonly #signal: AbortSignal;
   readonly #eventBuffer: EventStreamBuffer;
+  readonly #rank = new ResponseRank();
   /** Whether a part of a stream is being written to the caller. */
   #isWriting = false;
   /** Status with which the response was started. */
@@ -86,13 +87,14 @@
   ): Promise<AttemptResult> {
     const chunks = new core.ChunkBuffer();
     let isEvicted = false;
+    const rank = new ResponseRank();
     const memory = responseMemory.open(() => {
       isEvicted = true;
       chunks.clear();
       // Once it is being passed on, nothing but an abort frees its memory.
       if (this.#response.hasStarted) this.#response.abort();
       else attempt.cancel(MEMORY_EXHAUSTED, "broken");
-    });
+    }, (bytes) => rank.of(bytes));
     for (;;) {
       const event = await watch.during(attempt.next());
       if (event.kind === "broken") {
@@ -120,6 +122,7 @@
       ...headers,
       "content-length": String(body.length),
     }, nowMs);
+    rank.beginWrite();
     this.#response.end(body);
     this.#response.flushed().finally(() => memory.set(0));
     return { kind: "done", status };
@@ -136,12 +139,13 @@
     received: ReceivedResponse,
   ): Promise<AttemptResult> {
     const { attempt } = received;
+    const rank = this.#rank;
     const memory = responseMemory.open(() => {
       this.#eventBuffer.discardPending();
       // What waits for a slow caller is freed by an abort alone.
       if (this.#isWriting) this.#response.abort();
       else attempt.cancel(MEMORY_EXHAUSTED, "broken");
-    });
+    }, (bytes) => rank.of(bytes));
     try {
       return await this.#relayEvents(assignment, received, memory);
     } finally {
@@ -223,7 +227,9 @@
       }
       this.#isWriting = true;
       memory.set(pendingBytes + data.length);
+      this.#rank.beginWrite();
       await this.#response.write(data);
+      this.#rank.endWrite();
       this.#isWriting = false;
     }
     // Without framing, a head alone may be all that an engine could send.
