Bound the memory and connections of the product's own interface

Cause: bodies were read by hono's body limit before anything was checked, 60 clients took an instance to 435 MB.

Change: bodies are read by the relay's reader within the process's account, which limits.memoryMb and limits.descriptorsMax configure (0: not known).

--- a/packages/gateway/gateway_app.ts
+++ b/packages/gateway/gateway_app.ts
@@ -1,7 +1,7 @@
 /** Assembles the HTTP application of an instance from its route handlers. */
 import { Hono } from "hono";
-import { bodyLimit } from "hono/body-limit";
 import * as core from "../core/mod.ts";
+import { readBodies } from "./gateway_body.ts";
 import { registerCompletions } from "./gateway_completions.ts";
 import { registerEntries } from "./gateway_entries.ts";
 import { registerOperator } from "./gateway_operator.ts";
@@ -21,21 +21,7 @@
  */
 export function makeApp(dependencies: GatewayDependencies): Hono<GatewayEnv> {
   const app = new Hono<GatewayEnv>();
-  const { bodyMaxBytes } = dependencies.settings.limits;
-  app.use(
-    "*",
-    bodyLimit({
-      maxSize: bodyMaxBytes,
-      onError: (context) =>
-        problemResponse(
-          context,
-          core.refuse(
-            core.BODY_TOO_LARGE,
-            `the body may have ${bodyMaxBytes} bytes`,
-          ),
-        ),
-    }),
-  );
+  app.use("*", readBodies(dependencies));
   app.use("*", async (context, next) => {
     await next();
     closeIfLeaving(context, dependencies.admission);
--- a/packages/gateway/gateway_types.ts
+++ b/packages/gateway/gateway_types.ts
@@ -5,6 +5,7 @@
 import type * as core from "../core/mod.ts";
 import type * as fairness from "../fairness/mod.ts";
 import type * as limits from "../limits/mod.ts";
+import type * as memory from "../memory/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import type * as peers from "../peers/mod.ts";
 import type * as placement from "../placement/mod.ts";
@@ -54,6 +55,7 @@
   readonly burn: metrics.BurnTracker;
   /** Order in which the callers' requests get places on engines. */
   readonly teamOrder: fairness.TeamOrder;
+  readonly limitReporter: memory.LimitReporter;
   /** Called after this instance has accepted a table edit. */
   readonly onEdit: () => void;
   /**
--- a/packages/instance/callers/callers_listener.ts
+++ b/packages/instance/callers/callers_listener.ts
@@ -65,7 +65,11 @@
   #held: Promise<void> | undefined;
   #endHold: () => void = () => undefined;
 
-  constructor(app: Hono<gateway.GatewayEnv>) {
+  /** @param limit limits the connections of the server. */
+  constructor(
+    app: Hono<gateway.GatewayEnv>,
+    limit: (server: Server) => void = () => {},
+  ) {
     const server: ServerType = createAdaptorServer({
       fetch: async (request, { incoming, outgoing }) => {
         const bindings = { incoming, outgoing } as HttpBindings;
@@ -76,6 +80,7 @@
       },
     });
     this.#server = server as Server;
+    limit(this.#server);
     this.#server.on("connection", (socket) => {
       this.#acceptedConnections++;
       this.#connections.set(socket, new CallerConnection(socket));
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -1,4 +1,5 @@
 /** Assembles one entry instance, supervises its tasks and shuts it down. */
+import type { Server } from "node:http";
 import process from "node:process";
 import { Agent } from "undici";
 import * as claims from "../claims/mod.ts";
@@ -7,6 +8,7 @@
 import * as gateway from "../gateway/mod.ts";
 import * as ledger from "../ledger/mod.ts";
 import * as limits from "../limits/mod.ts";
+import * as memory from "../memory/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import * as peers from "../peers/mod.ts";
 import * as placement from "../placement/mod.ts";
@@ -75,6 +77,7 @@
 /** A running entry instance. */
 export class Instance {
   readonly logger: core.Logger;
+  readonly #limitReporter: memory.LimitReporter;
   readonly recorder = new metrics.MetricsRecorder();
   readonly #teamOrder = new fairness.TeamOrder({
     onUnderserved: (underserved) => {
@@ -119,6 +122,15 @@
     const instanceId = core.brandId<core.InstanceId>(validSettings.instanceId);
     const incarnation = core.randomId<core.Incarnation>("in");
     this.logger = new core.Logger({ instanceId });
+    this.#limitReporter = new memory.LimitReporter(this.logger);
+    const { memoryMb, descriptorsMax } = validSettings.limits;
+    memory.processMemory.configure(memory.deriveLimits({
+      ...(memoryMb ? { memoryMb } : {}),
+      ...(descriptorsMax ? { descriptorsMax } : {}),
+    }));
+    this.#lifecycle.addCleanup(
+      new memory.MemoryWatch(memory.processMemory, this.logger).start(),
+    );
     this.#supervisor = new core.Supervisor("instance", this.logger);
     this.directory = new peers.PeerDirectory({
       instanceId,
@@ -231,30 +243,34 @@
       demandAggregator: this.#demandAggregator,
       onDemand: () => this.#placementTask.planSoon(),
     });
-    this.#callersListener = new CallersListener(gateway.makeApp({
-      settings: validSettings,
-      logger: this.logger,
-      tableCache: this.tableCache,
-      tableStore: this.#tableStore,
-      fleet: this.fleet,
-      policy: policies.routing ?? makeRouting(validSettings.policies.routing),
-      retryBudget: new routing.RetryBudget({
-        retriesPerRequest: RETRIES_PER_REQUEST,
-        balanceMax: RETRY_BALANCE_MAX,
+    this.#callersListener = new CallersListener(
+      gateway.makeApp({
+        settings: validSettings,
+        logger: this.logger,
+        tableCache: this.tableCache,
+        tableStore: this.#tableStore,
+        fleet: this.fleet,
+        policy: policies.routing ?? makeRouting(validSettings.policies.routing),
+        retryBudget: new routing.RetryBudget({
+          retriesPerRequest: RETRIES_PER_REQUEST,
+          balanceMax: RETRY_BALANCE_MAX,
+        }),
+        clients: this.#upstreamClients,
+        claims: this.claimRunner,
+        demand,
+        limits: this.#limitShares,
+        directory: this.directory,
+        admission: this.admission,
+        metrics: this.recorder,
+        burn: new metrics.BurnTracker(),
+        teamOrder: this.#teamOrder,
+        limitReporter: this.#limitReporter,
+        onEdit: () => this.#exchangeTask.exchangeSoon(),
+        onColdStart: () => this.#demandTask.reportSoon(),
+        gauges: () => this.#gauges(),
       }),
-      clients: this.#upstreamClients,
-      claims: this.claimRunner,
-      demand,
-      limits: this.#limitShares,
-      directory: this.directory,
-      admission: this.admission,
-      metrics: this.recorder,
-      burn: new metrics.BurnTracker(),
-      teamOrder: this.#teamOrder,
-      onEdit: () => this.#exchangeTask.exchangeSoon(),
-      onColdStart: () => this.#demandTask.reportSoon(),
-      gauges: () => this.#gauges(),
-    }));
+      (server) => this.#limitConnections(server, "callers"),
+    );
   }
 
   /**
@@ -284,6 +300,7 @@
         port: listenSettings.peerPort,
         meter: this.#controlMeter,
         patience: this.#listenPatience("peers"),
+        limit: (server) => this.#limitConnections(server, "peers"),
       },
     );
     this.#lifecycle.addCleanup(peerListener.cleanup);
@@ -312,6 +329,15 @@
     return { ...addresses, callerPort, peerPort };
   }
 
+  #limitConnections(server: Server, clients: "callers" | "peers"): void {
+    memory.limitConnections(server, {
+      listener: clients,
+      clients,
+      memory: memory.processMemory,
+      reporter: this.#limitReporter,
+    });
+  }
+
   /** Waits out the planned stop of the process that had the addresses before. */
   #listenPatience(listener: string): transport.ListenPatience {
     const { entriesMaxAgeMs, finishMaxMs } = this.#settings.drain;
@@ -439,6 +465,9 @@
     const { counters: storeCounters } = this.store;
     const cpu = process.cpuUsage();
     return {
+      ...this.#limitReporter.metrics,
+      memory_held_bytes: memory.processMemory.heldBytes,
+      memory_limit_bytes: memory.processMemory.bytesMax,
       cpu_s_total: (cpu.user + cpu.system) / MICROS_PER_S,
       resident_bytes: process.memoryUsage.rss(),
       control_bytes_total: this.#controlMeter.totalBytes,
--- a/packages/peers/peers_server.ts
+++ b/packages/peers/peers_server.ts
@@ -31,6 +31,8 @@
   readonly meter: transport.SocketMeter;
   /** How long to wait for an address that is in use. */
   readonly patience?: transport.ListenPatience;
+  /** Limits the connections of the server. */
+  readonly limit?: (server: Server) => void;
 }
 
 function makeRoutes(handlers: PeerHandlers): (router: ConnectRouter) => void {
@@ -61,6 +63,7 @@
   const server = createServer(
     connectNodeAdapter({ routes: makeRoutes(handlers), acceptCompression: [] }),
   );
+  options.limit?.(server);
   const sockets = new Set<Socket>();
   server.on("connection", (socket) => {
     sockets.add(socket);
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -93,6 +93,15 @@
   };
 }
 
+/** A count that is 0 unless it is known. */
+const countOrUnknown: FieldRule = {
+  kind: "number",
+  min: 0,
+  max: 100_000_000,
+  isInteger: true,
+  defaultValue: 0,
+};
+
 function ratio(defaultRatio: number): FieldRule {
   return {
     kind: "number",
@@ -170,8 +179,8 @@
   limits: object({
     bodyMaxBytes: count(1_048_576, 1_073_741_824),
     inProgressMax: count(4_000),
-    memoryMb: count(1_024),
-    descriptorsMax: count(10_000),
+    memoryMb: countOrUnknown,
+    descriptorsMax: countOrUnknown,
     unsettledClaimsMax: count(10_000),
   }),
   policies: object({
--- a/packages/settings/settings_types.ts
+++ b/packages/settings/settings_types.ts
@@ -95,9 +95,9 @@
   readonly limits: {
     readonly bodyMaxBytes: number;
     readonly inProgressMax: number;
-    /** Memory of the machine, for this process. */
+    /** Memory of the machine for this process; 0 if not known. */
     readonly memoryMb: number;
-    /** File descriptors that the process may have open. */
+    /** File descriptors that the process may have open; 0 if not known. */
     readonly descriptorsMax: number;
     readonly unsettledClaimsMax: number;
   };
