--- a/packages/entry/entry_caller_listener.ts
+++ b/packages/entry/entry_caller_listener.ts
@@ -38,13 +38,8 @@
 const OVERLOADED = "node is overloaded";
 /** Why a node that stops rejects or ends requests. */
 const STOPPING = "node is stopping";
-/** Statuses of bodies that were not read; callers that left get none. */
-const STATUS_BY_BODY_FAILURE = {
-  tooLarge: 413,
-  tooSlow: 408,
-  shed: 503,
-  left: undefined,
-} as const;
+/** Statuses for bodies that were not read. */
+const STATUS_BY_BODY_FAILURE = { tooLarge: 413, tooSlow: 408, shed: 503 };
 /** Time kept free before the end of a planned stop. */
 const STOP_MARGIN_MS = 300;
 /**
@@ -417,8 +412,8 @@
     reply: relay.CallerResponse,
     { kind, reason }: relay.BodyFailure,
   ): void {
-    const status = STATUS_BY_BODY_FAILURE[kind];
-    if (status !== undefined) {
+    if (kind !== "left") {
+      const status = STATUS_BY_BODY_FAILURE[kind];
       return this.#reject(request, reply, status, reason);
     }
     this.#state.logger.info("request_body_incomplete", { reason });
--- a/packages/gateway/gateway_body.ts
+++ b/packages/gateway/gateway_body.ts
@@ -1,6 +1,4 @@
 /** Reads the bodies of callers' requests within the memory of the process. */
-import { err, ok, type Result } from "neverthrow";
-import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { MiddlewareHandler } from "hono";
 import * as core from "../core/mod.ts";
@@ -20,56 +18,19 @@
 function outOfMemory(): core.Failure {
   return core.refuse(
     core.INSTANCE_FULL,
-    "out of memory",
+    memory.OUT_OF_MEMORY,
     FULL_RETRY_AFTER_MS,
   );
 }
 
-/** Reads bodies; each request holds memory until its response has ended. */
-class BodyReader {
-  readonly #bytesMax: number;
-  readonly #reporter: memory.LimitReporter;
-
-  constructor({ settings, limitReporter }: GatewayDependencies) {
-    this.#bytesMax = settings.limits.bodyMaxBytes;
-    this.#reporter = limitReporter;
-  }
-
-  async read(
-    request: IncomingMessage,
-    hold: memory.RequestHold,
-  ): Promise<Result<Buffer, core.Failure>> {
-    const bytesMax = this.#bytesMax;
-    try {
-      const declaredBytes = Number(request.headers["content-length"] ?? 0);
-      if (declaredBytes > bytesMax) throw new relay.BodyTooLargeError();
-      return ok(await relay.readBody(request, bytesMax, BODY_TIMEOUT_MS, hold));
-    } catch (thrown) {
-      if (thrown instanceof relay.BodyTooLargeError) {
-        this.#reporter.note("body_bytes", { max: bytesMax });
-        const detail = `the body may have ${bytesMax} bytes`;
-        return err(core.refuse(core.BODY_TOO_LARGE, detail));
-      }
-      if (thrown instanceof relay.BodyShedError) {
-        this.noteShed();
-        return err(outOfMemory());
-      }
-      if (thrown instanceof relay.BodyTimeoutError) {
-        this.#reporter.note("body_rate");
-      }
-      return err(core.refuse(core.BODY_TOO_SLOW, core.messageOf(thrown)));
-    }
-  }
-
-  noteShed(): void {
-    const { heldBytes, bytesMax } = memory.processMemory;
-    this.#reporter.note("memory", { heldBytes, bytesMax });
-  }
-
-  noteFull(): void {
-    const max = memory.processMemory.limits.requestsMax;
-    this.#reporter.note("requests", { max });
-  }
+function failureOf(
+  { kind, reason }: relay.BodyFailure,
+  bytesMax: number,
+): core.Failure {
+  if (kind === "shed") return outOfMemory();
+  return kind === "tooLarge"
+    ? core.refuse(core.BODY_TOO_LARGE, `the body may have ${bytesMax} bytes`)
+    : core.refuse(core.BODY_TOO_SLOW, reason);
 }
 
 /**
@@ -83,20 +44,31 @@
 export function readBodies(
   dependencies: GatewayDependencies,
 ): MiddlewareHandler<GatewayEnv> {
-  const reader = new BodyReader(dependencies);
+  const { settings, limitReporter: reporter } = dependencies;
+  const bytesMax = settings.limits.bodyMaxBytes;
   return async (context, next) => {
     const { incoming, outgoing } = context.env;
     if (BODILESS_METHODS.has(context.req.method)) return await next();
-    const hold = memory.processMemory.openRequest();
-    if (!hold) {
-      reader.noteFull();
-      return problemResponse(context, outOfMemory());
+    const declaredBytes = Number(incoming.headers["content-length"] ?? 0);
+    if (declaredBytes > bytesMax) {
+      reporter.note("body_bytes", { max: bytesMax });
+      const failure = { kind: "tooLarge", reason: "" } as const;
+      return problemResponse(context, failureOf(failure, bytesMax));
     }
+    const hold = memory.processMemory.openRequest(reporter);
+    if (!hold) return problemResponse(context, outOfMemory());
     outgoing.once("close", () => hold.close());
-    const body = await reader.read(incoming as IncomingMessage, hold);
-    if (body.isErr()) return problemResponse(context, body.error);
+    const body = await relay.receiveBody(incoming as IncomingMessage, {
+      bytesMax,
+      timeoutMs: BODY_TIMEOUT_MS,
+      hold,
+      reporter,
+    });
+    if (body.isErr()) {
+      return problemResponse(context, failureOf(body.error, bytesMax));
+    }
     hold.onShed = () => {
-      reader.noteShed();
+      reporter.noteShed(memory.processMemory);
       outgoing.destroy();
     };
     hold.setRead(body.value.length * TEXT_FACTOR);
--- a/packages/relay/relay_body_intake.ts
+++ b/packages/relay/relay_body_intake.ts
@@ -39,8 +39,6 @@
   { bytesMax, timeoutMs, hold, reporter }: BodyLimits,
 ): Promise<Result<Buffer, BodyFailure>> {
   try {
-    const declaredBytes = Number(request.headers["content-length"] ?? 0);
-    if (declaredBytes > bytesMax) throw new BodyTooLargeError();
     return ok(await readBody(request, bytesMax, timeoutMs, hold));
   } catch (thrown) {
     if (thrown instanceof BodyTooLargeError) {
