Measure a node's overload by the memory in use

Cause: the C library keeps freed memory, so the resident memory of a small node stays near its limit after a crowd, and the node would stay overloaded.

Change: memory.usedBytes, which the memory watch uses already, is the source of the overload's memory.

--- a/packages/entry/capacity/entry_load_sources.ts
+++ b/packages/entry/capacity/entry_load_sources.ts
@@ -2,8 +2,8 @@
 import { readdir } from "node:fs/promises";
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import process from "node:process";
 import * as capacity from "../../capacity/mod.ts";
+import * as memory from "../../memory/mod.ts";
 import type * as fleet from "../../fleet/mod.ts";
 
 /** Names of the descriptors that this process has open; only on Linux. */
@@ -99,7 +99,7 @@
         new capacity.LimitSource(
           "memory",
           memoryMb * BYTES_PER_MB,
-          () => process.memoryUsage.rss(),
+          () => memory.usedBytes(),
         ),
       ]
       : []),
--- a/packages/memory/memory_watch.ts
+++ b/packages/memory/memory_watch.ts
@@ -20,6 +20,25 @@
 /** Growth since the last collection that makes another one worth while. */
 const GROWTH_BYTES_MIN = 4 * 1024 * 1024;
 
+/** Resident memory beside the heap and its buffers, such as code. */
+let nativeBytes: number | undefined;
+
+/**
+ * Returns the memory that this process uses. The C library keeps most of what is
+ * freed for the next use, so resident memory alone stays high after a crowd has
+ * left.
+ *
+ * @example
+ * ```ts
+ * const isFull = memory.usedBytes() > 0.9 * machineBytes;
+ * ```
+ */
+export function usedBytes(): number {
+  const { rss, heapTotal, external } = process.memoryUsage();
+  nativeBytes ??= rss - heapTotal - external;
+  return Math.min(rss, nativeBytes + heapTotal + external);
+}
+
 /** What a watch reads of its process, and may do to it. */
 export abstract class WatchedProcess {
   /** Memory in use, without what was freed and is kept for the next use. */
@@ -33,25 +52,16 @@
 /** The process that runs this. */
 class OwnProcess extends WatchedProcess {
   readonly #collect: (options?: { type: "minor" }) => void;
-  /** Resident memory beside the heap and its buffers, such as code. */
-  readonly #nativeBytes: number;
 
   constructor() {
     super();
     // V8's collections are not exposed by default.
     v8.setFlagsFromString("--expose-gc");
     this.#collect = vm.runInNewContext("gc");
-    const { rss, heapTotal, external } = process.memoryUsage();
-    this.#nativeBytes = rss - heapTotal - external;
   }
 
-  /**
-   * The C library keeps most of what is freed, so the resident memory alone
-   * would stay high after a crowd has left.
-   */
   override usedBytes(): number {
-    const { rss, heapTotal, external } = process.memoryUsage();
-    return Math.min(rss, this.#nativeBytes + heapTotal + external);
+    return usedBytes();
   }
 
   override collect(): void {
@@ -110,28 +120,28 @@
   check(nowMs: number): void {
     const { memoryBytes } = this.#memory.limits;
     if (memoryBytes === undefined) return;
-    let usedBytes = this.#process.usedBytes();
+    let bytes = this.#process.usedBytes();
     const canCollect = nowMs - this.#collectedAtMs >= COLLECT_INTERVAL_MS &&
-      usedBytes > this.#afterCollectionBytes + GROWTH_BYTES_MIN;
-    if (usedBytes > memoryBytes * COLLECT_PART && canCollect) {
+      bytes > this.#afterCollectionBytes + GROWTH_BYTES_MIN;
+    if (bytes > memoryBytes * COLLECT_PART && canCollect) {
       this.#process.collect();
-      usedBytes = this.#process.usedBytes();
+      bytes = this.#process.usedBytes();
       this.#collectedAtMs = nowMs;
-      this.#afterCollectionBytes = usedBytes;
+      this.#afterCollectionBytes = bytes;
     }
     // It falls by what was shed, so it has to fall below the first mark to end.
     const part = this.#isUnderPressure ? COLLECT_PART : SHED_PART;
-    this.#setPressure(usedBytes > memoryBytes * part, usedBytes);
+    this.#setPressure(bytes > memoryBytes * part, bytes);
   }
 
-  #setPressure(isUnderPressure: boolean, usedBytes: number): void {
+  #setPressure(isUnderPressure: boolean, bytes: number): void {
     if (isUnderPressure === this.#isUnderPressure) return;
     this.#isUnderPressure = isUnderPressure;
     this.#memory.setPressure(isUnderPressure ? PRESSURE : 1);
     const { heldBytes, bytesMax } = this.#memory;
     this.#logger.warn("memory_pressure", {
       active: isUnderPressure,
-      usedBytes,
+      usedBytes: bytes,
       heldBytes,
       bytesMax,
     });
--- a/packages/memory/mod.ts
+++ b/packages/memory/mod.ts
@@ -9,4 +9,4 @@
 export type { NodeLimits } from "./memory_limits.ts";
 export { LimitReporter, OUT_OF_MEMORY } from "./memory_reporter.ts";
 export type { LimitName } from "./memory_reporter.ts";
-export { MemoryWatch, WatchedProcess } from "./memory_watch.ts";
+export { MemoryWatch, usedBytes, WatchedProcess } from "./memory_watch.ts";
