Answer on the directory's address of its own again

Cause: the directory's server took over the first listener of the readiness server, which is that of the connection limits since these are there, so that it answered nothing.

Change: both servers get the same function.

Measured: platform_process_test hung in its first test before; by hand the directory answers 200 after.

--- a/packages/entry/entry_system_listeners.ts
+++ b/packages/entry/entry_system_listeners.ts
@@ -1,5 +1,5 @@
 /** The readiness, directory and metrics endpoints of an entry node. */
-import { createServer, type Server } from "node:http";
+import { createServer, type RequestListener, type Server } from "node:http";
 import process from "node:process";
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
@@ -62,7 +62,7 @@
   patienceFor: (listener: string) => transport.ListenPatience,
 ): Promise<void> {
   const { readiness, directory } = state.settings.listen;
-  const platformServer = createServer(SERVER_OPTIONS, (request, response) => {
+  const answer: RequestListener = (request, response) => {
     const endpoint = dialect.matchSystemEndpoint(request.url ?? "");
     if (endpoint === "ready") {
       response.writeHead(state.isReady ? 200 : 503).end();
@@ -77,7 +77,8 @@
       response.writeHead(200, { "content-type": "application/json" })
         .end(dialect.writeDirectory(addresses, ttlMs));
     } else response.writeHead(404).end();
-  });
+  };
+  const platformServer = createServer(SERVER_OPTIONS, answer);
   const listen = async (
     name: string,
     server: Server,
@@ -95,7 +96,7 @@
   if (!isShared) {
     const directoryServer = createServer(
       SERVER_OPTIONS,
-      platformServer.listeners("request")[0] as () => void,
+      answer,
     );
     await listen("directory", directoryServer, directory);
   }
