--- /dev/null
+++ b/packages/admission/admission_shares.ts
@@ -0,0 +1,207 @@
+/**
+ * Admits requests by what the other nodes may send at the same time. Pattern of
+ * load: many nodes with sums 50 to 200 ms old see the same room at the same
+ * moment. Where the room is large enough for all that are likely to come, a node
+ * sends at once; else it announces a claim and sends when it is its turn.
+ */
+import * as core from "../core/mod.ts";
+import { ArrivalsTable } from "./admission_arrivals.ts";
+import type { EngineMemory } from "./admission_memory.ts";
+import {
+  type AdmissionRequest,
+  AdmissionRule,
+  type Competition,
+  type EngineRoom,
+} from "./admission_rule.ts";
+
+/** Share of the memory that is used; the rest is for longer outputs. */
+const USED_SHARE = 0.95;
+/** Accepted probability that the sends of others exceed the rest. */
+const RISK = 1e-4;
+/** Requests of others from which the usual size is known. */
+const SAMPLES_MIN = 4;
+/** Room for fewer requests is given out by claims. */
+const TIGHT_PLACES = 6;
+/** Size of a request while few others are known. */
+const REQUEST_TOKENS_DEFAULT = 2_500;
+/** Time after which every node knows of a send while the exchange works. */
+const VISIBLE_AFTER_MS = 200;
+/** Oldest sums by mean age, relative to the mean. */
+const AGE_MAX_FACTOR = 1.5;
+/** Age of the sums from which a node uses only its own part. */
+const CUT_AFTER_MS = 800;
+/** Time in which the requests end that the last sums contain. */
+const SUMS_LAST_MS = 10_000;
+/** A request above this share of the memory is sent only after a claim. */
+const LARGE_SHARE = 0.25;
+/** Time after which a claim moves to another engine. */
+const CLAIM_MOVE_MS = 2_000;
+/** Difference of the use of two engines that says nothing. */
+const NEAR_TOKENS = 5_000;
+/** Claims on one engine that nodes hear of, the first ones. */
+export const CLAIMS_TOLD_MAX = 4;
+/** Lower part of a ticket, which is random; the upper one is the order. */
+const TICKET_RANDOM = 2 ** 32;
+
+/** What a node may send to engines that others send to as well. */
+export class SharesRule extends AdmissionRule {
+  readonly #node: string;
+  readonly #nodes: () => number;
+  readonly #arrivals: ArrivalsTable;
+  readonly #claimed = new WeakMap<object, EngineMemory>();
+  #claims = 0;
+
+  /**
+   * @param nodes number of nodes that may send to the engines.
+   * @param risk accepted probability of an overrun by sends without a claim.
+   */
+  constructor(node: string, nodes: () => number, risk = RISK) {
+    super();
+    this.#node = node;
+    this.#nodes = nodes;
+    this.#arrivals = new ArrivalsTable(risk);
+  }
+
+  override admits(
+    room: EngineRoom,
+    { tokens }: AdmissionRequest,
+    competition: Competition,
+    nowMs: number,
+  ): boolean {
+    const { memory } = room;
+    const { others } = memory;
+    const ageMs = memory.othersAgeMs(nowMs);
+    const nodes = this.#nodes();
+    if (nodes > 1 && ageMs > CUT_AFTER_MS) {
+      return this.#admitsCut(room, tokens, ageMs);
+    }
+    const usable = usableTokens(room);
+    // An idle engine takes a request of any size, and refuses it if need be.
+    const needed = Math.min(tokens, usable);
+    const free = usable - memory.ownTokens - others.tokens;
+    if (needed > free) return false;
+    if (nodes <= 1) return true;
+    if (isClaimDue(memory, needed, free, ageMs, nowMs)) return true;
+    if (needed > usable * LARGE_SHARE) return false;
+    const places = placesBeside(room, needed);
+    const competing = competition.expectedSends(ageMs) / room.alternatives;
+    const safeMean = this.#arrivals.safeMean(places);
+    if (competing <= safeMean) return true;
+    // As many nodes as are safe, and each but once until the others know.
+    if (memory.hasSentWithin(VISIBLE_AFTER_MS, nowMs)) return false;
+    return this.#draw(room.id, nowMs) < safeMean / competing;
+  }
+
+  override claim(
+    { key, tokens }: AdmissionRequest,
+    rooms: readonly EngineRoom[],
+    nowMs: number,
+  ): void {
+    const held = this.#claimed.get(key);
+    const claim = held?.claim(nowMs);
+    if (held && claim) {
+      if (nowMs - claim.placedAtMs < CLAIM_MOVE_MS) {
+        return held.touchClaim(nowMs);
+      }
+      held.dropClaim();
+    }
+    // Where there is room for several, one of the next draws comes sooner.
+    const isTight = rooms.every((room) =>
+      tokens > usableTokens(room) * LARGE_SHARE ||
+      placesBeside(room, tokens) < TIGHT_PLACES
+    );
+    if (!isTight) return;
+    const best = this.#leastUsed(rooms, nowMs);
+    if (!best) return;
+    const { memory } = best;
+    const { firstClaims } = memory.others;
+    const lastTicket = firstClaims.at(-1)?.ticket ?? 0;
+    const order = Math.floor(lastTicket / TICKET_RANDOM) + 1;
+    const random = core.hash32(`${this.#node} ${best.id} ${++this.#claims}`);
+    memory.placeClaim({
+      tokens: Math.min(tokens, usableTokens(best)),
+      ticket: order * TICKET_RANDOM + random,
+      placedAtMs: nowMs,
+    });
+    this.#claimed.set(key, memory);
+  }
+
+  override release({ key }: AdmissionRequest): void {
+    this.#claimed.get(key)?.dropClaim();
+    this.#claimed.delete(key);
+  }
+
+  /** One of the least used engines without a claim, another for each node. */
+  #leastUsed(
+    rooms: readonly EngineRoom[],
+    nowMs: number,
+  ): EngineRoom | undefined {
+    const left = rooms.filter(({ memory }) => !memory.claim(nowMs));
+    const least = Math.min(...left.map(usedTokens));
+    const [id] = core.rendezvous(
+      this.#node,
+      left.filter((room) => usedTokens(room) <= least + NEAR_TOKENS)
+        .map((room) => room.id),
+    );
+    return left.find((room) => room.id === id);
+  }
+
+  /** A number from 0 to 1 for an engine, which changes once a send is known. */
+  #draw(engine: string, nowMs: number): number {
+    const turn = Math.floor(nowMs / VISIBLE_AFTER_MS);
+    return core.hash32(`${this.#node} ${engine} ${turn}`) / 2 ** 32;
+  }
+
+  /** Without current sums: its own part of what was free by the last ones. */
+  #admitsCut(room: EngineRoom, tokens: number, ageMs: number): boolean {
+    const { others, ownTokens } = room.memory;
+    const left = Math.max(0, 1 - ageMs / SUMS_LAST_MS);
+    const senders = Math.min(this.#nodes(), others.inFlight + 1);
+    const part = (usableTokens(room) - others.tokens * left) / senders;
+    return ownTokens + tokens <= part;
+  }
+}
+
+function usableTokens({ capacityTokens }: EngineRoom): number {
+  return capacityTokens * USED_SHARE;
+}
+
+/** Requests of the usual size that find room besides one. */
+function placesBeside(room: EngineRoom, tokens: number): number {
+  const { inFlight, tokens: othersTokens } = room.memory.others;
+  const meanTokens = inFlight >= SAMPLES_MIN
+    ? othersTokens / inFlight
+    : REQUEST_TOKENS_DEFAULT;
+  return (usableTokens(room) - usedTokens(room) - tokens) / meanTokens;
+}
+
+function usedTokens({ memory }: EngineRoom): number {
+  const { tokens, claimedTokens } = memory.others;
+  return memory.ownTokens + tokens + claimedTokens;
+}
+
+/**
+ * Whether it is the turn of this node's claim: it was placed so long ago that all
+ * claims and sends of nodes which didn't know of it are in the sums, and none of
+ * them goes first.
+ */
+function isClaimDue(
+  memory: EngineMemory,
+  tokens: number,
+  free: number,
+  ageMs: number,
+  nowMs: number,
+): boolean {
+  const claim = memory.claim(nowMs);
+  if (claim === undefined || claim.tokens < tokens) return false;
+  const delayMs = Math.max(VISIBLE_AFTER_MS, AGE_MAX_FACTOR * ageMs);
+  if (nowMs - claim.placedAtMs < 2 * delayMs) return false;
+  const { firstClaims } = memory.others;
+  let before = 0;
+  for (const other of firstClaims) {
+    if (other.ticket >= claim.ticket) return before + tokens <= free;
+    before += other.tokens;
+  }
+  // Not among the first, or nobody has heard of it yet.
+  return firstClaims.length < CLAIMS_TOLD_MAX && before + tokens <= free;
+}
--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -1,4 +1,5 @@
 /** Tracks load, replicas and health of every upstream known to this node. */
+import * as admission from "../admission/mod.ts";
 import * as core from "../core/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as rates from "../rates/mod.ts";
@@ -32,6 +33,16 @@
   readonly prefillMs: number;
   /** Reserved engine memory, in tokens. */
   readonly tokens: number;
+  /** Requests sent lately; 0 if not told. */
+  readonly recentSends?: number;
+  /** Queued requests that may be sent there; 0 if not known. */
+  readonly contenders?: number;
+  /** Engine memory kept for requests that are not sent yet, in tokens. */
+  readonly claimedTokens?: number;
+  /** The claims of all nodes on its memory that go first. */
+  readonly firstClaims?: readonly admission.TicketedClaim[];
+  /** Mean age of the sums. */
+  readonly ageMs?: number;
 }
 
 /** A replica of a model on an engine. */
@@ -62,6 +73,7 @@
 /** State of one incarnation of an upstream, as seen by this node. */
 export class UpstreamState {
   readonly health = new UpstreamHealth();
+  readonly memory = new admission.EngineMemory();
   /** For how long it has asked for no requests. */
   readonly quiet: QuietTime;
   readonly prefixCache: PrefixCacheTracker;
@@ -136,8 +148,10 @@
     this.#local.add(request);
     this.#updateOldestInFlight();
     const uncount = this.quiet.countSent(request.sentAtMs);
+    const release = this.memory.hold(request.reservedTokens, request.sentAtMs);
     return () => {
       uncount();
+      release();
       this.#local.delete(request);
       this.#updateOldestInFlight();
     };
@@ -176,6 +190,15 @@
     this.#peerLoad = load;
     this.#isSuspectedByPeers = isSuspect;
     this.#peerLoadAtMs = nowMs;
+    this.memory.setOthers({
+      inFlight: load.inFlight,
+      tokens: load.tokens,
+      recentSends: load.recentSends ?? 0,
+      contenders: load.contenders ?? 0,
+      claimedTokens: load.claimedTokens ?? 0,
+      firstClaims: load.firstClaims ?? [],
+      ageMs: load.ageMs ?? 0,
+    }, nowMs);
   }
 
   /** Time since the load of the other nodes was last received, in ms. */
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -23,8 +23,18 @@
 export { SharedRetryBudget } from "./dispatch_retry_budget.ts";
 export { LeavingUpstreams } from "./dispatch_leaving.ts";
 export type { LeavingUpstream } from "./dispatch_leaving.ts";
-export { chooseEngine } from "./dispatch_choice.ts";
-export type { EngineChoice, RequestNeeds } from "./dispatch_choice.ts";
+export { chooseEngine, neededTokensOf } from "./dispatch_choice.ts";
+export type {
+  ChoiceContext,
+  EngineChoice,
+  RequestNeeds,
+} from "./dispatch_choice.ts";
+export {
+  CheapestEngine,
+  EngineSpread,
+  SpreadByNode,
+} from "./dispatch_spread.ts";
+export type { CostedEngine } from "./dispatch_spread.ts";
 export { chooseInstance } from "./dispatch_services.ts";
 export {
   estimateQueueWaitMs,
