--- a/packages/admission/admission_shares.ts
+++ b/packages/admission/admission_shares.ts
@@ -7,6 +7,7 @@
 import * as core from "../core/mod.ts";
 import { ArrivalsTable } from "./admission_arrivals.ts";
 import type { EngineMemory } from "./admission_memory.ts";
+import { type NodesView, OwnParts } from "./admission_parts.ts";
 import {
   type AdmissionRequest,
   AdmissionRule,
@@ -15,7 +16,7 @@
 } from "./admission_rule.ts";
 
 /** Share of the memory that is used; the rest is for longer outputs. */
-const USED_SHARE = 0.95;
+const USED_SHARE = 0.92;
 /** Accepted probability that the sends of others exceed the rest. */
 const RISK = 1e-4;
 /** Requests of others from which the usual size is known. */
@@ -30,8 +31,6 @@
 const AGE_MAX_FACTOR = 1.5;
 /** Age of the sums from which a node uses only its own part. */
 const CUT_AFTER_MS = 800;
-/** Time in which the requests end that the last sums contain. */
-const SUMS_LAST_MS = 10_000;
 /** A request above this share of the memory is sent only after a claim. */
 const LARGE_SHARE = 0.25;
 /** Time after which a claim moves to another engine. */
@@ -46,16 +45,17 @@
 /** What a node may send to engines that others send to as well. */
 export class SharesRule extends AdmissionRule {
   readonly #node: string;
-  readonly #nodes: () => number;
+  readonly #nodes: () => NodesView;
+  readonly #parts = new OwnParts();
   readonly #arrivals: ArrivalsTable;
   readonly #claimed = new WeakMap<object, EngineMemory>();
   #claims = 0;
 
   /**
-   * @param nodes number of nodes that may send to the engines.
+   * @param nodes the nodes that may send to the engines.
    * @param risk accepted probability of an overrun by sends without a claim.
    */
-  constructor(node: string, nodes: () => number, risk = RISK) {
+  constructor(node: string, nodes: () => NodesView, risk = RISK) {
     super();
     this.#node = node;
     this.#nodes = nodes;
@@ -72,18 +72,26 @@
     const { others } = memory;
     const ageMs = memory.othersAgeMs(nowMs);
     const nodes = this.#nodes();
-    if (nodes > 1 && ageMs > CUT_AFTER_MS) {
-      return this.#admitsCut(room, tokens, ageMs);
+    const isAlone = nodes.registered.length <= 1;
+    if (!isAlone && ageMs > CUT_AFTER_MS) {
+      const own = this.#parts.ownTokens(
+        room.id,
+        usableTokens(room),
+        this.#node,
+        nodes.registered,
+      );
+      return memory.ownTokens + tokens <= own;
     }
-    const usable = usableTokens(room);
+    const usable = this.#parts
+      .usableTokens(room.id, usableTokens(room), nodes);
     // An idle engine takes a request of any size, and refuses it if need be.
     const needed = Math.min(tokens, usable);
     const free = usable - memory.ownTokens - others.tokens;
     if (needed > free) return false;
-    if (nodes <= 1) return true;
+    if (isAlone) return true;
     if (isClaimDue(memory, needed, free, ageMs, nowMs)) return true;
     if (needed > usable * LARGE_SHARE) return false;
-    const places = placesBeside(room, needed);
+    const places = placesBeside(room, usable, needed);
     const competing = competition.expectedSends(ageMs) / room.alternatives;
     const safeMean = this.#arrivals.safeMean(places);
     if (competing <= safeMean) return true;
@@ -108,7 +116,7 @@
     // Where there is room for several, one of the next draws comes sooner.
     const isTight = rooms.every((room) =>
       tokens > usableTokens(room) * LARGE_SHARE ||
-      placesBeside(room, tokens) < TIGHT_PLACES
+      placesBeside(room, usableTokens(room), tokens) < TIGHT_PLACES
     );
     if (!isTight) return;
     const best = this.#leastUsed(rooms, nowMs);
@@ -151,15 +159,6 @@
     const turn = Math.floor(nowMs / VISIBLE_AFTER_MS);
     return core.hash32(`${this.#node} ${engine} ${turn}`) / 2 ** 32;
   }
-
-  /** Without current sums: its own part of what was free by the last ones. */
-  #admitsCut(room: EngineRoom, tokens: number, ageMs: number): boolean {
-    const { others, ownTokens } = room.memory;
-    const left = Math.max(0, 1 - ageMs / SUMS_LAST_MS);
-    const senders = Math.min(this.#nodes(), others.inFlight + 1);
-    const part = (usableTokens(room) - others.tokens * left) / senders;
-    return ownTokens + tokens <= part;
-  }
 }
 
 function usableTokens({ capacityTokens }: EngineRoom): number {
@@ -167,12 +166,16 @@
 }
 
 /** Requests of the usual size that find room besides one. */
-function placesBeside(room: EngineRoom, tokens: number): number {
+function placesBeside(
+  room: EngineRoom,
+  usable: number,
+  tokens: number,
+): number {
   const { inFlight, tokens: othersTokens } = room.memory.others;
   const meanTokens = inFlight >= SAMPLES_MIN
     ? othersTokens / inFlight
     : REQUEST_TOKENS_DEFAULT;
-  return (usableTokens(room) - usedTokens(room) - tokens) / meanTokens;
+  return (usable - usedTokens(room) - tokens) / meanTokens;
 }
 
 function usedTokens({ memory }: EngineRoom): number {
--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -5,6 +5,8 @@
   OthersMemoryUse,
   TicketedClaim,
 } from "./admission_memory.ts";
+export { OwnParts } from "./admission_parts.ts";
+export type { NodesView } from "./admission_parts.ts";
 export {
   AdmissionRule,
   Competition,
--- a/packages/dispatch/dispatch_queue.ts
+++ b/packages/dispatch/dispatch_queue.ts
@@ -40,6 +40,15 @@
     return this.#order.ahead(this.#queued, place);
   }
 
+  /** Number of queued requests for a model. */
+  count(modelKey: string): number {
+    let count = 0;
+    for (const queued of this.#queued) {
+      if (queued.modelKey === modelKey) count++;
+    }
+    return count;
+  }
+
   /** Engine time of all queued requests for a model. */
   queuedWorkMs(modelKey: string): number {
     let sumMs = 0;
--- a/packages/dispatch/tests/sim_figures.ts
+++ b/packages/dispatch/tests/sim_figures.ts
@@ -19,11 +19,11 @@
   },
   shares: {
     makeRule: (node, f) =>
-      new admission.SharesRule(node, () => f.options.nodes),
+      new admission.SharesRule(node, () => f.viewNodes(node)),
   },
   "shares+spread": {
     makeRule: (node, f) =>
-      new admission.SharesRule(node, () => f.options.nodes),
+      new admission.SharesRule(node, () => f.viewNodes(node)),
     makeSpread: (node) => new dispatch.SpreadByNode(node),
   },
   "today+spread": {
--- a/packages/dispatch/tests/sim_fleet.ts
+++ b/packages/dispatch/tests/sim_fleet.ts
@@ -27,6 +27,8 @@
   /** Delay before each send, as for a call to another node. */
   readonly sendDelayMs?: number;
   readonly crashesOnOverrun?: boolean;
+  /** Share of the exchanges that are lost. */
+  readonly lossShare?: number;
 }
 
 /** A request with its arrival. */
@@ -50,6 +52,8 @@
 const SNAPSHOTS_MAX = 130;
 /** Node whose digest is older is left out of the sums. */
 const DIGEST_TTL_MS = 1_000;
+const NOBODY: ReadonlySet<string> = new Set();
+const MEMBER_TIMEOUT_MS = 1_500;
 const PATIENCE_MS = 6_000;
 const RETRY_SENDS_MAX = 6;
 const DOWN_MS = 2_000;
@@ -107,6 +111,7 @@
   idleSamples = 0;
   readonly #spec: fleet.EngineSpec;
   readonly #stepTimes = new dispatch.StepTimeEstimator();
+  readonly #names: readonly string[];
   readonly #events: { atMs: number; run: () => void }[] = [];
   readonly #snapshots: {
     readonly all: Float32Array;
@@ -119,6 +124,7 @@
 
   constructor(options: SimOptions) {
     this.options = options;
+    this.#names = Array.from({ length: options.nodes }, (_, n) => `n${n}`);
     this.random = new SimRandom(options.seed);
     this.#spec = {
       slots: options.slots,
@@ -267,7 +273,8 @@
       this.nowMs + REFRESH_MS * (0.5 + this.random.next()),
       () => this.#refresh(node),
     );
-    if (node.cutSinceMs === undefined) {
+    const isLost = this.random.next() < (this.options.lossShare ?? 0);
+    if (node.cutSinceMs === undefined && !isLost) {
       const ageMs = ageMinMs + this.random.next() * (ageMaxMs - ageMinMs);
       const back = Math.round(ageMs / SNAPSHOT_MS);
       const at = Math.max(0, this.#snapshots.length - 1 - back);
@@ -310,6 +317,21 @@
     });
   }
 
+  /** The nodes as one of them sees them: who is cut off is lost to the rest. */
+  viewNodes(node: string): admission.NodesView {
+    if (!this.nodes.some((each) => each.cutSinceMs !== undefined)) {
+      return { registered: this.#names, lost: NOBODY };
+    }
+    const isCut = (each: SimNode) =>
+      each.cutSinceMs !== undefined &&
+      this.nowMs - each.cutSinceMs > MEMBER_TIMEOUT_MS;
+    const self = this.nodes.find(({ name }) => name === node);
+    const lost = this.nodes
+      .filter((each) => each !== self && (isCut(each) || (self && isCut(self))))
+      .map(({ name }) => name);
+    return { registered: this.#names, lost: new Set(lost) };
+  }
+
   get enginesWith(): number {
     const { engines, modelsPerEngine, models } = this.options;
     return engines * modelsPerEngine / models;
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -4,6 +4,12 @@
 import * as dispatch from "../dispatch/mod.ts";
 import * as peers from "../peers/mod.ts";
 import type { EntryState } from "./entry_state.ts";
+import {
+  addMemoryUse,
+  contendersByEngine,
+  hasMemoryUse,
+  memoryUseOf,
+} from "./memory/entry_memory_sums.ts";
 
 /** Load by upstream id. */
 export type UsesById = Map<string, peers.EngineUse>;
@@ -15,7 +21,8 @@
 ): peers.NodeDigest {
   const uses = [...state.upstreams.all()]
     .filter((upstream) =>
-      upstream.localRequests.size > 0 || isAvoided(upstream, nowMs)
+      upstream.localRequests.size > 0 || isAvoided(upstream, nowMs) ||
+      hasMemoryUse(memoryUseOf(upstream, nowMs))
     )
     .map((upstream) => toEngineUse(state, upstream, nowMs));
   return create(peers.NodeDigestSchema, {
@@ -78,7 +85,9 @@
     });
     const without = own.get(upstreamId);
     if (without) addLoad(use, without, -1);
-    if (use.inFlight > 0 || use.suspectingNodes > 0) rest.push(use);
+    const isUsed = use.inFlight > 0 || use.suspectingNodes > 0 ||
+      hasMemoryUse(use) || use.firstClaims.length > 0;
+    if (isUsed) rest.push(use);
   }
   return rest;
 }
@@ -102,6 +111,7 @@
   sum.suspectingNodes = core.toUint32(
     sum.suspectingNodes + sign * use.suspectingNodes,
   );
+  addMemoryUse(sum, use, sign);
 }
 
 function addModels(sum: peers.EngineUse, use: peers.EngineUse): void {
@@ -157,20 +167,34 @@
     );
 }
 
-/** Applies the other nodes' load to all upstreams; unlisted ones have none. */
+/**
+ * Applies the other nodes' load to all upstreams; unlisted ones have none.
+ *
+ * @param ageMs mean age of that load.
+ */
 export function applyPeerLoad(
   state: EntryState,
   uses: readonly peers.EngineUse[],
+  ageMs: number,
   nowMs: number,
 ): void {
   const useById = new Map(uses.map((use) => [use.upstreamId, use]));
+  const contenders = contendersByEngine(state);
   for (const upstream of state.upstreams.all()) {
-    const use = useById.get(upstream.record.id);
-    if (use) upstream.setPeerLoad(use, use.suspectingNodes > 0, nowMs);
-    else {
-      const none = { inFlight: 0, prefillMs: 0, tokens: 0 };
-      upstream.setPeerLoad(none, false, nowMs);
-    }
+    const { id } = upstream.record;
+    const use = useById.get(id);
+    upstream.setPeerLoad(
+      {
+        inFlight: 0,
+        prefillMs: 0,
+        tokens: 0,
+        ...use,
+        contenders: contenders.get(id) ?? 0,
+        ageMs,
+      },
+      use !== undefined && use.suspectingNodes > 0,
+      nowMs,
+    );
   }
 }
 
@@ -202,6 +226,7 @@
     prefillMs,
     tokens: core.toUint32(tokens),
     suspectingNodes: isAvoided(upstream, nowMs) ? 1 : 0,
+    ...memoryUseOf(upstream, nowMs),
     models: [...models].map(([modelKey, use]) => {
       const [model, adapter] = modelKey.split("/");
       return { model: model ?? "", adapter: adapter ?? "", ...use };
--- a/packages/entry/entry_exchange.ts
+++ b/packages/entry/entry_exchange.ts
@@ -27,9 +27,11 @@
 import { applyLeavingNews, leavingNews } from "./entry_leaving.ts";
 import { applyRateNews, rateNews } from "./entry_permits.ts";
 import { OriginExchange } from "./entry_origins.ts";
+import { childStates, memberStates } from "./entry_member_states.ts";
 import type { EntryState } from "./entry_state.ts";
 import { QuarantineExchange } from "./entry_quarantine.ts";
 import type { TableNewsExchange } from "./entry_table_news.ts";
+import { fleetAgeMs, groupAge } from "./memory/entry_memory_sums.ts";
 
 /** A digest older than this is dropped. */
 const DIGEST_TTL_MS = 1_000;
@@ -58,6 +60,8 @@
   readonly uses: UsesById;
   readonly digests: ReadonlyMap<string, peers.NodeDigest>;
   readonly queues: peers.FleetView["queues"];
+  /** Mean age of the load. */
+  readonly ageMs: number;
   readonly atMs: number;
 }
 
@@ -92,6 +96,7 @@
   #taggedAtMs = -Infinity;
   #parentEngineStates: TaggedEngineStates | undefined;
   #parentUses: readonly peers.EngineUse[] = [];
+  #parentUsesAgeMs = 0;
   #parentQueues: peers.FleetView["queues"] | undefined;
   #parentViewAtMs = -Infinity;
   #level = 0;
@@ -151,8 +156,9 @@
       leaseGeneration: lease?.generation ?? 0,
       leaseVersion: lease?.version ?? 0,
       leaseAgeMs: core.toUint32(lease?.ageMs ?? 0),
-      members: isMembersDue ? this.#memberStates(nowMs) : [],
+      members: isMembersDue ? memberStates(this.#state, nowMs) : [],
       uses: this.#usesOfOthers(digest.node, nowMs),
+      usesAgeMs: core.toUint32(this.#currentSums(nowMs).ageMs),
       enginesTag: engineStates?.tag ?? "",
       engines: engineStates && !hasTag
         ? ageEngineStates(engineStates, nowMs)
@@ -186,10 +192,13 @@
         ? {
           uses: [...sumUses(digests).values()],
           demand: sumDemand(digests),
+          usesAgeMs: core.toUint32(
+            groupAge(this.#freshChildren(nowMs), nowMs).ageMs,
+          ),
         }
         : {}),
       isSum,
-      children: this.#childStates(nowMs),
+      children: childStates(this.#freshChildren(nowMs), nowMs),
       enginesTag: this.#parentEngineStates?.tag ?? "",
       tables: this.#news.forParent(parent, nowMs),
       ...this.#quarantine.forParent(parent, nowMs),
@@ -214,6 +223,7 @@
     this.#level = Math.min(view.level, LEVELS_MAX) + 1;
     const hasRoot = this.#level <= LEVELS_MAX;
     this.#parentUses = hasRoot ? view.uses : [];
+    this.#parentUsesAgeMs = view.usesAgeMs;
     this.#parentQueues = hasRoot ? view.queues : undefined;
     this.#parentViewAtMs = nowMs;
     this.#news.applyFromParent(parent, view.tables, nowMs, askedAtMs);
@@ -306,14 +316,15 @@
   /** Applies the load of all other nodes to this node's own state. */
   applyLoad(nowMs: number): void {
     const self = this.#state.settings.nodeName;
-    applyPeerLoad(this.#state, this.#usesOfOthers(self, nowMs), nowMs);
-    const { queues } = this.#currentSums(nowMs);
+    const { queues, ageMs } = this.#currentSums(nowMs);
     this.#state.fleetQueues = new Map(
       queues.map(({ model, adapter, waiting }) => [
         dispatch.toModelKey(model, adapter),
         waiting,
       ]),
     );
+    const uses = this.#usesOfOthers(self, nowMs);
+    applyPeerLoad(this.#state, uses, ageMs, nowMs);
   }
 
   #freshChildren(nowMs: number): Child[] {
@@ -354,6 +365,13 @@
       uses,
       queues,
       digests: new Map(digests.map((digest) => [digest.node, digest])),
+      ageMs: fleetAgeMs(
+        groupAge(this.#freshChildren(nowMs), nowMs),
+        this.#state.members.count(),
+        isRoot
+          ? undefined
+          : this.#parentUsesAgeMs + nowMs - this.#parentViewAtMs,
+      ),
       atMs: nowMs,
     };
     return this.#sums;
@@ -373,28 +391,4 @@
   forgetParent(): void {
     this.#origins.forgetParent();
   }
-
-  #childStates(nowMs: number): peers.MemberState[] {
-    return this.#freshChildren(nowMs).map(({ digest, receivedAtMs }) =>
-      create(peers.MemberStateSchema, {
-        node: digest.node,
-        ageMs: Math.round(nowMs - receivedAtMs),
-        accepts: digest.accepts,
-        weightReduction: digest.weightReduction,
-      })
-    );
-  }
-
-  #memberStates(nowMs: number): peers.MemberState[] {
-    const own = create(peers.MemberStateSchema, {
-      node: this.#state.settings.nodeName,
-      ageMs: 0,
-      accepts: this.#state.isReady,
-      weightReduction: this.#state.overload.weightReduction,
-    });
-    const others = this.#state.members.contacts(nowMs).map((contact) =>
-      create(peers.MemberStateSchema, contact)
-    );
-    return [own, ...others];
-  }
 }
--- a/packages/entry/entry_members.ts
+++ b/packages/entry/entry_members.ts
@@ -162,6 +162,11 @@
       nowMs - member.rowSeenAtMs < NEW_MEMBER_GRACE_MS;
   }
 
+  /** Whether a member was in contact since then. */
+  wasInContact(node: core.InstanceId, sinceMs: number): boolean {
+    return (this.#members.get(node)?.lastContactAtMs ?? -Infinity) >= sinceMs;
+  }
+
   /** Returns the live members, this node included, sorted by name. */
   alive(): core.InstanceId[] {
     const others = [...this.#members.keys()].filter((node) =>
--- a/packages/entry/entry_selector.ts
+++ b/packages/entry/entry_selector.ts
@@ -3,24 +3,20 @@
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
-import * as origins from "../origins/mod.ts";
 import * as quarantine from "../quarantine/mod.ts";
 import * as rates from "../rates/mod.ts";
 import * as relay from "../relay/mod.ts";
 import { UpstreamCandidates } from "./entry_candidates.ts";
 import { EngineQueue, type SelectionResult } from "./entry_engine_queue.ts";
+import { AssignmentMaker } from "./entry_assignment.ts";
 import { EntryPermits } from "./entry_permits.ts";
-import { PromptFate } from "./entry_prompt_fate.ts";
 import { PromptGate } from "./entry_prompt_gate.ts";
 import type { EntryState } from "./entry_state.ts";
 import type { StepWatch } from "./entry_step_watch.ts";
+import { EngineAdmission } from "./memory/entry_engine_admission.ts";
 
 /** Retry-After when no upstream of a service is known. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
-/** Time that callers wait for a stream if they name none. */
-const CALLER_WAIT_DEFAULT_MS = 60_000;
-/** Time by which a take-up may arrive after the caller's deadline. */
-const TAKE_UP_SLACK_MS = 2_000;
 /** Rate-limited upstreams for which one request asks for permits. */
 const WANTED_MAX = 3;
 
@@ -39,6 +35,8 @@
   readonly #queue: EngineQueue;
   readonly #rateGate: rates.RateGate;
   readonly #promptGate: PromptGate;
+  readonly #admission: EngineAdmission;
+  readonly #assignments: AssignmentMaker;
   readonly #stepWatch: StepWatch | undefined;
   /** Services as last configured; a configuration may drop them meanwhile. */
   readonly #services = new WeakMap<relay.RelayedRequest, fleet.ServiceSpec>();
@@ -66,6 +64,12 @@
       () => this.onQueued(),
     );
     this.#promptGate = new PromptGate(state);
+    this.#admission = new EngineAdmission(state);
+    this.#assignments = new AssignmentMaker(
+      state,
+      this.#rateGate,
+      () => this.selectForQueued(),
+    );
   }
 
   override trySpendRetry(service: core.ServiceName): boolean {
@@ -173,6 +177,7 @@
     const selected =
       this.#queue.selectNow(request, model, trySelect, history) ??
         await this.#queue.wait(request, model, trySelect, history, signal);
+    if (selected.isErr()) this.#admission.release(request);
     if (parts.length === 0 || selected.isErr()) return selected;
     // A node that is new, or was held up, may not know yet what others hold.
     await this.#promptGate.awaitExchange(signal);
@@ -255,7 +260,7 @@
       (left) => dispatch.chooseInstance(instances, left, nowMs),
       (instance) => instance,
     );
-    return open && this.#assign(
+    return open && this.#assignments.make(
       request,
       open.choice,
       service,
@@ -319,11 +324,15 @@
     const { adapter, promptTokens, outputTokensMax, promptParts } =
       request.caller;
     const nowMs = core.monotonicMs();
+    const outputTokensLikely = this.#admission
+      .likelyOutputTokens(outputTokensMax);
     const needs: dispatch.RequestNeeds = {
+      request,
       model,
       ...(adapter === undefined ? {} : { adapter }),
       promptTokens,
       outputTokensMax,
+      outputTokensLikely,
       promptParts,
       eventGapMaxMs: request.route.eventGapTargetMs,
     };
@@ -337,6 +346,7 @@
           spec,
           nowMs,
           excluded: left,
+          ...this.#admission.contextFor(request, nowMs),
         }),
       ({ engine }) => engine,
     );
@@ -344,14 +354,14 @@
     const { choice, barred } = open;
     const modelKey = dispatch.toModelKey(model, adapter);
     choice.engine.prefixCache.recordPrompt(modelKey, promptParts);
-    return this.#assign(
+    return this.#assignments.make(
       request,
       choice.engine,
       service,
       {
         modelKey,
         model,
-        reservedTokens: promptTokens + outputTokensMax,
+        reservedTokens: promptTokens + outputTokensLikely,
         outputTokensMax,
         prefillMs: choice.prefillMs,
         sentAtMs: nowMs,
@@ -365,121 +375,6 @@
       },
     );
   }
-
-  /** Counts a request as in flight on an upstream until its attempt ends. */
-  #assign(
-    relayed: relay.RelayedRequest,
-    upstream: dispatch.UpstreamState,
-    service: fleet.ServiceSpec,
-    request: dispatch.InFlightRequest,
-    { barred, parts, estimatedMs, tokensPerEvent = 1 }: {
-      readonly barred: number;
-      readonly parts: readonly core.PromptPartKey[];
-      readonly estimatedMs: number;
-      readonly tokensPerEvent?: number;
-    },
-  ): relay.UpstreamAssignment {
-    const { pools, members, capacity, stepTimes, outputLengths } = this.#state;
-    const { model } = request;
-    const untrack = upstream.trackRequest(request);
-    const permit = this.#rateGate.take(upstream.record, request.sentAtMs);
-    const isWithdrawn = () => {
-      const nowMs = core.monotonicMs();
-      return upstream.isLeaving(nowMs) || upstream.quiet.isActive(nowMs) ||
-        !this.#rateGate.mayStart(upstream.record, permit, nowMs);
-    };
-    // Says nothing of the upstream's health.
-    let isStartRefused = false;
-    const fate = new PromptFate(
-      this.#state.quarantine,
-      quarantine.toRunKey(upstream.record),
-      parts,
-    );
-    return {
-      upstream: upstream.record,
-      logFields: {
-        estimatedMs: Math.round(estimatedMs),
-        prefillMs: Math.round(request.prefillMs),
-        aheadMs: Math.round(upstream.prefillBacklogMs - request.prefillMs),
-        inFlight: upstream.inFlight,
-        slowness: upstream.latencyFactor.toFixed(2),
-        othersAgeMs: Math.round(upstream.peerLoadAgeMs(request.sentAtMs)),
-        rateLimit: this.#state.upstreams.namedRates.perS(upstream.record),
-        rateLimited: barred || undefined,
-      },
-      dispatcher: relay.guardStart(
-        pools.get(
-          upstream.record,
-          service.connectionsMax,
-          members.count(),
-          capacity.connectionShare,
-        ),
-        () => !(isStartRefused = isWithdrawn()),
-      ),
-      onStreamStart: (nowMs) =>
-        this.#recordOrigin(relayed, upstream.record, nowMs),
-      onFirstEvent: (nowMs) => {
-        fate.recordOutput(nowMs);
-        upstream.recordFirstEvent(request, estimatedMs, nowMs);
-        this.selectForQueued();
-      },
-      onBytesReceived: (nowMs) => {
-        fate.recordBytes(nowMs);
-        upstream.health.recordBytesReceived(nowMs);
-      },
-      onNotRun: (lacksModel, nowMs) =>
-        upstream.recordRejection(request.modelKey, lacksModel, nowMs),
-      isWithdrawn,
-      onQuiet: (quietMs, nowMs) =>
-        this.#state.recordQuiet(upstream, quietMs, nowMs),
-      onRateLimit: (perS, nowMs) =>
-        this.#state
-          .recordRateLimit(upstream.record, perS, request.sentAtMs, nowMs),
-      onLeaving: (isPassedOn, nowMs) =>
-        this.#state.recordLeaving(upstream.record, isPassedOn, nowMs),
-      onStreamLength: (events) =>
-        outputLengths.record(events * tokensPerEvent, request.outputTokensMax),
-      onEventGap: (gapMs) => {
-        if (model !== undefined) {
-          stepTimes.recordEventGap(model, gapMs, tokensPerEvent);
-        }
-      },
-      onFailure: (cause) => {
-        if (!isStartRefused) fate.recordFailure(cause, core.monotonicMs());
-      },
-      onConnectionClosed: (reason) =>
-        this.#state.recordConnectionClosed(
-          upstream.record,
-          reason,
-          relayed.caller.requestId,
-        ),
-      onEnd: (outcome) => {
-        untrack();
-        if (outcome === "served") fate.recordSurvival(core.monotonicMs());
-        const isJudged = outcome !== "shed" && outcome !== "cancelled";
-        if (isJudged && !isStartRefused) {
-          upstream.health.recordOutcome(outcome, core.monotonicMs());
-        }
-        this.selectForQueued();
-      },
-    };
-  }
-
-  /** Records what began a stream, which its caller may take up again. */
-  #recordOrigin(
-    { caller, route }: relay.RelayedRequest,
-    { service, softwareVersion }: fleet.UpstreamRecord,
-    nowMs: number,
-  ): void {
-    if (!route.isResumable) return;
-    const waitsMs = caller.deadlineMs ?? CALLER_WAIT_DEFAULT_MS;
-    this.#state.origins.record({
-      stream: origins.toStreamKey(caller.requestId),
-      service,
-      softwareVersion,
-      ttlMs: waitsMs + TAKE_UP_SLACK_MS,
-    }, nowMs);
-  }
 }
 
 function reject(
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -202,5 +202,11 @@
    */
   readonly revocationMs?: number;
   readonly quotaBounds?: QuotaBounds;
+  /**
+   * How requests are admitted to engines' memory: `sums` takes the other nodes'
+   * load for current, `shares` allows for what they send meanwhile. Absent:
+   * `shares` if the configuration has teams or the machine is described.
+   */
+  readonly engineAdmission?: "sums" | "shares";
   readonly machine?: MachineSpec;
 }
--- a/packages/metrics/metrics_recorder.ts
+++ b/packages/metrics/metrics_recorder.ts
@@ -34,6 +34,8 @@
   | "first_token"
   | "whole_answer"
   | "service_call"
+  | "shed_wait"
+  | "stalled_gap"
   | "edit_accept"
   | "cold_load";
 
@@ -49,6 +51,7 @@
   | "connections_closed"
   | "upstreams_leaving"
   | "quiet_times"
+  | "memory_waits"
   | "rate_limit_changes"
   | "keys_refused"
   | "keys_not_current"
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -30,6 +30,7 @@
   ResolveClaimRequest,
 } from "./gen/peers_pb.ts";
 export {
+  EngineClaimSchema,
   EngineStateSchema,
   EngineUseSchema,
   FleetViewSchema,
