--- a/packages/admission/admission_shares.ts
+++ b/packages/admission/admission_shares.ts
@@ -49,6 +49,8 @@
   readonly #parts = new OwnParts();
   readonly #arrivals: ArrivalsTable;
   readonly #claimed = new WeakMap<object, EngineMemory>();
+  readonly #serials = new WeakMap<object, number>();
+  #requests = 0;
   #claims = 0;
 
   /**
@@ -64,7 +66,7 @@
 
   override admits(
     room: EngineRoom,
-    { tokens }: AdmissionRequest,
+    { key, tokens }: AdmissionRequest,
     competition: Competition,
     nowMs: number,
   ): boolean {
@@ -97,7 +99,7 @@
     if (competing <= safeMean) return true;
     // As many nodes as are safe, and each but once until the others know.
     if (memory.hasSentWithin(VISIBLE_AFTER_MS, nowMs)) return false;
-    return this.#draw(room.id, nowMs) < safeMean / competing;
+    return this.#draw(key, nowMs) < safeMean / competing;
   }
 
   override claim(
@@ -154,10 +156,15 @@
     return left.find((room) => room.id === id);
   }
 
-  /** A number from 0 to 1 for an engine, which changes once a send is known. */
-  #draw(engine: string, nowMs: number): number {
+  /**
+   * A number from 0 to 1 for a request, which changes once a send is known. It is
+   * the same for all engines, among which the request would go to one.
+   */
+  #draw(key: object, nowMs: number): number {
+    let serial = this.#serials.get(key);
+    if (serial === undefined) this.#serials.set(key, serial = ++this.#requests);
     const turn = Math.floor(nowMs / VISIBLE_AFTER_MS);
-    return core.hash32(`${this.#node} ${engine} ${turn}`) / 2 ** 32;
+    return core.hash32(`${this.#node} ${serial} ${turn}`) / 2 ** 32;
   }
 }
 
