--- a/packages/admission/admission_shares.ts
+++ b/packages/admission/admission_shares.ts
@@ -172,7 +172,10 @@
   return capacityTokens * USED_SHARE;
 }
 
-/** Requests of the usual size that find room besides one. */
+/**
+ * Requests that find room besides one, of the usual size or its own. Long prompts
+ * wait for the same engines, so those that compete are long as well.
+ */
 function placesBeside(
   room: EngineRoom,
   usable: number,
@@ -182,7 +185,8 @@
   const meanTokens = inFlight >= SAMPLES_MIN
     ? othersTokens / inFlight
     : REQUEST_TOKENS_DEFAULT;
-  return (usable - usedTokens(room) - tokens) / meanTokens;
+  const sizeTokens = Math.max(meanTokens, tokens);
+  return (usable - usedTokens(room) - tokens) / sizeTokens;
 }
 
 function usedTokens({ memory }: EngineRoom): number {
