--- a/packages/admission/admission_shares.ts
+++ b/packages/admission/admission_shares.ts
@@ -18,7 +18,7 @@
 /** Share of the memory that is used; the rest is for longer outputs. */
 const USED_SHARE = 0.92;
 /** Accepted probability that the sends of others exceed the rest. */
-const RISK = 1e-4;
+const RISK = 1e-3;
 /** Requests of others from which the usual size is known. */
 const SAMPLES_MIN = 4;
 /** Room for fewer requests is given out by claims. */
