--- a/packages/entry/memory/entry_engine_admission.ts
+++ b/packages/entry/memory/entry_engine_admission.ts
@@ -38,8 +38,9 @@
   /** Whether what other nodes send meanwhile is allowed for. */
   get #usesShares(): boolean {
     const { settings, config } = this.#state;
-    const isCalledFor = config?.teams !== undefined ||
-      settings.machine !== undefined;
+    const isMachineKnown = Object.values(settings.machine ?? {})
+      .some((value) => value !== undefined);
+    const isCalledFor = config?.teams !== undefined || isMachineKnown;
     return (settings.engineAdmission ?? (isCalledFor ? "shares" : "sums")) ===
       "shares";
   }
--- a/packages/entry/tests/unit/entry_engine_admission_test.ts
+++ b/packages/entry/tests/unit/entry_engine_admission_test.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import test from "ava";
 import * as core from "../../../core/mod.ts";
+import type * as fleet from "../../../fleet/mod.ts";
 import * as peers from "../../../peers/mod.ts";
 import type * as relay from "../../../relay/mod.ts";
 import * as testing from "../../../testing/mod.ts";
@@ -15,10 +16,13 @@
 const LARGE_TOKENS = 60_000;
 
 /** A node with one engine of 100,000 tokens, and another node in the fleet. */
-function makeNode(name: string, engineAdmission: "sums" | "shares" = "shares") {
+function makeNode(
+  name: string,
+  settings: Partial<fleet.EntrySettings> = { engineAdmission: "shares" },
+) {
   const lines: string[] = [];
   const state = new EntryState(
-    { ...makeEntrySettings(name), engineAdmission },
+    { ...makeEntrySettings(name), ...settings },
     new core.Logger({}, (line) => lines.push(String(line))),
   );
   state.applyConfig(makeConfig(1, [SERVICE], 8));
@@ -97,17 +101,34 @@
   await selected;
 });
 
-test("without shares an idle engine takes a request of any size at once", async (t) => {
-  const node = makeNode("n1", "sums");
+// Guards against another rule in deployments that have neither teams nor machines
+// of known size.
+test("where nothing calls for shares an idle engine takes a request of any size at once", async (t) => {
+  for (
+    const settings of [{ engineAdmission: "sums" } as const, { machine: {} }]
+  ) {
+    const node = makeNode("n1", settings);
+    hearNothing(node);
+    const selected = await node.selector
+      .select(makeLarge("r1"), history, new AbortController().signal);
+    t.true(selected.isOk());
+    t.is(node.engine.memory.claim(core.monotonicMs()), undefined);
+  }
+});
+
+test("a machine of known size calls for shares", async (t) => {
+  const node = makeNode("n1", { machine: { memoryMb: 210 } });
   hearNothing(node);
-  const selected = await node.selector
-    .select(makeLarge("r1"), history, new AbortController().signal);
-  t.true(selected.isOk());
-  t.is(node.engine.memory.claim(core.monotonicMs()), undefined);
+  const ended = new AbortController();
+  const selected = node.selector
+    .select(makeLarge("r1"), history, ended.signal);
+  t.truthy(node.engine.memory.claim(core.monotonicMs()));
+  ended.abort();
+  t.true((await selected).isErr());
 });
 
 test("a refusal by a full engine is counted with the time that it cost", async (t) => {
-  const { state, selector } = makeNode("n1", "sums");
+  const { state, selector } = makeNode("n1", { engineAdmission: "sums" });
   const selected = await selector
     .select(makeRequest("r1"), history, new AbortController().signal);
   const assignment = selected._unsafeUnwrap();
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -205,7 +205,7 @@
   /**
    * How requests are admitted to engines' memory: `sums` takes the other nodes'
    * load for current, `shares` allows for what they send meanwhile. Absent:
-   * `shares` if the configuration has teams or the machine is described.
+   * `shares` if the configuration has teams or a size of the machine is known.
    */
   readonly engineAdmission?: "sums" | "shares";
   readonly machine?: MachineSpec;
