--- a/packages/dispatch/tests/sim_figures.ts
+++ b/packages/dispatch/tests/sim_figures.ts
@@ -1,7 +1,8 @@
 /** Prints the figures of docs/design/engine-memory.md. */
 import * as admission from "../../admission/mod.ts";
 import * as dispatch from "../mod.ts";
-import { SimFleet, type SimOptions } from "./sim_fleet.ts";
+import { SimFleet } from "./sim_fleet.ts";
+import type { SimOptions } from "./sim_types.ts";
 import { makeTraffic } from "./sim_traffic.ts";
 import { FixedParts, PartByAge, Reservation } from "./sim_variants.ts";
 
--- a/packages/dispatch/tests/sim_fleet.ts
+++ b/packages/dispatch/tests/sim_fleet.ts
@@ -7,45 +7,9 @@
 import type * as fleet from "../../fleet/mod.ts";
 import * as testing from "../../testing/mod.ts";
 import * as dispatch from "../mod.ts";
-import { SimEngine, type SimRun, type SimWork } from "./sim_engine.ts";
-
-/** What varies between the runs. */
-export interface SimOptions {
-  readonly nodes: number;
-  readonly engines: number;
-  readonly modelsPerEngine: number;
-  readonly models: number;
-  readonly capacityTokens: number;
-  readonly slots: number;
-  readonly seed: number;
-  readonly durationMs: number;
-  /** Ages of the sums, in ms. */
-  readonly ageMinMs: number;
-  readonly ageMaxMs: number;
-  readonly makeRule: (node: string, fleet: SimFleet) => admission.AdmissionRule;
-  readonly makeSpread?: (node: string) => dispatch.EngineSpread;
-  /** Delay before each send, as for a call to another node. */
-  readonly sendDelayMs?: number;
-  readonly crashesOnOverrun?: boolean;
-  /** Share of the exchanges that are lost. */
-  readonly lossShare?: number;
-}
-
-/** A request with its arrival. */
-export interface SimArrival extends SimWork {
-  readonly atMs: number;
-  readonly node: number;
-  readonly model: core.ModelName;
-  readonly outputTokensMax: number;
-  readonly outputTokensLikely: number;
-  readonly team: string;
-}
-
-export interface SimServed {
-  readonly arrival: SimArrival;
-  readonly waitMs: number;
-  readonly firstMs: number;
-}
+import { SimEvents, SimRandom } from "./sim_clock.ts";
+import type { SimArrival, SimOptions, SimServed } from "./sim_types.ts";
+import { SimEngine, type SimRun } from "./sim_engine.ts";
 
 const REFRESH_MS = 100;
 const SNAPSHOT_MS = 10;
@@ -60,23 +24,6 @@
 const EVENT_GAP_MS = 300;
 const FIELDS = 5;
 
-/** Deterministic random numbers. */
-export class SimRandom {
-  #state: number;
-  constructor(seed: number) {
-    this.#state = seed >>> 0;
-  }
-  next(): number {
-    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
-    let t = Math.imul(this.#state ^ (this.#state >>> 15), this.#state | 1);
-    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
-    return ((t ^ (t >>> 14)) >>> 0) / 2 ** 32;
-  }
-  exponential(mean: number): number {
-    return -Math.log(1 - this.next()) * mean;
-  }
-}
-
 interface Waiting {
   readonly arrival: SimArrival;
   sends: number;
@@ -112,7 +59,7 @@
   readonly #spec: fleet.EngineSpec;
   readonly #stepTimes = new dispatch.StepTimeEstimator();
   readonly #names: readonly string[];
-  readonly #events: { atMs: number; run: () => void }[] = [];
+  readonly #events = new SimEvents();
   readonly #snapshots: {
     readonly all: Float32Array;
     readonly own: readonly Float32Array[];
@@ -167,34 +114,7 @@
 
   /** Runs something at a time of the simulation. */
   at(atMs: number, run: () => void): void {
-    const events = this.#events;
-    events.push({ atMs, run });
-    let child = events.length - 1;
-    while (child > 0) {
-      const parent = (child - 1) >> 1;
-      if (events[parent]!.atMs <= events[child]!.atMs) break;
-      [events[parent], events[child]] = [events[child]!, events[parent]!];
-      child = parent;
-    }
-  }
-
-  #nextEvent(): { atMs: number; run: () => void } | undefined {
-    const events = this.#events;
-    const first = events[0];
-    const last = events.pop();
-    if (first === last || last === undefined) return first;
-    events[0] = last;
-    for (let parent = 0;;) {
-      let least = parent;
-      for (const child of [2 * parent + 1, 2 * parent + 2]) {
-        const isLess = child < events.length &&
-          events[child]!.atMs < events[least]!.atMs;
-        if (isLess) least = child;
-      }
-      if (least === parent) return first;
-      [events[parent], events[least]] = [events[least]!, events[parent]!];
-      parent = least;
-    }
+    this.#events.add(atMs, run);
   }
 
   /** Runs all arrivals to the end of the simulated time. */
@@ -207,7 +127,7 @@
       this.at(this.random.next() * REFRESH_MS, () => this.#refresh(node));
     }
     for (;;) {
-      const event = this.#nextEvent();
+      const event = this.#events.next();
       if (!event || event.atMs > this.options.durationMs) return this;
       this.nowMs = event.atMs;
       event.run();
--- a/packages/dispatch/tests/sim_traffic.ts
+++ b/packages/dispatch/tests/sim_traffic.ts
@@ -1,5 +1,7 @@
 /** Requests of several teams, one of which sends bursts. */
-import { type SimArrival, SimRandom, toModel } from "./sim_fleet.ts";
+import { SimRandom } from "./sim_clock.ts";
+import { toModel } from "./sim_fleet.ts";
+import type { SimArrival } from "./sim_types.ts";
 
 export interface TrafficOptions {
   readonly seed: number;
--- a/packages/dispatch/tests/unit/dispatch_memory_test.ts
+++ b/packages/dispatch/tests/unit/dispatch_memory_test.ts
@@ -5,7 +5,8 @@
 import test, { type ExecutionContext } from "ava";
 import * as admission from "../../../admission/mod.ts";
 import * as dispatch from "../../mod.ts";
-import { SimFleet, type SimOptions } from "../sim_fleet.ts";
+import { SimFleet } from "../sim_fleet.ts";
+import type { SimOptions } from "../sim_types.ts";
 import { makeTraffic } from "../sim_traffic.ts";
 
 const DURATION_MS = 6_000;
