--- a/packages/entry/memory/entry_engine_admission.ts
+++ b/packages/entry/memory/entry_engine_admission.ts
@@ -37,12 +37,7 @@
 
   /** Whether what other nodes send meanwhile is allowed for. */
   get #usesShares(): boolean {
-    const { settings, config } = this.#state;
-    const isMachineKnown = Object.values(settings.machine ?? {})
-      .some((value) => value !== undefined);
-    const isCalledFor = config?.teams !== undefined || isMachineKnown;
-    return (settings.engineAdmission ?? (isCalledFor ? "shares" : "sums")) ===
-      "shares";
+    return this.#state.settings.engineAdmission === "shares";
   }
 
   /** What the choice of an engine for a request depends on here. */
--- a/packages/fleet/fleet_types.ts
+++ b/packages/fleet/fleet_types.ts
@@ -204,8 +204,8 @@
   readonly quotaBounds?: QuotaBounds;
   /**
    * How requests are admitted to engines' memory: `sums` takes the other nodes'
-   * load for current, `shares` allows for what they send meanwhile. Absent:
-   * `shares` if the configuration has teams or a size of the machine is known.
+   * load for current, `shares` allows for what they send meanwhile, as engines
+   * end if they are overrun. Absent: `sums`.
    */
   readonly engineAdmission?: "sums" | "shares";
   readonly machine?: MachineSpec;
