--- a/packages/dispatch/dispatch_choice.ts
+++ b/packages/dispatch/dispatch_choice.ts
@@ -159,7 +159,8 @@
   const prefillMs = stepTimes.prefillMs(model, uncachedTokens);
   const eventMs = stepTimes.stepMs(model) * spec.tokensPerEvent;
   const backlogMs = engine.prefillBacklogMs;
-  const eventGapMs = backlogMs + prefillMs + eventMs;
+  const eventGapMs = (backlogMs + prefillMs + eventMs) *
+    engine.latency.slowdown;
   // Without a prefill backlog, a prompt of any length is admitted.
   const stallsStreams = backlogMs > 0 &&
     eventGapMs > needs.eventGapMaxMs - EVENT_GAP_MARGIN_MS;
--- a/packages/dispatch/dispatch_registry.ts
+++ b/packages/dispatch/dispatch_registry.ts
@@ -4,6 +4,7 @@
 import type * as fleet from "../fleet/mod.ts";
 import * as rates from "../rates/mod.ts";
 import { UpstreamHealth } from "./dispatch_health.ts";
+import { LatencyFactor } from "./dispatch_latency_factor.ts";
 import { LeavingUpstreams } from "./dispatch_leaving.ts";
 import { toModelKey } from "./dispatch_model_key.ts";
 import { PrefixCacheTracker } from "./dispatch_prefixes.ts";
@@ -65,11 +66,6 @@
 const MODEL_ABSENT_BACKOFF_MS = 400;
 /** How long a model is skipped after a rejection for lack of capacity. */
 const ENGINE_FULL_BACKOFF_MS = 50;
-/** Weight of one sample in the moving average of the latency factor. */
-const LATENCY_FACTOR_WEIGHT = 0.15;
-const LATENCY_FACTOR_MIN = 0.5;
-const LATENCY_FACTOR_MAX = 8;
-
 /** State of one incarnation of an upstream, as seen by this node. */
 export class UpstreamState {
   readonly health = new UpstreamHealth();
@@ -88,8 +84,8 @@
     | undefined;
   /** Whether the log already shows that it is leaving. */
   isLeavingLogged = false;
-  /** Moving average of measured over estimated time to first event. */
-  latencyFactor = 1;
+  /** Measured over estimated time to first event. */
+  readonly latency = new LatencyFactor();
   readonly #local = new Set<InFlightRequest>();
   #peerLoad = NO_LOAD;
   #peerLoadAtMs = -Infinity;
@@ -115,6 +111,11 @@
     this.setListedReplicas();
   }
 
+  /** By how much it is slower than estimated. */
+  get latencyFactor(): number {
+    return this.latency.value;
+  }
+
   /** Number of in-flight requests of all nodes. */
   get inFlight(): number {
     return this.#local.size + this.#peerLoad.inFlight;
@@ -173,12 +174,7 @@
     if (estimatedMs <= 0) return;
     // The estimate has the factor applied, so multiplying takes it out again.
     const ratio = (nowMs - request.sentAtMs) / estimatedMs * this.latencyFactor;
-    const bounded = Math.min(
-      LATENCY_FACTOR_MAX,
-      Math.max(LATENCY_FACTOR_MIN, ratio),
-    );
-    this.latencyFactor += (bounded - this.latencyFactor) *
-      LATENCY_FACTOR_WEIGHT;
+    this.latency.record(ratio, nowMs);
   }
 
   /**
--- a/packages/entry/entry_digest.ts
+++ b/packages/entry/entry_digest.ts
@@ -3,6 +3,7 @@
 import * as core from "../core/mod.ts";
 import * as dispatch from "../dispatch/mod.ts";
 import * as peers from "../peers/mod.ts";
+import { addLatency, applyLatency, latencyOf } from "./entry_latency_sums.ts";
 import type { EntryState } from "./entry_state.ts";
 import {
   addMemoryUse,
@@ -22,7 +23,8 @@
   const uses = [...state.upstreams.all()]
     .filter((upstream) =>
       upstream.localRequests.size > 0 || isAvoided(upstream, nowMs) ||
-      hasMemoryUse(memoryUseOf(upstream, nowMs))
+      hasMemoryUse(memoryUseOf(upstream, nowMs)) ||
+      latencyOf(state, upstream, nowMs).latencyCount > 0
     )
     .map((upstream) => toEngineUse(state, upstream, nowMs));
   return create(peers.NodeDigestSchema, {
@@ -86,7 +88,7 @@
     const without = own.get(upstreamId);
     if (without) addLoad(use, without, -1);
     const isUsed = use.inFlight > 0 || use.suspectingNodes > 0 ||
-      hasMemoryUse(use) || use.firstClaims.length > 0;
+      hasMemoryUse(use) || use.firstClaims.length > 0 || use.latencyCount > 0;
     if (isUsed) rest.push(use);
   }
   return rest;
@@ -112,6 +114,7 @@
     sum.suspectingNodes + sign * use.suspectingNodes,
   );
   addMemoryUse(sum, use, sign);
+  addLatency(sum, use, sign);
 }
 
 function addModels(sum: peers.EngineUse, use: peers.EngineUse): void {
@@ -195,14 +198,16 @@
       use !== undefined && use.suspectingNodes > 0,
       nowMs,
     );
+    applyLatency(state, upstream, use, nowMs);
   }
 }
 
 function toEngineUse(
-  { stepTimes, outputLengths }: EntryState,
+  state: EntryState,
   upstream: dispatch.UpstreamState,
   nowMs: number,
 ) {
+  const { stepTimes, outputLengths } = state;
   const models = new Map<string, { inFlight: number; drainMs: number }>();
   let prefillMs = 0;
   let tokens = 0;
@@ -227,6 +232,7 @@
     tokens: core.toUint32(tokens),
     suspectingNodes: isAvoided(upstream, nowMs) ? 1 : 0,
     ...memoryUseOf(upstream, nowMs),
+    ...latencyOf(state, upstream, nowMs),
     models: [...models].map(([modelKey, use]) => {
       const [model, adapter] = modelKey.split("/");
       return { model: model ?? "", adapter: adapter ?? "", ...use };
