--- a/packages/entry/entry_follow_task.ts
+++ b/packages/entry/entry_follow_task.ts
@@ -21,6 +21,8 @@
   readonly sharedWaitMs?: number;
   /** Pause after a change, so that further changes arrive in one batch. */
   readonly coalesceMs: number;
+  /** As `coalesceMs`, in a fleet in which a few nodes read for all. */
+  readonly sharedCoalesceMs?: number;
 }
 
 /** Pauses after failures, jittered so that nodes do not retry in step. */
@@ -208,9 +210,10 @@
     }
     const rank = this.#rank();
     const { waitMs: ownWaitMs, sharedWaitMs = ownWaitMs } = this.#options;
-    const longestMs = mirror.readsForOthers(rank) ? sharedWaitMs : ownWaitMs;
+    const isShared = mirror.readsForOthers(rank);
+    const longestMs = isShared ? sharedWaitMs : ownWaitMs;
     if (mirror.isReader(rank)) {
-      return await this.#readChanges(cursor, longestMs);
+      return await this.#readChanges(cursor, longestMs, isShared);
     }
     const { afterMs, intervalMs } = mirror.staleReadTimes(rank, longestMs);
     // A reader's answer is as of the start of its read, so up to one wait older.
@@ -224,7 +227,7 @@
     const waitMs = dueAtMs - nowMs;
     if (waitMs > 0) return Math.min(waitMs, CHECK_INTERVAL_MS);
     this.#noteStale(rank, nowMs - this.copy.confirmedAtMs);
-    return await this.#readChanges(cursor, 0);
+    return await this.#readChanges(cursor, 0, isShared);
   }
 
   /** Logs once that the nodes which read for this one no longer do. */
@@ -255,7 +258,12 @@
     return 0;
   }
 
-  async #readChanges(cursor: mirror.Cursor, waitMs: number): Promise<number> {
+  /** @param isShared whether a few nodes read for all. */
+  async #readChanges(
+    cursor: mirror.Cursor,
+    waitMs: number,
+    isShared: boolean,
+  ): Promise<number> {
     this.#readAtMs = core.monotonicMs();
     const result = await this.#store
       .follow(this.copy.name, cursor.version, waitMs);
@@ -276,7 +284,9 @@
     );
     if (outcome === "gap") this.#isReadRequested = true;
     else this.#confirm(core.monotonicMs(), this.#readAtMs);
-    return changes.length > 0 ? this.#options.coalesceMs : 0;
+    const { coalesceMs, sharedCoalesceMs = coalesceMs } = this.#options;
+    const pauseMs = isShared ? sharedCoalesceMs : coalesceMs;
+    return changes.length > 0 ? pauseMs : 0;
   }
 
   #recordSuccess(): void {
--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -76,7 +76,13 @@
  * may be later, because members exchange most of their state directly.
  */
 const CONFIG_FOLLOW = { waitMs: 2_000, sharedWaitMs: 1_000, coalesceMs: 0 };
-const UPSTREAM_FOLLOW = { waitMs: 1_000, coalesceMs: 300 };
+const UPSTREAM_FOLLOW = {
+  waitMs: 1_000,
+  coalesceMs: 300,
+  // Heartbeats of 100 engines change the table 80 times a second. Fleets of this
+  // size apply changes within 3 s.
+  sharedCoalesceMs: 600,
+};
 const MEMBER_FOLLOW = { waitMs: 8_000, coalesceMs: 100 };
 
 /** Passes calls of other nodes to the hub, and to the issuer of permits. */
