--- a/packages/memory/memory_connections.ts
+++ b/packages/memory/memory_connections.ts
@@ -1,6 +1,7 @@
 /** Limits the connections of a server, and the half-read heads on them. */
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
+import * as turns from "../turns/mod.ts";
 import type { NodeMemory } from "./memory_account.ts";
 import { CONNECTION_BYTES } from "./memory_limits.ts";
 import type { LimitReporter } from "./memory_reporter.ts";
@@ -166,7 +167,15 @@
   options: ConnectionLimits,
 ): void {
   const table = new ConnectionTable(options);
-  server.on("connection", (socket: Socket) => table.add(socket));
+  server.on("connection", (socket: Socket) => {
+    const { listener, memory, reporter } = options;
+    const fields = { listener, client: socket.remoteAddress };
+    turns.shareReads(socket, {
+      onRead: (bytes) => memory.noteRead(bytes),
+      onDeferred: () => reporter.note("turns", fields),
+    });
+    table.add(socket);
+  });
   server.prependListener("request", ({ socket }, response) => {
     table.beginRequest(
       socket,
