--- a/packages/gateway/gateway_body.ts
+++ b/packages/gateway/gateway_body.ts
@@ -1,4 +1,5 @@
 /** Reads the bodies of callers' requests within the memory of the process. */
+import type { EventEmitter } from "node:events";
 import type { IncomingMessage } from "node:http";
 import type { MiddlewareHandler } from "hono";
 import * as core from "../core/mod.ts";
@@ -33,6 +34,24 @@
     : core.refuse(core.BODY_TOO_SLOW, reason);
 }
 
+/**
+ * Closes a hold with its response or its connection. A response that waits
+ * behind others of its connection does not see that close.
+ */
+function closeWith(
+  hold: memory.RequestHold,
+  { socket }: IncomingMessage,
+  outgoing: EventEmitter,
+): void {
+  const close = () => {
+    hold.close();
+    outgoing.off("close", close);
+    socket.off("close", close);
+  };
+  outgoing.once("close", close);
+  socket.once("close", close);
+}
+
 /**
  * Makes the middleware that reads each request's body before its handler runs.
  *
@@ -57,7 +76,7 @@
     }
     const hold = memory.processMemory.openRequest(reporter);
     if (!hold) return problemResponse(context, outOfMemory());
-    outgoing.once("close", () => hold.close());
+    closeWith(hold, incoming as IncomingMessage, outgoing);
     const body = await relay.receiveBody(incoming as IncomingMessage, {
       bytesMax,
       timeoutMs: BODY_TIMEOUT_MS,
