--- a/packages/memory/memory_reporter.ts
+++ b/packages/memory/memory_reporter.ts
@@ -11,6 +11,7 @@
   | "requests"
   | "body_bytes"
   | "body_rate"
+  | "body_framing"
   | "turns"
   | "connections"
   | "heads"
--- a/packages/relay/relay_body.ts
+++ b/packages/relay/relay_body.ts
@@ -9,19 +9,37 @@
 /** Thrown when a body exceeds the configured limit. */
 export class BodyTooLargeError extends Error {}
 
+/** Thrown when a body takes many more bytes on its connection than it has. */
+export class BodyFramingError extends Error {}
+
 /** Thrown when a body has not arrived in time, or arrives too slowly. */
 export class BodyTimeoutError extends Error {}
 
 /** Thrown when a body was given up because the node is out of memory. */
 export class BodyShedError extends Error {}
 
+/** Bytes beside a body, such as chunk extensions, that any body may take. */
+const FRAMING_BYTES_MAX = 256 * 1024;
+/**
+ * Likewise for each byte of the body. A chunk of one byte takes five bytes more,
+ * and some clients write its size with leading zeros.
+ */
+const FRAMING_FACTOR_MAX = 16;
+
+/** Whether the framing of a body takes more bytes than any client needs. */
+function isFramingTooLarge(connectionBytes: number, bodyBytes: number) {
+  const framingBytes = connectionBytes - bodyBytes;
+  return framingBytes > FRAMING_BYTES_MAX + bodyBytes * FRAMING_FACTOR_MAX;
+}
+
 /**
  * Reads a request body to its end.
  *
  * @param bytesMax limit above which reading stops.
  * @param timeoutMs time in which the whole body has to arrive.
  * @param hold accounts for the memory; the body is given up if it is shed.
- * @throws BodyTooLargeError above the limit; BodyTimeoutError after the time, or
+ * @throws BodyTooLargeError above the limit; BodyFramingError if its framing is
+ * much larger than the body; BodyTimeoutError after the time, or
  * if the body makes too little progress; BodyShedError if the hold is shed; the
  * stream's own error if the caller disconnects.
  * @example
@@ -38,6 +56,8 @@
   return new Promise((resolve, reject) => {
     const body = new memory.BodyAssembler(memory.processMemory.blocks);
     const progress = new memory.BodyProgress(core.monotonicMs());
+    const { socket } = request;
+    const bytesBefore = socket.bytesRead;
     let isOver = false;
     let progressTimer: NodeJS.Timeout | undefined;
     const stop = () => {
@@ -58,6 +78,10 @@
         return fail(new BodyTooLargeError());
       }
       body.append(chunk);
+      const connectionBytes = socket.bytesRead - bytesBefore;
+      if (isFramingTooLarge(connectionBytes, body.length)) {
+        return fail(new BodyFramingError());
+      }
       progress.add(chunk.length);
       memory.processMemory.noteRead(chunk.length);
       hold?.setReading(body.heldBytes, body.chunks);
--- a/packages/relay/relay_body_intake.ts
+++ b/packages/relay/relay_body_intake.ts
@@ -5,6 +5,7 @@
 import * as core from "../core/mod.ts";
 import * as memory from "../memory/mod.ts";
 import {
+  BodyFramingError,
   BodyShedError,
   BodyTimeoutError,
   BodyTooLargeError,
@@ -38,15 +39,23 @@
   request: IncomingMessage,
   { bytesMax, timeoutMs, hold, reporter }: BodyLimits,
 ): Promise<Result<Buffer, BodyFailure>> {
+  const client = request.socket.remoteAddress;
   try {
     return ok(await readBody(request, bytesMax, timeoutMs, hold));
   } catch (thrown) {
     if (thrown instanceof BodyTooLargeError) {
-      reporter.note("body_bytes", { max: bytesMax });
+      reporter.note("body_bytes", { max: bytesMax, client });
       return err({ kind: "tooLarge", reason: "request body too large" });
     }
+    if (thrown instanceof BodyFramingError) {
+      reporter.note("body_framing", { client });
+      return err({
+        kind: "tooLarge",
+        reason: "request body framing too large",
+      });
+    }
     if (thrown instanceof BodyTimeoutError) {
-      reporter.note("body_rate");
+      reporter.note("body_rate", { client });
       return err({ kind: "tooSlow", reason: "request body not read in time" });
     }
     if (thrown instanceof BodyShedError) {
--- a/packages/relay/tests/unit/relay_body_test.ts
+++ b/packages/relay/tests/unit/relay_body_test.ts
@@ -12,6 +12,7 @@
   const { parentPort, workerData } = require("node:worker_threads");
   import(workerData.module).then(async (relay) => {
     const request = new EventEmitter();
+    request.socket = Object.assign(new EventEmitter(), { bytesRead: 0 });
     const body = relay.readBody(request, workerData.bytes, 60_000);
     const received = Buffer.alloc(workerData.bytes, "x");
     for (let n = 0; n < received.length; n++) {
