--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -270,6 +270,7 @@
     const { settings, logger } = this.state;
     return {
       timeoutMs: settings.graceMs + LISTEN_MARGIN_MS,
+      backlogMax: memory.processMemory.limits.backlogMax,
       onWait: (reason) => logger.warn("listen_waiting", { listener, reason }),
       signal: this.#lifecycle.signal,
     };
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -343,6 +343,7 @@
     const { entriesMaxAgeMs, finishMaxMs } = this.#settings.drain;
     return {
       timeoutMs: entriesMaxAgeMs + finishMaxMs + LISTEN_MARGIN_MS,
+      backlogMax: memory.processMemory.limits.backlogMax,
       onWait: (detail) =>
         this.logger.warn("listen_waiting", { listener, detail }),
       signal: this.#lifecycle.signal,
--- a/packages/memory/memory_account.ts
+++ b/packages/memory/memory_account.ts
@@ -16,6 +16,8 @@
 /** Likewise for a body of which nothing arrived for this time. */
 const STALLED_FACTOR = 4;
 const STALLED_MS = 1_000;
+/** Likewise for the rest of a body whose client has been answered. */
+const DISCARDED_FACTOR = 1_000;
 /** Counts for each chunk when choosing what to shed, for the time it took. */
 const CHUNK_RANK_BYTES = 16;
 
@@ -184,6 +186,20 @@
     this.#connections.set(this.#connections.bytes + bytes);
   }
 
+  /**
+   * Opens a share for a body that is read only to be discarded, after its client
+   * was answered.
+   *
+   * @param evict closes the connection.
+   * @example
+   * ```ts
+   * const share = memory.processMemory.openDiscard(() => socket.destroy());
+   * ```
+   */
+  openDiscard(evict: () => void): core.MemoryShare {
+    return this.#whole.open(evict, (bytes) => bytes * DISCARDED_FACTOR);
+  }
+
   /**
    * Opens the hold of a request. If there are too many, the one that holds most
    * and has begun least is shed for it.
--- a/packages/memory/memory_limits.ts
+++ b/packages/memory/memory_limits.ts
@@ -10,9 +10,10 @@
 const PROGRAM_MB = 110;
 /**
  * Part of the remaining memory that is accounted for. The rest is for garbage
- * that is not collected yet, fragmentation and buffers of sockets.
+ * that is not collected yet, fragmentation, and what the kernel keeps of
+ * connections that were not read yet.
  */
-const ACCOUNTED_PART = 0.45;
+const ACCOUNTED_PART = 0.35;
 const ACCOUNT_BYTES_MIN = 12 * MB;
 /** Limits of responses and messages on machines with ample memory. */
 const RESPONSE_BYTES_MAX = 64 * MB;
@@ -21,6 +22,11 @@
 export const CONNECTION_BYTES = 16 * 1024;
 /** Objects of a request, of its response and of its relay, without a body. */
 export const REQUEST_BYTES = 16 * 1024;
+/** What the kernel keeps of a connection that is not accepted yet. */
+const FIRST_WINDOW_BYTES = 64 * 1024;
+/** Queue of new connections where nothing bounds it, as Node.js has it. */
+const BACKLOG_MAX = 511;
+const BACKLOG_MIN = 32;
 /** Largest half-read head; the parser keeps it outside of any account. */
 const HEAD_BYTES = 64 * 1024;
 /** Files, listeners, connections to the store and between nodes. */
@@ -44,6 +50,11 @@
   readonly systemConnectionsMax: number;
   /** Half-read heads on one address. */
   readonly headsMax: number;
+  /**
+   * Connections on one address that are not accepted yet. The kernel keeps what
+   * they send.
+   */
+  readonly backlogMax: number;
 }
 
 /**
@@ -82,5 +93,12 @@
     peerConnectionsMax: count(connectionsMax, 0.2),
     systemConnectionsMax: count(connectionsMax / 8, 0.05),
     headsMax: count(accountBytes / 8 / HEAD_BYTES, 0.2),
+    backlogMax: Math.min(
+      BACKLOG_MAX,
+      Math.max(
+        BACKLOG_MIN,
+        Math.floor(accountBytes / 4 / FIRST_WINDOW_BYTES),
+      ),
+    ),
   };
 }
--- a/packages/memory/mod.ts
+++ b/packages/memory/mod.ts
@@ -4,6 +4,7 @@
 export { BodyAssembler } from "./memory_body.ts";
 export { BodyProgress } from "./memory_progress.ts";
 export { limitConnections } from "./memory_connections.ts";
+export { unreadBytes } from "./memory_unread.ts";
 export type { ConnectionLimits } from "./memory_connections.ts";
 export { deriveLimits } from "./memory_limits.ts";
 export type { NodeLimits } from "./memory_limits.ts";
--- a/packages/relay/relay_body.ts
+++ b/packages/relay/relay_body.ts
@@ -84,7 +84,10 @@
       }
       progress.add(chunk.length);
       memory.processMemory.noteRead(chunk.length);
-      hold?.setReading(body.heldBytes, body.chunks);
+      hold?.setReading(
+        body.heldBytes + memory.unreadBytes(socket),
+        body.chunks,
+      );
     };
     const onEnd = () => {
       // Blocks are copied into one buffer, and both exist for a moment.
@@ -134,21 +137,26 @@
 export function discardBody(request: IncomingMessage): Promise<void> {
   return new Promise((resolve) => {
     let bytes = 0;
+    const { socket } = request;
+    const share = memory.processMemory.openDiscard(() => giveUp());
     const stop = () => {
+      share.set(0);
       clearTimeout(timer);
       request.off("data", onData).off("close", stop).off("end", stop);
       resolve();
     };
     const giveUp = () => {
       stop();
-      request.socket.destroy();
+      socket.destroy();
     };
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
       memory.processMemory.noteRead(chunk.length);
-      if (bytes > DISCARDED_BYTES_MAX) giveUp();
+      if (bytes > DISCARDED_BYTES_MAX) return giveUp();
+      share.set(memory.unreadBytes(socket));
     };
     const timer = setTimeout(giveUp, DISCARD_TIMEOUT_MS);
     request.on("data", onData).on("close", stop).on("end", stop);
+    share.set(memory.unreadBytes(socket));
   });
 }
--- a/packages/transport/transport_listen.ts
+++ b/packages/transport/transport_listen.ts
@@ -1,6 +1,6 @@
 /** Starts and stops servers. */
 import type { Server as HttpServer } from "node:http";
-import type { Server } from "node:net";
+import type { ListenOptions, Server } from "node:net";
 import * as core from "../core/mod.ts";
 
 /** What may keep an address from being bound now, but not for good. */
@@ -18,11 +18,13 @@
   readonly onWait?: (reason: string) => void;
   /** Ends the wait. */
   readonly signal?: AbortSignal;
+  /** Connections that may wait to be accepted; 511 by default. */
+  readonly backlogMax?: number;
 }
 
 const NO_PATIENCE: ListenPatience = { timeoutMs: 0 };
 
-function tryListen(server: Server, host: string, port: number): Promise<void> {
+function tryListen(server: Server, options: ListenOptions): Promise<void> {
   return new Promise((resolve, reject) => {
     const onListening = () => {
       server.off("error", onError);
@@ -34,7 +36,7 @@
     };
     server.once("listening", onListening);
     server.once("error", onError);
-    server.listen(port, host);
+    server.listen(options);
   });
 }
 
@@ -52,12 +54,17 @@
   server: Server,
   host: string,
   port: number,
-  { timeoutMs, onWait, signal }: ListenPatience = NO_PATIENCE,
+  { timeoutMs, onWait, signal, backlogMax }: ListenPatience = NO_PATIENCE,
 ): Promise<void> {
   const deadline = new core.Deadline(timeoutMs);
+  const options = {
+    host,
+    port,
+    ...(backlogMax === undefined ? {} : { backlog: backlogMax }),
+  };
   for (let isFirst = true;; isFirst = false) {
     try {
-      return await tryListen(server, host, port);
+      return await tryListen(server, options);
     } catch (thrown) {
       const { code } = thrown as NodeJS.ErrnoException;
       if (!PASSING_CODES.has(code) || deadline.isOver()) throw thrown;
