--- a/packages/memory/memory_connections.ts
+++ b/packages/memory/memory_connections.ts
@@ -1,6 +1,7 @@
 /** Limits the connections of a server, and the half-read heads on them. */
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import * as core from "../core/mod.ts";
 import * as turns from "../turns/mod.ts";
 import type { NodeMemory } from "./memory_account.ts";
 import { CONNECTION_BYTES } from "./memory_limits.ts";
@@ -14,6 +15,9 @@
 /** Connections beyond the limit whose requests were shed and still end. */
 const ENDING_PART = 0.25;
 const HEADS_CHECK_INTERVAL_MS = 500;
+const STATUS_ERROR_MIN = 400;
+/** Time in which the first request of a connection usually arrives. */
+const UNUSED_MS = 500;
 /** Sent for a half-read head, whose request has not run. */
 const SHED_RESPONSE = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" +
   "Content-Length: 0\r\nConnection: close\r\n\r\n";
@@ -30,7 +34,12 @@
 
 /** A connection, and what it has been used for. */
 interface OpenConnection {
+  readonly openedAtMs: number;
   requests: number;
+  /** Requests that were answered with success. */
+  served: number;
+  /** The response to its last request. */
+  response: ServerResponse | undefined;
   /** Bytes read when its last request ended; more belong to the next head. */
   bytesSeen: number;
 }
@@ -63,7 +72,14 @@
   add(socket: Socket): void {
     const { memory, reporter, listener, clients } = this.#options;
     const { connections } = maxOf(memory, clients);
-    this.#open.set(socket, { requests: 0, bytesSeen: 0 });
+    const unused = {
+      openedAtMs: core.monotonicMs(),
+      requests: 0,
+      served: 0,
+      response: undefined,
+      bytesSeen: 0,
+    };
+    this.#open.set(socket, unused);
     memory.addConnections(CONNECTION_BYTES);
     // Each waiting response may add some.
     socket.setMaxListeners(PIPELINED_MAX + 10);
@@ -72,24 +88,28 @@
       this.#remove(socket);
     });
     if (this.#open.size > connections) {
-      reporter.note("connections", { listener, max: connections });
-      if (!this.#makeRoom(connections)) return this.#close(socket);
+      const client = socket.remoteAddress;
+      reporter.note("connections", { listener, max: connections, client });
+      if (!this.#makeRoom(connections)) return this.#refuse(socket);
     }
     this.#unused.add(socket);
   }
 
   /** Records a request; closes a connection with too many of them. */
-  beginRequest(socket: Socket, onEnd: (callback: () => void) => void): void {
+  beginRequest(socket: Socket, response: ServerResponse): void {
     const connection = this.#open.get(socket);
     if (!connection) return;
+    connection.response = response;
     this.#unused.delete(socket);
     this.#idle.delete(socket);
     if (++connection.requests > PIPELINED_MAX) {
       const { reporter, listener } = this.#options;
-      reporter.note("pipelined", { listener, max: PIPELINED_MAX });
+      const client = socket.remoteAddress;
+      reporter.note("pipelined", { listener, max: PIPELINED_MAX, client });
       return this.#close(socket);
     }
-    onEnd(() => {
+    response.once("close", () => {
+      if (response.statusCode < STATUS_ERROR_MIN) connection.served++;
       if (--connection.requests > 0 || !this.#open.has(socket)) return;
       connection.bytesSeen = socket.bytesRead;
       this.#idle.add(socket);
@@ -104,7 +124,8 @@
     );
     const { heads } = maxOf(memory, clients);
     for (const socket of halfRead.slice(0, -heads)) {
-      reporter.note("heads", { listener, max: heads });
+      const client = socket.remoteAddress;
+      reporter.note("heads", { listener, max: heads, client });
       this.#close(socket);
     }
   }
@@ -115,17 +136,55 @@
    */
   #makeRoom(connectionsMax: number): boolean {
     const [unused] = this.#unused;
-    if (unused) {
-      this.#close(unused);
+    const isLate = unused !== undefined && this.#isLate(unused);
+    const useless = isLate ? unused : this.#findRejected();
+    if (useless) {
+      this.#close(useless);
       return true;
     }
     const endingMax = connectionsMax * (1 + ENDING_PART);
     const { clients, memory } = this.#options;
     const mayShed = clients === "callers" && this.#open.size <= endingMax;
     if (mayShed && memory.shedReading()) return true;
-    const [idle] = this.#idle;
-    if (idle) this.#close(idle);
-    return idle !== undefined;
+    const other = unused ?? this.#findLeastServed();
+    if (other) this.#close(other);
+    return other !== undefined;
+  }
+
+  /** Whether a request should have arrived on an unused connection. */
+  #isLate(socket: Socket): boolean {
+    const openedAtMs = this.#open.get(socket)?.openedAtMs ?? -Infinity;
+    return core.monotonicMs() - openedAtMs > UNUSED_MS;
+  }
+
+  /** Returns a connection that still sends the body of a rejected request. */
+  #findRejected(): Socket | undefined {
+    for (const [socket, { response }] of this.#open) {
+      if (response?.headersSent && !response.req.complete) return socket;
+    }
+    return undefined;
+  }
+
+  /**
+   * Returns an idle connection. A client that has used its connection may be
+   * sending the next request, and cannot tell whether that has run.
+   */
+  #findLeastServed(): Socket | undefined {
+    let least: Socket | undefined;
+    let servedMin = Infinity;
+    for (const socket of this.#idle) {
+      const { served } = this.#open.get(socket)!;
+      if (served >= servedMin) continue;
+      least = socket;
+      servedMin = served;
+    }
+    return least;
+  }
+
+  /** Answers a connection that there is no room for. */
+  #refuse(socket: Socket): void {
+    this.#remove(socket);
+    this.#endWith(socket, SHED_RESPONSE);
   }
 
   #close(socket: Socket): void {
@@ -134,9 +193,13 @@
     const isHalfRead = connection?.requests === 0 &&
       socket.bytesRead > connection.bytesSeen;
     if (!isHalfRead) return void socket.destroy();
+    this.#endWith(socket, SHED_RESPONSE);
+  }
+
+  #endWith(socket: Socket, response: string): void {
     // The rest must not arrive, as the request would run after the rejection.
     socket.pause();
-    socket.write(SHED_RESPONSE);
+    socket.write(response);
     socket.destroySoon();
   }
 
@@ -149,8 +212,10 @@
 
 /**
  * Limits the connections of a server. Above the limit, a new one takes the place
- * of the oldest that has sent no whole request, else of a request whose body is
- * being read, else of the one that has been idle for longest.
+ * of the oldest that has sent no whole request for 500 ms, else of one whose
+ * request was rejected and whose body still arrives, else of a request whose body
+ * is being read, else of the oldest without a whole request, else of the idle one
+ * that has been served least. If there is none, the new one is answered 503.
  *
  * @example
  * ```ts
@@ -177,10 +242,7 @@
     table.add(socket);
   });
   server.prependListener("request", ({ socket }, response) => {
-    table.beginRequest(
-      socket,
-      (callback) => response.once("close", callback),
-    );
+    table.beginRequest(socket, response);
   });
   const timer = setInterval(() => table.checkHeads(), HEADS_CHECK_INTERVAL_MS);
   timer.unref();
