Read the configuration as often as the bound of removed keys needs

Callers saw: with revoke-ms 3,000 in place of 5,000, 503 to requests under valid keys, on healthy nodes with a healthy store.

Cause: a read of the configuration waits up to 2 s for a change. What it confirms is as of its start, and is used until the next read ends, so the configuration becomes 4 s old. With a bound of 5 s a node trusts it for 4.4 s, with one of 3 s for 2.4 s.

Ruled out: the exchange between nodes (the test's four nodes all read the store themselves).

Change: the longest wait is half of the trusted age less 400 ms for passing it on: 2 s as before at 5 s, 1 s at 3 s.

The two other tests of keys pass.

--- a/packages/entry/entry_node.ts
+++ b/packages/entry/entry_node.ts
@@ -49,6 +49,7 @@
 import { TableNewsExchange } from "./entry_table_news.ts";
 import { TakeUpResolver } from "./entry_take_ups.ts";
 import { TeamAccess } from "./teams/entry_team_access.ts";
+import { followConfig } from "./teams/entry_team_reads.ts";
 
 /** What the platform provides to an entry node. */
 export interface EntryDependencies {
@@ -75,7 +76,6 @@
  * the upstream table come in bursts and must be applied within 2 s. Member rows
  * may be later, because members exchange most of their state directly.
  */
-const CONFIG_FOLLOW = { waitMs: 2_000, sharedWaitMs: 1_000, coalesceMs: 0 };
 const UPSTREAM_FOLLOW = {
   waitMs: 1_000,
   coalesceMs: 300,
@@ -343,7 +343,7 @@
         ...(state.settings.revocationMs === undefined
           ? {}
           : { resumedAtMs: () => this.#suspension.resumedAtMs }),
-      }, CONFIG_FOLLOW],
+      }, followConfig(state.settings)],
       [{
         name: source.upstreamTable,
         listener: upstreamListener,
--- a/packages/teams/teams_revocation.ts
+++ b/packages/teams/teams_revocation.ts
@@ -24,6 +24,31 @@
   return Math.max(0, revocationMs - MARGIN_MS);
 }
 
+/** Time that a confirmation takes from the store to the last node, and more. */
+const PASSED_ON_MS = 400;
+const READ_MIN_MS = 100;
+
+/**
+ * Longest time for which a read of the configuration may wait for a change. Its
+ * answer is as of its start, and is used until the next one, so that it becomes
+ * twice as old as a read takes.
+ *
+ * @param revocationMs as for `trustedAgeMs`; undefined if it is not bounded.
+ * @param otherwiseMs longest wait without a bound.
+ * @example
+ * ```ts
+ * teams.longestReadMs(3_000, 2_000); // 1000
+ * ```
+ */
+export function longestReadMs(
+  revocationMs: number | undefined,
+  otherwiseMs: number,
+): number {
+  if (revocationMs === undefined) return otherwiseMs;
+  const readMs = (trustedAgeMs(revocationMs) - PASSED_ON_MS) / 2;
+  return Math.min(otherwiseMs, Math.max(READ_MIN_MS, readMs));
+}
+
 /**
  * Whether a configuration is recent enough to answer under keys.
  *
