--- a/packages/turns/turns_queue.ts
+++ b/packages/turns/turns_queue.ts
@@ -10,12 +10,18 @@
  * Likewise while connections are accepted, as a listener accepts one in each
  * turn.
  */
-const ACCEPTING_TURN_MS = 1;
+const ACCEPTING_TURN_MS = 0.25;
 /** A connection that took less lately is parsed at once. */
 const LIGHT_MS = 1;
 /** Time after which half of what a connection took is forgotten. */
 const HALF_LIFE_MS = 1_000;
 
+/**
+ * How much later a connection's turn comes for each ms that it took lately. It
+ * is not put behind newcomers for good, as there may always be more of them.
+ */
+const WAIT_FACTOR = 20;
+
 /** A connection that has bytes to parse. */
 export abstract class TurnReader {
   #usedMs = 0;
@@ -47,7 +53,7 @@
 
 /**
  * Measures what a turn spends on parsing. Connections beyond its time wait for
- * the next one, in which those that took least lately come first.
+ * a later one: the longer, the more they took lately.
  */
 export class ReadTurns {
   readonly #turnMs: number;
@@ -56,7 +62,8 @@
   #limitMs: number;
   #hasAccepted = false;
   #isScheduled = false;
-  readonly #waiting = new Set<TurnReader>();
+  /** Connections that wait, with the time at which it is their turn. */
+  readonly #waiting = new Map<TurnReader, number>();
 
   /**
    * @param turnMs time in which connections are parsed in one turn, above 0.
@@ -93,9 +100,11 @@
   tryTake(reader: TurnReader): boolean {
     this.#schedule();
     if (this.#spentMs < this.#limitMs) return true;
-    if (reader.usedMs(core.monotonicMs()) < this.#lightMs) return true;
+    const nowMs = core.monotonicMs();
+    const usedMs = reader.usedMs(nowMs);
+    if (usedMs < this.#lightMs) return true;
     if (this.#waiting.has(reader)) return false;
-    this.#waiting.add(reader);
+    this.#waiting.set(reader, nowMs + usedMs * WAIT_FACTOR);
     reader.onDeferred();
     return false;
   }
@@ -135,14 +144,11 @@
     if (this.#waiting.size > 0) this.#schedule();
   }
 
-  /** Those that wait, the one that took least lately first. */
+  /** Those that wait, in the order of their turns. */
   #inOrder(): TurnReader[] {
-    if (this.#waiting.size < 2) return [...this.#waiting];
-    const nowMs = core.monotonicMs();
     return [...this.#waiting]
-      .map((reader) => ({ reader, usedMs: reader.usedMs(nowMs) }))
-      .sort((a, b) => a.usedMs - b.usedMs)
-      .map(({ reader }) => reader);
+      .sort(([, a], [, b]) => a - b)
+      .map(([reader]) => reader);
   }
 }
 
--- a/packages/turns/turns_reader.ts
+++ b/packages/turns/turns_reader.ts
@@ -46,7 +46,7 @@
   #isEndPushed = false;
   /** Whether the socket's buffer takes more. */
   #isWanted = true;
-  #isReading = false;
+  #isPushing = false;
   #pieceBytes = PIECE_BYTES_START;
   /** Time that the last read took to parse so far. */
   #readMs = 0;
@@ -98,9 +98,7 @@
     this.#onRead(chunk.length);
     this.#pending.push(chunk);
     this.#pendingBytes += chunk.length;
-    this.#isReading = true;
     this.#pushPieces();
-    this.#isReading = false;
     if (this.#pendingBytes > 0 || !this.#isWanted) return false;
     return this.#turns.tryTake(this);
   }
@@ -109,17 +107,17 @@
   want(bytes: number): void {
     const wasWanted = this.#isWanted;
     this.#isWanted = true;
-    if (this.#pendingBytes === 0) return this.#methods.read(bytes);
+    if (this.#pendingBytes === 0) {
+      if (this.#turns.tryTake(this)) this.#methods.read(bytes);
+      return;
+    }
     // A piece that is pushed before this returns is parsed only later, and would
     // not be measured.
     if (!wasWanted) process.nextTick(() => this.readOn());
   }
 
   override readOn(): void {
-    if (this.#isReading) return;
-    this.#isReading = true;
     this.#pushPieces();
-    this.#isReading = false;
     if (this.#hasEnded) return this.#pushEnd();
     const mayRead = this.#pendingBytes === 0 && this.#isWanted;
     if (mayRead && !this.#socket.destroyed) this.#methods.read(0);
@@ -138,23 +136,34 @@
     this.#methods.push(null);
   }
 
+  /** Parses what is pending; parsing may lead back here, which does nothing. */
   #pushPieces(): void {
-    while (this.#pendingBytes > 0 && this.#isWanted) {
-      if (this.#socket.destroyed) return this.close();
-      if (!this.#turns.tryTake(this)) return;
-      const piece = this.#takePiece();
-      const startMs = core.monotonicMs();
-      this.#isWanted = this.#methods.push(piece);
-      const tookMs = core.monotonicMs() - startMs;
-      this.#turns.spend(this, tookMs);
-      this.#adapt(tookMs, piece.length);
-      this.#readMs += tookMs;
+    if (this.#isPushing) return;
+    this.#isPushing = true;
+    try {
+      while (this.#pendingBytes > 0 && this.#isWanted) {
+        if (this.#socket.destroyed) return this.close();
+        if (!this.#turns.tryTake(this)) return;
+        this.#pushPiece();
+      }
+    } finally {
+      this.#isPushing = false;
     }
-    if (this.#pendingBytes > 0) return;
+    if (this.#pendingBytes > 0 || this.#readMs === 0) return;
     this.#expectedMs = Math.max(EXPECTED_MS_MIN, this.#readMs);
     this.#readMs = 0;
   }
 
+  #pushPiece(): void {
+    const piece = this.#takePiece();
+    const startMs = core.monotonicMs();
+    this.#isWanted = this.#methods.push(piece);
+    const tookMs = core.monotonicMs() - startMs;
+    this.#turns.spend(this, tookMs);
+    this.#adapt(tookMs, piece.length);
+    this.#readMs += tookMs;
+  }
+
   #takePiece(): Buffer {
     const first = this.#pending[0]!;
     const bytes = Math.min(first.length, this.#pieceBytes);
