--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -35,6 +35,8 @@
 import { UpstreamsReconcileTask } from "./upstreams/upstreams_reconcile_task.ts";
 import { UpstreamsWatchTask } from "./upstreams/upstreams_watch_task.ts";
 
+/** An instance of single modules and its planner take 100 MB when idle. */
+const PROGRAM_MB = 120;
 const MEMBER_RETENTION_MS = 60_000;
 const CLAIM_BATCH_MAX = 64;
 const CLAIM_WRITES_IN_FLIGHT_MAX = 4;
@@ -127,6 +129,7 @@
     memory.processMemory.configure(memory.deriveLimits({
       ...(memoryMb ? { memoryMb } : {}),
       ...(descriptorsMax ? { descriptorsMax } : {}),
+      programMb: PROGRAM_MB,
     }));
     this.#lifecycle.addCleanup(
       new memory.MemoryWatch(memory.processMemory, this.logger).start(),
--- a/packages/memory/memory_limits.ts
+++ b/packages/memory/memory_limits.ts
@@ -10,10 +10,14 @@
 const PROGRAM_MB = 110;
 /**
  * Part of the remaining memory that is accounted for. The rest is for garbage
- * that is not collected yet, fragmentation, and what the kernel keeps of
- * connections that were not read yet.
+ * that is not collected yet, fragmentation and buffers of sockets.
  */
-const ACCOUNTED_PART = 0.35;
+const ACCOUNTED_PART = 0.45;
+/**
+ * Part that connections may take with what the kernel keeps of those that were
+ * not read yet, which is not in the account.
+ */
+const CONNECTIONS_PART = 0.35;
 const ACCOUNT_BYTES_MIN = 12 * MB;
 /** Limits of responses and messages on machines with ample memory. */
 const RESPONSE_BYTES_MAX = 64 * MB;
@@ -60,19 +64,21 @@
 /**
  * Derives the limits of a node.
  *
- * @param machine memory in MB and file descriptors; absent values are unknown.
+ * @param machine memory in MB, file descriptors, and what the program needs
+ * itself; absent values are unknown.
  * @example
  * ```ts
  * memory.deriveLimits({ memoryMb: 160 }).accountBytes; // 22 MB
  * ```
  */
 export function deriveLimits(
-  { memoryMb, descriptorsMax }: {
+  { memoryMb, descriptorsMax, programMb = PROGRAM_MB }: {
     readonly memoryMb?: number;
     readonly descriptorsMax?: number;
+    readonly programMb?: number;
   },
 ): NodeLimits {
-  const freeMb = (memoryMb ?? MEMORY_DEFAULT_MB) - PROGRAM_MB;
+  const freeMb = (memoryMb ?? MEMORY_DEFAULT_MB) - programMb;
   const accountBytes = Math.max(
     ACCOUNT_BYTES_MIN,
     Math.floor(freeMb * ACCOUNTED_PART * MB),
@@ -80,7 +86,11 @@
   const descriptors = descriptorsMax === undefined
     ? Infinity
     : Math.max(descriptorsMax - PROGRAM_DESCRIPTORS, PROGRAM_DESCRIPTORS);
-  const connectionsMax = accountBytes / 4 / CONNECTION_BYTES;
+  const connectionBytes = Math.max(
+    ACCOUNT_BYTES_MIN,
+    Math.floor(freeMb * CONNECTIONS_PART * MB),
+  );
+  const connectionsMax = connectionBytes / FIRST_WINDOW_BYTES;
   const count = (ofMemory: number, ofDescriptors: number) =>
     Math.max(8, Math.floor(Math.min(ofMemory, descriptors * ofDescriptors)));
   return {
@@ -97,7 +107,7 @@
       BACKLOG_MAX,
       Math.max(
         BACKLOG_MIN,
-        Math.floor(accountBytes / 4 / FIRST_WINDOW_BYTES),
+        Math.floor(connectionsMax / 4),
       ),
     ),
   };
