--- a/packages/memory/memory_connections.ts
+++ b/packages/memory/memory_connections.ts
@@ -182,26 +182,22 @@
     return least;
   }
 
-  /** Answers a connection that there is no room for. */
+  /** Answers 503 to a connection whose request has not been read, and closes it. */
   #refuse(socket: Socket): void {
     this.#remove(socket);
-    this.#endWith(socket, SHED_RESPONSE);
+    // The rest must not arrive, as the request would run after the rejection.
+    socket.pause();
+    socket.write(SHED_RESPONSE);
+    socket.destroySoon();
   }
 
   #close(socket: Socket): void {
     const connection = this.#open.get(socket);
-    this.#remove(socket);
     const isHalfRead = connection?.requests === 0 &&
       socket.bytesRead > connection.bytesSeen;
-    if (!isHalfRead) return void socket.destroy();
-    this.#endWith(socket, SHED_RESPONSE);
-  }
-
-  #endWith(socket: Socket, response: string): void {
-    // The rest must not arrive, as the request would run after the rejection.
-    socket.pause();
-    socket.write(response);
-    socket.destroySoon();
+    if (isHalfRead) return this.#refuse(socket);
+    this.#remove(socket);
+    socket.destroy();
   }
 
   #remove(socket: Socket): void {
