--- a/packages/memory/memory_connections.ts
+++ b/packages/memory/memory_connections.ts
@@ -38,7 +38,7 @@
   requests: number;
   /** Requests that were answered with success. */
   served: number;
-  /** The last response, until it ends. */
+  /** The last response, until it ends and its request was received whole. */
   response: ServerResponse | undefined;
   /** Bytes read when its last request ended; more belong to the next head. */
   bytesSeen: number;
@@ -109,7 +109,8 @@
       return this.#close(socket);
     }
     response.once("close", () => {
-      if (connection.response === response) connection.response = undefined;
+      const isLast = connection.response === response;
+      if (isLast && response.req.complete) connection.response = undefined;
       if (response.statusCode < STATUS_ERROR_MIN) connection.served++;
       if (--connection.requests > 0 || !this.#open.has(socket)) return;
       connection.bytesSeen = socket.bytesRead;
@@ -132,38 +133,46 @@
   }
 
   /**
-   * Closes a connection, or sheds a request whose connection closes soon: first
-   * one that nothing has come of yet.
+   * Makes room for a connection that exceeds the limit: closes others, or sheds a
+   * request whose connection closes soon.
+   *
+   * @returns false if the new one is to be refused.
    */
   #makeRoom(connectionsMax: number): boolean {
-    const [unused] = this.#unused;
-    const isLate = unused !== undefined && this.#isLate(unused);
-    const useless = isLate ? unused : this.#findRejected();
-    if (useless) {
-      this.#close(useless);
-      return true;
-    }
-    const endingMax = connectionsMax * (1 + ENDING_PART);
+    const hasClosed = this.#closeUseless(connectionsMax);
+    if (this.#open.size <= connectionsMax) return true;
     const { clients, memory } = this.#options;
-    const mayShed = clients === "callers" && this.#open.size <= endingMax;
-    if (mayShed && memory.shedReading()) return true;
+    const hasShed = clients === "callers" && memory.shedReading();
+    const endingMax = connectionsMax * (1 + ENDING_PART);
+    if (hasClosed || hasShed) return this.#open.size <= endingMax;
+    const [unused] = this.#unused;
     const other = unused ?? this.#findLeastServed();
     if (other) this.#close(other);
     return other !== undefined;
   }
 
-  /** Whether a request should have arrived on an unused connection. */
+  /** Closes connections that nothing comes of, as long as there are too many. */
+  #closeUseless(connectionsMax: number): boolean {
+    const sizeBefore = this.#open.size;
+    for (const socket of [...this.#unused, ...this.#open.keys()]) {
+      if (this.#open.size <= connectionsMax) break;
+      if (this.#isLate(socket) || this.#isRejected(socket)) this.#close(socket);
+    }
+    return this.#open.size < sizeBefore;
+  }
+
+  /** Whether a first request should have arrived long ago. */
   #isLate(socket: Socket): boolean {
-    const openedAtMs = this.#open.get(socket)?.openedAtMs ?? -Infinity;
-    return core.monotonicMs() - openedAtMs > UNUSED_MS;
+    const connection = this.#open.get(socket);
+    return connection !== undefined && this.#unused.has(socket) &&
+      core.monotonicMs() - connection.openedAtMs > UNUSED_MS;
   }
 
-  /** Returns a connection that still sends the body of a rejected request. */
-  #findRejected(): Socket | undefined {
-    for (const [socket, { response }] of this.#open) {
-      if (response?.headersSent && !response.req.complete) return socket;
-    }
-    return undefined;
+  /** Whether the body of a request still arrives that was rejected. */
+  #isRejected(socket: Socket): boolean {
+    const response = this.#open.get(socket)?.response;
+    return response !== undefined && response.headersSent &&
+      !response.req.complete;
   }
 
   /**
@@ -208,11 +217,11 @@
 }
 
 /**
- * Limits the connections of a server. Above the limit, a new one takes the place
- * of the oldest that has sent no whole request for 500 ms, else of one whose
- * request was rejected and whose body still arrives, else of a request whose body
- * is being read, else of the oldest without a whole request, else of the idle one
- * that has been served least. If there is none, the new one is answered 503.
+ * Limits the connections of a server. Above the limit, those are closed that have
+ * sent no whole request for 500 ms, and those whose request was rejected and whose
+ * body still arrives; then a request whose body is being read is shed. If there
+ * is none, the oldest without a whole request is closed, else the idle one that
+ * has been served least. If that makes no room, the new one is answered 503.
  *
  * @example
  * ```ts
